--- /dev/null
+++ b/internal/config/entities.go
@@ -0,0 +1,93 @@
+// Package config holds the operators' configuration: the entities that
+// requests are served by, the templates they are made from, and the snapshot
+// of all of them that is in force on this host.
+package config
+
+import "time"
+
+// Team is a customer.
+type Team struct {
+	Name   string  `json:"name"`
+	Rate   float64 `json:"rate"`   // tokens a second over all hosts
+	Burst  int64   `json:"burst"`  // tokens
+	Weight float64 `json:"weight"` // share of contended targets
+}
+
+// Key admits requests for a team. Only its hash is stored.
+type Key struct {
+	Hash string `json:"hash"` // see HashKey
+	Team string `json:"team"`
+}
+
+// Model is a set of weights that engines load: a base model or an adapter.
+type Model struct {
+	Name          string `json:"name"`
+	Base          string `json:"base"`           // base model of an adapter, empty for a base model
+	Bytes         int64  `json:"bytes"`          // memory of one replica
+	Pool          string `json:"pool"`           // pool of engines that may load it
+	MaxReplicas   int    `json:"max_replicas"`   // replicas at most
+	MinReplicas   int    `json:"min_replicas"`   // replicas kept loaded when idle
+	IdleSeconds   int64  `json:"idle_seconds"`   // time without requests before unloading
+	ContextTokens int64  `json:"context_tokens"` // upper bound of prompt and answer together
+}
+
+// Offering lets a team use a model under a name of its own.
+type Offering struct {
+	Team      string `json:"team"`
+	Name      string `json:"name"`       // model name in the caller's request
+	Model     string `json:"model"`      // Model.Name
+	MaxTokens int64  `json:"max_tokens"` // answer tokens when the request names none
+	Priority  int    `json:"priority"`   // passed on to engines; larger goes first
+}
+
+// TargetKind says what a target is.
+type TargetKind string
+
+// The kinds of target.
+const (
+	TargetEngine  TargetKind = "engine"
+	TargetService TargetKind = "service"
+)
+
+// Target is a back end: a model engine or one instance of a plain service.
+type Target struct {
+	Name         string     `json:"name"`
+	Kind         TargetKind `json:"kind"`
+	Address      string     `json:"address"` // IP:port
+	Zone         string     `json:"zone"`    // availability zone
+	Pool         string     `json:"pool"`    // engines: see Model.Pool; services: Service.Name
+	MemoryBytes  int64      `json:"memory_bytes"`
+	Accelerators int        `json:"accelerators"`
+	Slots        int        `json:"slots"`         // requests run at once
+	ChecksFence  bool       `json:"checks_fence"`  // refuses orders with an old fencing number
+	Resumes      bool       `json:"resumes"`       // resumes a cut stream
+	Leaving      bool       `json:"leaving"`       // takes no new work
+	OrderSeconds int64      `json:"order_seconds"` // longest life of an order
+}
+
+// OrderLife returns the time after which an order to this target has
+// certainly ended.
+func (t *Target) OrderLife() time.Duration {
+	return time.Duration(t.OrderSeconds) * time.Second
+}
+
+// Service is a plain service reached by path prefix.
+type Service struct {
+	Name          string   `json:"name"`
+	Prefix        string   `json:"prefix"`         // path prefix, starts with "/"
+	Open          bool     `json:"open"`           // needs no key
+	NonRepeatable bool     `json:"non_repeatable"` // POST and the like run at most once
+	Teams         []string `json:"teams"`          // teams admitted; empty for all
+	Cost          int64    `json:"cost"`           // tokens charged for a request
+	DeadlineMS    int64    `json:"deadline_ms"`    // 0 for the host's default
+}
+
+// Entities are the entities of one template instance or of a whole snapshot.
+type Entities struct {
+	Teams     []Team     `json:"teams,omitempty"`
+	Keys      []Key      `json:"keys,omitempty"`
+	Models    []Model    `json:"models,omitempty"`
+	Offerings []Offering `json:"offerings,omitempty"`
+	Targets   []Target   `json:"targets,omitempty"`
+	Services  []Service  `json:"services,omitempty"`
+}
--- /dev/null
+++ b/internal/platform/errors.go
@@ -0,0 +1,76 @@
+package platform
+
+import "fmt"
+
+// NotFoundError reports an object that does not exist.
+type NotFoundError struct {
+	Kind Kind
+	Name string
+}
+
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("%s/%s not found", e.Kind, e.Name)
+}
+
+// ConflictError reports a conditional write whose precondition did not hold.
+type ConflictError struct {
+	Kind     Kind
+	Name     string
+	Expected Version // version named by the writer, 0 for "must not exist"
+	Found    Version // version stored now, 0 if the object does not exist
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s/%s is at version %d, not %d", e.Kind, e.Name, e.Found, e.Expected)
+}
+
+// ExpiredError reports a watch from a version that the API no longer keeps.
+type ExpiredError struct {
+	Kind  Kind
+	After Version
+}
+
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("watch of %s after version %d: version expired", e.Kind, e.After)
+}
+
+// UnavailableError reports a call that certainly had no effect: it was never
+// sent, or the API refused it before acting.
+type UnavailableError struct {
+	Op    string
+	Cause error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("object API unavailable for %s: %v", e.Op, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UnknownOutcomeError reports a write that may or may not have taken effect.
+// The caller reads the object back and compares OpID before deciding.
+type UnknownOutcomeError struct {
+	Kind  Kind
+	Name  string
+	OpID  string
+	Cause error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("outcome of write %s to %s/%s unknown: %v", e.OpID, e.Kind, e.Name, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// InvalidError reports a request that the API rejects whatever its state.
+type InvalidError struct {
+	Kind   Kind
+	Name   string
+	Reason string
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("%s/%s invalid: %s", e.Kind, e.Name, e.Reason)
+}
--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,90 @@
+// Package refusal defines the typed error with which a request of a caller is
+// turned down, and its JSON form.
+package refusal
+
+import (
+	"fmt"
+	"time"
+)
+
+// Execution says whether a refused request ran on a target.
+type Execution string
+
+// The states of execution. NotRun is only used when no byte of the request
+// can have reached a target.
+const (
+	NotRun  Execution = "not_run"
+	Ran     Execution = "ran"
+	Unknown Execution = "unknown"
+)
+
+// Code classifies a refusal. Codes are part of the caller's protocol.
+type Code string
+
+// The refusal codes.
+const (
+	CodeInvalidRequest   Code = "invalid_request"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeMissingKey       Code = "missing_key"
+	CodeInvalidKey       Code = "invalid_key"
+	CodeUnknownModel     Code = "model_not_found"
+	CodeUnknownRoute     Code = "route_not_found"
+	CodeMethodNotAllowed Code = "method_not_allowed"
+	CodeRateLimited      Code = "rate_limited"
+	CodeOverloaded       Code = "overloaded"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeNoCapacity       Code = "no_capacity"
+	CodeTargetFailed     Code = "target_failed"
+	CodeIncomplete       Code = "answer_incomplete"
+	CodeInProgress       Code = "in_progress"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeQuarantined      Code = "request_quarantined"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeJournalDown      Code = "journal_unavailable"
+	CodeStale            Code = "configuration_stale"
+	CodeStopping         Code = "host_stopping"
+	CodeCanceled         Code = "canceled"
+)
+
+// Error is a refusal.
+type Error struct {
+	Status     int           // HTTP status code
+	Code       Code          // class
+	Message    string        // one sentence for the caller; never holds a key
+	Execution  Execution     // whether the request ran
+	RetryAfter time.Duration // when a new try is worthwhile, 0 if not stated
+	Cause      error         // for the log only
+}
+
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", e.Code, e.Execution, e.Message, e.Cause)
+	}
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Execution, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// New returns a refusal of a request that did not run.
+func New(status int, code Code, message string) *Error {
+	return &Error{Status: status, Code: code, Message: message, Execution: NotRun}
+}
+
+// WithRetry sets the time after which a new try is worthwhile.
+func (e *Error) WithRetry(after time.Duration) *Error {
+	e.RetryAfter = after
+	return e
+}
+
+// WithCause sets the cause that is logged.
+func (e *Error) WithCause(cause error) *Error {
+	e.Cause = cause
+	return e
+}
+
+// WithExecution sets the state of execution.
+func (e *Error) WithExecution(x Execution) *Error {
+	e.Execution = x
+	return e
+}
--- /dev/null
+++ b/internal/refusal/write.go
@@ -0,0 +1,66 @@
+package refusal
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// HeaderExecution is the response header that repeats Error.Execution.
+const HeaderExecution = "X-Seam-Execution"
+
+// Body is the JSON form of a refusal, the error object of the OpenAI protocol
+// with two fields added.
+type Body struct {
+	Error Detail `json:"error"`
+}
+
+// Detail is the content of Body.
+type Detail struct {
+	Message    string    `json:"message"`
+	Type       string    `json:"type"`
+	Code       Code      `json:"code"`
+	Execution  Execution `json:"execution"`
+	RetryAfter float64   `json:"retry_after_seconds,omitempty"`
+}
+
+// Body returns the JSON form of e.
+func (e *Error) Body() Body {
+	return Body{Error: Detail{
+		Message:    e.Message,
+		Type:       errorType(e.Status),
+		Code:       e.Code,
+		Execution:  e.Execution,
+		RetryAfter: e.RetryAfter.Seconds(),
+	}}
+}
+
+// Write sends e as the whole response.
+func (e *Error) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderExecution, string(e.Execution))
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", retrySeconds(e.RetryAfter))
+	}
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(e.Body()) // the caller may be gone; nothing is left to tell it
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
+
+// retrySeconds rounds up, since Retry-After has whole seconds.
+func retrySeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
