--- /dev/null
+++ b/internal/standin/objectapi/faults.go
@@ -0,0 +1,159 @@
+package objectapi
+
+import (
+	"context"
+	"time"
+
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// Faults are the ways in which the API misbehaves. The zero value is a
+// healthy API.
+type Faults struct {
+	Down          bool          // refuses every call
+	Delay         time.Duration // added to every call before it takes effect
+	LoseAnswers   bool          // writes take effect, their answers are lost
+	SilentWatches bool          // open watches stay open and deliver nothing
+}
+
+// SetFaults replaces the faults in force for all callers.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// faultError is the cause given inside the errors of injected faults.
+type faultError string
+
+func (e faultError) Error() string { return string(e) }
+
+const (
+	errDown   = faultError("stand-in is down")
+	errLost   = faultError("stand-in lost the answer")
+	errBroken = faultError("stand-in broke the watch")
+)
+
+// enter counts a call and applies the faults that come before its effect.
+func (s *Store) enter(ctx context.Context, op string, kind platform.Kind, name string) error {
+	s.mu.Lock()
+	s.calls[op]++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if f.Down {
+		return &platform.UnavailableError{Op: op, Cause: errDown}
+	}
+	if err := ctx.Err(); err != nil {
+		return &platform.UnavailableError{Op: op, Cause: err}
+	}
+	return nil
+}
+
+// leave applies the faults that come after a write took effect.
+func (s *Store) leave(_ context.Context, kind platform.Kind, name, opID string) error {
+	s.mu.Lock()
+	lost := s.faults.LoseAnswers
+	s.mu.Unlock()
+	if lost {
+		return &platform.UnknownOutcomeError{Kind: kind, Name: name, OpID: opID, Cause: errLost}
+	}
+	return nil
+}
+
+// View is the store as one caller sees it, with faults of its own added to
+// those of the store.
+type View struct {
+	store  *Store
+	faults func() Faults
+}
+
+// Via returns a view. Faults is asked at each call; nil means none.
+func (s *Store) Via(faults func() Faults) *View {
+	if faults == nil {
+		faults = func() Faults { return Faults{} }
+	}
+	return &View{store: s, faults: faults}
+}
+
+func (v *View) before(ctx context.Context, op string) error {
+	f := v.faults()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if f.Down {
+		return &platform.UnavailableError{Op: op, Cause: errDown}
+	}
+	return nil
+}
+
+// Get implements platform.API.
+func (v *View) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if err := v.before(ctx, "get"); err != nil {
+		return platform.Object{}, err
+	}
+	return v.store.Get(ctx, kind, name)
+}
+
+// List implements platform.API.
+func (v *View) List(ctx context.Context, kind platform.Kind) (platform.List, error) {
+	if err := v.before(ctx, "list"); err != nil {
+		return platform.List{}, err
+	}
+	return v.store.List(ctx, kind)
+}
+
+// Put implements platform.API.
+func (v *View) Put(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	if err := v.before(ctx, "put"); err != nil {
+		return platform.Object{}, err
+	}
+	stored, err := v.store.Put(ctx, obj)
+	if err == nil && v.faults().LoseAnswers {
+		return platform.Object{}, &platform.UnknownOutcomeError{Kind: obj.Kind, Name: obj.Name, OpID: stored.OpID, Cause: errLost}
+	}
+	return stored, err
+}
+
+// Delete implements platform.API.
+func (v *View) Delete(ctx context.Context, kind platform.Kind, name string, version platform.Version) error {
+	if err := v.before(ctx, "delete"); err != nil {
+		return err
+	}
+	err := v.store.Delete(ctx, kind, name, version)
+	if err == nil && v.faults().LoseAnswers {
+		return &platform.UnknownOutcomeError{Kind: kind, Name: name, Cause: errLost}
+	}
+	return err
+}
+
+// Watch implements platform.API. A view with SilentWatches delivers nothing.
+func (v *View) Watch(ctx context.Context, kind platform.Kind, after platform.Version) (platform.Watch, error) {
+	if err := v.before(ctx, "watch"); err != nil {
+		return nil, err
+	}
+	w, err := v.store.Watch(ctx, kind, after)
+	if err != nil || !v.faults().SilentWatches {
+		return w, err
+	}
+	return &silentWatch{Watch: w}, nil
+}
+
+// silentWatch is open and delivers nothing.
+type silentWatch struct{ platform.Watch }
+
+func (w *silentWatch) Events() <-chan platform.Event { return nil }
+
+// Interface checks.
+var (
+	_ platform.API = (*Store)(nil)
+	_ platform.API = (*View)(nil)
+)
