--- /dev/null
+++ b/internal/standin/weightstore/weightstore.go
@@ -0,0 +1,115 @@
+// Package weightstore is a stand-in for the rate-limited weight store: loads
+// start at a bounded rate, and beyond a number in flight each load slows in
+// proportion.
+package weightstore
+
+import (
+	"sync"
+	"time"
+)
+
+// Options configure a stand-in weight store.
+type Options struct {
+	LoadsPerSecond float64 // starts a second
+	FullSpeed      int     // loads in flight at full speed
+	BytesPerSecond float64 // speed of one load at full speed
+}
+
+// Store is a stand-in weight store.
+type Store struct {
+	opts Options
+
+	mu       sync.Mutex
+	next     time.Time // earliest start of the next load
+	inFlight int
+	slowdown float64 // 1 is healthy
+	loads    int
+	maxAtOne int
+}
+
+// step is the time between two adjustments of a load's speed.
+const step = 10 * time.Millisecond
+
+// New returns a healthy store.
+func New(opts Options) *Store {
+	return &Store{opts: opts, slowdown: 1}
+}
+
+// Slow makes every load take factor times as long.
+func (s *Store) Slow(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowdown = factor
+}
+
+// Stats returns the number of loads so far and the most in flight at once.
+func (s *Store) Stats() (loads, maxInFlight int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads, s.maxAtOne
+}
+
+// CanceledError reports a load that was cancelled.
+type CanceledError struct {
+	Model string
+}
+
+func (e *CanceledError) Error() string { return "load of " + e.Model + " cancelled" }
+
+// Fetch implements the engine's Fetcher.
+func (s *Store) Fetch(model string, bytes int64, cancel <-chan struct{}) error {
+	wait := s.admit()
+	defer s.leave()
+	if !sleep(wait, cancel) {
+		return &CanceledError{Model: model}
+	}
+	for left := float64(bytes); left > 0; {
+		if !sleep(step, cancel) {
+			return &CanceledError{Model: model}
+		}
+		left -= s.speed() * step.Seconds()
+	}
+	return nil
+}
+
+// admit counts a load and returns the wait until its start.
+func (s *Store) admit() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.next.Before(now) {
+		s.next = now
+	}
+	wait := s.next.Sub(now)
+	s.next = s.next.Add(time.Duration(float64(time.Second) / s.opts.LoadsPerSecond))
+	s.inFlight++
+	s.loads++
+	s.maxAtOne = max(s.maxAtOne, s.inFlight)
+	return wait
+}
+
+func (s *Store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+}
+
+// speed returns the bytes a second that one load gets now.
+func (s *Store) speed() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := 1.0
+	if s.inFlight > s.opts.FullSpeed {
+		share = float64(s.opts.FullSpeed) / float64(s.inFlight)
+	}
+	return s.opts.BytesPerSecond * share / s.slowdown
+}
+
+func sleep(d time.Duration, cancel <-chan struct{}) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-cancel:
+		return false
+	}
+}
