--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// MaxMessageBytes is the largest message that a host accepts from a peer.
+const MaxMessageBytes = 4 << 20
+
+// MessageTooLargeError reports a message over MaxMessageBytes. The connection
+// it came on is closed.
+type MessageTooLargeError struct {
+	Bytes uint64
+}
+
+func (e *MessageTooLargeError) Error() string {
+	return fmt.Sprintf("peer message of %d bytes exceeds %d", e.Bytes, MaxMessageBytes)
+}
+
+// codec is the length-prefixed JSON form of jsonrpc2 with a bound on the
+// length that is read.
+type codec struct {
+	jsonrpc2.VarintObjectCodec
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	length, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if length > MaxMessageBytes {
+		return &MessageTooLargeError{Bytes: length}
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(stream, body); err != nil {
+		return err
+	}
+	return json.Unmarshal(body, v)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,184 @@
+// Package settings reads and checks the settings of seamd.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	Host     Host     `json:"host"`
+	Callers  Callers  `json:"callers"`
+	Peers    Peers    `json:"peers"`
+	Admin    Admin    `json:"admin"`
+	Platform Platform `json:"platform"`
+	Requests Requests `json:"requests"`
+	Log      Log      `json:"log"`
+}
+
+// Host says who this host is.
+type Host struct {
+	Name string `json:"name"` // as in the platform's host list
+	Zone string `json:"zone"` // availability zone
+}
+
+// Callers configures the interface for callers.
+type Callers struct {
+	Listen    string `json:"listen"`    // IP:port
+	Advertise string `json:"advertise"` // IP:port given to callers
+}
+
+// Peers configures the links between entry hosts.
+type Peers struct {
+	Listen    string `json:"listen"`    // IP:port
+	Advertise string `json:"advertise"` // IP:port given to peers
+	Secret    string `json:"secret"`    // shared by all hosts, at least 16 bytes
+}
+
+// Admin configures the interface for operators.
+type Admin struct {
+	Listen    string `json:"listen"`     // IP:port
+	TokenHash string `json:"token_hash"` // hash of the operators' token, see seamctl hash-key
+}
+
+// Platform configures the object API.
+type Platform struct {
+	URL string `json:"url"`
+}
+
+// Requests bounds requests of callers.
+type Requests struct {
+	BodyBytes     int64 `json:"body_bytes"`     // largest request body
+	DeadlineMS    int64 `json:"deadline_ms"`    // from arrival to the first token or whole answer
+	TokenGapMS    int64 `json:"token_gap_ms"`   // longest silence of a running stream
+	DrainMS       int64 `json:"drain_ms"`       // longest graceful shutdown
+	AnswerLifeMS  int64 `json:"answer_life_ms"` // time for which callers keep an entry answer
+	MaxConcurrent int   `json:"max_concurrent"` // requests in progress on this host
+}
+
+// Log configures the log on standard error.
+type Log struct {
+	Level string `json:"level"` // logrus level name
+}
+
+// Defaults returns the settings that apply where a file is silent.
+func Defaults() Settings {
+	return Settings{
+		Requests: Requests{
+			BodyBytes:     1 << 20,
+			DeadlineMS:    30_000,
+			TokenGapMS:    3_000,
+			DrainMS:       60_000,
+			AnswerLifeMS:  5_000,
+			MaxConcurrent: 10_000,
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
+// Fault names a setting and what is wrong with it.
+type Fault struct {
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// InvalidError reports every fault of a settings file.
+type InvalidError struct {
+	File   string
+	Faults []Fault
+}
+
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.Path + ": " + f.Reason
+	}
+	return fmt.Sprintf("%s: %s", e.File, strings.Join(lines, "; "))
+}
+
+// ReadError reports a settings file that cannot be read.
+type ReadError struct {
+	File  string
+	Cause error
+}
+
+func (e *ReadError) Error() string { return fmt.Sprintf("settings %s: %v", e.File, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Cause }
+
+// Read reads and checks a settings file. It fails with *ReadError or with
+// *InvalidError, which holds all faults.
+func Read(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &ReadError{File: file, Cause: err}
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings in JSON. File is named in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Defaults()
+	faults := shapeFaults(data, s)
+	if len(faults) > 0 {
+		return Settings{}, &InvalidError{File: file, Faults: faults}
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Settings{}, &InvalidError{File: file, Faults: []Fault{{Path: ".", Reason: err.Error()}}}
+	}
+	if faults := s.Check(); len(faults) > 0 {
+		return Settings{}, &InvalidError{File: file, Faults: faults}
+	}
+	return s, nil
+}
+
+// minSecretBytes is the least length of the peers' shared secret.
+const minSecretBytes = 16
+
+// Check returns the faults of the values.
+func (s Settings) Check() []Fault {
+	c := &checker{}
+	c.require(s.Host.Name != "", "host.name", "must not be empty")
+	c.require(s.Host.Zone != "", "host.zone", "must not be empty")
+	c.address(s.Callers.Listen, "callers.listen")
+	c.address(s.Callers.Advertise, "callers.advertise")
+	c.address(s.Peers.Listen, "peers.listen")
+	c.address(s.Peers.Advertise, "peers.advertise")
+	c.require(len(s.Peers.Secret) >= minSecretBytes, "peers.secret", "must have at least 16 bytes")
+	c.address(s.Admin.Listen, "admin.listen")
+	c.require(len(s.Admin.TokenHash) == 64, "admin.token_hash", "must be the hexadecimal hash of a token")
+	u, err := url.Parse(s.Platform.URL)
+	c.require(err == nil && u.Scheme != "" && u.Host != "", "platform.url", "must be a URL with scheme and address")
+	c.require(s.Requests.BodyBytes > 0, "requests.body_bytes", "must be positive")
+	c.require(s.Requests.DeadlineMS > 0, "requests.deadline_ms", "must be positive")
+	c.require(s.Requests.TokenGapMS > 0, "requests.token_gap_ms", "must be positive")
+	c.require(s.Requests.DrainMS > 0, "requests.drain_ms", "must be positive")
+	c.require(s.Requests.AnswerLifeMS > 0, "requests.answer_life_ms", "must be positive")
+	c.require(s.Requests.MaxConcurrent > 0, "requests.max_concurrent", "must be positive")
+	_, err = logrus.ParseLevel(s.Log.Level)
+	c.require(err == nil, "log.level", "must be a level such as info")
+	return c.faults
+}
+
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) require(ok bool, path, reason string) {
+	if !ok {
+		c.faults = append(c.faults, Fault{Path: path, Reason: reason})
+	}
+}
+
+func (c *checker) address(value, path string) {
+	_, err := netip.ParseAddrPort(value)
+	c.require(err == nil, path, "must be an IP address and port")
+}
--- /dev/null
+++ b/internal/settings/shape.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"encoding/json"
+	"reflect"
+	"sort"
+	"strings"
+)
+
+// shapeFaults returns the unknown fields and wrong types of a JSON document,
+// compared with the shape of want.
+func shapeFaults(data []byte, want any) []Fault {
+	var doc any
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return []Fault{{Path: ".", Reason: "not a JSON document: " + err.Error()}}
+	}
+	var faults []Fault
+	walkShape(doc, reflect.TypeOf(want), "", &faults)
+	sort.Slice(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+func walkShape(node any, t reflect.Type, path string, faults *[]Fault) {
+	add := func(reason string) {
+		*faults = append(*faults, Fault{Path: strings.TrimPrefix(path, "."), Reason: reason})
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		obj, ok := node.(map[string]any)
+		if !ok {
+			add("must be an object")
+			return
+		}
+		walkFields(obj, t, path, faults)
+	case reflect.String:
+		if _, ok := node.(string); !ok {
+			add("must be a string")
+		}
+	case reflect.Int, reflect.Int64:
+		n, ok := node.(float64)
+		if !ok || n != float64(int64(n)) {
+			add("must be a whole number")
+		}
+	case reflect.Bool:
+		if _, ok := node.(bool); !ok {
+			add("must be true or false")
+		}
+	}
+}
+
+func walkFields(obj map[string]any, t reflect.Type, path string, faults *[]Fault) {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		fields[name] = t.Field(i).Type
+	}
+	for name, value := range obj {
+		child := path + "." + name
+		if ft, known := fields[name]; known {
+			walkShape(value, ft, child, faults)
+			continue
+		}
+		*faults = append(*faults, Fault{Path: strings.TrimPrefix(child, "."), Reason: "unknown field"})
+	}
+}
