Add the request path of models and plain services

Cause: a request must pass authentication, limits, placement, queue and routing and bring back its whole answer or a refusal that says whether it ran.

--- /dev/null
+++ b/internal/serve/handler.go
@@ -0,0 +1,204 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// Options are the duties and bounds of a Handler. All duties are required.
+type Options struct {
+	Config     config.Source
+	Auth       Authenticator
+	Limits     Limiter
+	Queue      Queue
+	Placer     Placer
+	Router     Router
+	Journal    Journal
+	Quarantine Quarantine
+	Retries    RetryBudget
+	Sender     target.Sender
+	EntryHosts http.Handler // answers GET /v1/entry-hosts
+	Log        logrus.FieldLogger
+	Metrics    tally.Scope
+
+	BodyBytes     int64         // largest request body
+	Deadline      time.Duration // from arrival to the first token or whole answer
+	TokenGap      time.Duration // longest silence of a running stream
+	MaxConcurrent int           // requests in progress
+}
+
+// Handler answers callers.
+type Handler struct {
+	opts     Options
+	routes   http.Handler
+	inFlight chan struct{} // one element for each request in progress
+	stopping chan struct{} // closed once new requests are refused
+}
+
+// New returns a handler.
+func New(opts Options) *Handler {
+	h := &Handler{
+		opts:     opts,
+		inFlight: make(chan struct{}, opts.MaxConcurrent),
+		stopping: make(chan struct{}),
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", h.post(h.completion))
+	r.HandleFunc("/v1/completions", h.post(h.completion))
+	r.HandleFunc("/v1/models", h.get(h.models))
+	r.HandleFunc("/v1/entry-hosts", h.get(func(w http.ResponseWriter, r *http.Request) error {
+		opts.EntryHosts.ServeHTTP(w, r)
+		return nil
+	}))
+	r.PathPrefix("/v1/").HandlerFunc(h.guard(func(http.ResponseWriter, *http.Request) error {
+		return refusal.New(http.StatusNotFound, refusal.CodeUnknownRoute, "There is no such path in this protocol.")
+	}))
+	r.PathPrefix("/").HandlerFunc(h.guard(h.service))
+	h.routes = r
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.routes.ServeHTTP(w, r)
+}
+
+// Stop makes the handler refuse new requests. Those in progress go on.
+func (h *Handler) Stop() {
+	close(h.stopping)
+}
+
+// Wait returns when no request is in progress, or with the number still in
+// progress when ctx ends.
+func (h *Handler) Wait(ctx context.Context) int {
+	const pollInterval = 10 * time.Millisecond
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for len(h.inFlight) > 0 {
+		select {
+		case <-ctx.Done():
+			return len(h.inFlight)
+		case <-tick.C:
+		}
+	}
+	return 0
+}
+
+// endpoint serves one request. An error is turned into a response; after the
+// head of a response was written, errAnswered is returned instead.
+type endpoint func(w http.ResponseWriter, r *http.Request) error
+
+func (h *Handler) post(e endpoint) http.HandlerFunc { return h.method(http.MethodPost, e) }
+
+func (h *Handler) get(e endpoint) http.HandlerFunc { return h.method(http.MethodGet, e) }
+
+func (h *Handler) method(want string, e endpoint) http.HandlerFunc {
+	return h.guard(func(w http.ResponseWriter, r *http.Request) error {
+		if r.Method != want {
+			w.Header().Set("Allow", want)
+			return refusal.New(http.StatusMethodNotAllowed, refusal.CodeMethodNotAllowed, "This path takes "+want+" only.")
+		}
+		return e(w, r)
+	})
+}
+
+// retryWhenStopping is the time a caller needs to ask for another host.
+const retryWhenStopping = time.Second
+
+// guard bounds the requests in progress and answers errors.
+func (h *Handler) guard(e endpoint) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case h.inFlight <- struct{}{}:
+			defer func() { <-h.inFlight }()
+		default:
+			h.refuse(w, r, refusal.New(http.StatusServiceUnavailable, refusal.CodeOverloaded, "This host has too many requests in progress.").WithRetry(retryWhenStopping))
+			return
+		}
+		if h.isStopping() {
+			h.refuse(w, r, refusal.New(http.StatusServiceUnavailable, refusal.CodeStopping, "This host is stopping; use another.").WithRetry(retryWhenStopping))
+			return
+		}
+		if err := e(w, r); err != nil {
+			h.refuse(w, r, err)
+		}
+	}
+}
+
+func (h *Handler) isStopping() bool {
+	select {
+	case <-h.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// answeredError says that the caller has its response and the rest is for
+// the log.
+type answeredError struct {
+	cause *refusal.Error
+}
+
+func (e *answeredError) Error() string { return e.cause.Error() }
+
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	var answered *answeredError
+	if errors.As(err, &answered) {
+		h.logRefusal(r, answered.cause)
+		return
+	}
+	ref := asRefusal(err)
+	h.logRefusal(r, ref)
+	ref.Write(w)
+}
+
+func (h *Handler) logRefusal(r *http.Request, ref *refusal.Error) {
+	h.opts.Metrics.Tagged(map[string]string{"code": string(ref.Code), "execution": string(ref.Execution)}).Counter("refusals").Inc(1)
+	h.opts.Log.WithFields(logrus.Fields{
+		"event":     "request_refused",
+		"path":      r.URL.Path,
+		"code":      ref.Code,
+		"execution": ref.Execution,
+		"cause":     ref.Error(),
+	}).Info("request refused")
+}
+
+// asRefusal returns err as a refusal; an error of another type is a fault of
+// this program, of which the caller learns no detail.
+func asRefusal(err error) *refusal.Error {
+	var ref *refusal.Error
+	if errors.As(err, &ref) {
+		return ref
+	}
+	return refusal.New(http.StatusInternalServerError, refusal.CodeTargetFailed, "Internal error.").
+		WithExecution(refusal.Unknown).WithCause(err)
+}
+
+// readBody reads a request body within the bound.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.CodeBodyTooLarge, "The request body is too large.")
+	}
+	if err != nil {
+		return nil, refusal.New(http.StatusBadRequest, refusal.CodeInvalidRequest, "The request body could not be read.").WithCause(err)
+	}
+	return body, nil
+}
+
+// newRequestID returns a unique id for a request or an attempt.
+func newRequestID() string { return uuid.NewString() }
--- /dev/null
+++ b/internal/serve/model.go
@@ -0,0 +1,198 @@
+package serve
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/refusal"
+)
+
+// bytesPerToken converts the length of a prompt to tokens. The charge for a
+// prompt is defined by this estimate, so it is known at admission.
+const bytesPerToken = 4
+
+// prefixBytes is the length of the prompt prefix that cache affinity uses.
+const prefixBytes = 512
+
+// modelCall is an admitted request to a model.
+type modelCall struct {
+	id          string
+	arrived     time.Time
+	key         *config.Key
+	team        *config.Team
+	offering    *config.Offering
+	model       *config.Model
+	path        string
+	body        []byte // as sent to the engine
+	stream      bool
+	prompt      int64 // tokens of the prompt
+	maxTokens   int64 // tokens of the answer at most
+	prefix      uint64
+	fingerprint string
+}
+
+// tokens returns the largest charge for the call.
+func (c *modelCall) tokens() int64 { return c.prompt + c.maxTokens }
+
+func invalidRequest(message string) *refusal.Error {
+	return refusal.New(http.StatusBadRequest, refusal.CodeInvalidRequest, message)
+}
+
+// authenticate finds the key and team of a request.
+func (h *Handler) authenticate(r *http.Request) (*config.Key, *config.Team, error) {
+	presented, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || presented == "" {
+		return nil, nil, refusal.New(http.StatusUnauthorized, refusal.CodeMissingKey, "Send a key as 'Authorization: Bearer KEY'.")
+	}
+	key, err := h.opts.Auth.Authenticate(presented)
+	if err != nil {
+		return nil, nil, err
+	}
+	team, ok := h.opts.Config.Snapshot().Teams[key.Team]
+	if !ok {
+		return nil, nil, refusal.New(http.StatusForbidden, refusal.CodeInvalidKey, "The key's team does not exist.")
+	}
+	return key, team, nil
+}
+
+// parseCall checks a request to a model.
+func (h *Handler) parseCall(w http.ResponseWriter, r *http.Request) (*modelCall, error) {
+	call := &modelCall{id: newRequestID(), arrived: time.Now(), path: r.URL.Path}
+	var err error
+	call.key, call.team, err = h.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, invalidRequest("The request body is not a JSON object.")
+	}
+	if err := h.bindModel(call, fields); err != nil {
+		return nil, err
+	}
+	if err := call.bindPrompt(fields); err != nil {
+		return nil, err
+	}
+	return call, call.encode(fields)
+}
+
+// bindModel resolves the offering; a model of another team does not exist.
+func (h *Handler) bindModel(call *modelCall, fields map[string]json.RawMessage) error {
+	var name string
+	if err := json.Unmarshal(fields["model"], &name); err != nil || name == "" {
+		return invalidRequest("Field 'model' must be a non-empty string.")
+	}
+	snap := h.opts.Config.Snapshot()
+	offering, ok := snap.Offerings[config.OfferingID{Team: call.team.Name, Name: name}]
+	if !ok {
+		return unknownModel()
+	}
+	model, ok := snap.Models[offering.Model]
+	if !ok {
+		return unknownModel()
+	}
+	call.offering, call.model = offering, model
+	return nil
+}
+
+func unknownModel() *refusal.Error {
+	return refusal.New(http.StatusNotFound, refusal.CodeUnknownModel, "The team has no model of that name.")
+}
+
+// bindPrompt reads the fields that decide on cost and form of the answer.
+func (c *modelCall) bindPrompt(fields map[string]json.RawMessage) error {
+	prompt := fields["prompt"]
+	if strings.HasPrefix(c.path, "/v1/chat/") {
+		prompt = fields["messages"]
+		var messages []json.RawMessage
+		if err := json.Unmarshal(prompt, &messages); err != nil || len(messages) == 0 {
+			return invalidRequest("Field 'messages' must be a non-empty list.")
+		}
+	} else if len(prompt) == 0 {
+		return invalidRequest("Field 'prompt' is missing.")
+	}
+	if raw, ok := fields["stream"]; ok {
+		if err := json.Unmarshal(raw, &c.stream); err != nil {
+			return invalidRequest("Field 'stream' must be true or false.")
+		}
+	}
+	c.maxTokens = c.offering.MaxTokens
+	if raw, ok := fields["max_tokens"]; ok {
+		if err := json.Unmarshal(raw, &c.maxTokens); err != nil || c.maxTokens <= 0 {
+			return invalidRequest("Field 'max_tokens' must be a positive whole number.")
+		}
+	}
+	c.prompt = int64(len(prompt))/bytesPerToken + 1
+	if c.tokens() > c.model.ContextTokens {
+		return invalidRequest("Prompt and answer exceed the model's context of " + strconv.FormatInt(c.model.ContextTokens, 10) + " tokens.")
+	}
+	c.prefix = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	return nil
+}
+
+// encode makes the body for the engine: the caller's fields with the served
+// model and the bound on the answer put in.
+func (c *modelCall) encode(fields map[string]json.RawMessage) error {
+	name, err := json.Marshal(c.model.Name)
+	if err != nil {
+		return invalidRequest("The model name cannot be encoded.")
+	}
+	fields["model"] = name
+	fields["max_tokens"] = json.RawMessage(strconv.FormatInt(c.maxTokens, 10))
+	c.body, err = json.Marshal(fields)
+	if err != nil {
+		return invalidRequest("The request cannot be encoded.")
+	}
+	c.fingerprint = strconv.FormatUint(xxhash.Sum64(c.body), 16)
+	return nil
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models offered to the key's team.
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) error {
+	_, team, err := h.authenticate(r)
+	if err != nil {
+		return err
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for id := range h.opts.Config.Snapshot().Offerings {
+		if id.Team == team.Name {
+			list.Data = append(list.Data, modelItem{ID: id.Name, Object: "model", OwnedBy: team.Name})
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	w.Header().Set("Content-Type", "application/json")
+	return encodeAnswer(w, list)
+}
+
+// encodeAnswer writes a JSON answer. The caller being gone is no failure.
+func encodeAnswer(w http.ResponseWriter, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	_, _ = w.Write(data)
+	return nil
+}
--- /dev/null
+++ b/internal/serve/relay.go
@@ -0,0 +1,139 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// maxAnswerBytes bounds an answer that is held in memory.
+const maxAnswerBytes = 16 << 20
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// StatusError reports an answer of a target that is not a success.
+type StatusError struct {
+	Status int
+	Body   []byte
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("target answered status %d", e.Status) }
+
+// IncompleteError reports an answer that ended before it was whole.
+type IncompleteError struct {
+	Cause error
+}
+
+func (e *IncompleteError) Error() string { return fmt.Sprintf("answer incomplete: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *IncompleteError) Unwrap() error { return e.Cause }
+
+// relay passes the answer of a target on to the caller. It returns nil once
+// the caller has the whole answer.
+func (m *modelRun) relay(a *attempt, resp *target.Response) error {
+	defer resp.Body.Close()
+	if resp.Status >= http.StatusInternalServerError || resp.Status == http.StatusConflict {
+		return &StatusError{Status: resp.Status}
+	}
+	if resp.Status >= http.StatusBadRequest {
+		return m.relayWhole(resp)
+	}
+	if m.call.stream {
+		return m.relayStream(a, resp.Body)
+	}
+	return m.relayWhole(resp)
+}
+
+// relayWhole reads the whole answer before the caller sees any of it.
+func (m *modelRun) relayWhole(resp *target.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &IncompleteError{Cause: err}
+	}
+	m.delivered = m.call.maxTokens
+	var answer struct {
+		Usage struct {
+			CompletionTokens *int64 `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return &IncompleteError{Cause: err}
+	}
+	if n := answer.Usage.CompletionTokens; n != nil {
+		m.delivered = *n
+	}
+	m.w.Header().Set("Content-Type", "application/json")
+	m.w.WriteHeader(resp.Status)
+	m.headSent = true
+	_, _ = m.w.Write(body) // the caller being gone is no failure of the target
+	return nil
+}
+
+const (
+	eventPrefix = "data: "
+	eventDone   = "[DONE]"
+)
+
+// relayStream passes events on as they come. Only the terminal event makes an
+// answer whole.
+func (m *modelRun) relayStream(a *attempt, body io.Reader) error {
+	flush := http.NewResponseController(m.w)
+	events := bufio.NewScanner(body)
+	events.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	for events.Scan() {
+		line := events.Bytes()
+		data, ok := bytes.CutPrefix(line, []byte(eventPrefix))
+		if !ok {
+			continue
+		}
+		a.progress()
+		m.openStream()
+		if _, err := fmt.Fprintf(m.w, "%s%s\n\n", eventPrefix, data); err != nil {
+			return err
+		}
+		_ = flush.Flush()
+		if string(data) == eventDone {
+			return nil
+		}
+		m.delivered++
+	}
+	cause := events.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	return &IncompleteError{Cause: cause}
+}
+
+// openStream sends the head of a streamed answer once.
+func (m *modelRun) openStream() {
+	if m.headSent {
+		return
+	}
+	m.w.Header().Set("Content-Type", "text/event-stream")
+	m.w.Header().Set("Cache-Control", "no-store")
+	m.w.WriteHeader(http.StatusOK)
+	m.headSent = true
+}
+
+// writeErrorEvent ends a stream with an error in place of the terminal event.
+func writeErrorEvent(w http.ResponseWriter, ref *refusal.Error) {
+	data, err := json.Marshal(ref.Body())
+	if err != nil {
+		return
+	}
+	var event strings.Builder
+	event.WriteString("event: error\n" + eventPrefix)
+	event.Write(data)
+	event.WriteString("\n\n")
+	_, _ = io.WriteString(w, event.String()) // the caller may be gone
+	_ = http.NewResponseController(w).Flush()
+}
--- /dev/null
+++ b/internal/serve/service.go
@@ -0,0 +1,272 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// HeaderIdempotencyKey names a call, so that it runs at most once however
+// often it is sent.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// HeaderReplayed marks an answer that was kept from an earlier call.
+const HeaderReplayed = "X-Seam-Replayed"
+
+// serviceHeaders are the request headers passed on to services. All others
+// stay here, credentials among them.
+var serviceHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
+
+// answerHeaders are the headers of a service's answer passed on to callers.
+var answerHeaders = []string{"Content-Type", "Content-Language", "Location", "Etag", "Last-Modified"}
+
+// serviceCall is an admitted request to a plain service.
+type serviceCall struct {
+	id      string
+	service *config.Service
+	key     *config.Key  // nil on routes open to all
+	team    *config.Team // nil on routes open to all
+	method  string
+	path    string
+	header  map[string]string
+	body    []byte
+}
+
+func (c *serviceCall) teamName() string {
+	if c.team == nil {
+		return ""
+	}
+	return c.team.Name
+}
+
+// repeatable reports whether the call may be sent more than once.
+func (c *serviceCall) repeatable() bool {
+	switch c.method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return !c.service.NonRepeatable
+}
+
+// service serves a request to a plain service.
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) error {
+	arrived := time.Now()
+	call, err := h.parseService(w, r)
+	if err != nil {
+		return err
+	}
+	deadline := h.opts.Deadline
+	if call.service.DeadlineMS > 0 {
+		deadline = time.Duration(call.service.DeadlineMS) * time.Millisecond
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(deadline))
+	defer cancel()
+	if call.team != nil {
+		reservation, err := h.opts.Limits.Reserve(ctx, call.team, call.service.Cost)
+		if err != nil {
+			return err
+		}
+		defer reservation.Settle(call.service.Cost)
+	}
+	answer, err := h.runService(ctx, call, r.Header.Get(HeaderIdempotencyKey))
+	if err != nil {
+		return err
+	}
+	return writeAnswer(w, answer)
+}
+
+func (h *Handler) parseService(w http.ResponseWriter, r *http.Request) (*serviceCall, error) {
+	svc := h.opts.Config.Snapshot().ServiceFor(r.URL.Path)
+	if svc == nil {
+		return nil, refusal.New(http.StatusNotFound, refusal.CodeUnknownRoute, "No service has this path.")
+	}
+	call := &serviceCall{id: newRequestID(), service: svc, method: r.Method, path: r.URL.RequestURI(), header: map[string]string{}}
+	if !svc.Open {
+		key, team, err := h.authenticate(r)
+		if err != nil {
+			return nil, err
+		}
+		if !svc.Admits(team.Name) {
+			return nil, refusal.New(http.StatusNotFound, refusal.CodeUnknownRoute, "No service has this path.")
+		}
+		call.key, call.team = key, team
+	}
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	call.body = body
+	for _, name := range serviceHeaders {
+		if v := r.Header.Get(name); v != "" {
+			call.header[name] = v
+		}
+	}
+	return call, nil
+}
+
+// runService performs the call: journalled, once, or with retries.
+func (h *Handler) runService(ctx context.Context, call *serviceCall, idempotencyKey string) (Answer, error) {
+	if call.repeatable() {
+		return h.sendRepeatable(ctx, call)
+	}
+	if idempotencyKey == "" {
+		answer, _, err := h.sendOnce(ctx, call)
+		return answer, err
+	}
+	id := AttemptID{
+		Team:           call.teamName(),
+		IdempotencyKey: idempotencyKey,
+		Fingerprint:    call.fingerprint(),
+	}
+	return h.opts.Journal.Do(ctx, id, func(ctx context.Context) (Answer, bool, error) {
+		return h.sendOnce(ctx, call)
+	})
+}
+
+func (c *serviceCall) fingerprint() string {
+	d := xxhash.New()
+	_, _ = d.WriteString(c.method + "\x00" + c.path + "\x00") // never fails, see xxhash
+	_, _ = d.Write(c.body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// sendRepeatable retries within the budgets.
+func (h *Handler) sendRepeatable(ctx context.Context, call *serviceCall) (Answer, error) {
+	exclude := map[string]bool{}
+	everSent := false
+	for retry := 1; ; retry++ {
+		answer, name, sent, err := h.sendService(ctx, call, exclude)
+		everSent = everSent || sent
+		if err == nil || retry >= maxAttempts || ctx.Err() != nil || name == "" {
+			return answer, markSent(err, everSent)
+		}
+		if !h.opts.Retries.Allow(call.teamName(), name) {
+			return answer, markSent(err, everSent)
+		}
+		exclude[name] = true
+		select {
+		case <-time.After(h.opts.Retries.Backoff(retry)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// markSent makes sure that a refusal of a request that may have reached a
+// target does not claim that it did not run.
+func markSent(err error, sent bool) error {
+	var ref *refusal.Error
+	if err == nil || !sent || !errors.As(err, &ref) || ref.Execution != refusal.NotRun {
+		return err
+	}
+	return refusal.New(ref.Status, ref.Code, ref.Message).WithRetry(ref.RetryAfter).WithExecution(refusal.Unknown).WithCause(ref.Cause)
+}
+
+// sendOnce sends the call to one target, never twice. The call goes on if its
+// caller leaves, so that its outcome becomes known.
+func (h *Handler) sendOnce(ctx context.Context, call *serviceCall) (Answer, bool, error) {
+	bounded := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		bounded, cancel = context.WithDeadline(bounded, deadline)
+		defer cancel()
+	}
+	if ctx.Err() != nil {
+		return Answer{}, false, lateService(refusal.NotRun, ctx.Err())
+	}
+	answer, _, sent, err := h.sendService(bounded, call, nil)
+	return answer, sent, err
+}
+
+func lateService(x refusal.Execution, cause error) *refusal.Error {
+	return refusal.New(http.StatusGatewayTimeout, refusal.CodeDeadline, "No answer came before the deadline.").WithExecution(x).WithCause(cause)
+}
+
+// sendService makes one attempt. It returns the name of the target that was
+// chosen, empty if none, and whether the call may have reached it.
+func (h *Handler) sendService(ctx context.Context, call *serviceCall, exclude map[string]bool) (a Answer, name string, sent bool, err error) {
+	release, err := h.opts.Queue.Acquire(ctx, call.ticket())
+	if err != nil {
+		return Answer{}, "", false, err
+	}
+	defer release()
+	if call.key != nil {
+		if err := h.opts.Auth.StillValid(call.key.Hash); err != nil {
+			return Answer{}, "", false, err
+		}
+	}
+	choice, err := h.opts.Router.Pick(RouteQuery{RequestID: call.id, Team: call.teamName(), Pool: call.service.Name, Tokens: call.service.Cost, Exclude: exclude})
+	if err != nil {
+		return Answer{}, "", false, err
+	}
+	h.opts.Retries.Sent(call.teamName(), choice.Target.Name)
+	resp, err := h.opts.Sender.Send(ctx, choice.Target.Address, target.Request{
+		ID: newRequestID(), Method: call.method, Path: call.path, Header: call.header, Body: call.body,
+	})
+	if err != nil {
+		choice.Done(Outcome{})
+		return Answer{}, choice.Target.Name, !isUnreachable(err), sendFailure(ctx, err)
+	}
+	a, err = readAnswer(resp)
+	choice.Done(Outcome{OK: err == nil})
+	return a, choice.Target.Name, true, err
+}
+
+func (c *serviceCall) ticket() Ticket {
+	t := Ticket{ID: c.id, Team: c.teamName(), Weight: 1, Pool: c.service.Name, Tokens: max(c.service.Cost, 1)}
+	if c.team != nil {
+		t.Weight = c.team.Weight
+	}
+	return t
+}
+
+func isUnreachable(err error) bool {
+	var unreachable *target.UnreachableError
+	return errors.As(err, &unreachable)
+}
+
+// sendFailure is the refusal for a failed send.
+func sendFailure(ctx context.Context, err error) *refusal.Error {
+	x := refusal.Unknown
+	if isUnreachable(err) {
+		x = refusal.NotRun
+	}
+	if ctx.Err() != nil {
+		return lateService(x, err)
+	}
+	return refusal.New(http.StatusBadGateway, refusal.CodeTargetFailed, "The service failed.").WithExecution(x).WithCause(err)
+}
+
+// readAnswer reads a whole answer.
+func readAnswer(resp *target.Response) (Answer, error) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return Answer{}, refusal.New(http.StatusBadGateway, refusal.CodeIncomplete, "The service's answer was cut.").
+			WithExecution(refusal.Ran).WithCause(err)
+	}
+	a := Answer{Status: resp.Status, Header: map[string]string{}, Body: body}
+	for _, name := range answerHeaders {
+		if v := resp.Header[name]; v != "" {
+			a.Header[name] = v
+		}
+	}
+	return a, nil
+}
+
+func writeAnswer(w http.ResponseWriter, a Answer) error {
+	for k, v := range a.Header {
+		w.Header().Set(k, v)
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // the caller being gone is no failure
+	return nil
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -207,11 +207,8 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-// HeaderResumeFrom asks an engine to skip the tokens that were delivered.
-const HeaderResumeFrom = "X-Resume-From-Token"
-
 func resumeFrom(r *http.Request) int {
-	n, err := strconv.Atoi(r.Header.Get(HeaderResumeFrom))
+	n, err := strconv.Atoi(r.Header.Get(target.HeaderResumeFrom))
 	if err != nil {
 		return 0
 	}
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -24,6 +24,9 @@
 // HeaderRequestID carries the id of an attempt; targets echo it.
 const HeaderRequestID = "X-Request-Id"
 
+// HeaderResumeFrom asks an engine to leave out the tokens already delivered.
+const HeaderResumeFrom = "X-Resume-From-Token"
+
 // HeaderPriority carries the priority of a request.
 const HeaderPriority = "X-Priority"
 
