--- /dev/null
+++ b/cmd/seamctl/main.go
@@ -0,0 +1,35 @@
+// Command seamctl is the operators' and testers' command line.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"buckthornseam.dev/seam/internal/ctl"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser, err := ctl.NewParser(os.Stdin, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ctl.ExitFailed
+	}
+	_, err = parser.ParseArgs(args)
+	if err == nil {
+		return ctl.ExitOK
+	}
+	var f *flags.Error
+	if errors.As(err, &f) && f.Type == flags.ErrHelp {
+		fmt.Println(f.Message)
+		return ctl.ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "seamctl:", err)
+	return ctl.ExitCode(err)
+}
--- /dev/null
+++ b/cmd/seamd/main.go
@@ -0,0 +1,95 @@
+// Command seamd is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/app"
+	"buckthornseam.dev/seam/internal/settings"
+)
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Config string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings in JSON"`
+	Check  bool   `long:"check-config" description:"check the settings and exit"`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitSettings
+	}
+	s, err := settings.Read(opts.Config)
+	if err != nil {
+		printFaults(err)
+		return exitSettings
+	}
+	if opts.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// printFaults writes a line for each fault.
+func printFaults(err error) {
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	for _, f := range invalid.Faults {
+		fmt.Fprintf(os.Stderr, "%s: %s: %s\n", invalid.File, f.Path, f.Reason)
+	}
+}
+
+func serve(s settings.Settings) error {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	listeners, err := app.Listen(s)
+	if err != nil {
+		return err
+	}
+	host, err := app.New(s, listeners, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		host.Stop()
+	}()
+	return host.Run(context.Background())
+}
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,209 @@
+// Package app wires the duties of one entry host together.
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"buckthornseam.dev/seam/internal/admin"
+	"buckthornseam.dev/seam/internal/entry"
+	"buckthornseam.dev/seam/internal/member"
+	"buckthornseam.dev/seam/internal/observe"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/serve"
+	"buckthornseam.dev/seam/internal/settings"
+	"buckthornseam.dev/seam/internal/target"
+	"buckthornseam.dev/seam/internal/thin"
+)
+
+// headTimeout bounds the reading of a request's head.
+const headTimeout = 10 * time.Second
+
+// Listeners are the sockets of a host.
+type Listeners struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(s settings.Settings) (Listeners, error) {
+	var l Listeners
+	for _, each := range []struct {
+		address string
+		into    *net.Listener
+	}{{s.Callers.Listen, &l.Callers}, {s.Peers.Listen, &l.Peers}, {s.Admin.Listen, &l.Admin}} {
+		opened, err := net.Listen("tcp", each.address)
+		if err != nil {
+			l.Close()
+			return Listeners{}, &ListenError{Address: each.address, Cause: err}
+		}
+		*each.into = opened
+	}
+	return l, nil
+}
+
+// Close closes the sockets that are open.
+func (l Listeners) Close() {
+	for _, each := range []net.Listener{l.Callers, l.Peers, l.Admin} {
+		if each != nil {
+			each.Close()
+		}
+	}
+}
+
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string { return "cannot listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// runner is a duty with a loop of its own.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// App is one entry host.
+type App struct {
+	settings  settings.Settings
+	log       logrus.FieldLogger
+	listeners Listeners
+	members   *member.View
+	peers     *peer.Client
+	peerServe *peer.Server
+	handler   *serve.Handler
+	callers   *http.Server
+	admin     *http.Server
+	duties    []runner
+	metrics   *observe.Metrics
+	ready     func() bool
+
+	stopOnce sync.Once
+	stop     chan struct{}
+}
+
+// New wires a host. It takes over the listeners.
+func New(s settings.Settings, l Listeners, log logrus.FieldLogger) (*App, error) {
+	log = log.WithField("host", s.Host.Name)
+	metrics := observe.NewMetrics()
+	a := &App{settings: s, log: log, listeners: l, metrics: metrics, stop: make(chan struct{})}
+
+	id := peer.ID{Name: s.Host.Name, Incarnation: uuid.NewString()}
+	api := platform.NewClient(s.Platform.URL)
+	self := peer.Member{ID: id, Zone: s.Host.Zone, Address: s.Callers.Advertise, PeerAddress: s.Peers.Advertise}
+	a.members = member.NewView(self, api, log)
+	a.peers = peer.NewClient(id, s.Peers.Secret, a.members)
+	a.peerServe = peer.NewServer(id, s.Peers.Secret, log)
+
+	store, err := thin.NewStore(api, log)
+	if err != nil {
+		return nil, err
+	}
+	a.ready = func() bool { return store.Snapshot().Version > 0 }
+	targets := target.NewClient()
+	a.handler = serve.New(serve.Options{
+		Config:        store,
+		Auth:          thin.Auth{Config: store},
+		Limits:        &thin.Limiter{Hosts: 1},
+		Queue:         thin.Queue{},
+		Placer:        &thin.Placer{Config: store, API: api, Control: targets, Log: log},
+		Router:        &thin.Router{Config: store, Control: targets, Log: log},
+		Journal:       thin.Journal{API: api},
+		Quarantine:    thin.Quarantine{},
+		Retries:       thin.Retries{},
+		Sender:        targets,
+		EntryHosts:    &entry.Handler{Members: a.members, Life: time.Duration(s.Requests.AnswerLifeMS) * time.Millisecond},
+		Log:           log,
+		Metrics:       metrics.Scope,
+		BodyBytes:     s.Requests.BodyBytes,
+		Deadline:      time.Duration(s.Requests.DeadlineMS) * time.Millisecond,
+		TokenGap:      time.Duration(s.Requests.TokenGapMS) * time.Millisecond,
+		MaxConcurrent: s.Requests.MaxConcurrent,
+	})
+	operators, err := admin.New(admin.Options{
+		API: api, Config: store, Members: a.members, TokenHash: s.Admin.TokenHash,
+		Metrics: metrics.Handler, Ready: a.ready, Log: log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.callers = &http.Server{Handler: a.handler, ReadHeaderTimeout: headTimeout}
+	a.admin = &http.Server{Handler: operators, ReadHeaderTimeout: headTimeout}
+	a.duties = []runner{a.members, store}
+	return a, nil
+}
+
+// Ready reports whether the host has a configuration.
+func (a *App) Ready() bool { return a.ready() }
+
+// Run serves until ctx ends or Stop is called, then shuts down gracefully.
+func (a *App) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, d := range a.duties {
+		group.Go(func() error { return d.Run(ctx) })
+	}
+	group.Go(func() error { return a.peerServe.Serve(ctx, a.listeners.Peers) })
+	group.Go(func() error { return serveHTTP(a.callers, a.listeners.Callers) })
+	group.Go(func() error { return serveHTTP(a.admin, a.listeners.Admin) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-a.stop:
+		}
+		a.shutdown()
+		cancel()
+		return nil
+	})
+	a.log.WithFields(logrus.Fields{"event": "host_started", "callers": a.settings.Callers.Advertise}).Info("host started")
+	err := group.Wait()
+	a.peers.Close()
+	a.metrics.Close()
+	return err
+}
+
+// Stop begins a graceful shutdown.
+func (a *App) Stop() {
+	a.stopOnce.Do(func() { close(a.stop) })
+}
+
+// shutdown leaves the entry answers, serves for as long as callers keep them,
+// then refuses new requests and waits for those in progress.
+func (a *App) shutdown() {
+	drain := time.Duration(a.settings.Requests.DrainMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	a.members.Leave()
+	a.log.WithField("event", "host_stopping").Info("host leaves the entry answers")
+	select {
+	case <-time.After(time.Duration(a.settings.Requests.AnswerLifeMS) * time.Millisecond):
+	case <-ctx.Done():
+	}
+	a.handler.Stop()
+	left := a.handler.Wait(ctx)
+	a.log.WithFields(logrus.Fields{"event": "host_stopped", "requests_left": left}).Info("host stopped")
+	_ = a.callers.Shutdown(ctx)
+	a.callers.Close()
+	a.admin.Close()
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); err != http.ErrServerClosed {
+		return &ListenError{Address: l.Addr().String(), Cause: err}
+	}
+	return nil
+}
--- a/internal/config/entities.go
+++ b/internal/config/entities.go
@@ -91,3 +91,13 @@
 	Targets   []Target   `json:"targets,omitempty"`
 	Services  []Service  `json:"services,omitempty"`
 }
+
+// Append adds the entities of other to e.
+func (e *Entities) Append(other Entities) {
+	e.Teams = append(e.Teams, other.Teams...)
+	e.Keys = append(e.Keys, other.Keys...)
+	e.Models = append(e.Models, other.Models...)
+	e.Offerings = append(e.Offerings, other.Offerings...)
+	e.Targets = append(e.Targets, other.Targets...)
+	e.Services = append(e.Services, other.Services...)
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,109 @@
+// Package ctl holds the commands of seamctl.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/demo"
+	"buckthornseam.dev/seam/internal/opclient"
+	"buckthornseam.dev/seam/internal/settings"
+)
+
+// Exit statuses of seamctl.
+const (
+	ExitOK       = 0 // done
+	ExitFailed   = 1 // the command failed
+	ExitUsage    = 2 // wrong command line or invalid file
+	ExitConflict = 3 // another version is stored
+	ExitNotFound = 4 // no such instance
+	ExitUnknown  = 5 // no answer: the change may or may not be stored
+	ExitOutcome  = 6 // an outcome differs from what was stated
+)
+
+// ExitCode returns the exit status for an error.
+func ExitCode(err error) int {
+	var usage *flags.Error
+	var invalid *settings.InvalidError
+	var instance *config.InvalidInstanceError
+	var file *FileError
+	var outcome *demo.FailedError
+	var problem *opclient.ProblemError
+	var call *opclient.CallError
+	switch {
+	case errors.As(err, &usage), errors.As(err, &invalid), errors.As(err, &instance), errors.As(err, &file):
+		return ExitUsage
+	case errors.As(err, &outcome):
+		return ExitOutcome
+	case errors.As(err, &call):
+		return ExitUnknown
+	case errors.As(err, &problem):
+		return problemCode(problem)
+	}
+	return ExitFailed
+}
+
+func problemCode(p *opclient.ProblemError) int {
+	switch p.Problem.Code {
+	case "conflict":
+		return ExitConflict
+	case "not_found":
+		return ExitNotFound
+	case "unknown":
+		return ExitUnknown
+	case "invalid":
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// Remote are the options of commands that call a host.
+type Remote struct {
+	Host   string `short:"H" long:"host" value-name:"IP:PORT" default:"127.0.0.1:7002" env:"SEAM_ADMIN" description:"admin interface of any entry host"`
+	Token  string `long:"token" value-name:"TOKEN" env:"SEAM_TOKEN" description:"operators' token"`
+	Output string `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+}
+
+func (r Remote) client() *opclient.Client { return opclient.New(r.Host, r.Token) }
+
+// command is what every command shares.
+type command struct {
+	in  io.Reader
+	out io.Writer
+}
+
+// interruptible returns a context that ends with SIGINT or SIGTERM.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+// NewParser returns the command line of seamctl.
+func NewParser(in io.Reader, out io.Writer) (*flags.Parser, error) {
+	base := command{in: in, out: out}
+	p := flags.NewNamedParser("seamctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "operates and tests buckthornseam"
+	p.LongDescription = "Submits and withdraws template instances, shows what is in force, checks files and runs the demo."
+	for _, c := range []struct {
+		name, short string
+		data        any
+	}{
+		{"check", "check settings or instance files", &checkCommand{command: base}},
+		{"apply", "submit template instances from a file", &applyCommand{command: base}},
+		{"delete", "withdraw a template instance", &deleteCommand{command: base}},
+		{"get", "show template instances", &getCommand{command: base}},
+		{"status", "show the status of a host", &statusCommand{command: base}},
+		{"hash-key", "print the stored form of a key read from standard input", &hashCommand{command: base}},
+		{"demo", "run hosts and stand-ins in one process and send them requests", &demoCommand{command: base}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/demo/steps.go
@@ -0,0 +1,264 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/serve"
+	"buckthornseam.dev/seam/internal/standin/service"
+)
+
+// Outcome is the result of one step.
+type Outcome struct {
+	Step string
+	Want string
+	Got  string
+}
+
+// OK reports whether the step ended as stated.
+func (o Outcome) OK() bool { return o.Want == o.Got }
+
+// step sends requests and says what must come of them.
+type step struct {
+	name string
+	want string
+	run  func(ctx context.Context, c *Cluster) string
+}
+
+func steps() []step {
+	return []step{
+		{"cold start: first request to an idle model", "200, 8 tokens", coldStart},
+		{"ten first requests at once through three hosts", "10 whole answers, 1 load", burst},
+		{"streamed answer", "8 tokens, [DONE]", streamed},
+		{"invoice issued, sent twice with one idempotency key", "same answer, 1 run", invoiceTwice},
+		{"deposit whose answer is lost, sent again", "outcome_unknown or in_progress, 1 run", lostDeposit},
+		{"service open to all, without a key", "200", openRoute},
+		{"wrong key", "401 invalid_key not_run", wrongKey},
+		{"no key", "401 missing_key not_run", noKey},
+		{"model of another team", "404 model_not_found not_run", otherTeam},
+		{"malformed request", "400 invalid_request not_run", malformed},
+		{"withdrawn key", "401 invalid_key not_run", withdrawnKey},
+		{"keys seen by targets", "0", keysSeen},
+	}
+}
+
+// reply is a response read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func send(ctx context.Context, h *Host, path, key, body string, header map[string]string) (reply, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.URL()+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: data}, err
+}
+
+// chat returns a chat request for a model.
+func chat(model string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"Draft a line for meter ticket 88-14."}],"max_tokens":8,"stream":%t}`, model, stream)
+}
+
+const chatPath = "/v1/chat/completions"
+
+// refused describes a refusal for comparison.
+func (r reply) refused() string {
+	var b refusal.Body
+	if err := json.Unmarshal(r.body, &b); err != nil {
+		return fmt.Sprintf("%d %s", r.status, r.body)
+	}
+	return fmt.Sprintf("%d %s %s", r.status, b.Error.Code, b.Error.Execution)
+}
+
+// tokens counts the tokens of a whole chat answer.
+func (r reply) tokens() int {
+	var a struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(r.body, &a); err != nil || len(a.Choices) == 0 {
+		return 0
+	}
+	return len(strings.Fields(a.Choices[0].Message.Content))
+}
+
+func coldStart(ctx context.Context, c *Cluster) string {
+	r, err := send(ctx, c.Hosts[0], chatPath, qasrKey, chat("invoice-draft", false), nil)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("%d, %d tokens", r.status, r.tokens())
+}
+
+func burst(ctx context.Context, c *Cluster) string {
+	const requests = 10
+	var wait sync.WaitGroup
+	whole := make(chan bool, requests)
+	for i := range requests {
+		wait.Go(func() {
+			r, err := send(ctx, c.Hosts[i%len(c.Hosts)], chatPath, vanuaKey, chat("lease-summary", false), nil)
+			whole <- err == nil && r.tokens() == 8
+		})
+	}
+	wait.Wait()
+	close(whole)
+	n := 0
+	for ok := range whole {
+		if ok {
+			n++
+		}
+	}
+	return fmt.Sprintf("%d whole answers, %d load", n, c.Loads("lease-13b"))
+}
+
+// Loads returns how often engines loaded a model.
+func (c *Cluster) Loads(model string) int {
+	n := 0
+	for _, e := range c.Engines {
+		n += e.Stats().LoadsByModel[model]
+	}
+	return n
+}
+
+func streamed(ctx context.Context, c *Cluster) string {
+	r, err := send(ctx, c.Hosts[1], chatPath, vanuaKey, chat("listing-blurb", true), nil)
+	if err != nil {
+		return err.Error()
+	}
+	events := bytes.Count(r.body, []byte("data: {"))
+	last := "no end"
+	if bytes.HasSuffix(bytes.TrimSpace(r.body), []byte("data: [DONE]")) {
+		last = "[DONE]"
+	}
+	return fmt.Sprintf("%d tokens, %s", events, last)
+}
+
+func invoiceTwice(ctx context.Context, c *Cluster) string {
+	const body = `{"invoice":"2026-1207","amount":"118.40"}`
+	header := map[string]string{serve.HeaderIdempotencyKey: "invoice-2026-1207"}
+	first, err := send(ctx, c.Hosts[0], "/billing/invoices", qasrKey, body, header)
+	if err != nil {
+		return err.Error()
+	}
+	second, err := send(ctx, c.Hosts[len(c.Hosts)-1], "/billing/invoices", qasrKey, body, header)
+	if err != nil {
+		return err.Error()
+	}
+	same := "other answer"
+	if first.status == http.StatusOK && bytes.Equal(first.body, second.body) {
+		same = "same answer"
+	}
+	return fmt.Sprintf("%s, %d run", same, c.Services["billing"].Runs(body))
+}
+
+func lostDeposit(ctx context.Context, c *Cluster) string {
+	const body = `{"deposit":"stall-17","amount":"50.00"}`
+	header := map[string]string{serve.HeaderIdempotencyKey: "deposit-stall-17"}
+	c.Services["booking"].DropNext(1)
+	if _, err := send(ctx, c.Hosts[1], "/booking/deposits", vanuaKey, body, header); err != nil {
+		return err.Error()
+	}
+	r, err := send(ctx, c.Hosts[0], "/booking/deposits", vanuaKey, body, header)
+	if err != nil {
+		return err.Error()
+	}
+	var b refusal.Body
+	if err := json.Unmarshal(r.body, &b); err != nil {
+		return string(r.body)
+	}
+	code := string(b.Error.Code)
+	if code == string(refusal.CodeOutcomeUnknown) || code == string(refusal.CodeInProgress) {
+		code = "outcome_unknown or in_progress"
+	}
+	return fmt.Sprintf("%s, %d run", code, c.Services["booking"].Runs(body))
+}
+
+func openRoute(ctx context.Context, c *Cluster) string {
+	r, err := send(ctx, c.Hosts[1], "/tariffs/today", "", "", nil)
+	if err != nil {
+		return err.Error()
+	}
+	var a service.Answer
+	if err := json.Unmarshal(r.body, &a); err != nil {
+		return string(r.body)
+	}
+	return fmt.Sprint(r.status)
+}
+
+// refusalOf sends a chat request that is to be refused.
+func refusalOf(ctx context.Context, h *Host, key, body string) string {
+	r, err := send(ctx, h, chatPath, key, body, nil)
+	if err != nil {
+		return err.Error()
+	}
+	return r.refused()
+}
+
+func wrongKey(ctx context.Context, c *Cluster) string {
+	return refusalOf(ctx, c.Hosts[0], "key-of-nobody", chat("invoice-draft", false))
+}
+
+func noKey(ctx context.Context, c *Cluster) string {
+	return refusalOf(ctx, c.Hosts[1], "", chat("invoice-draft", false))
+}
+
+func otherTeam(ctx context.Context, c *Cluster) string {
+	return refusalOf(ctx, c.Hosts[0], vanuaKey, chat("invoice-draft", false))
+}
+
+func malformed(ctx context.Context, c *Cluster) string {
+	return refusalOf(ctx, c.Hosts[1], qasrKey, `{"model":`)
+}
+
+// withdrawnKey withdraws a key and uses it through another host.
+func withdrawnKey(ctx context.Context, c *Cluster) string {
+	admin := c.Hosts[0].Admin
+	inst, err := admin.Get(ctx, "key-vanua")
+	if err != nil {
+		return err.Error()
+	}
+	if err := admin.Delete(ctx, "key-vanua", inst.Version); err != nil {
+		return err.Error()
+	}
+	if err := c.AwaitVersion(ctx, inst.Version+1); err != nil {
+		return err.Error()
+	}
+	return refusalOf(ctx, c.Hosts[len(c.Hosts)-1], vanuaKey, chat("listing-blurb", false))
+}
+
+func keysSeen(_ context.Context, c *Cluster) string {
+	n := 0
+	for _, e := range c.Engines {
+		n += e.Stats().KeysSeen
+	}
+	for _, s := range c.Services {
+		n += s.KeysSeen()
+	}
+	return fmt.Sprint(n)
+}
--- /dev/null
+++ b/internal/opclient/opclient.go
@@ -0,0 +1,128 @@
+// Package opclient is the operators' client of the admin interface.
+package opclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"buckthornseam.dev/seam/internal/admin"
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// callTimeout bounds one call.
+const callTimeout = 15 * time.Second
+
+// Client calls the admin interface of one host.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a client for the admin interface at an IP:port.
+func New(address, token string) *Client {
+	return &Client{base: "http://" + address + "/admin/v1", token: token, http: &http.Client{Timeout: callTimeout}}
+}
+
+// ProblemError is a failure that the host answered with.
+type ProblemError struct {
+	Status  int
+	Problem admin.Problem
+}
+
+func (e *ProblemError) Error() string {
+	return fmt.Sprintf("%s: %s", e.Problem.Code, e.Problem.Message)
+}
+
+// CallError reports a call without an answer.
+type CallError struct {
+	Cause error
+}
+
+func (e *CallError) Error() string { return "no answer from the host: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// Put submits an instance. Version 0 creates it.
+func (c *Client) Put(ctx context.Context, name string, version platform.Version, inst config.Instance) (admin.Instance, error) {
+	body, err := json.Marshal(inst)
+	if err != nil {
+		return admin.Instance{}, &CallError{Cause: err}
+	}
+	var out admin.Instance
+	err = c.call(ctx, http.MethodPut, "/instances/"+url.PathEscape(name)+query(version), body, &out)
+	return out, err
+}
+
+// Delete withdraws an instance at a version.
+func (c *Client) Delete(ctx context.Context, name string, version platform.Version) error {
+	return c.call(ctx, http.MethodDelete, "/instances/"+url.PathEscape(name)+query(version), nil, nil)
+}
+
+// Get returns one instance.
+func (c *Client) Get(ctx context.Context, name string) (admin.Instance, error) {
+	var out admin.Instance
+	err := c.call(ctx, http.MethodGet, "/instances/"+url.PathEscape(name), nil, &out)
+	return out, err
+}
+
+// List returns all instances.
+func (c *Client) List(ctx context.Context) ([]admin.Instance, error) {
+	var out []admin.Instance
+	err := c.call(ctx, http.MethodGet, "/instances", nil, &out)
+	return out, err
+}
+
+// Status returns the status of the host.
+func (c *Client) Status(ctx context.Context) (admin.Status, error) {
+	var out admin.Status
+	err := c.call(ctx, http.MethodGet, "/status", nil, &out)
+	return out, err
+}
+
+func query(version platform.Version) string {
+	if version == 0 {
+		return ""
+	}
+	return "?version=" + strconv.FormatUint(uint64(version), 10)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return &CallError{Cause: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return &CallError{Cause: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return &CallError{Cause: err}
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		p := &ProblemError{Status: resp.StatusCode}
+		if err := json.Unmarshal(data, &p.Problem); err != nil {
+			p.Problem = admin.Problem{Code: "unexpected", Message: resp.Status}
+		}
+		return p
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return &CallError{Cause: err}
+	}
+	return nil
+}
