--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"buckthornseam.dev/seam/internal/serve"
 )
 
 // passThrough is a plain handler that sends each request on and does nothing
@@ -105,7 +107,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return &http.ProtocolError{ErrorString: resp.Status}
+		return &serve.StatusError{Status: resp.StatusCode}
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
