Probe peers and read the host list into one view of the members

Cause: routing, ownership and entry answers need to know who is there while the platform's list lags or its API is down. Change: member.View round the core; host list read at a rate that the whole fleet shares; addresses also learned from the hosts themselves. Ruled out: a watch of the list per host, 1,200 waiting calls. Conclusion: go test ./internal/member ./internal/peer passes.

--- /dev/null
+++ b/internal/member/probe.go
@@ -0,0 +1,220 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"buckthornseam.dev/coord/membership"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// The peer methods of membership.
+const (
+	methodPing  = "member.ping"  // answers with the callee's identity
+	methodRelay = "member.relay" // asks the callee to ping another host
+)
+
+type pingParams struct {
+	Entry  HostEntry          `json:"entry"` // the caller's addresses
+	Rumors []membership.Rumor `json:"rumors,omitempty"`
+}
+
+type pingResult struct {
+	ID     peer.ID            `json:"id"`
+	Entry  HostEntry          `json:"entry"`
+	Rumors []membership.Rumor `json:"rumors,omitempty"`
+}
+
+type relayParams struct {
+	Host string `json:"host"`
+}
+
+type relayResult struct {
+	Reached bool `json:"reached"`
+}
+
+// Run reads the host list and probes members until ctx ends.
+func (v *View) Run(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { v.followList(ctx) })
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		v.mu.Lock()
+		probes := v.core.Tick(v.now())
+		v.mu.Unlock()
+		for _, p := range probes {
+			wait.Go(func() { v.probe(ctx, p) })
+		}
+	}
+}
+
+// probe pings a member and, if it does not answer, has others ping it.
+func (v *View) probe(ctx context.Context, p membership.Probe) {
+	if v.ping(ctx, p.Name, p.Rumors) || ctx.Err() != nil {
+		v.rebuild()
+		return
+	}
+	v.mu.Lock()
+	indirect := v.core.Failed(p.Name, v.now())
+	v.mu.Unlock()
+	v.rebuild()
+	if len(indirect) == 0 {
+		return
+	}
+	reached := v.relay(ctx, p.Name, indirect)
+	if ctx.Err() != nil {
+		return
+	}
+	v.mu.Lock()
+	v.core.IndirectResult(p.Name, reached, v.now())
+	v.mu.Unlock()
+	v.rebuild()
+}
+
+// ping reports whether the member answered.
+func (v *View) ping(ctx context.Context, name string, rumors []membership.Rumor) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var answer pingResult
+	err := v.opts.Caller.Call(ctx, name, methodPing, pingParams{Entry: v.selfEntry(), Rumors: rumors}, &answer)
+	if err != nil || answer.ID.Name != name {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.entries[name] = answer.Entry
+	v.core.Answered(name, answer.ID.Incarnation, answer.Rumors, v.now())
+	return true
+}
+
+// relay asks others to ping the member and reports whether any reached it.
+func (v *View) relay(ctx context.Context, name string, via []membership.Probe) bool {
+	// A relay takes one ping of its own on top of the call.
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	results := make(chan bool, len(via))
+	for _, p := range via {
+		go func() {
+			var r relayResult
+			err := v.opts.Caller.Call(ctx, p.Via, methodRelay, relayParams{Host: name}, &r)
+			results <- err == nil && r.Reached
+		}()
+	}
+	for range via {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *View) selfEntry() HostEntry {
+	m := v.Self()
+	return HostEntry{Name: m.ID.Name, Zone: m.Zone, Address: m.Address, PeerAddress: m.PeerAddress, Leaving: m.State == peer.StateLeaving}
+}
+
+func (v *View) handlePing(_ context.Context, from peer.ID, params json.RawMessage) (any, error) {
+	var p pingParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, &peer.Failure{Code: "malformed", Message: err.Error()}
+	}
+	v.mu.Lock()
+	v.learn(from, p.Entry)
+	v.core.Called(from.Name, from.Incarnation, p.Rumors, v.now())
+	rumors := v.core.Take()
+	v.mu.Unlock()
+	v.rebuild()
+	return pingResult{ID: v.opts.Self.ID, Entry: v.selfEntry(), Rumors: rumors}, nil
+}
+
+// learn takes the addresses of a host that this host has none for, or whose
+// known address has stopped answering; the caller holds mu.
+func (v *View) learn(from peer.ID, e HostEntry) {
+	if e.Name != from.Name || e.PeerAddress == "" {
+		return
+	}
+	if _, known := v.entries[from.Name]; !known || !v.direct(from.Name) {
+		v.entries[from.Name] = e
+	}
+}
+
+func (v *View) direct(name string) bool {
+	for _, m := range v.core.Members() {
+		if m.Name == name {
+			return m.Direct
+		}
+	}
+	return false
+}
+
+func (v *View) handleRelay(ctx context.Context, _ peer.ID, params json.RawMessage) (any, error) {
+	var p relayParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, &peer.Failure{Code: "malformed", Message: err.Error()}
+	}
+	reached := v.ping(ctx, p.Host, nil)
+	v.rebuild()
+	return relayResult{Reached: reached}, nil
+}
+
+// Bounds on the time between two readings of the host list. The interval
+// grows with the fleet, so that all hosts together make a constant number of
+// calls.
+const (
+	listMin     = time.Second
+	listMax     = time.Minute
+	listPerHost = 50 * time.Millisecond
+)
+
+// followList reads the host list until ctx ends.
+func (v *View) followList(ctx context.Context) {
+	for {
+		v.readList(ctx)
+		wait := time.Duration(len(v.Members())) * listPerHost
+		wait = min(max(wait, listMin), listMax)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readList takes over the list; on failure the last one stays in force.
+func (v *View) readList(ctx context.Context) {
+	list, err := v.opts.API.List(ctx, platform.KindHosts)
+	if err != nil {
+		v.opts.Log.WithField("event", "host_list_failed").Warn(err.Error())
+		return
+	}
+	v.apply(list)
+	v.rebuild()
+}
+
+func (v *View) apply(list platform.List) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	entries := make([]membership.Entry, 0, len(list.Items))
+	for _, obj := range list.Items {
+		e, err := ParseEntry(obj)
+		if err != nil {
+			v.opts.Log.WithField("event", "host_entry_invalid").Warn(err.Error())
+			continue
+		}
+		entries = append(entries, membership.Entry{Name: e.Name, Leaving: e.Leaving})
+		if _, known := v.entries[e.Name]; !known || !v.direct(e.Name) {
+			v.entries[e.Name] = e
+		}
+	}
+	v.core.SetList(entries, v.now())
+}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -1,37 +1,84 @@
 package member
 
 import (
-	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
+	"buckthornseam.dev/coord/membership"
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/platform"
 )
 
-// listInterval is the time between two readings of the host list.
-const listInterval = time.Second
+// Parameters of the membership core.
+const (
+	tickInterval = 500 * time.Millisecond
+	probeTimeout = 700 * time.Millisecond
+	fanout       = 4  // probes for each tick in a small fleet
+	smallFleet   = 16 // members
+	indirect     = 2  // members asked to probe in place of this host
+	forget       = 30 * time.Second
+)
+
+// Options configure a View.
+type Options struct {
+	Self      peer.Member
+	API       platform.API
+	Caller    peer.Caller // set later by Connect if the caller needs the view's addresses
+	Registrar peer.Registrar
+	Log       logrus.FieldLogger
+	Metrics   tally.Scope
+}
 
 // View is the membership as seen from this host. It implements peer.Members
 // and peer.AddressBook.
 type View struct {
-	api platform.API
-	log logrus.FieldLogger
+	opts  Options
+	start time.Time
 
 	mu      sync.Mutex
+	core    *membership.Core
 	self    peer.Member
-	entries map[string]HostEntry
+	entries map[string]HostEntry // by name, from the list or from the host itself
+
+	members atomic.Pointer[[]peer.Member] // rebuilt after each change
 }
 
 // NewView returns a view that holds this host only.
-func NewView(self peer.Member, api platform.API, log logrus.FieldLogger) *View {
-	self.State = peer.StateAlive
-	return &View{api: api, log: log, self: self, entries: map[string]HostEntry{}}
+func NewView(opts Options) *View {
+	opts.Self.State = peer.StateAlive
+	v := &View{
+		opts:    opts,
+		start:   time.Now(),
+		self:    opts.Self,
+		entries: map[string]HostEntry{},
+		core: membership.New(membership.Config{
+			Name:        opts.Self.ID.Name,
+			Incarnation: opts.Self.ID.Incarnation,
+			Fanout:      fanout,
+			SmallFleet:  smallFleet,
+			Indirect:    indirect,
+			Forget:      forget,
+			Seed:        xxhash.Sum64String(opts.Self.ID.String()),
+		}),
+	}
+	opts.Registrar.Handle(methodPing, v.handlePing)
+	opts.Registrar.Handle(methodRelay, v.handleRelay)
+	v.rebuild()
+	return v
 }
 
+// Connect sets the caller. It is separate from NewView since a caller finds
+// its addresses here.
+func (v *View) Connect(c peer.Caller) { v.opts.Caller = c }
+
+func (v *View) now() time.Duration { return time.Since(v.start) }
+
 // Self implements peer.Members.
 func (v *View) Self() peer.Member {
 	v.mu.Lock()
@@ -39,73 +86,81 @@
 	return v.self
 }
 
-// Members implements peer.Members.
-func (v *View) Members() []peer.Member {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	out := []peer.Member{v.self}
-	for name, e := range v.entries {
-		if name == v.self.ID.Name {
-			continue
-		}
-		m := peer.Member{ID: peer.ID{Name: name}, Zone: e.Zone, Address: e.Address, PeerAddress: e.PeerAddress, State: peer.StateAlive}
-		if e.Leaving {
-			m.State = peer.StateLeaving
-		}
-		out = append(out, m)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID.Name < out[j].ID.Name })
-	return out
-}
+// Members implements peer.Members. The result is shared: do not change it.
+func (v *View) Members() []peer.Member { return *v.members.Load() }
 
 // PeerAddress implements peer.AddressBook.
 func (v *View) PeerAddress(host string) (string, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e, ok := v.entries[host]
-	return e.PeerAddress, ok
+	return e.PeerAddress, ok && e.PeerAddress != ""
 }
 
-// Leave marks this host as leaving.
+// Leave marks this host as leaving and tells the others.
 func (v *View) Leave() {
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.self.State = peer.StateLeaving
+	v.core.Leave()
+	v.mu.Unlock()
+	v.rebuild()
 }
 
-// Run reads the host list until ctx ends.
-func (v *View) Run(ctx context.Context) error {
-	tick := time.NewTicker(listInterval)
-	defer tick.Stop()
-	for {
-		v.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+// rebuild publishes the members and logs changes of state.
+func (v *View) rebuild() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := []peer.Member{v.self}
+	for _, m := range v.core.Members() {
+		e := v.entries[m.Name]
+		out = append(out, peer.Member{
+			ID:          peer.ID{Name: m.Name, Incarnation: m.Incarnation},
+			Zone:        e.Zone,
+			Address:     e.Address,
+			PeerAddress: e.PeerAddress,
+			State:       stateOf(m),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID.Name < out[j].ID.Name })
+	v.logChanges(out)
+	v.members.Store(&out)
+}
+
+// stateOf treats a member whose link to this host is dead as suspect, since
+// this host cannot route through it.
+func stateOf(m membership.Member) peer.State {
+	switch {
+	case m.State == membership.Leaving:
+		return peer.StateLeaving
+	case m.State == membership.Suspect || !m.Direct:
+		return peer.StateSuspect
 	}
+	return peer.StateAlive
 }
 
-// refresh replaces the entries; on failure the last ones stay in force.
-func (v *View) refresh(ctx context.Context) {
-	list, err := v.api.List(ctx, platform.KindHosts)
-	if err != nil {
-		v.log.WithField("event", "host_list_failed").Warn(err.Error())
-		return
+// logChanges logs each member whose state or identity changed; the caller
+// holds mu.
+func (v *View) logChanges(next []peer.Member) {
+	before := map[string]peer.Member{}
+	if old := v.members.Load(); old != nil {
+		for _, m := range *old {
+			before[m.ID.Name] = m
+		}
 	}
-	entries := make(map[string]HostEntry, len(list.Items))
-	for _, obj := range list.Items {
-		e, err := ParseEntry(obj)
-		if err != nil {
-			v.log.WithField("event", "host_entry_invalid").Warn(err.Error())
+	counts := map[peer.State]int{}
+	for _, m := range next {
+		counts[m.State]++
+		was, known := before[m.ID.Name]
+		if known && was.State == m.State && was.ID == m.ID {
 			continue
 		}
-		entries[e.Name] = e
+		v.opts.Log.WithFields(logrus.Fields{
+			"event": "member_changed", "member": m.ID.Name, "incarnation": m.ID.Incarnation, "state": m.State, "before": was.State,
+		}).Info("member changed")
+	}
+	for _, s := range []peer.State{peer.StateAlive, peer.StateSuspect, peer.StateLeaving} {
+		v.opts.Metrics.Tagged(map[string]string{"state": string(s)}).Gauge("members").Update(float64(counts[s]))
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.entries = entries
 }
 
 // Interface checks.
