--- a/coord/vmap/delta.go
+++ b/coord/vmap/delta.go
@@ -15,18 +15,17 @@
 	return Digest{Floor: m.floor, Head: m.head, Extra: len(m.above), Known: m.known}
 }
 
-// Behind reports whether a replica with digest d holds something that this one
-// lacks. Two replicas with the same floor and head may still hold different
-// changes in between; the next advance of a floor settles that.
-func (m *Map[V]) Behind(d Digest) bool {
-	own := m.Digest()
-	if d.Known && !own.Known {
-		return true
+// Lacks reports whether a replica with digest d lacks something that one with
+// digest other holds. Two replicas with the same floor and head may still hold
+// different changes in between; the next advance of a floor settles that.
+func (d Digest) Lacks(other Digest) bool {
+	if !other.Known {
+		return false
 	}
-	if d.Floor != own.Floor {
-		return d.Floor > own.Floor || d.Head > own.Head
+	if !d.Known || other.Head > d.Head || other.Floor > d.Floor {
+		return true
 	}
-	return d.Head > own.Head || d.Extra > own.Extra
+	return other.Floor == d.Floor && other.Extra > d.Extra
 }
 
 // current reports whether r is the last change of its name.
@@ -74,11 +73,11 @@
 // Merge applies a delta and returns the changes that were new. The floor
 // rises to the sender's if this replica was complete up to d.Since: what the
 // sender held between the two is all in the delta.
-func (m *Map[V]) Merge(d Delta[V]) []Change[V] {
-	var made []Change[V]
+func (m *Map[V]) Merge(d Delta[V]) []Applied[V] {
+	var made []Applied[V]
 	for _, c := range d.Changes {
-		if m.Apply(c) {
-			made = append(made, c)
+		if a, ok := m.Apply(c); ok {
+			made = append(made, a)
 		}
 	}
 	if d.Known && d.Since <= m.floor {
--- a/coord/vmap/map.go
+++ b/coord/vmap/map.go
@@ -8,6 +8,13 @@
 	Value   V      `json:"o,omitempty"` // zero if Deleted
 }
 
+// Applied is a change that a replica took over, with the value it replaced.
+type Applied[V any] struct {
+	Change[V]
+	Old    V
+	HadOld bool
+}
+
 // DefaultLogSize is the number of recent changes kept for deltas when New is
 // given none: a day of changes of a large fleet.
 const DefaultLogSize = 4096
@@ -87,18 +94,18 @@
 }
 
 // Apply merges one change and reports whether the replica changed.
-func (m *Map[V]) Apply(c Change[V]) bool {
+func (m *Map[V]) Apply(c Change[V]) (Applied[V], bool) {
 	known, _ := m.VersionOf(c.Name)
 	if c.Version <= known {
 		// Older than what is held, or, for an absent name, at or below the
 		// floor: the name was deleted since.
-		return false
+		return Applied[V]{}, false
 	}
-	m.set(c)
-	return true
+	return m.set(c), true
 }
 
-func (m *Map[V]) set(c Change[V]) {
+func (m *Map[V]) set(c Change[V]) Applied[V] {
+	old, had := m.items[c.Name]
 	if c.Deleted {
 		delete(m.items, c.Name)
 		m.deleted[c.Name] = c.Version
@@ -112,6 +119,7 @@
 	}
 	m.log = append(m.log, ref{name: c.Name, version: c.Version})
 	m.trim()
+	return Applied[V]{Change: c, Old: old.value, HadOld: had}
 }
 
 // Advance records that every change up to version has been applied, as a
@@ -131,31 +139,23 @@
 
 // Replace merges a full reading taken at version, and returns the changes that
 // it made. A reading older than the floor says nothing new and is ignored.
-func (m *Map[V]) Replace(version uint64, objects []Change[V]) []Change[V] {
+func (m *Map[V]) Replace(version uint64, objects []Change[V]) []Applied[V] {
 	if version < m.floor {
 		return nil
 	}
 	m.known = true
 	listed := make(map[string]struct{}, len(objects))
-	var made []Change[V]
+	var made []Applied[V]
 	for _, c := range objects {
 		listed[c.Name] = struct{}{}
-		if m.replaceOne(c) {
-			made = append(made, c)
+		if m.newer(c) {
+			made = append(made, m.set(c))
 		}
 	}
-	for name, it := range m.items {
-		if _, ok := listed[name]; ok || it.version > version {
-			continue
-		}
+	for _, name := range m.absent(version, listed) {
 		// Absent as of version; the deletion itself is older, so every put
 		// up to version is too.
-		made = append(made, Change[V]{Name: name, Version: version, Deleted: true})
-	}
-	for _, c := range made {
-		if c.Deleted {
-			m.set(c)
-		}
+		made = append(made, m.set(Change[V]{Name: name, Version: version, Deleted: true}))
 	}
 	if version > m.floor {
 		m.Advance(version)
@@ -183,18 +183,25 @@
 	}
 }
 
-// replaceOne merges one object of a full reading. Unlike Apply it takes an
-// absent name below the floor: the reading is at or above the floor and shows
-// the name.
-func (m *Map[V]) replaceOne(c Change[V]) bool {
-	if it, ok := m.items[c.Name]; ok && it.version >= c.Version {
-		return false
+// newer reports whether an object of a full reading is newer than what is
+// held. Unlike in Apply an absent name below the floor is: the reading is at or
+// above the floor and shows the name.
+func (m *Map[V]) newer(c Change[V]) bool {
+	if it, ok := m.items[c.Name]; ok {
+		return it.version < c.Version
 	}
-	if v, ok := m.deleted[c.Name]; ok && v >= c.Version {
-		return false
+	return m.deleted[c.Name] < c.Version
+}
+
+// absent returns the names held as of version that a reading lacks.
+func (m *Map[V]) absent(version uint64, listed map[string]struct{}) []string {
+	var absent []string
+	for name, it := range m.items {
+		if _, ok := listed[name]; !ok && it.version <= version {
+			absent = append(absent, name)
+		}
 	}
-	m.set(c)
-	return true
+	return absent
 }
 
 // trim bounds the log. A tombstone goes with its log entry once the floor
--- a/coord/vmap/map_test.go
+++ b/coord/vmap/map_test.go
@@ -163,7 +163,7 @@
 		} else {
 			r.Replace(s.version, replicas[0].Page(0, 1).Objects)
 		}
-		if r.Digest() != replicas[0].Digest() || r.Behind(replicas[0].Digest()) {
+		if r.Digest() != replicas[0].Digest() || r.Digest().Lacks(replicas[0].Digest()) {
 			t.Fatalf("seed %d: digests differ after a full exchange: %+v, %+v", seed, r.Digest(), replicas[0].Digest())
 		}
 		r.check(t, s, fmt.Sprintf("seed %d, converged", seed))
--- /dev/null
+++ b/internal/auth/auth.go
@@ -0,0 +1,108 @@
+// Package auth finds the team of a caller's key. Only hashes of keys are held;
+// a key is hashed at once and kept nowhere.
+package auth
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/invariant"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/serve"
+)
+
+// staleRetry is when a caller should try again, at another host, while this
+// host cannot tell which keys are in force.
+const staleRetry = 2 * time.Second
+
+// Configuration is the configuration in force and whether this host may act on
+// it. *config.Store implements it.
+type Configuration interface {
+	config.Source
+	// Accepting reports whether the configuration was confirmed lately.
+	Accepting() bool
+}
+
+// Options configure an Authenticator.
+type Options struct {
+	Config  Configuration
+	Metrics tally.Scope
+}
+
+// Authenticator implements serve.Authenticator. It holds no state of its own:
+// each call asks the snapshot in force, so a key that was withdrawn fails from
+// the moment the snapshot is replaced.
+type Authenticator struct {
+	config Configuration
+	stats  metrics
+}
+
+type metrics struct {
+	admitted tally.Counter
+	missing  tally.Counter
+	invalid  tally.Counter
+	stale    tally.Counter
+	ended    tally.Counter // keys withdrawn while their request waited
+}
+
+// New returns an authenticator.
+func New(o Options) (*Authenticator, error) {
+	s := o.Metrics.SubScope("auth")
+	return &Authenticator{
+		config: o.Config,
+		stats: metrics{
+			admitted: s.Counter("admitted"),
+			missing:  s.Counter("refused_missing_key"),
+			invalid:  s.Counter("refused_invalid_key"),
+			stale:    s.Counter("refused_stale"),
+			ended:    s.Counter("ended_withdrawn"),
+		},
+	}, nil
+}
+
+// Authenticate implements serve.Authenticator.
+func (a *Authenticator) Authenticate(presented string) (*config.Key, error) {
+	if presented == "" {
+		a.stats.missing.Inc(1)
+		return nil, refusal.New(http.StatusUnauthorized, refusal.CodeMissingKey, "no key was given")
+	}
+	var sum [config.KeyHashLen]byte
+	config.AppendKeyHash(sum[:0], presented)
+	snapshot := a.config.Snapshot()
+	key := snapshot.Keys[string(sum[:])]
+	if !a.config.Accepting() {
+		return nil, a.staleRefusal()
+	}
+	if key == nil || snapshot.Teams[key.Team] == nil {
+		a.stats.invalid.Inc(1)
+		return nil, refusal.New(http.StatusUnauthorized, refusal.CodeInvalidKey, "the key is not in force")
+	}
+	invariant.Check(key.Hash == string(sum[:]), invariant.TeamOfKey, "entry of another key was found")
+	a.stats.admitted.Inc(1)
+	return key, nil
+}
+
+// StillValid implements serve.Authenticator.
+func (a *Authenticator) StillValid(hash string) error {
+	key := a.config.Snapshot().Keys[hash]
+	if !a.config.Accepting() {
+		return a.staleRefusal()
+	}
+	if key == nil {
+		a.stats.ended.Inc(1)
+		return refusal.New(http.StatusUnauthorized, refusal.CodeInvalidKey, "the key was withdrawn")
+	}
+	return nil
+}
+
+func (a *Authenticator) staleRefusal() error {
+	a.stats.stale.Inc(1)
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeStale,
+		"this host cannot confirm which keys are in force; use another host").WithRetry(staleRetry)
+}
+
+// Interface check.
+var _ serve.Authenticator = (*Authenticator)(nil)
