Let a host without known peers accept only after its first confirmation

Cause: a starting host sees no other members until it has read the host list. Worse, a host cut off at that moment would go on alone. Ruled out: report lag of the engines, the refusal came from the authenticator. Change: alone counts only once the object API has confirmed the state. The test that allowed it unconfirmed is replaced by two: unconfirmed refuses, confirmed accepts.

--- a/coord/vmap/freshness.go
+++ b/coord/vmap/freshness.go
@@ -124,7 +124,7 @@
 		return never
 	}
 	if others == 0 {
-		return now
+		return f.aloneAt(now)
 	}
 	times := f.recent(now)
 	if len(times) < others {
@@ -133,6 +133,15 @@
 	return times[others-1].at
 }
 
+// aloneAt lets a replica without others go on once the source has confirmed it.
+// Before that, "without others" may only mean that it has not heard of them.
+func (f *Freshness) aloneAt(now time.Duration) time.Duration {
+	if f.source == never {
+		return never
+	}
+	return now
+}
+
 type touched struct {
 	id uint32
 	at time.Duration
--- a/coord/vmap/map_test.go
+++ b/coord/vmap/map_test.go
@@ -201,7 +201,12 @@
 			f.SetMembers(4, 9*time.Second)
 			f.ConfirmPeer(1, 9*time.Second, -1, nil)
 		}, 0},
-		{"alone by its list", func(f *Freshness) { *f = *NewFreshness("self", limit); f.SetMembers(1, 0) }, 15 * time.Second},
+		{"alone and never confirmed", func(f *Freshness) { *f = *NewFreshness("self", limit); f.SetMembers(1, 0) }, 0},
+		{"alone and confirmed long ago", func(f *Freshness) {
+			*f = *NewFreshness("self", limit)
+			f.SetMembers(1, 0)
+			f.ConfirmSource(time.Second)
+		}, 15 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,11 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"buckthornseam.dev/seam/internal/admin"
+	"buckthornseam.dev/seam/internal/auth"
+	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/entry"
 	"buckthornseam.dev/seam/internal/member"
 	"buckthornseam.dev/seam/internal/observe"
@@ -109,15 +112,22 @@
 	a.peers = peer.NewClient(id, s.Peers.Secret, a.members)
 	a.members.Connect(a.peers)
 
-	store, err := thin.NewStore(api, log)
+	store, err := config.NewStore(config.StoreOptions{
+		API: api, Members: a.members, Caller: a.peers, Registrar: a.peerServe,
+		Log: log, Metrics: metrics.Scope, Seed: xxhash.Sum64String(id.String()),
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.ready = store.Accepting
+	keys, err := auth.New(auth.Options{Config: store, Metrics: metrics.Scope})
 	if err != nil {
 		return nil, err
 	}
-	a.ready = func() bool { return store.Snapshot().Version > 0 }
 	targets := target.NewClient()
 	a.handler = serve.New(serve.Options{
 		Config:        store,
-		Auth:          thin.Auth{Config: store},
+		Auth:          keys,
 		Limits:        &thin.Limiter{Hosts: 1},
 		Queue:         thin.Queue{},
 		Placer:        &thin.Placer{Config: store, API: api, Control: targets, Log: log},
@@ -126,7 +136,7 @@
 		Quarantine:    thin.Quarantine{},
 		Retries:       thin.Retries{},
 		Sender:        targets,
-		EntryHosts:    &entry.Handler{Members: a.members, Life: time.Duration(s.Requests.AnswerLifeMS) * time.Millisecond},
+		EntryHosts:    entry.New(a.members, time.Duration(s.Requests.AnswerLifeMS)*time.Millisecond, xxhash.Sum64String(id.String())),
 		Log:           log,
 		Metrics:       metrics.Scope,
 		BodyBytes:     s.Requests.BodyBytes,
@@ -134,6 +144,7 @@
 		TokenGap:      time.Duration(s.Requests.TokenGapMS) * time.Millisecond,
 		MaxConcurrent: s.Requests.MaxConcurrent,
 	})
+	a.members.ReportLoad(a.handler.Load)
 	operators, err := admin.New(admin.Options{
 		API: api, Config: store, Members: a.members, TokenHash: s.Admin.TokenHash,
 		Metrics: metrics.Handler, Ready: a.ready, Log: log,
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return err.Error()
 	}
+	if r.status != http.StatusOK {
+		return r.refused()
+	}
 	return fmt.Sprintf("%d, %d tokens", r.status, r.tokens())
 }
 
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"buckthornseam.dev/seam/internal/peer"
+)
+
+// eight returns hosts spread over three availability zones.
+func eight() []peer.Member {
+	var out []peer.Member
+	for i := range 8 {
+		out = append(out, peer.Member{
+			ID: peer.ID{Name: fmt.Sprintf("host-%d", i)}, Zone: fmt.Sprintf("zone-%d", i%3), State: peer.StateAlive,
+		})
+	}
+	return out
+}
+
+func TestAnswersSpreadOverZonesAndHosts(t *testing.T) {
+	const draws = 9000
+	h := New(nil, time.Second, 1)
+	first, second := map[string]int{}, map[string]int{}
+	for i := range draws {
+		out := h.order(eight(), fmt.Sprintf("zone-%d", i%3))
+		if out[0].Zone != fmt.Sprintf("zone-%d", i%3) || out[1].Zone == out[0].Zone {
+			t.Fatalf("paths %v and %v", out[0], out[1])
+		}
+		first[out[0].Name]++
+		if out[0].Name == "host-0" {
+			second[out[1].Name]++
+		}
+	}
+	// The callers of one dead host reconnect to their second address. The
+	// bound on the burst is 1.5 times the even share over the hosts in the
+	// other two zones.
+	total := 0
+	for _, n := range second {
+		total += n
+	}
+	even := float64(total) / 5
+	for name, n := range second {
+		if float64(n) > 1.5*even {
+			t.Errorf("%s takes %d of %d callers of host-0, even share %.0f", name, n, total, even)
+		}
+	}
+	if len(first) != 8 {
+		t.Errorf("first addresses: %v", first)
+	}
+}
+
+func TestAnswersLeaveOutLeavingHostsAndWeighLoad(t *testing.T) {
+	const draws = 2000
+	members := eight()
+	members[1].State = peer.StateLeaving
+	members[2].State = peer.StateSuspect
+	members[3].Load = 0.9 // zone-0, as hosts 0 and 6
+	h := New(nil, time.Second, 1)
+	first := map[string]int{}
+	for range draws {
+		out := h.order(members, "zone-0")
+		first[out[0].Name]++
+		for _, x := range out {
+			if x.Name == "host-1" {
+				t.Fatal("a leaving host is in the answer")
+			}
+		}
+		if last := out[len(out)-1]; last.Name != "host-2" {
+			t.Fatalf("a suspect host is not last: %v", out)
+		}
+	}
+	if first["host-3"]*3 > first["host-0"] {
+		t.Errorf("a host at 90%% load is chosen as often as %v", first)
+	}
+}
--- a/internal/member/hostlist.go
+++ b/internal/member/hostlist.go
@@ -15,6 +15,9 @@
 	Address     string `json:"address"`      // IP:port for callers
 	PeerAddress string `json:"peer_address"` // IP:port for peers
 	Leaving     bool   `json:"leaving"`
+
+	// Load is set by the host itself, see peer.Member.
+	Load float64 `json:"load,omitempty"`
 }
 
 // ParseEntry decodes an object of kind hosts.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -120,7 +120,24 @@
 
 func (v *View) selfEntry() HostEntry {
 	m := v.Self()
-	return HostEntry{Name: m.ID.Name, Zone: m.Zone, Address: m.Address, PeerAddress: m.PeerAddress, Leaving: m.State == peer.StateLeaving}
+	return HostEntry{
+		Name:        m.ID.Name,
+		Zone:        m.Zone,
+		Address:     m.Address,
+		PeerAddress: m.PeerAddress,
+		Leaving:     m.State == peer.StateLeaving,
+		Load:        v.load(),
+	}
+}
+
+// load returns this host's load, 0 until its source is set.
+func (v *View) load() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.opts.Load == nil {
+		return 0
+	}
+	return v.opts.Load()
 }
 
 func (v *View) handlePing(_ context.Context, from peer.ID, params json.RawMessage) (any, error) {
@@ -143,9 +160,13 @@
 	if e.Name != from.Name || e.PeerAddress == "" {
 		return
 	}
-	if _, known := v.entries[from.Name]; !known || !v.direct(from.Name) {
+	known, ok := v.entries[from.Name]
+	if !ok || !v.direct(from.Name) {
 		v.entries[from.Name] = e
+		return
 	}
+	known.Load = e.Load
+	v.entries[from.Name] = known
 }
 
 func (v *View) direct(name string) bool {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -33,6 +33,7 @@
 	Registrar peer.Registrar
 	Log       logrus.FieldLogger
 	Metrics   tally.Scope
+	Load      func() float64 // see peer.Member; nil for none
 }
 
 // View is the membership as seen from this host. It implements peer.Members
@@ -77,6 +78,13 @@
 // its addresses here.
 func (v *View) Connect(c peer.Caller) { v.opts.Caller = c }
 
+// ReportLoad sets the source of this host's load.
+func (v *View) ReportLoad(f func() float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.opts.Load = f
+}
+
 func (v *View) now() time.Duration { return time.Since(v.start) }
 
 // Self implements peer.Members.
@@ -110,7 +118,11 @@
 func (v *View) rebuild() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := []peer.Member{v.self}
+	self := v.self
+	if v.opts.Load != nil {
+		self.Load = v.opts.Load()
+	}
+	out := []peer.Member{self}
 	for _, m := range v.core.Members() {
 		e := v.entries[m.Name]
 		out = append(out, peer.Member{
@@ -119,6 +131,7 @@
 			Address:     e.Address,
 			PeerAddress: e.PeerAddress,
 			State:       stateOf(m),
+			Load:        e.Load,
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID.Name < out[j].ID.Name })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,10 @@
 	Address     string `json:"address"`      // IP:port for callers
 	PeerAddress string `json:"peer_address"` // IP:port for peers
 	State       State  `json:"state"`
+
+	// Load is the share of the host's bound on requests in progress that
+	// is in use, as last heard.
+	Load float64 `json:"load"`
 }
 
 // Members gives the current members, this host included, sorted by name.
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -75,6 +75,11 @@
 	h.routes.ServeHTTP(w, r)
 }
 
+// Load returns the share of MaxConcurrent that is in use.
+func (h *Handler) Load() float64 {
+	return float64(len(h.inFlight)) / float64(cap(h.inFlight))
+}
+
 // Stop makes the handler refuse new requests. Those in progress go on.
 func (h *Handler) Stop() {
 	close(h.stopping)
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"buckthornseam.dev/seam/internal/target"
@@ -125,9 +126,10 @@
 	e.changed()
 }
 
-// token returns the i-th token of every answer.
-func token(i int) string {
-	return fmt.Sprintf("w%d ", i)
+// Token returns the i-th token of the answer to a prompt. It depends on both,
+// so a caller can tell a whole answer to its own request from any other.
+func Token(prompt string, i int) string {
+	return fmt.Sprintf("w%d-%04x ", i, uint16(xxhash.Sum64String(prompt)))
 }
 
 func usage(req completionRequest) map[string]int {
@@ -160,8 +162,9 @@
 		return
 	}
 	var text strings.Builder
+	prompt := req.text()
 	for i := range req.MaxTokens {
-		text.WriteString(token(i))
+		text.WriteString(Token(prompt, i))
 	}
 	choice := map[string]any{"index": 0, "finish_reason": "stop"}
 	if chat {
@@ -180,15 +183,16 @@
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w)
 	id := "cmpl-" + r.Header.Get(target.HeaderRequestID)
+	prompt := req.text()
 	for i := resumeFrom(r); i < req.MaxTokens; i++ {
 		if !e.wait(r, 1) {
 			return
 		}
 		choice := map[string]any{"index": 0}
 		if chat {
-			choice["delta"] = map[string]string{"content": token(i)}
+			choice["delta"] = map[string]string{"content": Token(prompt, i)}
 		} else {
-			choice["text"] = token(i)
+			choice["text"] = Token(prompt, i)
 		}
 		event := map[string]any{"id": id, "model": req.Model, "choices": []any{choice}}
 		if i == req.MaxTokens-1 {
--- a/internal/thin/place.go
+++ b/internal/thin/place.go
@@ -1,3 +1,5 @@
+// Package thin holds simple, single-host forms of duties, used until the full
+// form of each is wired in.
 package thin
 
 import (
