Withdraw by a stored marker, and bound the hosts exchanged with

Cause: a create whose answer was lost may still be under way after its object was read back, created again and withdrawn; it then brings the instance back. A deletion also has no operation id and no version to follow.

Ruled out: reading back longer (there is no bound on it short of the longest life of a write). Exchanges go to at most 8 neighbours and the zone's watchers, so a host keeps few connections at 1,200 hosts; ruled out: random partners, which end with a connection to every host.

--- a/internal/config/push.go
+++ b/internal/config/push.go
@@ -41,8 +41,8 @@
 	targets := t.share()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for range min(pushFanout, len(t.others)) {
-		targets = append(targets, t.others[s.rng.IntN(len(t.others))].ID.Name)
+	for range min(pushFanout, len(t.far)) {
+		targets = append(targets, t.far[s.rng.IntN(len(t.far))])
 	}
 	return targets
 }
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -27,7 +27,7 @@
 const (
 	syncPeriod    = 500 * time.Millisecond  // between exchanges with a peer
 	callTimeout   = time.Second             // of a call to a peer
-	watchSilence  = 2500 * time.Millisecond // bookmarks come every second
+	watchSilence  = 1900 * time.Millisecond // bookmarks come every second
 	listTimeout   = 15 * time.Second        // the API may be as slow as 5 s a call
 	ownWatchAfter = 1500 * time.Millisecond // without confirmation, a host opens a watch itself
 	ownWatchLife  = 30 * time.Second        // before such a watch may be closed again
@@ -71,16 +71,17 @@
 	place    atomic.Pointer[topology]
 	stats    storeMetrics
 
-	mu      sync.Mutex // guards what follows
-	objects *vmap.Map[json.RawMessage]
-	fresh   *vmap.Freshness
-	index   *index
-	acks    map[peer.ID]vmap.Ack
-	tracked map[platform.Version]*vmap.InForce
-	pushed  uint64 // floor at the last push
-	rng     *rand.Rand
-	reading bool // a full reading from a peer is in progress
-	round   uint64
+	mu        sync.Mutex // guards what follows
+	objects   *vmap.Map[json.RawMessage]
+	fresh     *vmap.Freshness
+	index     *index
+	acks      map[peer.ID]vmap.Ack
+	withdrawn map[string]withdrawal
+	tracked   map[platform.Version]*vmap.InForce
+	pushed    uint64 // floor at the last push
+	rng       *rand.Rand
+	reading   bool // a full reading from a peer is in progress
+	round     uint64
 
 	push chan struct{}
 	sema chan struct{} // bounds concurrent exchanges
@@ -95,17 +96,18 @@
 	}
 	self := o.Members.Self().ID.Name
 	s := &Store{
-		opts:    o,
-		origin:  time.Now(),
-		objects: vmap.New[json.RawMessage](0),
-		fresh:   vmap.NewFreshness(self, StaleAfter),
-		index:   x,
-		acks:    make(map[peer.ID]vmap.Ack),
-		tracked: make(map[platform.Version]*vmap.InForce),
-		rng:     rand.New(rand.NewPCG(o.Seed, vmapSeed(self))),
-		push:    make(chan struct{}, pushQueue),
-		sema:    make(chan struct{}, syncsAtOnce),
-		stats:   newStoreMetrics(o.Metrics),
+		opts:      o,
+		origin:    time.Now(),
+		objects:   vmap.New[json.RawMessage](0),
+		fresh:     vmap.NewFreshness(self, StaleAfter),
+		index:     x,
+		acks:      make(map[peer.ID]vmap.Ack),
+		withdrawn: make(map[string]withdrawal),
+		tracked:   make(map[platform.Version]*vmap.InForce),
+		rng:       rand.New(rand.NewPCG(o.Seed, vmapSeed(self))),
+		push:      make(chan struct{}, pushQueue),
+		sema:      make(chan struct{}, syncsAtOnce),
+		stats:     newStoreMetrics(o.Metrics),
 	}
 	s.until.Store(-1)
 	s.snapshot.Store(x.snapshot(0))
@@ -135,6 +137,7 @@
 	g.Go(func() error { s.runWatch(ctx); return nil })
 	g.Go(func() error { s.runSync(ctx); return nil })
 	g.Go(func() error { s.runPush(ctx); return nil })
+	g.Go(func() error { s.runSweep(ctx); return nil })
 	return g.Wait()
 }
 
@@ -174,6 +177,7 @@
 	version := s.snapshot.Load().Version
 	for _, a := range made {
 		s.index.apply(a.Name, a.Old, a.Value)
+		s.noteWithdrawal(a)
 		version = max(version, platform.Version(a.Version))
 	}
 	s.stats.changes.Inc(int64(len(made)))
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -52,7 +52,7 @@
 }
 
 // roundsPerRelay is the number of rounds of which one goes to a watcher of the
-// own zone; the others go to random hosts, every second of them in the zone.
+// own zone; the others go to neighbours, every second of them in the zone.
 const roundsPerRelay = 3
 
 // partner chooses the host of the next exchange, "" if there is none.
@@ -66,14 +66,14 @@
 			return name
 		}
 	}
-	hosts := t.others
-	if s.rng.IntN(2) == 0 && len(t.zone) > 0 {
-		hosts = t.zone
+	hosts := t.far
+	if s.rng.IntN(2) == 0 && len(t.near) > 0 {
+		hosts = t.near
 	}
 	if len(hosts) == 0 {
 		return ""
 	}
-	return hosts[s.rng.IntN(len(hosts))].ID.Name
+	return hosts[s.rng.IntN(len(hosts))]
 }
 
 // sync exchanges digests with a host, takes over what this host lacks and
--- a/internal/config/template.go
+++ b/internal/config/template.go
@@ -35,6 +35,10 @@
 type Instance struct {
 	Template string                     `json:"template"`
 	Params   map[string]json.RawMessage `json:"params"`
+	// Withdrawn marks an instance that is no longer in force. It stays stored
+	// for a while: a create that is still under way after its answer was
+	// lost then fails, rather than bringing the instance back.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // Fault names a field of an instance and what is wrong with it.
@@ -98,9 +102,12 @@
 	return t, nil
 }
 
-// Render makes the entities of an instance. It returns
+// Render makes the entities of an instance, none if it is withdrawn. It returns
 // *InvalidInstanceError with all faults found.
 func Render(templates map[string]*Template, name string, inst Instance) (Entities, error) {
+	if inst.Withdrawn {
+		return Entities{}, nil
+	}
 	t, ok := templates[inst.Template]
 	if !ok {
 		return Entities{}, invalid(name, "template", "unknown template "+inst.Template)
--- a/internal/config/topology.go
+++ b/internal/config/topology.go
@@ -23,8 +23,15 @@
 	zone     []peer.Member // those of others in this availability zone
 	watchers []string      // names of this zone's watchers, by rank
 	rank     int           // rank of self in watchers, -1 if it is none
+	near     []string      // hosts of the zone that this host exchanges digests with
+	far      []string      // hosts anywhere that it exchanges digests with
 }
 
+// neighbours is the number of hosts near and far that a host exchanges digests
+// with. It bounds the connections of a host; every host chooses others, so the
+// hosts stay connected through any few that fail.
+const neighbours = 4
+
 func newTopology(self peer.Member, members []peer.Member) topology {
 	t := topology{self: self, rank: -1}
 	var ranked []peer.Member
@@ -39,9 +46,23 @@
 	ranked = append(append(ranked, t.zone...), self)
 	t.watchers = watchersOf(ranked)
 	t.rank = slices.Index(t.watchers, self.ID.Name)
+	t.near = neighboursOf(self, t.zone)
+	t.far = neighboursOf(self, t.others)
 	return t
 }
 
+// neighboursOf returns the members that rank first for this host.
+func neighboursOf(self peer.Member, members []peer.Member) []string {
+	rank := func(m peer.Member) uint64 { return xxhash.Sum64String(self.ID.Name + "/" + m.ID.Name) }
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b peer.Member) int { return cmp.Compare(rank(a), rank(b)) })
+	names := make([]string, min(neighbours, len(ranked)))
+	for i := range names {
+		names[i] = ranked[i].ID.Name
+	}
+	return names
+}
+
 // watchersOf returns the watchers among the members of one zone.
 func watchersOf(zone []peer.Member) []string {
 	ranked := slices.Clone(zone)
