Share a pool's slots among teams over all hosts

Cause: one large team behind eight hosts gets eight turns to the one of a small team behind a single host.

coord/fair holds the queue of one host (start-time fair queueing by tokens, deadlines, bounds) and the node of a tree that divides the pool by weighted max-min. Grants are windows rather than consumable credits: lost, late and repeated ones do no harm.

--- /dev/null
+++ b/coord/fair/credit.go
@@ -0,0 +1,77 @@
+package fair
+
+import "time"
+
+const (
+	// creditTime is how long a team may run at twice its share after it ran
+	// nothing for as long, and the time over which credit is spent.
+	creditTime = 2 * time.Second
+	// boostDivisor is the part of a pool that credit may claim at most.
+	boostDivisor = 4
+	// longestGap is the longest time without reports that counts.
+	longestGap = 3 * time.Second
+)
+
+// credits remember, for each team, the share that it left unused lately. A
+// team whose demand varies round a mean below its share is above it now and
+// then; without credit it would wait each time behind a team that always wants
+// more.
+type credits struct {
+	at     time.Duration
+	byTeam map[string]float64 // slots times seconds
+}
+
+// advance counts the time since the last call at the teams' demands now.
+func (c *credits) advance(now time.Duration, slots int, totals map[string]*total) {
+	if c.byTeam == nil {
+		c.byTeam = map[string]float64{}
+	}
+	dt := min(now-c.at, longestGap).Seconds()
+	c.at = now
+	for name, s := range totals {
+		share := equalShare(slots, s, totals)
+		limit := share * creditTime.Seconds()
+		have, known := c.byTeam[name]
+		if !known {
+			have = limit // it ran nothing until now
+		}
+		// Only what a team did not want counts as unused, else teams that
+		// are held at their shares would gain credit against one another.
+		unused := max(share-float64(s.want), 0) - max(float64(s.Running)-share, 0)
+		c.byTeam[name] = min(max(have+unused*dt, 0), limit)
+	}
+}
+
+// boosts returns what limited teams may have above the share that the division
+// gave them, by team.
+func (c *credits) boosts(slots int, totals map[string]*total) map[string]int {
+	out := map[string]int{}
+	sum := 0
+	for name, s := range totals {
+		if !s.limited {
+			continue
+		}
+		boost := min(s.want-s.share, int(c.byTeam[name]/creditTime.Seconds()))
+		if boost > 0 {
+			out[name] = boost
+			sum += boost
+		}
+	}
+	if limit := slots / boostDivisor; sum > limit {
+		for name := range out {
+			out[name] = out[name] * limit / sum
+		}
+	}
+	return out
+}
+
+func (c *credits) forget(team string) { delete(c.byTeam, team) }
+
+// equalShare returns a team's share if all teams wanted theirs.
+func equalShare(slots int, s *total, totals map[string]*total) float64 {
+	weight := 0.0
+	for _, o := range totals {
+		weight += o.Weight
+	}
+	return float64(slots) * s.Weight / weight
+}
--- /dev/null
+++ b/coord/fair/sim_test.go
@@ -0,0 +1,397 @@
+package fair
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// The simulation runs the real cores of several hosts in fake time against
+// engines that run a fixed number of requests each and queue the rest in order
+// of arrival.
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type simConfig struct {
+	seed          uint64
+	hosts         int
+	engines       int
+	slots         int // of each engine
+	length        time.Duration
+	fifo          bool // hosts send at once: plain first in, first out
+	noCoordinator bool
+	lose, dup     float64 // of messages between hosts
+	maxDelay      time.Duration
+	reportLag     time.Duration
+	pick          func(s *sim, h *simHost) int // engine for a request; nil: least loaded
+}
+
+type simTeam struct {
+	name     string
+	weight   float64
+	rate     float64 // requests a second
+	hosts    []int
+	service  time.Duration // mean, exponential part on top of half of it
+	deadline time.Duration
+	from     time.Duration // first arrival
+	length   time.Duration // of the arrivals, whole run if zero
+}
+
+type simRequest struct {
+	Item
+	arrived, dispatched, first time.Duration
+	service                    time.Duration
+	host                       *simHost
+	refused                    *Refusal
+}
+
+const (
+	simPrefill  = 200 * time.Millisecond
+	simTick     = 250 * time.Millisecond
+	simLatency  = time.Millisecond
+	simMinGap   = 20 * time.Millisecond
+	simBigQueue = 100000
+)
+
+type simEngine struct {
+	running int
+	queue   []*simRequest
+}
+
+type simHost struct {
+	name       string
+	q          *Queue
+	node       *Node
+	lastReport time.Duration
+	scheduled  bool
+}
+
+type sim struct {
+	simConfig
+	now      time.Duration
+	seq      int
+	events   events
+	rng      *rand.Rand
+	tree     *Tree
+	hosts    []*simHost
+	byName   map[string]*simHost
+	engines  []*simEngine
+	seen     []int // running and waiting by engine, lagging
+	requests []*simRequest
+	byID     map[uint64]*simRequest
+	messages int
+	idle     time.Duration // slot time idle while something was waiting at a host
+	violated string
+}
+
+func newSim(c simConfig) *sim {
+	s := &sim{simConfig: c, rng: rand.New(rand.NewPCG(c.seed, 1)), byName: map[string]*simHost{}, byID: map[uint64]*simRequest{}}
+	var names []string
+	for i := range c.hosts {
+		h := &simHost{name: fmt.Sprintf("h%d", i), q: NewQueue(Limits{TeamItems: simBigQueue, PoolItems: simBigQueue}), node: NewNode()}
+		s.hosts = append(s.hosts, h)
+		s.byName[h.name] = h
+		names = append(names, h.name)
+	}
+	s.tree = NewTree("pool", names)
+	for range c.engines {
+		s.engines = append(s.engines, &simEngine{})
+	}
+	s.seen = make([]int, c.engines)
+	for i, h := range s.hosts {
+		h.q.SetCapacity(Capacity{Slots: c.engines * c.slots, Spare: -1, Hosts: c.hosts})
+		h.node.SetInterval(s.tree.Interval())
+		tick := s.tree.Interval()
+		s.every(tick*time.Duration(i+1)/time.Duration(c.hosts), tick, func() { s.tick(h) })
+	}
+	s.every(simTick, simTick, s.readEngines)
+	return s
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: s.now + d, seq: s.seq, run: f})
+}
+
+func (s *sim) every(first, period time.Duration, f func()) {
+	s.after(first, func() {
+		f()
+		s.every(period, period, f)
+	})
+}
+
+// arrivals lets the requests of a team arrive as a Poisson process.
+func (s *sim) arrivals(t simTeam) {
+	rng := rand.New(rand.NewPCG(s.seed, uint64(len(t.name))+uint64(t.rate)))
+	end := s.length
+	if t.length > 0 {
+		end = t.from + t.length
+	}
+	at := t.from
+	for n := 0; ; n++ {
+		at += time.Duration(rng.ExpFloat64() / t.rate * float64(time.Second))
+		if at > end {
+			return
+		}
+		service := t.service/2 + time.Duration(rng.ExpFloat64()*float64(t.service/2))
+		h := s.hosts[t.hosts[rng.IntN(len(t.hosts))]]
+		r := &simRequest{arrived: at, service: max(service, simPrefill), host: h}
+		r.Item = Item{ID: uint64(len(s.requests) + 1), Team: t.name, Weight: t.weight, Tokens: int64(service / (10 * time.Millisecond)), Deadline: at + t.deadline}
+		s.requests = append(s.requests, r)
+		s.byID[r.ID] = r
+		s.after(at, func() { s.arrive(r) })
+	}
+}
+
+func (s *sim) run() {
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		if e.at > s.length+time.Minute {
+			return
+		}
+		s.account(e.at)
+		s.now = e.at
+		e.run()
+	}
+}
+
+// account adds up slots that stand idle while a request waits at a host.
+func (s *sim) account(next time.Duration) {
+	waiting, busy := 0, 0
+	for _, h := range s.hosts {
+		waiting += h.q.Waiting()
+	}
+	for _, e := range s.engines {
+		busy += e.running
+	}
+	if free := s.slots*len(s.engines) - busy; waiting > 0 && s.now < s.length {
+		s.idle += time.Duration(min(free, waiting)) * (next - s.now)
+	}
+}
+
+func (s *sim) arrive(r *simRequest) {
+	if s.fifo {
+		s.send(r)
+		return
+	}
+	if ref := r.host.q.Push(s.now, r.Item); ref != nil {
+		s.refuse(ref)
+	}
+	s.after(r.Deadline-s.now, func() { s.pump(r.host) })
+	s.pump(r.host)
+}
+
+func (s *sim) refuse(ref *Refusal) {
+	r := s.byID[ref.Item.ID]
+	if r.refused != nil || r.dispatched > 0 {
+		s.violated = fmt.Sprintf("request %d answered twice", r.ID)
+	}
+	if s.now > r.Deadline {
+		s.violated = fmt.Sprintf("request %d refused %v after its deadline", r.ID, s.now-r.Deadline)
+	}
+	r.refused = ref
+}
+
+func (s *sim) pump(h *simHost) {
+	for {
+		it, ok := h.q.Next(s.now)
+		if !ok {
+			break
+		}
+		s.send(s.byID[it.ID])
+	}
+	for _, ref := range h.q.Expire(s.now) {
+		s.refuse(ref)
+	}
+	if h.q.Urgent(s.now) && !h.scheduled {
+		h.scheduled = true
+		s.after(max(h.lastReport+simMinGap-s.now, 0), func() {
+			h.scheduled = false
+			s.report(h)
+		})
+	}
+}
+
+func (s *sim) send(r *simRequest) {
+	if r.refused != nil || r.dispatched > 0 || s.now >= r.Deadline && !s.fifo {
+		s.violated = fmt.Sprintf("request %d dispatched after its end", r.ID)
+	}
+	r.dispatched = max(s.now, 1)
+	e := s.engines[s.choose(r.host)]
+	if e.running < s.slots {
+		s.start(e, r)
+		return
+	}
+	e.queue = append(e.queue, r)
+}
+
+func (s *sim) choose(h *simHost) int {
+	if s.pick != nil {
+		return s.pick(s, h)
+	}
+	best := 0
+	for i, e := range s.engines {
+		if e.running+len(e.queue) < s.engines[best].running+len(s.engines[best].queue) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (s *sim) start(e *simEngine, r *simRequest) {
+	e.running++
+	r.first = s.now + simPrefill
+	s.after(r.service, func() {
+		e.running--
+		if len(e.queue) > 0 {
+			next := e.queue[0]
+			e.queue = e.queue[1:]
+			s.start(e, next)
+		}
+		if !s.fifo {
+			r.host.q.Release(r.Item)
+			s.pump(r.host)
+		}
+	})
+}
+
+// readEngines delivers the engines' load after the lag of reports.
+func (s *sim) readEngines() {
+	load := make([]int, len(s.engines))
+	for i, e := range s.engines {
+		load[i] = e.running + len(e.queue)
+	}
+	s.after(s.reportLag, func() { s.seen = load })
+}
+
+func (s *sim) tick(h *simHost) {
+	total, occupied := s.slots*len(s.engines), 0
+	for _, n := range s.seen {
+		occupied += n
+	}
+	h.q.SetCapacity(Capacity{Slots: total, Spare: max(total-occupied, 0), Hosts: s.simConfig.hosts})
+	if s.tree.Root() == h.name {
+		h.node.SetRoot(s.now, total, occupied)
+	} else {
+		h.node.SetInner(s.now)
+	}
+	h.q.Prune(s.now)
+	if h.q.Reporting(s.now) || h.node.Children() > 0 {
+		s.report(h)
+	}
+	s.pump(h)
+}
+
+func (s *sim) report(h *simHost) {
+	if s.noCoordinator {
+		return
+	}
+	h.lastReport = s.now
+	h.node.Report(s.now, h.name, h.q.Demand(s.now))
+	parent, inner := s.tree.Parent(h.name)
+	if !inner {
+		s.apply(h)
+		return
+	}
+	d := h.node.Demand(s.now)
+	s.message(func() {
+		p := s.byName[parent]
+		p.node.Report(s.now, h.name, d)
+		g, ok := p.node.Grant(s.now, h.name)
+		if !ok {
+			return
+		}
+		s.message(func() {
+			h.node.Apply(s.now, g)
+			s.apply(h)
+		})
+	})
+}
+
+func (s *sim) apply(h *simHost) {
+	if g, ok := h.node.Grant(s.now, h.name); ok {
+		h.q.Apply(s.now, g)
+	}
+	s.pump(h)
+}
+
+// message delivers f after the latency, unless it is lost; it may come twice
+// and late.
+func (s *sim) message(f func()) {
+	s.messages++
+	if s.rng.Float64() < s.lose {
+		return
+	}
+	times := 1
+	if s.rng.Float64() < s.dup {
+		times = 2
+	}
+	for range times {
+		d := simLatency
+		if s.maxDelay > 0 {
+			d += time.Duration(s.rng.Int64N(int64(s.maxDelay)))
+		}
+		s.after(d, f)
+	}
+}
+
+// teamStats are the outcomes of one team after the warm-up.
+type teamStats struct {
+	served, refused int
+	p50, p95, p99   time.Duration // arrival to first token
+	queueP95        time.Duration // arrival to dispatch
+	slotTime        time.Duration
+}
+
+func (s *sim) stats(team string, from, to time.Duration) teamStats {
+	var st teamStats
+	var first, queue []time.Duration
+	for _, r := range s.requests {
+		if r.Team != team || r.arrived < from || r.arrived >= to {
+			continue
+		}
+		if r.refused != nil {
+			st.refused++
+			continue
+		}
+		if r.first == 0 {
+			continue // still waiting at an engine when the run ended
+		}
+		st.served++
+		st.slotTime += r.service
+		first = append(first, r.first-r.arrived)
+		queue = append(queue, r.dispatched-r.arrived)
+	}
+	st.p50, st.p95, st.p99 = quantile(first, 0.5), quantile(first, 0.95), quantile(first, 0.99)
+	st.queueP95 = quantile(queue, 0.95)
+	return st
+}
+
+func quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sort.Slice(d, func(i, j int) bool { return d[i] < d[j] })
+	return d[min(int(q*float64(len(d))), len(d)-1)]
+}
--- /dev/null
+++ b/coord/fair/tree.go
@@ -0,0 +1,92 @@
+package fair
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Reporting intervals by the depth of the tree. With 16 children a node hears
+// at most 64 reports a second in a pool of up to 17 hosts and 16 in the
+// largest, whatever the number of hosts.
+const (
+	shortInterval  = 250 * time.Millisecond
+	mediumInterval = 500 * time.Millisecond
+	longInterval   = time.Second
+)
+
+// Fanout is the number of children of a node in a pool's tree. Three levels
+// below the root serve 4,368 hosts.
+const Fanout = 16
+
+// Tree is the order in which the hosts of a pool report to one another. Each
+// host works it out from its own view of the members: views that differ only
+// send reports where they are less useful.
+type Tree struct {
+	order []string // root first
+	rank  map[string]int
+}
+
+// NewTree orders hosts by rendezvous hashing, so that each pool has a root
+// and inner nodes of its own.
+func NewTree(pool string, hosts []string) *Tree {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	list := make([]scored, len(hosts))
+	for i, h := range hosts {
+		list[i] = scored{name: h, score: xxhash.Sum64String(pool + "\x00" + h)}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].score != list[j].score {
+			return list[i].score > list[j].score
+		}
+		return list[i].name < list[j].name
+	})
+	t := &Tree{order: make([]string, len(list)), rank: make(map[string]int, len(list))}
+	for i, s := range list {
+		t.order[i] = s.name
+		t.rank[s.name] = i
+	}
+	return t
+}
+
+// Parent returns the host that the given one reports to. It is false for the
+// root and for a host that is not in the tree.
+func (t *Tree) Parent(host string) (string, bool) {
+	r, ok := t.rank[host]
+	if !ok || r == 0 {
+		return "", false
+	}
+	return t.order[(r-1)/Fanout], true
+}
+
+// Root returns the pool's coordinator, empty if there are no hosts.
+func (t *Tree) Root() string {
+	if len(t.order) == 0 {
+		return ""
+	}
+	return t.order[0]
+}
+
+// Interval returns the time between two reports of a host.
+func (t *Tree) Interval() time.Duration {
+	switch hosts := len(t.order); {
+	case hosts <= 1+Fanout:
+		return shortInterval
+	case hosts <= 1+Fanout+Fanout*Fanout:
+		return mediumInterval
+	}
+	return longInterval
+}
+
+// Depth returns the number of steps from the given host to the root.
+func (t *Tree) Depth(host string) int {
+	d := 0
+	for r := t.rank[host]; r > 0; r = (r - 1) / Fanout {
+		d++
+	}
+	return d
+}
