--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -20,7 +20,8 @@
 }
 
 // starterWindow is what a team may run that a live grant does not name: it
-// had no demand when the coordinator was asked last.
+// had no demand when the coordinator was asked last. Pools too small to keep a
+// reserve give none; there the team waits for the next grant.
 const starterWindow = 1
 
 // team is the flow of one team.
@@ -47,6 +48,7 @@
 	running   int
 	perModel  map[string]int // running requests by model
 	models    map[string]int // limit of running requests by model
+	slots     int            // of the pool
 	local     int            // limit of running requests without a grant
 	seq       uint64
 	applied   uint64
@@ -164,7 +166,7 @@
 	}
 	var best *entry
 	for _, t := range q.teams {
-		if t.count == 0 || granted && t.running >= t.allowed() {
+		if t.count == 0 || granted && t.running >= q.allowed(t) {
 			continue
 		}
 		if best != nil && !t.before(best.lane.team) {
@@ -181,12 +183,15 @@
 	return best.Item, true
 }
 
-// allowed returns the team's window under a live grant.
-func (t *team) allowed() int {
-	if !t.named {
+// allowed returns a team's window under a live grant.
+func (q *Queue) allowed(t *team) int {
+	if t.named {
+		return t.window
+	}
+	if q.slots >= reserveDivisor {
 		return starterWindow
 	}
-	return t.window
+	return 0
 }
 
 // before orders teams by start tag; names decide between equals.
@@ -318,6 +323,7 @@
 // seemed free. Hosts that see the same free slots so take them only once.
 func (q *Queue) SetCapacity(c Capacity) {
 	hosts := max(c.Hosts, 1)
+	q.slots = c.Slots
 	q.local = max((c.Slots+hosts-1)/hosts, 1)
 	if c.Spare > 0 {
 		q.local = max(q.local, q.running+(c.Spare+hosts-1)/hosts)
@@ -376,7 +382,7 @@
 		return len(q.entries) > 0
 	}
 	for _, t := range q.teams {
-		if t.count > 0 && t.running >= t.allowed() && !(t.named && t.limited) {
+		if t.count > 0 && t.running >= q.allowed(t) && !(t.named && t.limited) {
 			return true
 		}
 	}
--- a/coord/fair/queue_test.go
+++ b/coord/fair/queue_test.go
@@ -73,7 +73,7 @@
 		}
 		held := byModel[it.Model] >= m.q.models[it.Model] && m.q.models[it.Model] > 0
 		if m.q.Granted(m.now) {
-			held = held || byTeam[it.Team] >= m.q.teams[it.Team].allowed()
+			held = held || byTeam[it.Team] >= m.q.allowed(m.q.teams[it.Team])
 		} else {
 			held = held || len(m.running) >= m.q.local
 		}
@@ -136,7 +136,7 @@
 			"tick": func(t *rapid.T) {
 				m.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
 				m.q.Prune(m.now)
-				m.q.SetCapacity(Capacity{Slots: 4, Spare: rapid.IntRange(-1, 4).Draw(t, "spare"), Hosts: rapid.IntRange(1, 3).Draw(t, "hosts")})
+				m.q.SetCapacity(Capacity{Slots: rapid.SampledFrom([]int{4, 40}).Draw(t, "slots"), Spare: rapid.IntRange(-1, 4).Draw(t, "spare"), Hosts: rapid.IntRange(1, 3).Draw(t, "hosts")})
 				m.q.SetModelLimits(map[string]int{"m": rapid.IntRange(1, 5).Draw(t, "limit")})
 				m.settle(t)
 			},
