--- /dev/null
+++ b/internal/journal/verdict.go
@@ -0,0 +1,90 @@
+package journal
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	core "buckthornseam.dev/coord/journal"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/serve"
+)
+
+// Times after which a refused caller should try again.
+const (
+	retryInProgress  = time.Second
+	retryUnavailable = time.Second
+	retryFull        = time.Minute
+)
+
+// memberLag is the time within which a new host is certainly listed as a
+// member: a younger attempt of an unlisted host may still be running.
+const memberLag = 10 * time.Second
+
+// repeat turns the verdict on a call that was not granted into its answer.
+func (j *Journal) repeat(id serve.AttemptID, a beginAnswer) (serve.Answer, error) {
+	if a.Verdict == core.InProgress && j.abandoned(a) {
+		a.Verdict = core.Unknown
+	}
+	if a.Verdict != core.Replay {
+		return serve.Answer{}, refuse(a.Verdict)
+	}
+	var answer serve.Answer
+	if err := json.Unmarshal(a.Answer, &answer); err != nil {
+		return serve.Answer{}, refuse(core.AnswerGone).WithCause(err)
+	}
+	if answer.Header == nil {
+		answer.Header = map[string]string{}
+	}
+	answer.Header[serve.HeaderReplayed] = "true"
+	return answer, nil
+}
+
+// abandoned reports whether the host of a started attempt will certainly not
+// report its end any more. It only chooses between two refusals.
+func (j *Journal) abandoned(a beginAnswer) bool {
+	if a.Age > j.opts.AttemptLife {
+		return true
+	}
+	if a.Age < memberLag {
+		return false
+	}
+	for _, m := range j.opts.Members.Members() {
+		if strings.HasPrefix(a.Attempt, m.ID.String()+"/") {
+			return false
+		}
+	}
+	return true
+}
+
+// refuse returns the refusal for a verdict. Not_run is said only where this
+// request certainly did not and will not run; of a repeat it says nothing
+// about the first attempt, so those say unknown or ran.
+func refuse(v core.Verdict) *refusal.Error {
+	switch v {
+	case core.InProgress:
+		return refusal.New(http.StatusConflict, refusal.CodeInProgress, "A call with this idempotency key is in progress.").
+			WithExecution(refusal.Unknown).WithRetry(retryInProgress)
+	case core.Unknown:
+		return refusal.New(http.StatusConflict, refusal.CodeOutcomeUnknown, "A call with this idempotency key was sent and its outcome is unknown; it is not sent again.").
+			WithExecution(refusal.Unknown)
+	case core.AnswerGone:
+		return refusal.New(http.StatusConflict, refusal.CodeOutcomeUnknown, "A call with this idempotency key ran; its answer was too large to keep.").
+			WithExecution(refusal.Ran)
+	case core.KeyReused:
+		return refusal.New(http.StatusUnprocessableEntity, refusal.CodeKeyReused, "This idempotency key was used for another request.")
+	case core.Full:
+		return refusal.New(http.StatusServiceUnavailable, refusal.CodeJournalDown, "The journal has no room for another call.").WithRetry(retryFull)
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeJournalDown, "The call could not be recorded and was not sent.").WithRetry(retryUnavailable)
+}
+
+// encodeAnswer returns the kept form of an answer.
+func encodeAnswer(a serve.Answer) []byte {
+	data, err := json.Marshal(a)
+	if err != nil {
+		return nil // kept as an answer that is gone
+	}
+	return data
+}
