Add the callers' client and checked load, and split the stand-ins from the demo

Change: caller.Client with one path, a list in order, or two paths kept ready; load sends a mix or a trace and checks each token; stand-ins run by themselves.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -4,10 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -15,14 +12,9 @@
 
 	"buckthornseam.dev/seam/internal/app"
 	"buckthornseam.dev/seam/internal/config"
-	"buckthornseam.dev/seam/internal/member"
 	"buckthornseam.dev/seam/internal/opclient"
 	"buckthornseam.dev/seam/internal/platform"
 	"buckthornseam.dev/seam/internal/settings"
-	"buckthornseam.dev/seam/internal/standin/engine"
-	"buckthornseam.dev/seam/internal/standin/objectapi"
-	"buckthornseam.dev/seam/internal/standin/service"
-	"buckthornseam.dev/seam/internal/standin/weightstore"
 )
 
 // Token and secret of the demo. They guard nothing but loopback sockets.
@@ -33,16 +25,11 @@
 
 // Cluster is a set of entry hosts with stand-ins for all outside systems.
 type Cluster struct {
-	Store    *objectapi.Store
-	Weights  *weightstore.Store
-	Engines  map[string]*engine.Engine
-	Services map[string]*service.Service
-	Hosts    []*Host
+	*StandIns
+	Hosts []*Host
 
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
-	servers []*http.Server
-	targets []instance // template instances of the targets
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
 }
 
 // Host is one entry host of a Cluster.
@@ -56,25 +43,6 @@
 // URL returns the address for callers.
 func (h *Host) URL() string { return "http://" + h.Settings.Callers.Advertise }
 
-// instance is a named template instance.
-type instance struct {
-	Name string
-	config.Instance
-}
-
-// newInstance makes an instance from parameters that encode as JSON.
-func newInstance(name, template string, params map[string]any) instance {
-	raw := make(map[string]json.RawMessage, len(params))
-	for k, v := range params {
-		data, err := json.Marshal(v)
-		if err != nil {
-			panic(err) // the demo's own constants
-		}
-		raw[k] = data
-	}
-	return instance{Name: name, Instance: config.Instance{Template: template, Params: raw}}
-}
-
 // Options configure a Cluster.
 type Options struct {
 	Hosts      int
@@ -86,39 +54,24 @@
 	Log        logrus.FieldLogger
 }
 
-// Memory and load speed of the stand-ins.
-const (
-	engineMemory      = 80 << 30
-	modelBytes        = 16 << 30
-	weightBytesSecond = 40 << 30
-)
-
 // Start brings a cluster up and waits until all hosts are ready.
 func Start(opts Options) (*Cluster, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &Cluster{
-		Store:    objectapi.NewStore(),
-		Weights:  weightstore.New(weightstore.Options{LoadsPerSecond: 8, FullSpeed: 4, BytesPerSecond: weightBytesSecond}),
-		Engines:  map[string]*engine.Engine{},
-		Services: map[string]*service.Service{},
-		cancel:   cancel,
-	}
-	if err := c.startTargets(opts); err != nil {
-		c.Close()
-		return nil, err
-	}
-	platformAddress, err := c.serve(objectapi.Handler(c.Store))
+	standIns, err := StartStandIns(StandInOptions{
+		Zones: opts.Zones, Engines: opts.Engines, TokenDelay: opts.TokenDelay, ReportLag: opts.ReportLag,
+		LoadsPerSecond: demoLoadsPerSecond, BytesPerSecond: weightBytesSecond,
+	})
 	if err != nil {
-		c.Close()
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Cluster{StandIns: standIns, cancel: cancel}
 	for i := range opts.Hosts {
-		if err := c.startHost(ctx, i, platformAddress, opts); err != nil {
+		if err := c.startHost(ctx, i, opts); err != nil {
 			c.Close()
 			return nil, err
 		}
 	}
-	for _, t := range c.targets {
+	for _, t := range c.Targets {
 		if _, err := c.submit(ctx, t); err != nil {
 			c.Close()
 			return nil, err
@@ -127,61 +80,13 @@
 	return c, c.await(ctx, func(h *Host) bool { return h.App.Ready() })
 }
 
-// startTargets starts engines and a billing service.
-func (c *Cluster) startTargets(opts Options) error {
-	for i := range opts.Engines {
-		name := fmt.Sprintf("engine-%d", i)
-		e := engine.New(engine.Options{
-			Name: name, MemoryBytes: engineMemory, ChecksFence: i%2 == 0,
-			TokenDelay: opts.TokenDelay, ReportLag: opts.ReportLag, Fetch: c.Weights, CrashPrompts: CrashPrompt,
-		})
-		address, err := c.serve(e.Handler())
-		if err != nil {
-			return err
-		}
-		c.Engines[name] = e
-		c.targets = append(c.targets, newInstance(name, "engine", map[string]any{
-			"name": name, "address": address, "zone": opts.Zones[i%len(opts.Zones)], "pool": "drafting",
-			"memory_bytes": int64(engineMemory), "checks_fence": i%2 == 0,
-		}))
-	}
-	for _, name := range []string{"billing", "booking", "tariffs"} {
-		s := service.New(name)
-		address, err := c.serve(s)
-		if err != nil {
-			return err
-		}
-		c.Services[name] = s
-		c.targets = append(c.targets, newInstance(name+"-0", "service-target", map[string]any{
-			"name": name + "-0", "service": name, "address": address, "zone": opts.Zones[0],
-		}))
-	}
-	return nil
-}
-
-// serve runs an HTTP server on loopback and returns its address.
-func (c *Cluster) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", &app.ListenError{Address: "127.0.0.1:0", Cause: err}
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	c.servers = append(c.servers, s)
-	c.wait.Add(1)
-	go func() {
-		defer c.wait.Done()
-		_ = s.Serve(l) // ends when the cluster is closed
-	}()
-	return l.Addr().String(), nil
-}
-
-func (c *Cluster) startHost(ctx context.Context, i int, platformAddress string, opts Options) error {
+func (c *Cluster) startHost(ctx context.Context, i int, opts Options) error {
 	s := settings.Defaults()
 	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), Zone: opts.Zones[i%len(opts.Zones)]}
 	s.Callers.Listen, s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Peers.Secret = peerSecret
 	s.Admin.TokenHash = config.HashKey(operatorToken)
-	s.Platform.URL = "http://" + platformAddress
+	s.Platform.URL = "http://" + c.PlatformAddress
 	s.Requests.AnswerLifeMS = opts.AnswerLife.Milliseconds()
 	l, err := app.Listen(s)
 	if err != nil {
@@ -189,7 +94,7 @@
 	}
 	s.Callers.Advertise = l.Callers.Addr().String()
 	s.Peers.Advertise = l.Peers.Addr().String()
-	c.listHost(ctx, s, false)
+	c.ListHost(ctx, s, false)
 	a, err := app.New(s, l, opts.Log)
 	if err != nil {
 		return err
@@ -207,23 +112,8 @@
 	return nil
 }
 
-// listHost enters a host in the platform's list, as the platform does.
-func (c *Cluster) listHost(ctx context.Context, s settings.Settings, leaving bool) {
-	data, err := json.Marshal(member.HostEntry{
-		Name: s.Host.Name, Zone: s.Host.Zone, Address: s.Callers.Advertise, PeerAddress: s.Peers.Advertise, Leaving: leaving,
-	})
-	if err != nil {
-		panic(err) // the demo's own constants
-	}
-	obj := platform.Object{Kind: platform.KindHosts, Name: s.Host.Name, Data: data}
-	if old, err := c.Store.Get(ctx, obj.Kind, obj.Name); err == nil {
-		obj.Version = old.Version
-	}
-	_, _ = c.Store.Put(ctx, obj) // the in-process store is healthy
-}
-
 // submit applies an instance through the first host.
-func (c *Cluster) submit(ctx context.Context, inst instance) (platform.Version, error) {
+func (c *Cluster) submit(ctx context.Context, inst Instance) (platform.Version, error) {
 	out, err := c.Hosts[0].Admin.Put(ctx, inst.Name, 0, inst.Instance)
 	return out.Version, err
 }
@@ -271,8 +161,6 @@
 	for _, h := range c.Hosts {
 		<-h.Done
 	}
-	for _, s := range c.servers {
-		s.Close()
-	}
+	c.StandIns.Close()
 	c.wait.Wait()
 }
--- /dev/null
+++ b/internal/demo/instance.go
@@ -0,0 +1,26 @@
+package demo
+
+import (
+	"encoding/json"
+
+	"buckthornseam.dev/seam/internal/config"
+)
+
+// Instance is a named template instance.
+type Instance struct {
+	Name string `json:"name"`
+	config.Instance
+}
+
+// newInstance makes an instance from parameters that encode as JSON.
+func newInstance(name, template string, params map[string]any) Instance {
+	raw := make(map[string]json.RawMessage, len(params))
+	for k, v := range params {
+		data, err := json.Marshal(v)
+		if err != nil {
+			panic(err) // the demo's own constants
+		}
+		raw[k] = data
+	}
+	return Instance{Name: name, Instance: config.Instance{Template: template, Params: raw}}
+}
--- a/internal/demo/sample.go
+++ b/internal/demo/sample.go
@@ -12,8 +12,8 @@
 )
 
 // sample returns offerings like Qasr's and Vanua's.
-func sample() []instance {
-	return []instance{
+func sample() []Instance {
+	return []Instance{
 		newInstance("team-qasr", "team", map[string]any{"name": "qasr", "rate": 5000, "burst": 20000}),
 		newInstance("team-vanua", "team", map[string]any{"name": "vanua", "rate": 5000, "burst": 20000}),
 		newInstance("key-qasr", "key", map[string]any{"team": "qasr", "hash": config.HashKey(qasrKey)}),
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -140,15 +140,6 @@
 	return fmt.Sprintf("%d whole answers, %d load", n, c.Loads("lease-13b"))
 }
 
-// Loads returns how often engines loaded a model.
-func (c *Cluster) Loads(model string) int {
-	n := 0
-	for _, e := range c.Engines {
-		n += e.Stats().LoadsByModel[model]
-	}
-	return n
-}
-
 func streamed(ctx context.Context, c *Cluster) string {
 	r, err := send(ctx, c.Hosts[1], chatPath, vanuaKey, chat("listing-blurb", true), nil)
 	if err != nil {
@@ -256,12 +247,5 @@
 }
 
 func keysSeen(_ context.Context, c *Cluster) string {
-	n := 0
-	for _, e := range c.Engines {
-		n += e.Stats().KeysSeen
-	}
-	for _, s := range c.Services {
-		n += s.KeysSeen()
-	}
-	return fmt.Sprint(n)
+	return fmt.Sprint(c.KeysSeen())
 }
--- /dev/null
+++ b/internal/load/request.go
@@ -0,0 +1,221 @@
+// Package load sends requests as callers do, from a rate or from a recorded
+// trace, checks every answer, and sums up the outcomes.
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"buckthornseam.dev/seam/internal/caller"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/serve"
+	"buckthornseam.dev/seam/internal/standin/engine"
+)
+
+// Request is one request of a trace.
+type Request struct {
+	AtMS           int64  `json:"at_ms"`             // from the start of the trace
+	Team           string `json:"team"`              // for the report
+	Key            string `json:"key,omitempty"`     // key presented
+	Zone           string `json:"zone,omitempty"`    // availability zone of the caller
+	Model          string `json:"model,omitempty"`   // model request if set
+	Service        string `json:"service,omitempty"` // path of a service request if set
+	PromptWords    int    `json:"prompt_words,omitempty"`
+	MaxTokens      int    `json:"max_tokens,omitempty"`
+	Stream         bool   `json:"stream,omitempty"`
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+}
+
+// Class is the outcome of a request as its caller sees it.
+type Class string
+
+// The outcomes.
+const (
+	ClassOK      Class = "ok"      // whole answer to the own request
+	ClassRefused Class = "refused" // a refusal with a code
+	ClassCut     Class = "cut"     // an answer that began and did not end
+	ClassWrong   Class = "wrong"   // an answer to another request
+	ClassLost    Class = "lost"    // no answer at all
+)
+
+// Result is the outcome of one request.
+type Result struct {
+	Request   Request
+	Class     Class
+	Code      refusal.Code // of a refusal
+	Execution refusal.Execution
+	Start     time.Time
+	First     time.Duration // to the first token, or to the whole answer
+	Total     time.Duration
+	Tokens    int
+	MaxGap    time.Duration // longest wait between two tokens
+	Cause     string
+}
+
+// prompt returns a prompt that no other request of the run has.
+func prompt(n int, words int) string {
+	return fmt.Sprintf("request %d ", n) + strings.Repeat("ticket ", words)
+}
+
+// Do sends one request and checks its answer.
+func Do(ctx context.Context, c *caller.Client, n int, r Request) Result {
+	res := Result{Request: r, Start: time.Now()}
+	resp, err := c.Do(ctx, httpRequest(n, r))
+	if err != nil {
+		res.Class, res.Cause = ClassLost, err.Error()
+		res.Total = time.Since(res.Start)
+		return res
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode >= http.StatusBadRequest:
+		res.readRefusal(resp.Body)
+	case r.Service != "":
+		res.readService(resp.Body, r.Service)
+	case r.Stream:
+		res.readStream(resp.Body, prompt(n, r.PromptWords), r.MaxTokens)
+	default:
+		res.readWhole(resp.Body, prompt(n, r.PromptWords), r.MaxTokens)
+	}
+	res.Total = time.Since(res.Start)
+	if res.First == 0 {
+		res.First = res.Total
+	}
+	return res
+}
+
+func httpRequest(n int, r Request) caller.Request {
+	out := caller.Request{
+		Method:     http.MethodPost,
+		Path:       r.Service,
+		Header:     map[string]string{"Authorization": "Bearer " + r.Key, "Content-Type": "application/json"},
+		Repeatable: r.IdempotencyKey != "" || r.Model != "",
+	}
+	if r.IdempotencyKey != "" {
+		out.Header[serve.HeaderIdempotencyKey] = r.IdempotencyKey
+	}
+	body := map[string]any{"item": r.IdempotencyKey}
+	if r.Model != "" {
+		out.Path = "/v1/chat/completions"
+		body = map[string]any{
+			"model": r.Model, "max_tokens": r.MaxTokens, "stream": r.Stream,
+			"messages": []map[string]string{{"role": "user", "content": prompt(n, r.PromptWords)}},
+		}
+	}
+	out.Body, _ = json.Marshal(body) // maps of strings and numbers always encode
+	return out
+}
+
+func (res *Result) readRefusal(body io.Reader) {
+	var b refusal.Body
+	if err := json.NewDecoder(body).Decode(&b); err != nil {
+		res.Class, res.Cause = ClassLost, err.Error()
+		return
+	}
+	res.Class, res.Code, res.Execution, res.Cause = ClassRefused, b.Error.Code, b.Error.Execution, b.Error.Message
+}
+
+func (res *Result) readService(body io.Reader, path string) {
+	var a struct {
+		Path string `json:"path"`
+	}
+	if err := json.NewDecoder(body).Decode(&a); err != nil {
+		res.Class, res.Cause = ClassCut, err.Error()
+		return
+	}
+	res.Class = ClassOK
+	if a.Path != path {
+		res.Class = ClassWrong
+	}
+}
+
+func (res *Result) readWhole(body io.Reader, prompt string, tokens int) {
+	var a struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.NewDecoder(body).Decode(&a); err != nil || len(a.Choices) != 1 {
+		res.Class, res.Cause = ClassCut, fmt.Sprint(err)
+		return
+	}
+	var want strings.Builder
+	for i := range tokens {
+		want.WriteString(engine.Token(prompt, i))
+	}
+	res.Tokens = tokens
+	res.Class = ClassOK
+	if a.Choices[0].Message.Content != want.String() {
+		res.Class, res.Cause = ClassWrong, a.Choices[0].Message.Content
+	}
+}
+
+// readStream checks each token as it comes. Only the terminal event makes the
+// answer whole.
+func (res *Result) readStream(body io.Reader, prompt string, tokens int) {
+	res.Class = ClassCut
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	last := res.Start
+	for lines.Scan() {
+		line := lines.Text()
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			if res.Tokens == tokens {
+				res.Class = ClassOK
+			}
+			return
+		}
+		if !res.takeEvent(data, prompt) {
+			return
+		}
+		now := time.Now()
+		if res.First == 0 {
+			res.First = now.Sub(res.Start)
+		} else {
+			res.MaxGap = max(res.MaxGap, now.Sub(last))
+		}
+		last = now
+	}
+	if err := lines.Err(); err != nil && !errors.Is(err, io.EOF) {
+		res.Cause = err.Error()
+	}
+}
+
+// takeEvent checks one event; it reports false if the stream is at an end.
+func (res *Result) takeEvent(data, prompt string) bool {
+	var e struct {
+		Error   *refusal.Detail `json:"error"`
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		res.Cause = err.Error()
+		return false
+	}
+	if e.Error != nil {
+		res.Code, res.Cause = e.Error.Code, e.Error.Message
+		return false
+	}
+	if len(e.Choices) != 1 || e.Choices[0].Delta.Content != engine.Token(prompt, res.Tokens) {
+		res.Class, res.Cause = ClassWrong, data
+		return false
+	}
+	res.Tokens++
+	return true
+}
