--- a/internal/journal/acquire.go
+++ b/internal/journal/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
@@ -40,11 +41,11 @@
 
 // beginAnswer is the answer of journal.begin.
 type beginAnswer struct {
-	Verdict core.Verdict  `json:"verdict"`
-	Answer  []byte        `json:"answer,omitempty"`
-	Attempt string        `json:"attempt,omitempty"`
-	Age     time.Duration `json:"age_ns,omitempty"`
-	Owner   string        `json:"owner,omitempty"` // for not_owner: whom to ask
+	Verdict core.Verdict    `json:"verdict"`
+	Answer  json.RawMessage `json:"answer,omitempty"`
+	Attempt string          `json:"attempt,omitempty"`
+	Age     time.Duration   `json:"age_ns,omitempty"`
+	Owner   string          `json:"owner,omitempty"` // for not_owner: whom to ask
 }
 
 // ownerOf returns the host that should serve a shard: the first in rendezvous
--- a/internal/journal/peer.go
+++ b/internal/journal/peer.go
@@ -20,8 +20,8 @@
 // ending is the end of an attempt.
 type ending struct {
 	beginParams
-	State  core.State `json:"state"`
-	Answer []byte     `json:"answer,omitempty"`
+	State  core.State      `json:"state"`
+	Answer json.RawMessage `json:"answer,omitempty"`
 }
 
 // size is the memory of an ending in bytes, roughly.
--- a/internal/journal/verdict.go
+++ b/internal/journal/verdict.go
@@ -81,7 +81,7 @@
 }
 
 // encodeAnswer returns the kept form of an answer.
-func encodeAnswer(a serve.Answer) []byte {
+func encodeAnswer(a serve.Answer) json.RawMessage {
 	data, err := json.Marshal(a)
 	if err != nil {
 		return nil // kept as an answer that is gone
