--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/peer/peertest"
+)
+
+// withFleet runs f with a fleet in fake time.
+func withFleet(t *testing.T, hosts int, f func(net *peertest.Net, all []*Quarantine)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		net := peertest.New(1)
+		net.SetFaults(peertest.Faults{MaxDelay: 2 * time.Millisecond})
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		var all []*Quarantine
+		var wg sync.WaitGroup
+		for i := range hosts {
+			h := net.Add(peer.Member{ID: peer.ID{Name: fmt.Sprintf("h%03d", i), Incarnation: "1"}})
+			q, err := New(Options{Members: h, Caller: h, Registrar: h, Log: log, Metrics: tally.NoopScope, Seed: uint64(i)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, q)
+			wg.Go(func() { _ = q.Run(ctx) })
+		}
+		f(net, all)
+		time.Sleep(time.Second)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// sendCrasher sends a request that crashes its target through one host, with
+// retries, and returns the number of targets it crashed.
+func sendCrasher(q *Quarantine, firstTarget int) (crashed int) {
+	for q.Check("team", "crasher") == nil {
+		q.Crashed("team", "crasher", fmt.Sprint("target", firstTarget+crashed))
+		crashed++
+	}
+	return crashed
+}
+
+func TestCrasherStopsAfterTwoTargets(t *testing.T) {
+	withFleet(t, 8, func(_ *peertest.Net, all []*Quarantine) {
+		if n := sendCrasher(all[0], 0); n != 2 {
+			t.Errorf("crashed %d targets through one host, want 2", n)
+		}
+	})
+	// One target through each host: the caller sends again by another one.
+	withFleet(t, 100, func(_ *peertest.Net, all []*Quarantine) {
+		crashed := 0
+		for i, q := range all {
+			if q.Check("team", "crasher") == nil {
+				q.Crashed("team", "crasher", fmt.Sprint("target", i))
+				crashed++
+			}
+			time.Sleep(100 * time.Millisecond)
+			if q.Check("team", "harmless") != nil || q.Check("other", "crasher") != nil {
+				t.Error("a harmless request is in quarantine")
+			}
+		}
+		if crashed != 2 {
+			t.Errorf("crashed %d targets through 100 hosts, want 2", crashed)
+		}
+	})
+}
+
+func TestOwnersUnreachableHoldsRequestBack(t *testing.T) {
+	withFleet(t, 8, func(net *peertest.Net, all []*Quarantine) {
+		id := ID{Team: "team", Fingerprint: "crasher"}
+		var sender *Quarantine
+		for _, q := range all {
+			if !contains(all[0].ownersOf(id), q.opts.Members.Self().ID.Name) {
+				sender = q
+			}
+		}
+		for _, owner := range sender.ownersOf(id) {
+			net.Cut(sender.opts.Members.Self().ID.Name, owner, true)
+		}
+		if n := sendCrasher(sender, 0); n != 1 {
+			t.Errorf("crashed %d targets with the owners out of reach, want 1", n)
+		}
+		time.Sleep(DefaultHold)
+		if err := sender.Check("team", "crasher"); err != nil {
+			t.Errorf("still held back after the hold: %v", err)
+		}
+	})
+}
+
+func TestReleaseReachesAllHosts(t *testing.T) {
+	withFleet(t, 100, func(net *peertest.Net, all []*Quarantine) {
+		net.SetFaults(peertest.Faults{LoseCall: 0.3, LoseAnswer: 0.3, Duplicate: 0.1, MaxDelay: 2 * time.Millisecond})
+		sendCrasher(all[0], 0)
+		time.Sleep(time.Minute)
+		for i, q := range all {
+			if q.Check("team", "crasher") == nil {
+				t.Errorf("host %d has no entry after a minute of losses", i)
+			}
+		}
+		if err := all[7].Release("team", "crasher"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		for i, q := range all {
+			if err := q.Check("team", "crasher"); err != nil {
+				t.Errorf("host %d: %v", i, err)
+			}
+		}
+		if err := all[3].Release("team", "crasher"); err == nil {
+			t.Error("released twice")
+		}
+	})
+}
+
+func TestSuspicionEndsAndMemoryIsBounded(t *testing.T) {
+	tab, err := newTable(Limits{Entries: 10, Suspects: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := ID{Team: "team", Fingerprint: "f"}
+	tab.suspect(0, id, []string{"a"})
+	if _, changed := tab.suspect(time.Hour, id, []string{"b"}); changed != nil {
+		t.Error("a loss of an hour ago counts")
+	}
+	tab.clear(id)
+	if _, changed := tab.suspect(time.Hour, id, []string{"c"}); changed != nil {
+		t.Error("a loss before a success counts")
+	}
+	for i := range 100 {
+		tab.suspect(0, ID{Fingerprint: fmt.Sprint(i)}, []string{"a", "b"})
+	}
+	if n := len(tab.list(0)); n != 10 {
+		t.Errorf("%d entries, want 10", n)
+	}
+	if n := len(tab.list(DefaultLife + 1)); n != 0 {
+		t.Errorf("%d entries after their life", n)
+	}
+}
