Choose targets from lagging reports corrected by own requests

Cause: with reports a second old every host sees the same idle target and sends to it at once.

Seen to fail with the mechanism off: exclusion, removal, ejection, probing only after a report, cache event gaps, the correction above.

--- /dev/null
+++ b/coord/routing/history.go
@@ -0,0 +1,43 @@
+package routing
+
+import "time"
+
+const (
+	historyStep = 128 * time.Millisecond
+	historySize = 16 // two seconds
+)
+
+// history remembers how many requests this host had at a target over the last
+// two seconds, so that a lagging report can be split into this host's part
+// and that of others.
+type history struct {
+	step  [historySize]int32 // number of the time step; 0 if unused
+	value [historySize]int32 // at the end of that step
+	last  int32              // latest step with a change
+	base  int32              // value before the oldest step kept
+}
+
+func (h *history) set(now time.Duration, n int) {
+	step := int32(now/historyStep) + 1
+	i := step % historySize
+	if h.step[i] != step {
+		h.base = h.value[i]
+	}
+	h.step[i], h.value[i] = step, int32(n)
+	h.last = step
+}
+
+// at returns the number at an earlier moment; current is the number now.
+func (h *history) at(then time.Duration, current int) int {
+	step := int32(then/historyStep) + 1
+	if step >= h.last {
+		return current
+	}
+	found, n := int32(0), h.base
+	for i, s := range h.step {
+		if s > found && s <= step {
+			found, n = s, h.value[i]
+		}
+	}
+	return int(n)
+}
--- /dev/null
+++ b/coord/routing/routing_test.go
@@ -0,0 +1,249 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fleet returns a table with n engines of which all have the model ready.
+func fleet(n int) *Table {
+	t := New(Options{Zone: "z0", Seed: 1})
+	targets := make([]Target, n)
+	for i := range targets {
+		targets[i] = Target{Name: fmt.Sprintf("e%d", i), Pool: "p", Zone: fmt.Sprintf("z%d", i%12), Slots: 8, Engine: true}
+	}
+	t.SetTargets(targets)
+	for i := range targets {
+		t.Report(targets[i].Name, Load{At: time.Second, Running: i % 9, Ready: []string{"m"}})
+	}
+	return t
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{100, 1000, 4900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := fleet(n)
+			exclude := map[string]bool{"e1": true}
+			var d Decision
+			now := 2 * time.Second
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				now += 100 * time.Microsecond
+				q := Query{Pool: "p", Model: "m", Prefix: i%1000 + 1, Exclude: exclude}
+				if !t.Pick(now, q, &d) {
+					b.Fatal("no target")
+				}
+				t.Sent(now, d.Chosen, q)
+				t.Done(now, d.Chosen, q, Outcome{OK: true, FirstToken: 200 * time.Millisecond, Held: 2 * time.Second})
+			}
+		})
+	}
+}
+
+// TestTableAgainstModel picks among random sets of targets, reports, failures
+// and exclusions: a pick is always a present, ready target that is not
+// excluded, and there is one whenever such a target exists.
+func TestTableAgainstModel(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "q", "r"}
+	models := []string{"x", "y", "z"}
+	rapid.Check(t, func(t *rapid.T) {
+		table := New(Options{Zone: "z0", Seed: 1})
+		present := map[string]bool{}
+		ready := map[string]map[string]bool{}
+		type sent struct {
+			h Handle
+			q Query
+		}
+		var running []sent
+		now := time.Second
+		t.Repeat(map[string]func(*rapid.T){
+			"targets": func(t *rapid.T) {
+				var targets []Target
+				for i, name := range names {
+					if rapid.Bool().Draw(t, name) {
+						targets = append(targets, Target{Name: name, Pool: "p", Zone: fmt.Sprintf("z%d", i%2), Slots: 2, Engine: true})
+					}
+				}
+				table.SetTargets(targets)
+				old := present
+				present = map[string]bool{}
+				for _, target := range targets {
+					present[target.Name] = true
+					if !old[target.Name] {
+						delete(ready, target.Name)
+					}
+				}
+			},
+			"report": func(t *rapid.T) {
+				name := rapid.SampledFrom(names).Draw(t, "name")
+				list := rapid.SliceOfDistinct(rapid.SampledFrom(models), rapid.ID).Draw(t, "ready")
+				table.Report(name, Load{At: now, Running: rapid.IntRange(0, 5).Draw(t, "running"), Ready: list})
+				if !present[name] {
+					return
+				}
+				ready[name] = map[string]bool{}
+				for _, m := range list {
+					ready[name][m] = true
+				}
+			},
+			"pick": func(t *rapid.T) {
+				q := Query{Pool: "p", Model: rapid.SampledFrom(models).Draw(t, "model"), Prefix: rapid.Uint64Range(0, 5).Draw(t, "prefix"), Exclude: map[string]bool{}}
+				for _, name := range rapid.SliceOfN(rapid.SampledFrom(names), 0, 4).Draw(t, "exclude") {
+					q.Exclude[name] = true
+				}
+				possible := 0
+				for name := range present {
+					if ready[name][q.Model] && !q.Exclude[name] {
+						possible++
+					}
+				}
+				var d Decision
+				if table.Pick(now, q, &d) != (possible > 0) {
+					t.Fatalf("%d targets possible, %d candidates", possible, d.Count)
+				}
+				if possible == 0 {
+					return
+				}
+				name := table.Name(d.Chosen)
+				if !present[name] || !ready[name][q.Model] || q.Exclude[name] {
+					t.Fatalf("picked %s", name)
+				}
+				table.Sent(now, d.Chosen, q)
+				running = append(running, sent{d.Chosen, q})
+			},
+			"done": func(t *rapid.T) {
+				if len(running) == 0 {
+					t.Skip()
+				}
+				r := running[0]
+				running = running[1:]
+				table.Done(now, r.h, r.q, Outcome{OK: rapid.Bool().Draw(t, "ok"), Canceled: rapid.Bool().Draw(t, "canceled")})
+			},
+			"time": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+			},
+		})
+	})
+}
+
+func TestFailedTargetIsEjectedAndProbedOnce(t *testing.T) {
+	table := fleet(3)
+	now := 2 * time.Second
+	q := Query{Pool: "p", Model: "m"}
+	var d Decision
+	bad := table.byName["e1"]
+	for _, busy := range []string{"e0", "e2"} { // e1 would be the best
+		table.Report(busy, Load{At: now, Running: 8, Ready: []string{"m"}})
+	}
+	for range ejectFailures {
+		table.Sent(now, bad, q)
+		table.Done(now, bad, q, Outcome{})
+	}
+	count := func(n int) int {
+		picked := 0
+		for range n {
+			if table.Pick(now, q, &d); d.Chosen == bad {
+				picked++
+				table.Sent(now, bad, q)
+			}
+		}
+		return picked
+	}
+	if n := count(50); n != 0 {
+		t.Fatalf("%d of 50 requests sent to an ejected target", n)
+	}
+	now += ejectBase + time.Second
+	if n := count(50); n != 0 {
+		t.Fatalf("%d requests spent on a target that has not reported since it failed", n)
+	}
+	table.Report("e1", Load{At: now, Ready: []string{"m"}})
+	if n := count(50); n != 1 {
+		t.Fatalf("%d requests probe the target at once, want 1", n)
+	}
+	table.Done(now, bad, q, Outcome{OK: true})
+	if n := count(50); n == 0 {
+		t.Fatal("not used again after the probe went well")
+	}
+}
+
+func TestPrefixAffinityWithGaps(t *testing.T) {
+	table := fleet(9)
+	for i := range 9 {
+		table.Report(fmt.Sprintf("e%d", i), Load{At: time.Second, Running: 1, Ready: []string{"m"}})
+	}
+	now := 2 * time.Second
+	q := Query{Pool: "p", Model: "m", Prefix: 42}
+	holder := table.byName["e5"]
+	event := func(seq uint64, stored bool) {
+		table.CacheEvents("e5", []CacheEvent{{Sequence: seq, Model: "m", Prefix: 42, Stored: stored}})
+	}
+	cost := func() (time.Duration, bool) {
+		var d Decision
+		table.Pick(now, q, &d)
+		for _, c := range d.Candidates[:d.Count] {
+			if c.Handle == holder {
+				return c.Cost, c.Prefix
+			}
+		}
+		t.Fatal("holder not among the candidates")
+		return 0, false
+	}
+	event(1, true)
+	full, cached := cost()
+	if !cached {
+		t.Fatal("cached prefix unknown")
+	}
+	table.CacheEvents("e5", []CacheEvent{{Sequence: 9, Model: "m", Prefix: 7, Stored: true}})
+	if half, cached := cost(); !cached || half != full+DefaultPrefixGain/2 {
+		t.Fatalf("cost %v after a gap, %v before", half, full)
+	}
+	event(5, false) // late and out of order: not taken over
+	if _, cached := cost(); !cached {
+		t.Fatal("an event that came too late was taken over")
+	}
+	event(10, false)
+	if _, cached := cost(); cached {
+		t.Fatal("evicted prefix still counts")
+	}
+	event(11, true)
+	table.Restarted("e5")
+	if _, cached := cost(); cached {
+		t.Fatal("prefix survived the restart of its engine")
+	}
+}
+
+func TestReportsAreCorrectedByOwnRequests(t *testing.T) {
+	table := fleet(1)
+	table.opts.StaleAfter = time.Hour
+	q := Query{Pool: "p", Model: "m"}
+	h := table.byName["e0"]
+	load := func(now time.Duration) int {
+		var d Decision
+		table.Pick(now, q, &d)
+		return d.Candidates[0].Load
+	}
+	now := 10 * time.Second
+	for range 4 {
+		table.Sent(now, h, q)
+	}
+	// The report is of a moment before the four were sent.
+	table.Report("e0", Load{At: now - time.Second, Running: 2, Ready: []string{"m"}})
+	if n := load(now); n < 6 {
+		t.Fatalf("load %d, want at least the 2 reported and the 4 sent since", n)
+	}
+	table.Report("e0", Load{At: now + time.Second, Running: 6, Ready: []string{"m"}})
+	if n := load(now + time.Second); n != 6 {
+		t.Fatalf("load %d, want 6: the report counts the four", n)
+	}
+	for range 3 {
+		table.Done(now+2*time.Second, h, q, Outcome{OK: true})
+	}
+	if n := load(now + 2*time.Second); n > 3 || n < 1 {
+		t.Fatalf("load %d after three of six ended", n)
+	}
+}
