interface: let an outcome say that the caller left

Cause: a dispatch that ends because its caller left is not OK, and the router would avoid a healthy target for it.

--- a/internal/serve/duties.go
+++ b/internal/serve/duties.go
@@ -84,6 +84,7 @@
 // Outcome tells the router how a dispatch ended.
 type Outcome struct {
 	OK         bool
+	Canceled   bool          // the caller left: says nothing about the target
 	FirstToken time.Duration // 0 if none came
 	Tokens     int64
 }
