Add the core of fleet-wide limits

Cause: rate and burst of a team hold over all hosts together, without a call on the ordinary path, whatever is lost, delayed or restarted.

Design: escrow with transfer. One home per limit holds the whole by an epoch in a shared object and lends tokens, refill and capacity. A borrower that is short gives the whole loan back with its next ask, so home sees all of a scarce limit and serves in order of arrival; no two gatherers end with half each. Shares are parts of a whole, so a changed rate needs no agreement. Settlement credits no more than the least headroom since the reservation. Rate 0 carries permits.

--- /dev/null
+++ b/coord/quota/borrower.go
@@ -0,0 +1,241 @@
+package quota
+
+import "time"
+
+// debt is a borrower's side of the exchange with home.
+type debt struct {
+	seq     uint64        // of the last ask
+	pending *Ask          // not answered yet
+	sent    time.Duration // when pending went out last
+	turn    uint64        // number of loans given back so far
+	open    int           // reservations open on the present loan
+	amount  int64         // their nanotokens
+	handed  map[uint64]*handed
+	claims  []uint64 // turns with settlements to report, in order
+	since   time.Duration
+	spent   int64         // nanotokens taken since the last ask
+	started time.Duration // time of the last ask
+	last    int64         // spent as of the last upkeep
+	active  time.Duration // when spent last changed
+
+	denied    int64         // smallest need denied
+	denyUntil time.Duration // until then the denial is applied without asking
+	denyAfter time.Duration // what then remained of the wait
+}
+
+// handed is a loan that was given back while reservations were open.
+type handed struct {
+	past     history // of the loan while it was here
+	home     Mark    // of home, when the loan came back
+	answered bool    // home is known
+	open     int     // reservations not settled yet
+	taken    int64   // nanotokens settled and not reported
+	unused   int64   // of these, to be given back
+}
+
+// borrow serves local waits from the loan, and gives the loan back for another
+// when it is short.
+func (l *Limit) borrow(now time.Duration) {
+	l.b.accrue(now)
+	served := 0
+	for _, it := range l.queue {
+		if it.first > l.b.tokens {
+			break
+		}
+		served++
+		l.grant(it)
+	}
+	if served > 0 {
+		l.queue = append(l.queue[:0], l.queue[served:]...)
+	}
+	l.expire(now)
+	if len(l.queue) > 0 && l.debt.pending == nil && !l.released {
+		l.ask(now, l.need(now))
+	}
+}
+
+// need describes the waiting requests.
+func (l *Limit) need(now time.Duration) Ask {
+	first := l.queue[0]
+	a := Ask{First: first.first, Patience: first.deadline - now}
+	for _, it := range l.queue {
+		a.Want = min(a.Want+it.first, l.burst)
+	}
+	return a
+}
+
+const leastDemandPeriod = 50 * time.Millisecond
+
+// ask gives back the loan and asks for the next.
+func (l *Limit) ask(now time.Duration, a Ask) {
+	l.b.accrueExact(now)
+	d := &l.debt
+	d.seq++
+	a.Limit = l.name
+	a.Epoch = l.epoch
+	a.Seq = d.seq
+	a.Demand = float64(d.spent+a.Want) / max(now-d.started, leastDemandPeriod).Seconds()
+	a.Return = Share{Rate: l.parts.Rate, Cap: l.parts.Cap, Tokens: l.b.tokens}
+	a.Open = d.amount
+	a.Claims = l.takeClaims()
+	if d.open > 0 {
+		if d.handed == nil {
+			d.handed = make(map[uint64]*handed)
+		}
+		d.handed[d.turn] = &handed{past: l.b.past, open: d.open}
+	}
+	l.drop(now)
+	d.turn++
+	d.open, d.amount = 0, 0
+	d.spent = 0
+	d.last = 0
+	d.started = now
+	d.active = now
+	d.pending = &a
+	d.sent = now
+	l.moves.Asks++
+	l.out = append(l.out, Output{To: l.home, Ask: &a})
+}
+
+// HandleAnswer credits the loan that home answered with. Answers to anything
+// but the pending ask were credited before or belong to a home of the past.
+func (l *Limit) HandleAnswer(now time.Duration, from ID, a Answer) {
+	d := &l.debt
+	if d.pending == nil || l.released || from != l.home || a.Epoch != l.epoch || a.Seq != d.seq {
+		return
+	}
+	asked := d.pending
+	d.pending = nil
+	l.b.accrueExact(now)
+	if h := d.handed[d.turn-1]; h != nil {
+		h.home = a.Mark
+		h.answered = true
+		if h.taken > 0 {
+			l.queueClaim(now, d.turn-1)
+		}
+	}
+	l.parts = Share{Rate: a.Loan.Rate, Cap: a.Loan.Cap}
+	l.resize()
+	l.b.tokens = a.Loan.Tokens
+	l.b.clip()
+	if a.Denied && asked.First > 0 {
+		l.denyLocal(now, asked, a.After)
+	}
+	l.pump(now)
+}
+
+// denyLocal refuses the wait that home denied and those that need as much.
+func (l *Limit) denyLocal(now time.Duration, asked *Ask, after time.Duration) {
+	d := &l.debt
+	memory := min(after, denyMemory)
+	d.denied = asked.First
+	d.denyUntil = now + memory
+	d.denyAfter = after - memory
+	kept := l.queue[:0]
+	for _, it := range l.queue {
+		if it.first >= asked.First {
+			l.refuse(it, after)
+			continue
+		}
+		kept = append(kept, it)
+	}
+	l.queue = kept
+}
+
+// HandleRecall gives the loan back at once.
+func (l *Limit) HandleRecall(now time.Duration, from ID, r Recall) {
+	if from != l.home || r.Epoch != l.epoch || l.debt.pending != nil || l.released {
+		return
+	}
+	if l.parts == (Share{}) && l.b.tokens == 0 {
+		return
+	}
+	if len(l.queue) > 0 {
+		l.ask(now, l.need(now))
+		return
+	}
+	l.ask(now, Ask{})
+}
+
+// Release drops everything borrowed from a home that is gone, for good. It
+// reports whether nothing of it is left on this host: open permits have to be
+// settled first.
+func (l *Limit) Release(now time.Duration, home ID) bool {
+	if l.home != home || l.isHome() {
+		return true
+	}
+	l.drop(now)
+	l.released = true
+	l.debt.pending = nil
+	return l.kind == Rate || l.inUse == 0
+}
+
+// claim records the settlement of a reservation whose loan was given back.
+func (l *Limit) claim(now time.Duration, r Reservation, unused int64) {
+	h := l.debt.handed[r.turn]
+	if h == nil {
+		return
+	}
+	h.open--
+	h.taken += r.Amount
+	h.unused += h.past.reduce(unused, r.mark)
+	if h.answered {
+		l.queueClaim(now, r.turn)
+	}
+}
+
+func (l *Limit) queueClaim(now time.Duration, turn uint64) {
+	d := &l.debt
+	for _, t := range d.claims {
+		if t == turn {
+			return
+		}
+	}
+	if len(d.claims) == 0 {
+		d.since = now
+	}
+	d.claims = append(d.claims, turn)
+}
+
+func (l *Limit) takeClaims() []Claim {
+	d := &l.debt
+	var claims []Claim
+	for _, turn := range d.claims {
+		h := d.handed[turn]
+		claims = append(claims, Claim{Mark: h.home, Taken: h.taken, Unused: h.unused})
+		h.taken, h.unused = 0, 0
+		if h.open == 0 {
+			delete(d.handed, turn)
+		}
+	}
+	d.claims = nil
+	return claims
+}
+
+// upkeep repeats a pending ask, reports settlements and returns an idle loan.
+func (l *Limit) upkeep(now time.Duration) {
+	d := &l.debt
+	if l.released {
+		return
+	}
+	if d.pending != nil {
+		if now >= d.sent+askRepeat {
+			d.sent = now
+			l.moves.Repeats++
+			l.out = append(l.out, Output{To: l.home, Ask: d.pending})
+		}
+		return
+	}
+	if len(d.claims) > 0 && (l.kind == Permits || now >= d.since+claimDelay) {
+		l.ask(now, Ask{Want: l.b.tokens, Patience: 0})
+		return
+	}
+	if d.spent != d.last {
+		d.last = d.spent
+		d.active = now
+	}
+	idle := now >= d.active+idleReturn
+	if idle && (l.parts != (Share{}) || l.b.tokens > 0) {
+		l.ask(now, Ask{})
+	}
+}
--- /dev/null
+++ b/coord/quota/limit.go
@@ -0,0 +1,308 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Kind says whether tokens come back by time or by release.
+type Kind int
+
+// The kinds of limit.
+const (
+	// Rate limits are refilled over time.
+	Rate Kind = iota
+	// Permits are not refilled: a reservation holds its permits until it is
+	// settled with nothing used.
+	Permits
+)
+
+const (
+	// idleReturn is how long a borrower keeps a loan without spending.
+	idleReturn = 2 * time.Second
+	// askRepeat is the time after which an unanswered ask is sent again.
+	askRepeat = 50 * time.Millisecond
+	// claimDelay is how long settlements of rate limits wait for an ask to
+	// travel with. Those of permits do not wait.
+	claimDelay = 100 * time.Millisecond
+	// denyMemory bounds how long a denial is applied to later requests
+	// without asking home again.
+	denyMemory = 50 * time.Millisecond
+)
+
+// Limit is one host's part of a fleet-wide limit: it is home, or it borrows.
+type Limit struct {
+	name string
+	self ID
+	kind Kind
+
+	rate  float64 // nanotokens a second over all hosts, as configured
+	burst int64   // nanotokens over all hosts, as configured
+
+	epoch    uint64
+	home     ID // zero if no epoch is known
+	frozen   bool
+	released bool // the home is gone: nothing may be borrowed from it
+
+	parts Share // Rate and Cap held here; Tokens is unused, see bucket
+	b     bucket
+	inUse int64 // nanotokens of open reservations
+
+	queue    []item
+	lastWait uint64
+	accounts map[ID]*account // home: the borrowers
+	recalled time.Duration   // home: when recalls went out last
+
+	debt  debt // borrower: exchange with home
+	out   []Output
+	moves Moves
+}
+
+// Moves counts what a limit did since it was made.
+type Moves struct {
+	Asks, Loans, Denials, Recalls, Repeats int64
+}
+
+// item is a wait in the queue: of a local request or of a borrower's ask.
+type item struct {
+	wait     uint64 // local requests only
+	from     ID     // borrowers only
+	seq      uint64
+	first    int64
+	want     int64
+	demand   float64
+	deadline time.Duration
+}
+
+// New returns a limit that holds nothing. Configure and Assign give it
+// meaning.
+func New(name string, self ID, kind Kind) *Limit {
+	return &Limit{name: name, self: self, kind: kind}
+}
+
+// Configure sets rate (tokens a second) and burst (tokens) over all hosts. A
+// decrease cuts this host's part at once; an increase mints nothing but, for
+// permits at home, the permits added.
+func (l *Limit) Configure(now time.Duration, rate float64, burst int64) {
+	nano := min(burst, MaxTokens) * Nano
+	if rate*Nano == l.rate && nano == l.burst {
+		return
+	}
+	l.b.accrueExact(now)
+	if l.kind == Permits && l.isHome() {
+		l.b.tokens += nano - l.burst // negative until enough permits come back
+	}
+	l.rate = rate * Nano
+	l.burst = nano
+	l.resize()
+	l.pump(now)
+}
+
+// Assign tells the epoch and home of the limit as the ledger shows them, and
+// the tokens that home opens with. Epochs not newer than the one known are
+// ignored. It must follow Configure.
+func (l *Limit) Assign(now time.Duration, g Grant) {
+	if g.Epoch <= l.epoch {
+		return
+	}
+	l.drop(now)
+	l.epoch = g.Epoch
+	l.home = g.Home
+	l.frozen = false
+	l.released = false
+	l.inUse = 0
+	l.accounts = nil
+	l.debt = debt{}
+	if l.isHome() {
+		l.accounts = make(map[ID]*account)
+		l.parts = Share{Rate: Whole, Cap: Whole}
+		l.b.tokens = l.opening(g)
+		l.resize()
+	}
+	l.dropRemote()
+	l.pump(now)
+}
+
+// opening returns the tokens that home begins with.
+func (l *Limit) opening(g Grant) int64 {
+	if g.Full || l.kind == Permits {
+		return l.burst
+	}
+	return min(g.Opening, l.burst)
+}
+
+// drop forgets all that this host holds.
+func (l *Limit) drop(now time.Duration) {
+	l.b.accrueExact(now)
+	l.parts = Share{}
+	l.b = bucket{last: l.b.last}
+	l.resize()
+}
+
+// dropRemote removes asks of borrowers from the queue without an answer; they
+// ask again.
+func (l *Limit) dropRemote() {
+	kept := l.queue[:0]
+	for _, it := range l.queue {
+		if it.wait != 0 {
+			kept = append(kept, it)
+		}
+	}
+	l.queue = kept
+}
+
+// resize applies shares and configuration to the bucket.
+func (l *Limit) resize() {
+	if l.kind == Permits {
+		// Permits are only moved, so their number needs no capacity.
+		l.b.cap = math.MaxInt64 / 2
+		return
+	}
+	l.b.rate = l.rate * (float64(l.parts.Rate) / Whole)
+	l.b.cap = mulDiv(l.burst, l.parts.Cap, Whole)
+	l.b.clip()
+}
+
+// Take reserves n nanotokens if they are here and nobody waits for them.
+func (l *Limit) Take(now time.Duration, n int64) (Reservation, bool) {
+	if len(l.queue) > 0 || l.frozen {
+		return Reservation{}, false
+	}
+	l.b.accrue(now)
+	if n > l.b.tokens {
+		return Reservation{}, false
+	}
+	return l.take(n), true
+}
+
+func (l *Limit) take(n int64) Reservation {
+	at := l.b.take(n)
+	l.inUse += n
+	l.debt.spent += n
+	l.debt.open++
+	l.debt.amount += n
+	return Reservation{Amount: n, epoch: l.epoch, turn: l.debt.turn, mark: at}
+}
+
+// Wait queues a request for n nanotokens after Take failed. The verdict comes
+// as an output, at the latest with the Tick at deadline; it may be among the
+// outputs already.
+func (l *Limit) Wait(now time.Duration, n int64, deadline time.Duration) uint64 {
+	l.lastWait++
+	it := item{wait: l.lastWait, first: n, want: n, deadline: deadline}
+	switch {
+	case n > l.burst:
+		l.refuse(it, 0)
+	case now < l.debt.denyUntil && n >= l.debt.denied:
+		l.refuse(it, l.debt.denyUntil-now+l.debt.denyAfter)
+	default:
+		l.queue = append(l.queue, it)
+		l.pump(now)
+	}
+	return it.wait
+}
+
+func (l *Limit) refuse(it item, after time.Duration) {
+	l.moves.Denials++
+	l.out = append(l.out, Output{Verdict: &Verdict{Wait: it.wait, After: after}})
+}
+
+func (l *Limit) grant(it item) {
+	l.out = append(l.out, Output{Verdict: &Verdict{Wait: it.wait, Granted: true, Res: l.take(it.first)}})
+}
+
+// Cancel ends a wait without a verdict. It reports false if a verdict is among
+// the outputs already.
+func (l *Limit) Cancel(now time.Duration, wait uint64) bool {
+	for i := range l.queue {
+		if l.queue[i].wait == wait {
+			l.queue = append(l.queue[:i], l.queue[i+1:]...)
+			l.pump(now)
+			return true
+		}
+	}
+	return false
+}
+
+// Settle ends a reservation of which used nanotokens were spent. Permits are
+// settled with used 0.
+func (l *Limit) Settle(now time.Duration, r Reservation, used int64) {
+	if r.epoch != l.epoch {
+		return
+	}
+	unused := r.Amount - min(max(used, 0), r.Amount)
+	l.inUse -= r.Amount
+	l.b.accrueExact(now)
+	if r.turn == l.debt.turn {
+		l.debt.open--
+		l.debt.amount -= r.Amount
+		l.b.settle(unused, r.mark)
+	} else {
+		l.claim(now, r, unused)
+	}
+	l.pump(now)
+}
+
+// pump serves the queue as far as tokens reach and asks for more.
+func (l *Limit) pump(now time.Duration) {
+	switch {
+	case l.frozen || l.home == (ID{}):
+		l.expire(now)
+	case l.isHome():
+		l.serve(now)
+	default:
+		l.borrow(now)
+	}
+}
+
+// expire refuses local waits past their deadline.
+func (l *Limit) expire(now time.Duration) {
+	kept := l.queue[:0]
+	for _, it := range l.queue {
+		if it.wait != 0 && now >= it.deadline {
+			l.refuse(it, accrualTime(it.first, l.rate))
+			continue
+		}
+		kept = append(kept, it)
+	}
+	l.queue = kept
+}
+
+// Tick does what is due: refuses waits, repeats asks, returns idle loans.
+func (l *Limit) Tick(now time.Duration) {
+	l.b.accrue(now)
+	if !l.isHome() && l.home != (ID{}) {
+		l.upkeep(now)
+	}
+	l.pump(now)
+}
+
+// Busy reports whether Tick has to be called every few milliseconds; otherwise
+// once a second will do.
+func (l *Limit) Busy() bool {
+	return len(l.queue) > 0 || l.debt.pending != nil || len(l.debt.claims) > 0
+}
+
+// Outputs returns what is to be done, in order, and forgets it.
+func (l *Limit) Outputs() []Output {
+	out := l.out
+	l.out = nil
+	return out
+}
+
+// Epoch returns the epoch and home known.
+func (l *Limit) Epoch() (uint64, ID) { return l.epoch, l.home }
+
+// Moves returns the counters.
+func (l *Limit) Moves() Moves { return l.moves }
+
+// InUse returns the nanotokens of open reservations on this host.
+func (l *Limit) InUse() int64 { return l.inUse }
+
+// Held returns what this host holds.
+func (l *Limit) Held(now time.Duration) Share {
+	l.b.accrue(now)
+	return Share{Rate: l.parts.Rate, Cap: l.parts.Cap, Tokens: l.b.tokens}
+}
+
+func (l *Limit) isHome() bool { return l.home == l.self && l.home != (ID{}) }
--- /dev/null
+++ b/coord/quota/units.go
@@ -0,0 +1,70 @@
+package quota
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// Nano is the number of units in one token: amounts are kept in whole
+// nanotokens, so that moving them back and forth never rounds one into being.
+const Nano = 1_000_000_000
+
+// MaxTokens is the largest burst, in tokens.
+const MaxTokens = math.MaxInt64 / Nano / 2
+
+// Whole is the number of parts that the rate and the capacity of a limit are
+// each divided into. Shares are parts, not tokens: every host multiplies them
+// with the rate and burst in force, so a change of these needs no agreement.
+const Whole = 1 << 40
+
+// ID identifies one run of a host. A restarted host has another Incarnation.
+type ID struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Share is a share of a limit.
+type Share struct {
+	Rate   int64 `json:"rate"`   // parts of the refill rate, of Whole
+	Cap    int64 `json:"cap"`    // parts of the burst, of Whole
+	Tokens int64 `json:"tokens"` // nanotokens, at most Cap parts of the burst
+}
+
+// mulDiv returns a*b/c rounded down. It needs 0 <= a, b and b <= c or a <= c.
+func mulDiv(a, b, c int64) int64 {
+	hi, lo := bits.Mul64(uint64(a), uint64(b))
+	q, _ := bits.Div64(hi, lo, uint64(c))
+	return int64(q)
+}
+
+// capParts returns the fewest parts of burst that cover tokens.
+func capParts(tokens, burst int64) int64 {
+	if burst <= 0 || tokens <= 0 {
+		return 0
+	}
+	if tokens >= burst {
+		return Whole
+	}
+	parts := mulDiv(tokens, Whole, burst)
+	for mulDiv(burst, parts, Whole) < tokens {
+		parts++
+	}
+	return parts
+}
+
+// accrualTime returns how long rate (nanotokens a second) takes to yield
+// tokens, at most maxAccrual.
+func accrualTime(tokens int64, rate float64) time.Duration {
+	if tokens <= 0 {
+		return 0
+	}
+	seconds := float64(tokens) / rate
+	if rate <= 0 || seconds > maxAccrual.Seconds() {
+		return maxAccrual
+	}
+	return time.Duration(seconds*float64(time.Second)) + 1
+}
+
+// maxAccrual stands for "longer than anybody waits".
+const maxAccrual = 24 * time.Hour
