--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -157,6 +157,20 @@
 	l.ask(now, Ask{})
 }
 
+// GiveBack returns the loan if nobody waits. It reports whether nothing
+// borrowed is left here or on its way back, settlements included.
+func (l *Limit) GiveBack(now time.Duration) bool {
+	if l.isHome() || l.home == (ID{}) || l.released {
+		return true
+	}
+	l.b.accrue(now)
+	idle := l.parts == (Share{}) && l.b.tokens == 0 && len(l.debt.claims) == 0
+	if !idle && l.debt.pending == nil && len(l.queue) == 0 {
+		l.ask(now, Ask{})
+	}
+	return idle && l.debt.pending == nil
+}
+
 // Release drops everything borrowed from a home that is gone, for good. It
 // reports whether nothing of it is left on this host: open permits have to be
 // settled first.
--- a/coord/quota/limit.go
+++ b/coord/quota/limit.go
@@ -63,6 +63,16 @@
 	Asks, Loans, Denials, Recalls, Repeats int64
 }
 
+// Plus returns the sum of two counters.
+func (m Moves) Plus(o Moves) Moves {
+	m.Asks += o.Asks
+	m.Loans += o.Loans
+	m.Denials += o.Denials
+	m.Recalls += o.Recalls
+	m.Repeats += o.Repeats
+	return m
+}
+
 // item is a wait in the queue: of a local request or of a borrower's ask.
 type item struct {
 	wait     uint64 // local requests only
@@ -305,4 +315,23 @@
 	return Share{Rate: l.parts.Rate, Cap: l.parts.Cap, Tokens: l.b.tokens}
 }
 
+// Sound reports whether this host holds no more than may be: the capacity
+// bounds its tokens, and at home what is here and what is lent make up the
+// whole.
+func (l *Limit) Sound(now time.Duration) bool {
+	l.b.accrue(now)
+	if l.b.tokens > l.b.cap || l.parts.Rate < 0 || l.parts.Cap < 0 {
+		return false
+	}
+	if !l.isHome() {
+		return true
+	}
+	rate, capacity := l.parts.Rate, l.parts.Cap
+	for _, acc := range l.accounts {
+		rate += acc.loan.Rate
+		capacity += acc.loan.Cap
+	}
+	return rate == Whole && capacity == Whole
+}
+
 func (l *Limit) isHome() bool { return l.home == l.self && l.home != (ID{}) }
