Route requests by reports, outcomes and cache events

internal/route implements serve.Router on coord/routing. A target that this host's configuration shows as leaving is dropped with the next decision; a model that is ready but not reported yet is looked for at the pool's engines directly (pools of up to 32). One JSON line for each decision.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -112,8 +112,9 @@
 }
 
 // SetTargets replaces the targets that may take new requests. Targets left out
-// get none from now on; what is known of the others is kept.
-func (t *Table) SetTargets(targets []Target) {
+// get none from now on; what is known of the others is kept. It returns the
+// names of those that are new.
+func (t *Table) SetTargets(targets []Target) (added []string) {
 	wanted := make(map[string]*Target, len(targets))
 	for i := range targets {
 		wanted[targets[i].Name] = &targets[i]
@@ -137,8 +138,10 @@
 	for i := range targets {
 		if wanted[targets[i].Name] == &targets[i] {
 			t.add(targets[i])
+			added = append(added, targets[i].Name)
 		}
 	}
+	return added
 }
 
 func (t *Table) add(target Target) {
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,223 @@
+// Package route chooses the target of each request.
+//
+// It keeps a routing.Table up to date with the configuration, the load reports
+// and cache events of package reports, and the outcomes of this host's own
+// requests. Every decision is logged with the candidates that decided it.
+package route
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/coord/routing"
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/invariant"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/reports"
+	"buckthornseam.dev/seam/internal/serve"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+const (
+	refreshInterval = 500 * time.Millisecond // configuration, when no request comes
+	noTargetRetry   = time.Second
+)
+
+// Reports is the part of package reports that routing needs.
+type Reports interface {
+	Latest(name string) (r target.Report, age time.Duration, ok bool)
+	Subscribe() *reports.Subscription
+	HandleCacheEvents(f func(name string, events []target.CacheEvent))
+	Refresh(ctx context.Context, name string) (target.Report, error)
+	Pin(name string)
+}
+
+// Options configure a Router.
+type Options struct {
+	Members peer.Members
+	Config  config.Source
+	Reports Reports
+	Log     logrus.FieldLogger
+	Metrics tally.Scope
+	Seed    uint64 // of the random choices
+}
+
+// MissingOptionError reports an option that New needs.
+type MissingOptionError struct{ Option string }
+
+func (e *MissingOptionError) Error() string { return "route: option " + e.Option + " is missing" }
+
+// Router implements serve.Router.
+type Router struct {
+	opts    Options
+	start   time.Time
+	changes *reports.Subscription
+	locator locator
+
+	mu           sync.Mutex
+	table        *routing.Table
+	snapshot     *config.Snapshot
+	incarnations map[string]string // by engine
+	decision     routing.Decision  // reused
+}
+
+var _ serve.Router = (*Router)(nil)
+
+// New returns a router.
+func New(o Options) (*Router, error) {
+	switch {
+	case o.Members == nil:
+		return nil, &MissingOptionError{Option: "Members"}
+	case o.Config == nil:
+		return nil, &MissingOptionError{Option: "Config"}
+	case o.Reports == nil:
+		return nil, &MissingOptionError{Option: "Reports"}
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	r := &Router{
+		opts:         o,
+		start:        time.Now(),
+		changes:      o.Reports.Subscribe(),
+		table:        routing.New(routing.Options{Zone: o.Members.Self().Zone, Seed: o.Seed}),
+		incarnations: map[string]string{},
+	}
+	r.locator.router = r
+	o.Reports.HandleCacheEvents(r.cacheEvents)
+	return r, nil
+}
+
+func (r *Router) now() time.Duration { return time.Since(r.start) }
+
+// Run takes over reports and configuration until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-r.changes.Ready():
+		}
+		r.mu.Lock()
+		r.update()
+		r.mu.Unlock()
+	}
+}
+
+// update takes over the snapshot in force and changed reports; the caller
+// holds mu.
+func (r *Router) update() {
+	r.applySnapshot()
+	for _, name := range r.changes.Take() {
+		r.applyReport(name)
+	}
+}
+
+// applySnapshot drops targets as soon as this host's configuration says that
+// they leave; the caller holds mu.
+func (r *Router) applySnapshot() {
+	s := r.opts.Config.Snapshot()
+	if s == r.snapshot {
+		return
+	}
+	r.snapshot = s
+	targets := make([]routing.Target, 0, len(s.Targets))
+	for _, t := range s.Targets {
+		if t.Leaving {
+			continue
+		}
+		targets = append(targets, routing.Target{
+			Name: t.Name, Pool: t.Pool, Zone: t.Zone, Slots: t.Slots, Engine: t.Kind == config.TargetEngine,
+		})
+	}
+	added := r.table.SetTargets(targets)
+	for _, name := range added {
+		r.applyReport(name)
+	}
+}
+
+// Pick implements serve.Router.
+func (r *Router) Pick(q serve.RouteQuery) (serve.Choice, error) {
+	choice, entry := r.pick(q)
+	if choice.Target == nil && entry.ready == 0 && q.Model != "" && r.locator.locate(q.Pool, q.Model) {
+		choice, entry = r.pick(q)
+	}
+	r.log(entry)
+	if choice.Target == nil {
+		r.opts.Metrics.Tagged(map[string]string{"pool": q.Pool}).Counter("no_target").Inc(1)
+		return serve.Choice{}, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoCapacity, "No target can take the request.").
+			WithRetry(noTargetRetry)
+	}
+	return choice, nil
+}
+
+// pick makes one decision; the choice has no target if there is none.
+func (r *Router) pick(q serve.RouteQuery) (serve.Choice, decisionEntry) {
+	query := routing.Query{Pool: q.Pool, Model: q.Model, Prefix: q.Prefix, Exclude: q.Exclude}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applySnapshot()
+	now := r.now()
+	found := r.table.Pick(now, query, &r.decision)
+	if !found {
+		r.update() // what a load has just made ready may not be taken over yet
+		found = r.table.Pick(now, query, &r.decision)
+	}
+	entry := r.describe(q)
+	if !found {
+		return serve.Choice{}, entry
+	}
+	h := r.decision.Chosen
+	t := r.snapshot.Targets[r.table.Name(h)]
+	r.table.Sent(now, h, query)
+	entry.target = t.Name
+	invariant.Check(!t.Leaving, invariant.LeavingUnused, "target %s is leaving and was chosen for request %s", t.Name, q.RequestID)
+	return serve.Choice{Target: t, Done: r.done(h, query, now)}, entry
+}
+
+// done returns the function that takes the outcome, once.
+func (r *Router) done(h routing.Handle, q routing.Query, sent time.Duration) func(serve.Outcome) {
+	var called atomic.Bool
+	return func(o serve.Outcome) {
+		if called.Swap(true) {
+			return
+		}
+		q.Exclude = nil // belongs to the caller
+		r.mu.Lock()
+		now := r.now()
+		r.table.Done(now, h, q, routing.Outcome{OK: o.OK, Canceled: o.Canceled, FirstToken: o.FirstToken, Held: now - sent})
+		r.mu.Unlock()
+		scope := r.opts.Metrics.Tagged(map[string]string{"pool": q.Pool})
+		switch {
+		case o.Canceled:
+			scope.Counter("canceled").Inc(1)
+		case !o.OK:
+			scope.Counter("failed").Inc(1)
+		case o.FirstToken > 0:
+			scope.Timer("first_token").Record(o.FirstToken)
+		}
+	}
+}
+
+func (r *Router) cacheEvents(name string, events []target.CacheEvent) {
+	list := make([]routing.CacheEvent, len(events))
+	for i, e := range events {
+		list[i] = routing.CacheEvent{Sequence: e.Sequence, Model: e.Model, Prefix: e.Prefix, Stored: e.Stored}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.CacheEvents(name, list)
+}
