--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,14 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"buckthornseam.dev/seam/internal/admin"
-	"buckthornseam.dev/seam/internal/auth"
-	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/entry"
 	"buckthornseam.dev/seam/internal/member"
 	"buckthornseam.dev/seam/internal/observe"
@@ -23,8 +20,6 @@
 	"buckthornseam.dev/seam/internal/platform"
 	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/settings"
-	"buckthornseam.dev/seam/internal/target"
-	"buckthornseam.dev/seam/internal/thin"
 )
 
 // headTimeout bounds the reading of a request's head.
@@ -74,11 +69,6 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
 
-// runner is a duty with a loop of its own.
-type runner interface {
-	Run(ctx context.Context) error
-}
-
 // App is one entry host.
 type App struct {
 	settings  settings.Settings
@@ -90,9 +80,8 @@
 	handler   *serve.Handler
 	callers   *http.Server
 	admin     *http.Server
-	duties    []runner
+	duties    *duties
 	metrics   *observe.Metrics
-	ready     func() bool
 
 	stopOnce sync.Once
 	stop     chan struct{}
@@ -112,61 +101,55 @@
 	a.peers = peer.NewClient(id, s.Peers.Secret, a.members)
 	a.members.Connect(a.peers)
 
-	store, err := config.NewStore(config.StoreOptions{
-		API: api, Members: a.members, Caller: a.peers, Registrar: a.peerServe,
-		Log: log, Metrics: metrics.Scope, Seed: xxhash.Sum64String(id.String()),
+	d, err := newDuties(environment{
+		members: a.members, caller: a.peers, registrar: a.peerServe, api: api,
+		log: log, metrics: metrics.Scope, seed: seedOf(id),
 	})
 	if err != nil {
 		return nil, err
 	}
-	a.ready = store.Accepting
-	keys, err := auth.New(auth.Options{Config: store, Metrics: metrics.Scope})
-	if err != nil {
-		return nil, err
-	}
-	targets := target.NewClient()
+	a.duties = d
 	a.handler = serve.New(serve.Options{
-		Config:        store,
-		Auth:          keys,
-		Limits:        &thin.Limiter{Hosts: 1},
-		Queue:         thin.Queue{},
-		Placer:        &thin.Placer{Config: store, API: api, Control: targets, Log: log},
-		Router:        &thin.Router{Config: store, Control: targets, Log: log},
-		Journal:       thin.Journal{API: api},
-		Quarantine:    thin.Quarantine{},
-		Retries:       thin.Retries{},
-		Sender:        targets,
-		EntryHosts:    entry.New(a.members, time.Duration(s.Requests.AnswerLifeMS)*time.Millisecond, xxhash.Sum64String(id.String())),
+		Config:        d.store,
+		Auth:          d.auth,
+		Limits:        d.limiter,
+		Queue:         d.queue,
+		Placer:        d.placer,
+		Router:        d.router,
+		Journal:       d.journal,
+		Quarantine:    d.quarantine,
+		Retries:       d.retries,
+		Sender:        d.targets,
+		EntryHosts:    entry.New(a.members, milliseconds(s.Requests.AnswerLifeMS), seedOf(id)),
 		Log:           log,
 		Metrics:       metrics.Scope,
 		BodyBytes:     s.Requests.BodyBytes,
-		Deadline:      time.Duration(s.Requests.DeadlineMS) * time.Millisecond,
-		TokenGap:      time.Duration(s.Requests.TokenGapMS) * time.Millisecond,
+		Deadline:      milliseconds(s.Requests.DeadlineMS),
+		TokenGap:      milliseconds(s.Requests.TokenGapMS),
 		MaxConcurrent: s.Requests.MaxConcurrent,
 	})
 	a.members.ReportLoad(a.handler.Load)
 	operators, err := admin.New(admin.Options{
-		API: api, Config: store, Members: a.members, TokenHash: s.Admin.TokenHash,
-		Metrics: metrics.Handler, Ready: a.ready, Log: log,
+		API: api, Config: d.store, Members: a.members, TokenHash: s.Admin.TokenHash,
+		Metrics: metrics.Handler, Ready: a.Ready, Log: log,
 	})
 	if err != nil {
 		return nil, err
 	}
 	a.callers = &http.Server{Handler: a.handler, ReadHeaderTimeout: headTimeout}
 	a.admin = &http.Server{Handler: operators, ReadHeaderTimeout: headTimeout}
-	a.duties = []runner{a.members, store}
 	return a, nil
 }
 
 // Ready reports whether the host has a configuration.
-func (a *App) Ready() bool { return a.ready() }
+func (a *App) Ready() bool { return a.duties.store.Accepting() }
 
 // Run serves until ctx ends or Stop is called, then shuts down gracefully.
 func (a *App) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, d := range a.duties {
+	for _, d := range append(a.duties.runners(), a.members) {
 		group.Go(func() error { return d.Run(ctx) })
 	}
 	group.Go(func() error { return a.peerServe.Serve(ctx, a.listeners.Peers) })
@@ -196,23 +179,29 @@
 // shutdown leaves the entry answers, serves for as long as callers keep them,
 // then refuses new requests and waits for those in progress.
 func (a *App) shutdown() {
-	drain := time.Duration(a.settings.Requests.DrainMS) * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(a.settings.Requests.DrainMS))
 	defer cancel()
 	a.members.Leave()
 	a.log.WithField("event", "host_stopping").Info("host leaves the entry answers")
 	select {
-	case <-time.After(time.Duration(a.settings.Requests.AnswerLifeMS) * time.Millisecond):
+	case <-time.After(milliseconds(a.settings.Requests.AnswerLifeMS)):
 	case <-ctx.Done():
 	}
 	a.handler.Stop()
 	left := a.handler.Wait(ctx)
+	for _, d := range a.duties.drainers() {
+		if err := d.Drain(ctx); err != nil {
+			a.log.WithField("event", "drain_incomplete").Warn(err.Error())
+		}
+	}
 	a.log.WithFields(logrus.Fields{"event": "host_stopped", "requests_left": left}).Info("host stopped")
 	_ = a.callers.Shutdown(ctx)
 	a.callers.Close()
 	a.admin.Close()
 }
 
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 func serveHTTP(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); err != http.ErrServerClosed {
 		return &ListenError{Address: l.Addr().String(), Cause: err}
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -165,7 +165,10 @@
 		return err.Error()
 	}
 	same := "other answer"
-	if first.status == http.StatusOK && bytes.Equal(first.body, second.body) {
+	if first.status != http.StatusOK || second.status != http.StatusOK {
+		return first.refused() + ", then " + second.refused()
+	}
+	if bytes.Equal(first.body, second.body) {
 		same = "same answer"
 	}
 	return fmt.Sprintf("%s, %d run", same, c.Services["billing"].Runs(body))
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -148,7 +148,7 @@
 		m.sent = true
 		err = m.relay(a, resp)
 	}
-	out := Outcome{OK: err == nil, Tokens: m.delivered - before}
+	out := Outcome{OK: err == nil, Canceled: m.r.Context().Err() != nil, Tokens: m.delivered - before}
 	if !a.first.IsZero() {
 		out.FirstToken = a.first.Sub(start)
 	}
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -127,9 +127,33 @@
 		IdempotencyKey: idempotencyKey,
 		Fingerprint:    call.fingerprint(),
 	}
-	return h.opts.Journal.Do(ctx, id, func(ctx context.Context) (Answer, bool, error) {
-		return h.sendOnce(ctx, call)
-	})
+	return h.runJournalled(ctx, id, call)
+}
+
+// Bounds on the wait of a repeat for the end of the first call. The end of a
+// call reaches the journal a moment after its answer reached its caller, and a
+// repeat in that moment should get the answer.
+const (
+	firstCallWait = time.Second
+	firstCallPoll = 25 * time.Millisecond
+)
+
+// runJournalled runs the call at most once. A repeat waits a while for the end
+// of the first call.
+func (h *Handler) runJournalled(ctx context.Context, id AttemptID, call *serviceCall) (Answer, error) {
+	run := func(ctx context.Context) (Answer, bool, error) { return h.sendOnce(ctx, call) }
+	for waited := time.Duration(0); ; waited += firstCallPoll {
+		answer, err := h.opts.Journal.Do(ctx, id, run)
+		var ref *refusal.Error
+		if !errors.As(err, &ref) || ref.Code != refusal.CodeInProgress || waited >= firstCallWait {
+			return answer, err
+		}
+		select {
+		case <-time.After(firstCallPoll):
+		case <-ctx.Done():
+			return answer, err
+		}
+	}
 }
 
 func (c *serviceCall) fingerprint() string {
--- a/internal/thin/place.go
+++ b/internal/thin/place.go
@@ -18,7 +18,6 @@
 	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/platform"
 	"buckthornseam.dev/seam/internal/refusal"
-	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -142,27 +141,3 @@
 	p.Log.WithFields(logrus.Fields{"event": "placement_decided", "model": m.Name, "target": t.Name, "decision": s.Decision}).Info("load decided")
 	return p.Control.Order(ctx, t.Address, target.Order{Op: target.OrderLoad, Model: m.Name, Base: m.Base, Bytes: m.Bytes, Decision: s.Decision, Fence: 1})
 }
-
-// Router picks the first target that has the model ready.
-type Router struct {
-	Config  config.Source
-	Control target.Controller
-	Log     logrus.FieldLogger
-}
-
-// Pick implements serve.Router.
-func (r *Router) Pick(q serve.RouteQuery) (serve.Choice, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	for _, t := range r.Config.Snapshot().Targets {
-		if t.Pool != q.Pool || t.Leaving || q.Exclude[t.Name] {
-			continue
-		}
-		if q.Model != "" && !ready(ctx, r.Control, t, q.Model) {
-			continue
-		}
-		r.Log.WithFields(logrus.Fields{"event": "route", "request": q.RequestID, "target": t.Name, "model": q.Model}).Info("target chosen")
-		return serve.Choice{Target: t, Done: func(serve.Outcome) {}}, nil
-	}
-	return serve.Choice{}, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoCapacity, "No target can take the request.").WithRetry(time.Second)
-}
