Bound the hand-over of a stopping host

Cause: a host that stops last finds nobody to hand its limits to and waited for the whole drain time; the demo's tests took 187 s. Change: each duty has 5 s to hand over; the demo's hosts drain for 1 s. Conclusion: the tests of internal/demo run without that wait.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -189,17 +189,28 @@
 	}
 	a.handler.Stop()
 	left := a.handler.Wait(ctx)
-	for _, d := range a.duties.drainers() {
-		if err := d.Drain(ctx); err != nil {
-			a.log.WithField("event", "drain_incomplete").Warn(err.Error())
-		}
-	}
+	a.handOver(ctx)
 	a.log.WithFields(logrus.Fields{"event": "host_stopped", "requests_left": left}).Info("host stopped")
 	_ = a.callers.Shutdown(ctx)
 	a.callers.Close()
 	a.admin.Close()
 }
 
+// handOverTimeout bounds the hand-over of one duty: a host that finds nobody to
+// hand to, as the last one of a deployment, stops all the same.
+const handOverTimeout = 5 * time.Second
+
+// handOver gives what this host owns to the others.
+func (a *App) handOver(ctx context.Context) {
+	for _, d := range a.duties.drainers() {
+		step, cancel := context.WithTimeout(ctx, handOverTimeout)
+		if err := d.Drain(step); err != nil {
+			a.log.WithField("event", "drain_incomplete").Warn(err.Error())
+		}
+		cancel()
+	}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func serveHTTP(s *http.Server, l net.Listener) error {
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -54,6 +54,10 @@
 	Log        logrus.FieldLogger
 }
 
+// drainMS bounds the shutdown of a host. All hosts stop at once here and find
+// nobody to hand over to.
+const drainMS = 1000
+
 // Start brings a cluster up and waits until all hosts are ready.
 func Start(opts Options) (*Cluster, error) {
 	standIns, err := StartStandIns(StandInOptions{
@@ -88,6 +92,7 @@
 	s.Admin.TokenHash = config.HashKey(operatorToken)
 	s.Platform.URL = "http://" + c.PlatformAddress
 	s.Requests.AnswerLifeMS = opts.AnswerLife.Milliseconds()
+	s.Requests.DrainMS = drainMS
 	l, err := app.Listen(s)
 	if err != nil {
 		return err
