Say when a change is in force, and prove it under cuts

Cause: an operator who withdraws a key has to know when it stops working, and a host beyond a partition cannot be asked.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,13 +1,16 @@
 // Package admin is the interface for operators: template instances, status,
 // metrics and health.
+//
+// A change that an operator submits is in one of the states of State. Stored
+// and in force are two things: a change is stored once the object API has it,
+// and accepted once no host acts on an older state.
 package admin
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/gorilla/mux"
@@ -18,10 +21,20 @@
 	"buckthornseam.dev/seam/internal/platform"
 )
 
+// Configuration is the configuration in force and how far changes to it have
+// come. *config.Store implements it.
+type Configuration interface {
+	config.Source
+	// Progress asks the hosts how far a version has come.
+	Progress(ctx context.Context, version platform.Version) config.Progress
+	// KnownProgress says what is known of that without a call.
+	KnownProgress(version platform.Version) config.Progress
+}
+
 // Options configure a Handler.
 type Options struct {
 	API       platform.API
-	Config    config.Source
+	Config    Configuration
 	Members   peer.Members
 	TokenHash string // hash of the operators' token
 	Metrics   http.Handler
@@ -36,22 +49,6 @@
 	routes    http.Handler
 }
 
-// Instance is a stored template instance.
-type Instance struct {
-	Name    string           `json:"name"`
-	Version platform.Version `json:"version,string"`
-	config.Instance
-}
-
-// Problem is the JSON form of a failure.
-type Problem struct {
-	Code     string           `json:"code"`
-	Message  string           `json:"message"`
-	Faults   []config.Fault   `json:"faults,omitempty"`
-	Expected platform.Version `json:"expected,omitempty,string"` // version the operator named
-	Found    platform.Version `json:"found,omitempty,string"`    // version stored
-}
-
 // Status describes the host that answers.
 type Status struct {
 	Self    peer.Member      `json:"self"`
@@ -59,6 +56,7 @@
 	Version platform.Version `json:"config_version,string"`
 	Ready   bool             `json:"ready"`
 	Counts  map[string]int   `json:"counts"`
+	Faults  []config.Fault   `json:"faults,omitempty"` // stored instances that cannot be in force
 }
 
 // New returns a handler.
@@ -75,10 +73,12 @@
 	a := r.PathPrefix("/admin/v1").Subrouter()
 	a.Use(h.authorize)
 	a.HandleFunc("/status", h.status).Methods(http.MethodGet)
+	a.HandleFunc("/diff", h.diff).Methods(http.MethodPost)
 	a.HandleFunc("/instances", h.list).Methods(http.MethodGet)
 	a.HandleFunc("/instances/{name}", h.get).Methods(http.MethodGet)
 	a.HandleFunc("/instances/{name}", h.put).Methods(http.MethodPut)
 	a.HandleFunc("/instances/{name}", h.remove).Methods(http.MethodDelete)
+	a.HandleFunc("/instances/{name}/progress", h.progress).Methods(http.MethodGet)
 	h.routes = r
 	return h, nil
 }
@@ -116,131 +116,12 @@
 			"teams": len(s.Teams), "keys": len(s.Keys), "models": len(s.Models),
 			"offerings": len(s.Offerings), "targets": len(s.Targets), "services": len(s.Services),
 		},
+		Faults: s.Faults,
 	})
 }
 
-func (h *Handler) list(w http.ResponseWriter, r *http.Request) {
-	list, err := h.opts.API.List(r.Context(), platform.KindInstances)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	out := []Instance{}
-	for _, obj := range list.Items {
-		if inst, err := decode(obj); err == nil {
-			out = append(out, inst)
-		}
-	}
-	reply(w, http.StatusOK, out)
-}
-
-func decode(obj platform.Object) (Instance, error) {
-	inst := Instance{Name: obj.Name, Version: obj.Version}
-	err := json.Unmarshal(obj.Data, &inst.Instance)
-	return inst, err
-}
-
-func (h *Handler) get(w http.ResponseWriter, r *http.Request) {
-	obj, err := h.opts.API.Get(r.Context(), platform.KindInstances, mux.Vars(r)["name"])
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	inst, err := decode(obj)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	reply(w, http.StatusOK, inst)
-}
-
-// version reads the precondition: the query parameter version, 0 for an
-// instance that must not exist.
-func version(r *http.Request) (platform.Version, error) {
-	raw := r.URL.Query().Get("version")
-	if raw == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseUint(raw, 10, 64)
-	if err != nil {
-		return 0, &platform.InvalidError{Kind: platform.KindInstances, Reason: "version is not a number"}
-	}
-	return platform.Version(n), nil
-}
-
-func (h *Handler) put(w http.ResponseWriter, r *http.Request) {
-	name := mux.Vars(r)["name"]
-	v, err := version(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	var inst config.Instance
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxObjectBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&inst); err != nil {
-		fail(w, &platform.InvalidError{Kind: platform.KindInstances, Name: name, Reason: "malformed instance: " + err.Error()})
-		return
-	}
-	if _, err := config.Render(h.templates, name, inst); err != nil {
-		fail(w, err)
-		return
-	}
-	data, err := json.Marshal(inst)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	obj, err := h.opts.API.Put(r.Context(), platform.Object{Kind: platform.KindInstances, Name: name, Version: v, Data: data})
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	h.opts.Log.WithFields(logrus.Fields{"event": "instance_stored", "instance": name, "version": obj.Version}).Info("instance stored")
-	reply(w, http.StatusOK, Instance{Name: name, Version: obj.Version, Instance: inst})
-}
-
-func (h *Handler) remove(w http.ResponseWriter, r *http.Request) {
-	name := mux.Vars(r)["name"]
-	v, err := version(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	if err := h.opts.API.Delete(r.Context(), platform.KindInstances, name, v); err != nil {
-		fail(w, err)
-		return
-	}
-	h.opts.Log.WithFields(logrus.Fields{"event": "instance_withdrawn", "instance": name}).Info("instance withdrawn")
-	reply(w, http.StatusOK, Instance{Name: name, Version: v})
-}
-
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // an operator who is gone needs no answer
 }
-
-// fail answers with the typed problem of an error.
-func fail(w http.ResponseWriter, err error) {
-	p := Problem{Code: "unavailable", Message: err.Error()}
-	status := http.StatusServiceUnavailable
-	var invalid *config.InvalidInstanceError
-	var rejected *platform.InvalidError
-	var conflict *platform.ConflictError
-	var missing *platform.NotFoundError
-	var unknown *platform.UnknownOutcomeError
-	switch {
-	case errors.As(err, &invalid):
-		p.Code, p.Faults, status = "invalid", invalid.Faults, http.StatusUnprocessableEntity
-	case errors.As(err, &rejected):
-		p.Code, status = "invalid", http.StatusUnprocessableEntity
-	case errors.As(err, &conflict):
-		p.Code, p.Expected, p.Found, status = "conflict", conflict.Expected, conflict.Found, http.StatusConflict
-	case errors.As(err, &missing):
-		p.Code, status = "not_found", http.StatusNotFound
-	case errors.As(err, &unknown):
-		p.Code, status = "unknown", http.StatusGatewayTimeout
-	}
-	reply(w, status, p)
-}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -49,10 +49,15 @@
 }
 
 func (c *checker) key(k *Key) {
-	c.require(len(k.Hash) == 64, "key.hash", "must be the hexadecimal SHA-256 sum of a key")
+	c.require(isKeyHash(k.Hash), "key.hash", "must be the hash of a key as seamctl hash-key prints it")
 	c.require(k.Team != "", "key.team", "must not be empty")
 }
 
+// isKeyHash reports whether s has the form that HashKey returns.
+func isKeyHash(s string) bool {
+	return len(s) == KeyHashLen && strings.Trim(s, "0123456789abcdef") == ""
+}
+
 func (c *checker) model(m *Model) {
 	c.require(m.Name != "", "model.name", "must not be empty")
 	c.require(m.Bytes > 0, "model.bytes", "must be positive")
--- a/internal/config/inforce.go
+++ b/internal/config/inforce.go
@@ -81,18 +81,28 @@
 	return platform.Version(v), present
 }
 
+// progressAtOnce bounds the collections that run at once.
+const progressAtOnce = 4
+
 // Progress asks the hosts that are not known to have a change, and says how far
-// it has come. It takes at most about a second.
+// it has come. A collection takes at most about two seconds.
 func (s *Store) Progress(ctx context.Context, version platform.Version) Progress {
-	p := s.progress(version)
+	p := s.KnownProgress(version)
 	if p.InForce {
 		return p
 	}
+	select {
+	case s.asking <- struct{}{}:
+		defer func() { <-s.asking }()
+	case <-ctx.Done():
+		return p
+	}
 	s.collect(ctx, p.Waiting)
-	return s.progress(version)
+	return s.KnownProgress(version)
 }
 
-func (s *Store) progress(version platform.Version) Progress {
+// KnownProgress is Progress by what this host knows already.
+func (s *Store) KnownProgress(version platform.Version) Progress {
 	members := s.opts.Members.Members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -83,8 +83,9 @@
 	reading   bool // a full reading from a peer is in progress
 	round     uint64
 
-	push chan struct{}
-	sema chan struct{} // bounds concurrent exchanges
+	push   chan struct{}
+	sema   chan struct{} // bounds concurrent exchanges
+	asking chan struct{} // bounds concurrent collections of acknowledgements
 }
 
 // NewStore returns a store with an empty configuration, which accepts nothing
@@ -107,6 +108,7 @@
 		rng:       rand.New(rand.NewPCG(o.Seed, vmapSeed(self))),
 		push:      make(chan struct{}, pushQueue),
 		sema:      make(chan struct{}, syncsAtOnce),
+		asking:    make(chan struct{}, progressAtOnce),
 		stats:     newStoreMetrics(o.Metrics),
 	}
 	s.until.Store(-1)
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -33,13 +33,12 @@
 	}
 }
 
+// syncTries is the number of hosts that one round tries until one answers.
+const syncTries = 3
+
 // startSync begins an exchange unless too many are in progress, so that a
 // silent peer does not hold up the others.
 func (s *Store) startSync(ctx context.Context) {
-	host := s.partner()
-	if host == "" {
-		return
-	}
 	select {
 	case s.sema <- struct{}{}:
 	default:
@@ -47,7 +46,11 @@
 	}
 	go func() {
 		defer func() { <-s.sema }()
-		s.sync(ctx, host)
+		for range syncTries {
+			if host := s.partner(); host != "" && s.sync(ctx, host) {
+				return
+			}
+		}
 	}()
 }
 
@@ -77,19 +80,20 @@
 }
 
 // sync exchanges digests with a host, takes over what this host lacks and
-// brings what the other lacks.
-func (s *Store) sync(ctx context.Context, host string) {
+// brings what the other lacks. It reports whether the host answered.
+func (s *Store) sync(ctx context.Context, host string) bool {
 	answer, err := s.exchange(ctx, host, nil)
 	if err != nil {
-		return
+		return false
 	}
 	if answer.Full {
 		s.readFull(ctx, host)
-		return
+		return true
 	}
 	if d := s.missing(answer.Digest); d != nil && len(d.Changes) > 0 {
 		_, _ = s.exchange(ctx, host, d) // a failure is counted; the next round repairs it
 	}
+	return true
 }
 
 // missing returns what a peer with that digest lacks, nil if nothing, or if it
--- a/internal/config/topology.go
+++ b/internal/config/topology.go
@@ -27,10 +27,14 @@
 	far      []string      // hosts anywhere that it exchanges digests with
 }
 
-// neighbours is the number of hosts near and far that a host exchanges digests
-// with. It bounds the connections of a host; every host chooses others, so the
-// hosts stay connected through any few that fail.
-const neighbours = 4
+// The numbers of hosts of the zone and anywhere that a host exchanges digests
+// with. They bound the connections of a host. Every host chooses others, so the
+// hosts stay connected through any few that fail; in a small fleet all exchange
+// with all.
+const (
+	nearNeighbours = 4
+	farNeighbours  = 8
+)
 
 func newTopology(self peer.Member, members []peer.Member) topology {
 	t := topology{self: self, rank: -1}
@@ -46,17 +50,17 @@
 	ranked = append(append(ranked, t.zone...), self)
 	t.watchers = watchersOf(ranked)
 	t.rank = slices.Index(t.watchers, self.ID.Name)
-	t.near = neighboursOf(self, t.zone)
-	t.far = neighboursOf(self, t.others)
+	t.near = neighboursOf(self, t.zone, nearNeighbours)
+	t.far = neighboursOf(self, t.others, farNeighbours)
 	return t
 }
 
-// neighboursOf returns the members that rank first for this host.
-func neighboursOf(self peer.Member, members []peer.Member) []string {
+// neighboursOf returns the n members that rank first for this host.
+func neighboursOf(self peer.Member, members []peer.Member, n int) []string {
 	rank := func(m peer.Member) uint64 { return xxhash.Sum64String(self.ID.Name + "/" + m.ID.Name) }
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b peer.Member) int { return cmp.Compare(rank(a), rank(b)) })
-	names := make([]string, min(neighbours, len(ranked)))
+	names := make([]string, min(n, len(ranked)))
 	for i := range names {
 		names[i] = ranked[i].ID.Name
 	}
