Count and bound object API calls, and tell a lost write from a refused one

Cause: the thin client took an answer of a gateway (502, an unreadable body) for a refusal of the API, so a write that took effect could be reported as not stored; reads cut short were reported as lost writes; a stopped watch kept an error; a silent watch ended after 3 s.

Only a status document of the API itself, 503 or 429, now says that a write had no effect. Calls are counted by operation and kind and bounded for each host. Ruled out: a bound on the whole fleet's calls (needs agreement).

Watches end after 2.5 s of silence, and connections that are idle when a call times out are closed.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,34 +10,66 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 )
 
 // Timeouts of the client.
 const (
 	dialTimeout  = time.Second
-	callTimeout  = 10 * time.Second // the API may be as slow as 5 s a call
-	watchSilence = 3 * time.Second  // bookmarks come every second
+	callTimeout  = 10 * time.Second        // the API may be as slow as 5 s a call
+	watchSilence = 2500 * time.Millisecond // bookmarks come every second
 )
 
-// Client reaches the object API over HTTP.
+// maxAnswerBytes bounds an answer: the list of 82,000 instances has 30 MB.
+const maxAnswerBytes = 64 * MaxObjectBytes
+
+// Client reaches the object API over HTTP. It counts every call and keeps this
+// host's calls below a budget.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	budget  *budget
+	silence time.Duration // after which a watch is ended
+}
+
+// Option changes a client.
+type Option func(*Client)
+
+// WithMetrics counts calls by operation and kind in a scope.
+func WithMetrics(scope tally.Scope) Option {
+	return func(c *Client) { c.budget.scope = scope.SubScope("object_api") }
+}
+
+// WithBudget sets the calls that this host may make, in calls a second.
+func WithBudget(reads, writes float64) Option {
+	return func(c *Client) {
+		c.budget.reads.SetLimit(rate.Limit(reads))
+		c.budget.writes.SetLimit(rate.Limit(writes))
+	}
 }
 
 // NewClient returns a client of the API at base, for example
 // "http://127.0.0.1:8001".
-func NewClient(base string) *Client {
+func NewClient(base string, options ...Option) *Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{base: base + BasePath, http: &http.Client{Transport: transport}}
+	c := &Client{
+		base:    base + BasePath,
+		http:    &http.Client{Transport: transport},
+		budget:  newBudget(),
+		silence: watchSilence,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // statusError is an answer outside the protocol.
@@ -128,14 +160,29 @@
 func (c *Client) call(ctx context.Context, method string, kind Kind, name string, query url.Values, body []byte, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	done, err := c.budget.enter(ctx, operation(method, name), kind)
+	if err != nil {
+		return err
+	}
+	err = c.roundTrip(ctx, method, kind, name, query, body, into)
+	done(err)
+	if ctx.Err() != nil {
+		// The connections that are idle now may be as silent as the one that
+		// did not answer; the next call makes a fresh one.
+		c.http.CloseIdleConnections()
+	}
+	return err
+}
+
+func (c *Client) roundTrip(ctx context.Context, method string, kind Kind, name string, query url.Values, body []byte, into any) error {
 	resp, err := c.send(ctx, method, kind, name, query, body)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 64*MaxObjectBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return &lostError{cause: err}
+		return noAnswer(method, err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return errorOf(resp.StatusCode, data, method, kind, name)
@@ -144,11 +191,20 @@
 		return nil
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return &lostError{cause: err}
+		return noAnswer(method, err)
 	}
 	return nil
 }
 
+// noAnswer classifies a call whose answer did not come whole: a read had no
+// effect, a write may have.
+func noAnswer(method string, cause error) error {
+	if method == http.MethodGet {
+		return &UnavailableError{Op: method, Cause: cause}
+	}
+	return &lostError{cause: cause}
+}
+
 func (c *Client) send(ctx context.Context, method string, kind Kind, name string, query url.Values, body []byte) (*http.Response, error) {
 	address := c.base + "/" + string(kind)
 	if name != "" {
@@ -170,10 +226,10 @@
 	if err == nil {
 		return resp, nil
 	}
-	if isDialError(err) || method == http.MethodGet {
+	if isDialError(err) {
 		return nil, &UnavailableError{Op: method, Cause: err}
 	}
-	return nil, &lostError{cause: err}
+	return nil, noAnswer(method, err)
 }
 
 // isDialError reports whether no connection could be made.
@@ -186,10 +242,13 @@
 	return ok && op.Op == "dial"
 }
 
+// errorOf returns the error of a failed answer. Only the API itself, by a status
+// document, says that a write had no effect; an answer of something in between
+// does not.
 func errorOf(code int, data []byte, method string, kind Kind, name string) error {
 	var status WireStatus
 	if err := json.Unmarshal(data, &status); err != nil {
-		return &UnavailableError{Op: method, Cause: &statusError{Code: code}}
+		return noAnswer(method, &statusError{Code: code})
 	}
 	switch status.Reason {
 	case ReasonConflict:
@@ -201,71 +260,10 @@
 	case ReasonInvalid:
 		return &InvalidError{Kind: kind, Name: name, Reason: status.Message}
 	}
-	return &UnavailableError{Op: method, Cause: &statusError{Code: code}}
-}
-
-// clientWatch reads a watch stream.
-type clientWatch struct {
-	events chan Event
-	cancel context.CancelFunc
-	err    atomic.Pointer[error]
-}
-
-// Watch implements API.
-func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Watch, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	query := url.Values{"watch": {"true"}, "resourceVersion": {strconv.FormatUint(uint64(after), 10)}}
-	timer := time.AfterFunc(callTimeout, cancel)
-	resp, err := c.send(ctx, http.MethodGet, kind, "", query, nil)
-	timer.Stop()
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		defer cancel()
-		defer resp.Body.Close()
-		data, _ := io.ReadAll(io.LimitReader(resp.Body, MaxObjectBytes))
-		return nil, errorOf(resp.StatusCode, data, "watch", kind, "")
-	}
-	w := &clientWatch{events: make(chan Event, 64), cancel: cancel}
-	go w.read(ctx, kind, resp.Body)
-	return w, nil
-}
-
-// read decodes events until the stream ends, the watch is stopped or nothing,
-// not even a bookmark, has come for watchSilence.
-func (w *clientWatch) read(ctx context.Context, kind Kind, body io.ReadCloser) {
-	defer close(w.events)
-	defer body.Close()
-	silence := time.AfterFunc(watchSilence, w.cancel)
-	defer silence.Stop()
-	dec := json.NewDecoder(body)
-	for {
-		var wire WireEvent
-		if err := dec.Decode(&wire); err != nil {
-			var cause error = &UnavailableError{Op: "watch", Cause: err}
-			w.err.Store(&cause)
-			return
-		}
-		silence.Reset(watchSilence)
-		select {
-		case w.events <- Event{Type: wire.Type, Object: wire.Object.Object(kind)}:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (w *clientWatch) Events() <-chan Event { return w.events }
-
-func (w *clientWatch) Err() error {
-	if p := w.err.Load(); p != nil {
-		return *p
+	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
+		return &UnavailableError{Op: method, Cause: &statusError{Code: code}}
 	}
-	return nil
+	return noAnswer(method, &statusError{Code: code})
 }
 
-func (w *clientWatch) Stop() { w.cancel() }
-
 var _ API = (*Client)(nil)
