--- /dev/null
+++ b/internal/credential/fuzz_test.go
@@ -0,0 +1,171 @@
+package credential_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"buckthornseam.dev/seam/internal/credential"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// recorder is a target that hands over the bytes of each request.
+func recorder(f *testing.F) (address string, requests <-chan []byte) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { l.Close() })
+	out := make(chan []byte, 1)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var seen bytes.Buffer
+			r, err := http.ReadRequest(bufio.NewReader(io.TeeReader(conn, &seen)))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+			}
+			conn.Close()
+			if seen.Len() > 0 {
+				out <- seen.Bytes()
+			}
+		}
+	}()
+	return l.Addr().String(), out
+}
+
+// ways are the ways of presenting a key.
+var ways = []func(r *http.Request, key string){
+	func(r *http.Request, key string) { r.Header.Set("Authorization", "Bearer "+key) },
+	func(r *http.Request, key string) { r.Header.Set("Authorization", key) },
+	func(r *http.Request, key string) { r.SetBasicAuth("desk", key) },
+	func(r *http.Request, key string) { r.SetBasicAuth(key, "") },
+	func(r *http.Request, key string) { r.Header.Set("X-Api-Key", key) },
+	func(r *http.Request, key string) { r.Header.Set("Api-Key", key) },
+	func(r *http.Request, key string) { addQuery(r, "api_key", key) },
+	func(r *http.Request, key string) { addQuery(r, "access-token", key) },
+	func(r *http.Request, key string) { r.AddCookie(&http.Cookie{Name: "api_key", Value: key}) },
+	func(r *http.Request, key string) { r.AddCookie(&http.Cookie{Name: "token", Value: key}) },
+}
+
+// copies are further places in which a request repeats its key.
+var copies = []func(r *http.Request, body *string, key string){
+	func(*http.Request, *string, string) {},
+	func(r *http.Request, _ *string, key string) { r.Header.Set("Accept", key) },
+	func(r *http.Request, _ *string, key string) { r.Header.Set("X-Other", key) },
+	func(r *http.Request, _ *string, key string) { r.Trailer = http.Header{"X-Key": {key}} },
+	func(r *http.Request, _ *string, key string) { addQuery(r, "q", key) },
+	func(r *http.Request, _ *string, key string) { r.URL.Path += "/" + key },
+	func(r *http.Request, _ *string, key string) { r.AddCookie(&http.Cookie{Name: "session", Value: key}) },
+	func(_ *http.Request, body *string, key string) { *body += key },
+	func(_ *http.Request, body *string, key string) { *body += url.QueryEscape(key) },
+	func(_ *http.Request, body *string, key string) {
+		*body += base64.StdEncoding.EncodeToString([]byte(key))
+	},
+	func(_ *http.Request, body *string, key string) {
+		*body = base64.URLEncoding.EncodeToString([]byte(*body + key))
+	},
+	func(_ *http.Request, body *string, key string) { *body += hex.EncodeToString([]byte(key)) },
+	func(_ *http.Request, body *string, key string) { *body += fmt.Sprintf(`\u%04x`, key[0]) + key[1:] },
+}
+
+func addQuery(r *http.Request, name, value string) {
+	if r.URL.RawQuery != "" {
+		r.URL.RawQuery += "&"
+	}
+	r.URL.RawQuery += name + "=" + url.QueryEscape(value)
+}
+
+// holdsKey looks for the key in what a target or the log got.
+func holdsKey(data, key string) bool {
+	decoded, err := url.QueryUnescape(data)
+	if err != nil {
+		decoded = data
+	}
+	for _, form := range []string{
+		key, hex.EncodeToString([]byte(key)), fmt.Sprintf(`\u%04x`, key[0]) + key[1:],
+		base64.RawStdEncoding.EncodeToString([]byte(key))[:len(key)],
+		base64.StdEncoding.EncodeToString([]byte("desk:" + key)),
+	} {
+		if strings.Contains(data, form) || strings.Contains(decoded, form) {
+			return true
+		}
+	}
+	return false
+}
+
+func FuzzNoKeyReachesTarget(f *testing.F) {
+	for way := range ways {
+		for copied := range copies {
+			f.Add([]byte("0123456789"), uint8(way), uint8(copied), "/invoices/7", "a=b", `{"prompt":"explain"}`)
+		}
+	}
+	f.Add([]byte("k"), uint8(6), uint8(4), "/a%2Fb", "token=x;y=%zz", "")
+	address, requests := recorder(f)
+	client := target.NewClient()
+	f.Fuzz(func(t *testing.T, raw []byte, way, copied uint8, path, query, body string) {
+		key := "seam-" + hex.EncodeToString(raw) // keys are printable
+		u, err := url.Parse("http://host/" + strings.TrimPrefix(path, "/"))
+		if len(key) < 8 || err != nil {
+			return
+		}
+		u.RawQuery = query
+		r := &http.Request{Method: "POST", URL: u, Header: http.Header{}}
+		ways[int(way)%len(ways)](r, key)
+		copies[int(copied)%len(copies)](r, &body, key)
+
+		p := credential.Find(r)
+		line := p.Scrub(r.URL.String()) + fmt.Sprint(r.Header.Values("Accept"), "")
+		if got, found := p.Key(); !found {
+			t.Fatal("key not found")
+		} else if got != key && !strings.Contains(query, "=") && !strings.Contains(path, "?") {
+			t.Fatalf("found another key than the one presented")
+		}
+		if holdsKey(p.Scrub(line), key) {
+			t.Errorf("the log line holds the key")
+		}
+		out := target.Request{ID: "1", Method: r.Method, Body: []byte(body), Fresh: true}
+		errs := make([]error, 3)
+		out.Path, errs[0] = p.Target(r.URL)
+		out.Header, errs[1] = p.Header(r.Header, []string{"Accept", "Content-Type", "Authorization"})
+		errs[2] = p.Body(out.Body)
+		for _, err := range errs {
+			if err != nil && holdsKey(err.Error(), key) {
+				t.Errorf("the error holds the key")
+			}
+			if err != nil {
+				return
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		resp, err := client.Send(ctx, address, out)
+		if err != nil && holdsKey(err.Error(), key) {
+			t.Errorf("the error of the client holds the key")
+		}
+		var unreachable *target.UnreachableError
+		if !errors.As(err, &unreachable) {
+			if seen := <-requests; holdsKey(string(seen), key) {
+				t.Errorf("the target got the key: %q", seen)
+			}
+		}
+		if err == nil {
+			resp.Body.Close()
+		}
+	})
+}
