Make the target client exact about what left this host

A request is unreachable only if no byte was handed to the kernel, and the connection is shut before that is said, so it stays true. The transport cannot send a request again by itself: there is always a body that can be read once.

interface: target.Request gains Fresh, Silence and HeadSilence. Lost paths are found by the kernel within 3 s (TCP_USER_TIMEOUT and keep-alive probes), also while a target is at work; deadlines on progress cover the rest. Answers without length or end count as cut.

--- /dev/null
+++ b/internal/target/body.go
@@ -0,0 +1,66 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// body is the body of an answer. Reading it to the end without error means
+// that it is whole; every other end is an *UnknownOutcomeError.
+type body struct {
+	ctx         context.Context
+	e           *exchange
+	body        io.ReadCloser
+	undelimited bool
+	watchdog    *time.Timer // nil without a bound on silence
+	closeOnce   sync.Once
+}
+
+func newBody(ctx context.Context, e *exchange, resp *http.Response) *body {
+	b := &body{ctx: ctx, e: e, body: resp.Body}
+	chunked := len(resp.TransferEncoding) > 0
+	b.undelimited = resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody
+	if e.silence > 0 {
+		b.watchdog = time.AfterFunc(e.silence, func() { e.cancel(&SilentError{After: e.silence}) })
+	}
+	return b
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if n > 0 && b.watchdog != nil {
+		b.watchdog.Reset(b.e.silence)
+	}
+	switch {
+	case err == nil:
+		return n, nil
+	case err == io.EOF && b.undelimited:
+		return n, &UnknownOutcomeError{Address: b.e.address, Cause: &UndelimitedError{}}
+	case err == io.EOF:
+		b.stop()
+		return n, io.EOF
+	}
+	return n, &UnknownOutcomeError{Address: b.e.address, Cause: b.e.cause(b.ctx, err)}
+}
+
+// Close ends the exchange. A body not read to its end takes its connection
+// along, so that its rest is never taken for another answer.
+func (b *body) Close() error {
+	var err error
+	b.closeOnce.Do(func() {
+		b.stop()
+		b.e.cancel(nil)
+		err = b.body.Close()
+	})
+	return err
+}
+
+func (b *body) stop() {
+	if b.watchdog != nil {
+		b.watchdog.Stop()
+	}
+}
--- /dev/null
+++ b/internal/target/conn.go
@@ -0,0 +1,82 @@
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// A path between two hosts can lose a connection without a sign: what is sent
+// is never acknowledged. The kernel finds that out within lostAfter, whether
+// or not the target is at work: by unacknowledged data, or by unanswered
+// probes while nothing is under way.
+const (
+	dialTimeout   = time.Second
+	lostAfter     = 3 * time.Second
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, in milliseconds.
+const tcpUserTimeout = 0x12
+
+var dialer = net.Dialer{
+	Timeout:         dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		failed := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(lostAfter/time.Millisecond))
+		})
+		if failed != nil {
+			return failed
+		}
+		return err
+	},
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn}, nil
+}
+
+// countedConn counts the bytes handed to the kernel.
+type countedConn struct {
+	net.Conn
+	mu     sync.Mutex // held during a write
+	closed bool
+	bytes  atomic.Int64
+}
+
+// Write implements net.Conn. The count goes up before the write and is
+// corrected after it, so that it never lags behind what may have left.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.bytes.Add(int64(len(p)))
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n - len(p)))
+	return n, err
+}
+
+func (c *countedConn) written() int64 { return c.bytes.Load() }
+
+// abort closes the connection and returns the number of bytes written on it,
+// which does not change any more.
+func (c *countedConn) abort() int64 {
+	_ = c.Conn.Close() // ends a write under way; a second close does no harm
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	return c.bytes.Load()
+}
--- /dev/null
+++ b/internal/target/control.go
@@ -0,0 +1,87 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Paths of an engine's control interface.
+const (
+	PathOrders = "/control/orders"
+	PathReport = "/control/report"
+	PathCache  = "/control/cache-events"
+)
+
+// controlTimeout bounds one order or report.
+const controlTimeout = 3 * time.Second
+
+// Problem is the JSON document with which an engine refuses an order.
+type Problem struct {
+	Code     string `json:"code"`
+	Message  string `json:"message"`
+	MaxFence uint64 `json:"max_fence,omitempty"`
+}
+
+// CodeFenced is the Problem code for an old fencing number.
+const CodeFenced = "fenced"
+
+// Order implements Controller.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return &RejectedError{Address: address, Code: "encoding", Reason: err.Error()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	header := map[string]string{"Content-Type": "application/json"}
+	resp, err := c.Send(ctx, address, Request{ID: o.Decision, Method: http.MethodPost, Path: PathOrders, Header: header, Body: body})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.Status < http.StatusBadRequest {
+		return nil
+	}
+	var p Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+		return &UnknownOutcomeError{Address: address, Cause: err}
+	}
+	if p.Code == CodeFenced {
+		return &FencedError{Address: address, Fence: o.Fence, Max: p.MaxFence}
+	}
+	return &RejectedError{Address: address, Code: p.Code, Reason: p.Message}
+}
+
+// Report implements Controller.
+func (c *Client) Report(ctx context.Context, address string) (Report, error) {
+	var r Report
+	err := c.get(ctx, address, PathReport, &r)
+	return r, err
+}
+
+// CacheEvents implements Controller.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	err := c.get(ctx, address, PathCache+"?after="+strconv.FormatUint(after, 10), &events)
+	return events, err
+}
+
+func (c *Client) get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	resp, err := c.Send(ctx, address, Request{ID: path, Method: http.MethodGet, Path: path})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.Status != http.StatusOK {
+		return &RejectedError{Address: address, Code: strconv.Itoa(resp.Status), Reason: path}
+	}
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return &UnknownOutcomeError{Address: address, Cause: err}
+	}
+	return nil
+}
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -3,22 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
-)
 
-// Paths of an engine's control interface.
-const (
-	PathOrders = "/control/orders"
-	PathReport = "/control/report"
-	PathCache  = "/control/cache-events"
+	"buckthornseam.dev/seam/internal/invariant"
 )
 
 // HeaderRequestID carries the id of an attempt; targets echo it.
@@ -30,53 +25,133 @@
 // HeaderPriority carries the priority of a request.
 const HeaderPriority = "X-Priority"
 
+// allowed are the headers that Request.Header may hold. All others are
+// dropped here, whoever put them in.
+var allowed = map[string]bool{
+	"Accept": true, "Accept-Language": true, "Content-Type": true, "Content-Language": true,
+	"If-Match": true, "If-None-Match": true, HeaderResumeFrom: true,
+}
+
+// credentialHeaders must never come as far as this package.
+var credentialHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Cookie"}
+
 const (
-	dialTimeout    = time.Second
-	controlTimeout = 3 * time.Second
+	userAgent           = "buckthornseam"
+	maxIdlePerTarget    = 256
+	idleTimeout         = 30 * time.Second
+	maxAnswerHeadBytes  = 64 << 10
+	responseBufferBytes = 4 << 10
 )
 
-// Client reaches targets over HTTP. It implements Sender and Controller.
+// Client reaches targets over HTTP. It implements Sender and Controller. It
+// uses no proxy, follows no redirect, keeps no cookie and sends no request a
+// second time.
 type Client struct {
-	http *http.Client
+	kept  *http.Transport // reuses connections
+	fresh *http.Transport // one connection for each request
 }
 
-// NewClient returns a client that follows no redirects, uses no proxy and
-// sends no request a second time.
+// NewClient returns a client without connections.
 func NewClient() *Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+	return &Client{kept: newTransport(false), fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		ReadBufferSize:         responseBufferBytes,
 	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
+// Close closes the connections that are not in use.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// InvalidRequestError reports a request that cannot be sent.
+type InvalidRequestError struct {
+	Field string
+	Cause error
+}
+
+func (e *InvalidRequestError) Error() string { return "request has an invalid " + e.Field }
+
+// Unwrap returns the cause.
+func (e *InvalidRequestError) Unwrap() error { return e.Cause }
+
 // Send implements Sender.
 func (c *Client) Send(ctx context.Context, address string, r Request) (*Response, error) {
-	// The body has no GetBody, so the transport cannot send it again.
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, io.NopCloser(bytes.NewReader(r.Body)))
+	e := &exchange{address: address, id: r.ID, silence: r.Silence}
+	ctx, e.cancel = context.WithCancelCause(ctx)
+	req, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}), address, r)
 	if err != nil {
+		e.cancel(nil)
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
+	transport := c.kept
+	if r.Fresh {
+		transport = c.fresh
+	}
+	if r.HeadSilence > 0 {
+		timer := time.AfterFunc(r.HeadSilence, func() { e.cancel(&SilentError{After: r.HeadSilence}) })
+		defer timer.Stop()
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, e.failed(ctx, err)
+	}
+	return e.answered(ctx, resp)
+}
+
+// newRequest makes the HTTP form of r. The transport sends a request again by
+// itself if it can get the body again, or there is none, and the method or an
+// idempotency header suggests that it may; so there is always a body that can
+// be read once only, and no such header.
+func newRequest(ctx context.Context, address string, r Request) (*http.Request, error) {
+	if !strings.HasPrefix(r.Path, "/") {
+		return nil, &InvalidRequestError{Field: "path"}
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, nil)
+	if err != nil {
+		return nil, &InvalidRequestError{Field: "method or path"} // the cause would quote the path
+	}
+	req.Body = io.NopCloser(bytes.NewReader(r.Body))
 	req.ContentLength = int64(len(r.Body))
-	for k, v := range r.Header {
-		req.Header.Set(k, v)
+	if len(r.Body) == 0 && !usuallyWithoutBody(r.Method) {
+		// Never sent again with these methods, and states a length of 0.
+		req.Body = http.NoBody
+	}
+	for name, value := range r.Header {
+		if allowed[http.CanonicalHeaderKey(name)] {
+			req.Header.Set(name, value)
+		}
 	}
+	for _, name := range credentialHeaders {
+		_, leaked := r.Header[name]
+		invariant.Check(!leaked, invariant.KeyHidden, "header %s was to be sent to target %s", name, address)
+	}
+	req.Header.Set("User-Agent", userAgent)
 	req.Header.Set(HeaderRequestID, r.ID)
 	if r.Priority != 0 {
 		req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, classify(address, err)
-	}
-	if got := resp.Header.Get(HeaderRequestID); got != "" && got != r.ID {
-		resp.Body.Close()
-		return nil, &UnknownOutcomeError{Address: address, Cause: &CrossedAnswerError{Want: r.ID, Got: got}}
+	return req, nil
+}
+
+// usuallyWithoutBody reports the methods for which an empty body is sent as
+// none at all.
+func usuallyWithoutBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		return true
 	}
-	return &Response{Status: resp.StatusCode, Header: flatten(resp.Header), Body: resp.Body}, nil
+	return false
 }
 
 // CrossedAnswerError reports an answer to another request.
@@ -89,89 +164,79 @@
 	return fmt.Sprintf("answer carries id %s instead of %s", e.Got, e.Want)
 }
 
-func classify(address string, err error) error {
-	var u *url.Error
-	var op *net.OpError
-	if errors.As(err, &u) && errors.As(u.Err, &op) && op.Op == "dial" {
-		return &UnreachableError{Address: address, Cause: err}
-	}
-	return &UnknownOutcomeError{Address: address, Cause: err}
+// SilentError reports a connection on which nothing came for too long.
+type SilentError struct {
+	After time.Duration
 }
 
-func flatten(h http.Header) map[string]string {
-	out := make(map[string]string, len(h))
-	for k := range h {
-		out[k] = h.Get(k)
-	}
-	return out
-}
+func (e *SilentError) Error() string { return fmt.Sprintf("nothing came for %v", e.After) }
 
-// Problem is the JSON document with which an engine refuses an order.
-type Problem struct {
-	Code     string `json:"code"`
-	Message  string `json:"message"`
-	MaxFence uint64 `json:"max_fence,omitempty"`
-}
+// UndelimitedError reports an answer whose end cannot be told from a broken
+// connection.
+type UndelimitedError struct{}
 
-// CodeFenced is the Problem code for an old fencing number.
-const CodeFenced = "fenced"
+func (e *UndelimitedError) Error() string { return "answer states neither length nor end" }
 
-// Order implements Controller.
-func (c *Client) Order(ctx context.Context, address string, o Order) error {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return &RejectedError{Address: address, Code: "encoding", Reason: err.Error()}
-	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	header := map[string]string{"Content-Type": "application/json"}
-	resp, err := c.Send(ctx, address, Request{ID: o.Decision, Method: http.MethodPost, Path: PathOrders, Header: header, Body: body})
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.Status < http.StatusBadRequest {
-		return nil
-	}
-	var p Problem
-	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
-		return &UnknownOutcomeError{Address: address, Cause: err}
-	}
-	if p.Code == CodeFenced {
-		return &FencedError{Address: address, Fence: o.Fence, Max: p.MaxFence}
-	}
-	return &RejectedError{Address: address, Code: p.Code, Reason: p.Message}
+// exchange is one request and its answer.
+type exchange struct {
+	address string
+	id      string
+	silence time.Duration
+	cancel  context.CancelCauseFunc
+	conn    *countedConn
+	mark    int64 // bytes written on conn before this request
 }
 
-// Report implements Controller.
-func (c *Client) Report(ctx context.Context, address string) (Report, error) {
-	var r Report
-	err := c.get(ctx, address, PathReport, &r)
-	return r, err
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*countedConn); ok {
+		e.conn = conn
+		e.mark = conn.written()
+	}
 }
 
-// CacheEvents implements Controller.
-func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
-	var events []CacheEvent
-	err := c.get(ctx, address, PathCache+"?after="+strconv.FormatUint(after, 10), &events)
-	return events, err
+// failed classifies the failure of a round trip. It first makes sure that no
+// byte leaves any more, so that what it says stays true.
+func (e *exchange) failed(ctx context.Context, err error) error {
+	cause := e.cause(ctx, err)
+	e.cancel(nil)
+	if e.conn == nil || e.conn.abort() == e.mark {
+		return &UnreachableError{Address: e.address, Cause: cause}
+	}
+	return &UnknownOutcomeError{Address: e.address, Cause: cause}
 }
 
-func (c *Client) get(ctx context.Context, address, path string, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	resp, err := c.Send(ctx, address, Request{ID: path, Method: http.MethodGet, Path: path})
-	if err != nil {
-		return err
+// cause returns the silence that ended the exchange, if one did, and else the
+// error without the address of the request, which may hold content.
+func (e *exchange) cause(ctx context.Context, err error) error {
+	var silent *SilentError
+	if errors.As(context.Cause(ctx), &silent) {
+		return silent
 	}
-	defer resp.Body.Close()
-	if resp.Status != http.StatusOK {
-		return &RejectedError{Address: address, Code: strconv.Itoa(resp.Status), Reason: path}
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
+
+// answered checks the head of an answer and hands on the body.
+func (e *exchange) answered(ctx context.Context, resp *http.Response) (*Response, error) {
+	if got := resp.Header.Get(HeaderRequestID); got != "" && got != e.id {
+		// Whatever else comes on this connection may be crossed as well.
+		e.conn.abort()
+		e.cancel(nil)
+		return nil, &UnknownOutcomeError{Address: e.address, Cause: &CrossedAnswerError{Want: e.id, Got: got}}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
-		return &UnknownOutcomeError{Address: address, Cause: err}
+	body := newBody(ctx, e, resp)
+	return &Response{Status: resp.StatusCode, Header: flatten(resp.Header), Body: body}, nil
+}
+
+func flatten(h http.Header) map[string]string {
+	out := make(map[string]string, len(h))
+	for k := range h {
+		out[k] = h.Get(k)
 	}
-	return nil
+	return out
 }
 
 // Interface checks.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -103,6 +103,17 @@
 	Header   map[string]string
 	Body     []byte
 	Priority int
+
+	// Fresh asks for a connection of its own. A kept one may have been
+	// closed or lost by the other end without a sign, which makes the
+	// outcome unknown; so calls that may not be repeated, and retries, ask
+	// for a fresh one.
+	Fresh bool
+	// Silence is the longest time without a byte from the target once the
+	// head of the answer has come, 0 for no bound. HeadSilence bounds the
+	// wait for the head. Beyond them the connection counts as lost.
+	Silence     time.Duration
+	HeadSilence time.Duration
 }
 
 // Response is the head of an answer with its body still to be read.
