--- a/internal/journal/acquire.go
+++ b/internal/journal/acquire.go
@@ -5,12 +5,8 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	core "buckthornseam.dev/coord/journal"
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/refusal"
@@ -48,23 +44,6 @@
 	Owner   string          `json:"owner,omitempty"` // for not_owner: whom to ask
 }
 
-// ownerOf returns the host that should serve a shard: the first in rendezvous
-// order of the alive members but those to skip. Two hosts may disagree, which
-// costs writes and never a second run.
-func (j *Journal) ownerOf(shard int, skip []string) string {
-	var names []string
-	for _, m := range j.opts.Members.Members() {
-		leaving := m.State != peer.StateAlive || (m.ID.Name == j.self.Name && j.draining.Load())
-		if !leaving && !contains(skip, m.ID.Name) {
-			names = append(names, m.ID.Name)
-		}
-	}
-	if len(names) == 0 {
-		return ""
-	}
-	return rendezvous.New(names, xxhash.Sum64String).Lookup("journal/" + strconv.Itoa(shard))
-}
-
 func contains(list []string, s string) bool {
 	for _, each := range list {
 		if each == s {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -68,6 +68,7 @@
 	attempts atomic.Uint64
 	draining atomic.Bool
 	shards   []*shard
+	owners   owners
 	reports  *reporter
 	metrics  metrics
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -34,7 +34,7 @@
 // chaos is one fleet with one shard, so that every key contends.
 type chaos struct {
 	rng     *rand.Rand
-	mu      sync.Mutex // guards rng
+	mu      sync.Mutex // guards rng and hosts
 	net     *peertest.Net
 	store   *objectapi.Store
 	noFence bool
@@ -67,6 +67,12 @@
 	return c.rng.IntN(n)
 }
 
+func (c *chaos) host(i int) *host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts[i]
+}
+
 func (c *chaos) chance(percent int) bool { return c.intN(100) < percent }
 
 func (c *chaos) millis(most int) time.Duration { return time.Duration(c.intN(most)) * time.Millisecond }
@@ -168,7 +174,7 @@
 // disturb makes one fault happen, which may last a while.
 func (c *chaos) disturb(t *testing.T) {
 	i := c.intN(len(c.hosts))
-	h := c.hosts[i]
+	h := c.host(i)
 	span := c.millis(4000)
 	kind := []string{"crash", "pause", "hide", "lose", "late", "api_down", "slow", "cut", "calls"}[c.intN(9)]
 	c.faults = append(c.faults, fmt.Sprint(kind, " h", i))
@@ -176,7 +182,10 @@
 	case "crash":
 		h.crash()
 		time.Sleep(c.millis(500))
-		c.hosts[i] = c.boot(t, i)
+		born := c.boot(t, i)
+		c.mu.Lock()
+		c.hosts[i] = born
+		c.mu.Unlock()
 	case "pause":
 		h.Down(true)
 		h.slow.Store(int64(span))
@@ -285,7 +294,7 @@
 		})
 		var callers sync.WaitGroup
 		for range 24 {
-			key, h := keys[c.intN(len(keys))], c.hosts[c.intN(len(c.hosts))]
+			key, h := keys[c.intN(len(keys))], c.host(c.intN(len(c.hosts)))
 			callers.Go(func() { c.call(t, h, key) })
 			time.Sleep(c.millis(400))
 		}
