--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -289,3 +289,36 @@
 		t.Errorf("a write after the abort: %v, %d bytes", err, c.written())
 	}
 }
+
+func BenchmarkSend(b *testing.B) {
+	raw := newRawTarget(b, func(w io.Writer, r *http.Request, _ string, _ int64) bool { ok(w, r); return true })
+	c := NewClient()
+	for name, r := range map[string]Request{
+		"kept":  {ID: "1", Method: "POST", Path: "/", Body: []byte("x")},
+		"fresh": {ID: "1", Method: "POST", Path: "/", Body: []byte("x"), Fresh: true},
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if _, err := send(c, raw.address, r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+	b.Run("library", func(b *testing.B) {
+		transport := &http.Transport{}
+		defer transport.CloseIdleConnections()
+		for b.Loop() {
+			req, err := http.NewRequest("POST", "http://"+raw.address, strings.NewReader("x"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			resp, err := transport.RoundTrip(req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	})
+}
