Bound teams by model where few targets have it ready

Cause: windows over a whole pool let a large team pile requests on the few engines that have its model ready; a small team whose model shares one of them waited 8 s for its first token (p95), 0.2 s alone.

Hosts report demand by team and model; the root of a pool with few hosts divides each target among the flows whose model is ready on it and holds those that want more (fair/flows.go). Slots are set aside where a host's models are ready. Without a grant such models have a local share of their own.

Also mended: credit for unused share could starve other teams. A large team that could not spend its credit got 40 slots above a share of 153 of 160, and the small team none.

--- a/coord/fair/credit.go
+++ b/coord/fair/credit.go
@@ -1,6 +1,9 @@
 package fair
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// creditTime is how long a team may run at twice its share after it ran
@@ -43,21 +46,26 @@
 }
 
 // boosts returns what limited teams may have above the share that the division
-// gave them, by team.
+// gave them, by team. Only the difference in credit counts, and only limited
+// teams with the least credit give up slots for it, at most half of theirs.
 func (c *credits) boosts(slots int, totals map[string]*total) map[string]int {
+	ahead := c.ahead(slots, totals)
+	donors := 0
+	for name, s := range totals {
+		if s.limited && ahead[name] == 0 {
+			donors += s.share
+		}
+	}
 	out := map[string]int{}
 	sum := 0
 	for name, s := range totals {
-		if !s.limited {
-			continue
-		}
-		boost := min(s.want-s.share, int(c.byTeam[name]/creditTime.Seconds()))
+		boost := min(s.want-s.share, int(ahead[name]/creditTime.Seconds()))
 		if boost > 0 {
 			out[name] = boost
 			sum += boost
 		}
 	}
-	if limit := slots / boostDivisor; sum > limit {
+	if limit := min(slots/boostDivisor, donors/2); sum > limit {
 		for name := range out {
 			out[name] = out[name] * limit / sum
 		}
@@ -65,6 +73,24 @@
 	return out
 }
 
+// ahead returns by how much the credit of each limited team exceeds that of
+// the limited team with the least for its share; 0 for others.
+func (c *credits) ahead(slots int, totals map[string]*total) map[string]float64 {
+	least := math.Inf(1)
+	for name, s := range totals {
+		if s.limited {
+			least = min(least, c.byTeam[name]/equalShare(slots, s, totals))
+		}
+	}
+	out := map[string]float64{}
+	for name, s := range totals {
+		if s.limited {
+			out[name] = max(c.byTeam[name]-least*equalShare(slots, s, totals), 0)
+		}
+	}
+	return out
+}
+
 func (c *credits) forget(team string) { delete(c.byTeam, team) }
 
 // equalShare returns a team's share if all teams wanted theirs.
--- a/coord/fair/doc.go
+++ b/coord/fair/doc.go
@@ -76,12 +76,21 @@
 	Waiting int     `json:"q,omitempty"`
 }
 
+// FlowDemand is what one team wants of one model.
+type FlowDemand struct {
+	Team    string `json:"t"`
+	Model   string `json:"m"`
+	Running int    `json:"r,omitempty"`
+	Waiting int    `json:"q,omitempty"`
+}
+
 // Demand is the report of one host, or of all hosts below a node.
 type Demand struct {
 	Seq   uint64        `json:"s"` // rises with each report of its sender
 	At    time.Duration `json:"a"` // sender's time, echoed in the grant
 	Teams []TeamDemand  `json:"d,omitempty"`
 	Busy  *Busy         `json:"b,omitempty"` // of a single host
+	Flows []FlowDemand  `json:"f,omitempty"` // of a single host
 }
 
 // TeamGrant is the number of requests of a team that may run.
@@ -91,6 +100,14 @@
 	Limited bool   `json:"l,omitempty"` // the team wants more than its share
 }
 
+// FlowGrant bounds the running requests of a team for a model that is ready on
+// few targets.
+type FlowGrant struct {
+	Team   string `json:"t"`
+	Model  string `json:"m"`
+	Window int    `json:"n"`
+}
+
 // Grant answers a Demand.
 type Grant struct {
 	Seq   uint64        `json:"s"` // of the demand
@@ -101,4 +118,7 @@
 	// with running requests then reports, not only those with a queue.
 	Contended bool   `json:"c,omitempty"`
 	Slots     *Slots `json:"o,omitempty"` // of a contended pool with few hosts
+	// Flows are those that want more than their part of the targets which
+	// have their model ready, in pools with few hosts.
+	Flows []FlowGrant `json:"f,omitempty"`
 }
--- a/coord/fair/fairness_test.go
+++ b/coord/fair/fairness_test.go
@@ -59,3 +59,28 @@
 		t.Logf("baseline %s, small team at 20 a second: first token p95 %v, refused %d", name, st.p95, st.refused)
 	}
 }
+
+// TestSmallTeamOnSharedEngine has a large team flood a model that is ready on
+// four engines, one of which also has the small team's model.
+func TestSmallTeamOnSharedEngine(t *testing.T) {
+	run := func(c simConfig, large bool) teamStats {
+		c.hosts, c.engines, c.slots, c.length, c.reportLag = 8, 20, 8, simLength, 500*time.Millisecond
+		c.ready = map[string][]int{"l": {0, 1, 2, 3}, "s": {3, 4}}
+		s := newSim(c)
+		s.arrivals(simTeam{name: "small", model: "s", weight: 1, rate: 3, hosts: []int{3}, service: 2 * time.Second, deadline: 30 * time.Second})
+		if large {
+			s.arrivals(simTeam{name: "large", model: "l", weight: 1, rate: 160, hosts: allHosts, service: 2 * time.Second, deadline: 30 * time.Second})
+		}
+		s.run()
+		if s.violated != "" {
+			t.Error(s.violated)
+		}
+		t.Logf("large team: %+v", s.stats("large", simWarm, simLength))
+		return s.stats("small", simWarm, simLength)
+	}
+	alone, beside, unbounded := run(simConfig{}, false), run(simConfig{}, true), run(simConfig{noFlows: true}, true)
+	t.Logf("small team: first token p95 %v alone, %v beside, %v beside without windows by model", alone.p95, beside.p95, unbounded.p95)
+	if beside.refused > 0 || float64(beside.p95) > 1.2*float64(alone.p95) {
+		t.Errorf("small team: p95 %v beside, %v alone; refused %d", beside.p95, alone.p95, beside.refused)
+	}
+}
--- a/coord/fair/lane.go
+++ b/coord/fair/lane.go
@@ -41,6 +41,10 @@
 	count  int
 	tokens int64
 	drain  drain
+
+	running int
+	window  int  // by the last grant
+	bounded bool // by the last grant
 }
 
 func (l *lane) push(e *entry) {
--- a/coord/fair/node.go
+++ b/coord/fair/node.go
@@ -29,20 +29,22 @@
 
 // Node adds up the demand of the hosts below it and divides slots among them.
 type Node struct {
-	interval   time.Duration
-	children   map[string]*child
-	recent     map[string]time.Duration // last demand of each team
-	root       bool
-	flat       bool  // all children are hosts
-	slots      int   // of the pool, at the root
-	unseen     []int // slots taken by hosts that do not report, latest last
-	seq        uint64
-	applied    uint64
-	grantEnd   time.Duration
-	windows    map[string]TeamGrant // from the parent
-	slotsGiven *Slots               // from the parent
-	targets    Targets              // at the root
-	credits    credits
+	interval       time.Duration
+	children       map[string]*child
+	recent         map[string]time.Duration // last demand of each team
+	root           bool
+	flat           bool  // all children are hosts
+	slots          int   // of the pool, at the root
+	unseen         []int // slots taken by hosts that do not report, latest last
+	seq            uint64
+	applied        uint64
+	grantEnd       time.Duration
+	windows        map[string]TeamGrant // from the parent
+	slotsGiven     *Slots               // from the parent
+	contendedGiven bool                 // by the parent
+	flowsGiven     []FlowGrant          // from the parent
+	targets        Targets              // at the root
+	credits        credits
 }
 
 // child is the latest report of one host and what it was granted.
@@ -51,13 +53,15 @@
 	at      time.Duration // of arrival
 	granted time.Duration // of the latest grant
 	own     []int         // slots set aside for it, by target
+	flows   map[flowKey]*childTeam
 	teams   map[string]*childTeam
 }
 
 type childTeam struct {
 	TeamDemand
-	window int     // latest granted
-	debt   float64 // slots times seconds below (positive) its exact share
+	window  int     // latest granted
+	bounded bool    // flows: held at the window
+	debt    float64 // slots times seconds below (positive) its exact share
 }
 
 // NewNode returns a node without children.
@@ -151,6 +155,26 @@
 			delete(c.teams, name)
 		}
 	}
+	c.takeFlows(d.Flows)
+}
+
+// takeFlows replaces the child's flows, and keeps what was granted to those
+// that go on.
+func (c *child) takeFlows(list []FlowDemand) {
+	old := c.flows
+	c.flows = make(map[flowKey]*childTeam, len(list))
+	for _, fd := range list {
+		if fd.Running < 0 || fd.Waiting < 0 {
+			continue
+		}
+		key := flowKey{team: fd.Team, model: fd.Model}
+		f := old[key]
+		if f == nil {
+			f = &childTeam{}
+		}
+		f.Running, f.Waiting = fd.Running, fd.Waiting
+		c.flows[key] = f
+	}
 }
 
 // total is a team's demand over all children.
@@ -190,7 +214,7 @@
 	sort.Slice(d.Teams, func(i, j int) bool { return d.Teams[i].Team < d.Teams[j].Team })
 	if len(n.children) == 1 {
 		for _, c := range n.children {
-			d.Busy = c.demand.Busy
+			d.Busy, d.Flows = c.demand.Busy, c.demand.Flows
 		}
 	}
 	return d
@@ -204,6 +228,8 @@
 	n.applied = g.Seq
 	n.grantEnd = g.At + g.Life
 	n.slotsGiven = g.Slots
+	n.flowsGiven = g.Flows
+	n.contendedGiven = g.Contended
 	clear(n.windows)
 	for _, tg := range g.Teams {
 		n.windows[tg.Team] = tg
@@ -224,9 +250,8 @@
 	totals := n.totals()
 	n.shares(now, totals)
 	g := Grant{Seq: c.demand.Seq, At: c.demand.At, Life: grantIntervals * n.interval}
-	for _, s := range totals {
-		g.Contended = g.Contended || s.limited
-	}
+	flows := n.dividedFlows()
+	g.Contended = n.contended(totals, flows)
 	dt := now - c.granted
 	c.granted = now
 	for name, t := range c.teams {
@@ -234,6 +259,7 @@
 		t.settle(dt, exact(s, t))
 		t.window = n.window(c, name, s, t)
 	}
+	g.Flows = n.grantFlows(c, flows, dt)
 	if g.Contended {
 		g.Slots = n.assign(c)
 		n.hold(c, totals)
@@ -246,6 +272,24 @@
 	return g, true
 }
 
+// contended reports whether a team or a flow wants more than its share.
+func (n *Node) contended(totals map[string]*total, flows []*flow) bool {
+	if !n.root && n.contendedGiven {
+		return true
+	}
+	for _, s := range totals {
+		if s.limited {
+			return true
+		}
+	}
+	for _, f := range flows {
+		if n.bounds(f) {
+			return true
+		}
+	}
+	return false
+}
+
 // hold narrows the windows of limited teams to the slots that could be set
 // aside for the child, so that their requests wait here and not at a target
 // that is full.
@@ -285,26 +329,20 @@
 	t.debt = min(max(t.debt, -debtLimit), debtLimit)
 }
 
-// window rounds a child's exact part to whole slots. Children take turns with
-// the slots left over by rounding down: one may have it if it is not ahead of
-// its exact part and the windows given to the others leave room.
+// window returns a child's window of a team. A team that gets all it wants is
+// rounded up.
 func (n *Node) window(c *child, name string, s *total, t *childTeam) int {
 	x := exact(s, t)
-	base := int(math.Floor(x))
 	if !s.limited {
 		return int(math.Ceil(x))
 	}
-	if x == float64(base) || t.debt < 0 {
-		return base
-	}
-	others := 0
-	for _, o := range n.children {
-		if ot := o.teams[name]; o != c && ot != nil {
-			others += max(ot.window, ot.Running)
+	return round(x, s.share, t, func() int {
+		others := 0
+		for _, o := range n.children {
+			if ot := o.teams[name]; o != c && ot != nil {
+				others += max(ot.window, ot.Running)
+			}
 		}
-	}
-	if others+base+1 <= s.share {
-		return base + 1
-	}
-	return base
+		return others
+	})
 }
--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"sort"
 	"time"
 )
 
@@ -46,10 +45,10 @@
 	refused    []*Refusal
 	virtual    float64 // start tag of the last dispatched request
 	running    int
-	perModel   map[string]int // running requests by model
-	models     map[string]int // limit of running requests by model
 	slots      int            // of the pool
 	local      int            // limit of running requests without a grant
+	perModel   map[string]int // running requests by model
+	models     map[string]int // their limits without a grant
 	seq        uint64
 	applied    uint64
 	grantEnd   time.Duration
@@ -173,7 +172,7 @@
 		if best != nil && !t.before(best.lane.team) {
 			continue
 		}
-		if e := q.headOf(t); e != nil {
+		if e := q.headOf(t, granted); e != nil {
 			best = e
 		}
 	}
@@ -203,11 +202,11 @@
 	return t.name < o.name
 }
 
-// headOf returns the team's next request of a model below its limit.
-func (q *Queue) headOf(t *team) *entry {
+// headOf returns the team's next request of a model that may have more.
+func (q *Queue) headOf(t *team, granted bool) *entry {
 	var best *entry
 	for _, l := range t.lanes {
-		if l.count == 0 || q.atLimit(l.model) {
+		if l.count == 0 || q.held(l, granted) {
 			continue
 		}
 		e := l.head()
@@ -218,9 +217,13 @@
 	return best
 }
 
-func (q *Queue) atLimit(model string) bool {
-	limit, limited := q.models[model]
-	return limited && q.perModel[model] >= limit
+// held reports whether a lane may have no more running requests.
+func (q *Queue) held(l *lane, granted bool) bool {
+	if granted {
+		return l.bounded && l.running >= l.window
+	}
+	limit, limited := q.models[l.model]
+	return limited && q.perModel[l.model] >= limit
 }
 
 func (q *Queue) dispatch(now time.Duration, e *entry) {
@@ -232,6 +235,7 @@
 	t.start += float64(e.Tokens) / t.weight
 	t.running++
 	q.running++
+	e.lane.running++
 	q.perModel[e.Model]++
 }
 
@@ -252,12 +256,12 @@
 // Release ends a request that Next returned.
 func (q *Queue) Release(it Item) {
 	q.running--
-	if q.perModel[it.Model]--; q.perModel[it.Model] <= 0 {
+	t := q.teams[it.Team] // kept while it has running requests
+	t.running--
+	t.lanes[it.Model].running--
+	if q.perModel[it.Model]--; q.perModel[it.Model] == 0 {
 		delete(q.perModel, it.Model)
 	}
-	if t := q.teams[it.Team]; t != nil {
-		t.running--
-	}
 }
 
 // Remove takes out a waiting request whose caller left. It is false if the
@@ -294,7 +298,7 @@
 	for name, t := range q.teams {
 		for model, l := range t.lanes {
 			if l.count == 0 {
-				if now-l.drain.at > slowWindow {
+				if l.running == 0 && now-l.drain.at > slowWindow {
 					delete(t.lanes, model)
 				}
 				continue
@@ -322,75 +326,21 @@
 // SetCapacity sets what the host may use without a live grant: its equal
 // share of the pool, or what it runs already and its share of the slots that
 // seemed free. Hosts that see the same free slots so take them only once.
-func (q *Queue) SetCapacity(c Capacity) {
-	hosts := max(c.Hosts, 1)
+// Models that are ready on few targets have a capacity of their own.
+func (q *Queue) SetCapacity(c Capacity, models map[string]Capacity) {
 	q.slots = c.Slots
-	q.local = max((c.Slots+hosts-1)/hosts, 1)
-	if c.Spare > 0 {
-		q.local = max(q.local, q.running+(c.Spare+hosts-1)/hosts)
-	}
-}
-
-// SetModelLimits bounds the running requests of each named model, so that a
-// model ready on few targets does not fill them beyond their slots.
-func (q *Queue) SetModelLimits(limits map[string]int) { q.models = limits }
-
-// Demand returns the report for the coordinator.
-func (q *Queue) Demand(now time.Duration) Demand {
-	q.seq++
-	d := Demand{Seq: q.seq, At: now}
-	for _, t := range q.teams {
-		if t.count > 0 || t.running > 0 {
-			d.Teams = append(d.Teams, TeamDemand{Team: t.name, Weight: t.weight, Running: t.running, Waiting: t.count})
-		}
-	}
-	sort.Slice(d.Teams, func(i, j int) bool { return d.Teams[i].Team < d.Teams[j].Team })
-	return d
-}
-
-// Apply puts a grant in force. One that is older than the last applied, or
-// whose life has ended, changes nothing.
-func (q *Queue) Apply(now time.Duration, g Grant) {
-	if g.Seq <= q.applied || g.Seq > q.seq || g.At+g.Life <= now {
-		return
-	}
-	q.applied = g.Seq
-	q.grantEnd = g.At + g.Life
-	q.contended = g.Contended
-	q.slotsGiven = g.Slots
-	for _, t := range q.teams {
-		t.named = false
+	q.local = c.local(q.running)
+	q.models = make(map[string]int, len(models))
+	for model, mc := range models {
+		q.models[model] = mc.local(q.perModel[model])
 	}
-	for _, tg := range g.Teams {
-		if t := q.teams[tg.Team]; t != nil {
-			t.named, t.window, t.limited = true, tg.Window, tg.Limited
-		}
-	}
-}
-
-// Slots returns the slots that this host may count on and the end of their
-// validity, nil if none were given.
-func (q *Queue) Slots() (s *Slots, until time.Duration) { return q.slotsGiven, q.grantEnd }
-
-// Granted reports whether a grant is in force.
-func (q *Queue) Granted(now time.Duration) bool { return now < q.grantEnd }
-
-// Reporting reports whether the coordinator should hear of this host: it has
-// waiting requests, or running ones in a pool that is contended.
-func (q *Queue) Reporting(now time.Duration) bool {
-	return len(q.entries) > 0 || q.running > 0 && q.contended && q.Granted(now)
 }
 
-// Urgent reports whether a team within its share waits for a window, which
-// the coordinator would widen if it knew.
-func (q *Queue) Urgent(now time.Duration) bool {
-	if !q.Granted(now) {
-		return len(q.entries) > 0
-	}
-	for _, t := range q.teams {
-		if t.count > 0 && t.running >= q.allowed(t) && !(t.named && t.limited) {
-			return true
-		}
+func (c Capacity) local(running int) int {
+	hosts := max(c.Hosts, 1)
+	share := max((c.Slots+hosts-1)/hosts, 1)
+	if c.Spare > 0 {
+		share = max(share, running+(c.Spare+hosts-1)/hosts)
 	}
-	return false
+	return share
 }
--- a/coord/fair/queue_test.go
+++ b/coord/fair/queue_test.go
@@ -62,20 +62,23 @@
 	if len(m.waiting) > modelPoolItems {
 		t.Fatalf("%d waiting", len(m.waiting))
 	}
-	byTeam, byModel := map[string]int{}, map[string]int{}
+	byTeam, byModel, byFlow := map[string]int{}, map[string]int{}, map[flowKey]int{}
 	for _, it := range m.running {
 		byTeam[it.Team]++
 		byModel[it.Model]++
+		byFlow[flowKey{it.Team, it.Model}]++
 	}
 	for _, it := range m.waiting {
 		if it.Deadline <= m.now {
 			t.Fatalf("request %d waits past its deadline", it.ID)
 		}
-		held := byModel[it.Model] >= m.q.models[it.Model] && m.q.models[it.Model] > 0
+		held := false
 		if m.q.Granted(m.now) {
-			held = held || byTeam[it.Team] >= m.q.allowed(m.q.teams[it.Team])
+			l := m.q.teams[it.Team].lanes[it.Model]
+			held = l.bounded && byFlow[flowKey{it.Team, it.Model}] >= l.window || byTeam[it.Team] >= m.q.allowed(m.q.teams[it.Team])
 		} else {
-			held = held || len(m.running) >= m.q.local
+			limit, limited := m.q.models[it.Model]
+			held = limited && byModel[it.Model] >= limit || len(m.running) >= m.q.local
 		}
 		if !held {
 			t.Fatalf("request %d of team %s waits though it may run", it.ID, it.Team)
@@ -88,7 +91,7 @@
 	models := []string{"m", "n", ""}
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{q: NewQueue(Limits{TeamItems: modelTeamItems, PoolItems: modelPoolItems}), waiting: map[uint64]Item{}, teamSize: map[string]int{}}
-		m.q.SetCapacity(Capacity{Slots: 4, Spare: -1, Hosts: 1})
+		m.q.SetCapacity(Capacity{Slots: 4, Spare: -1, Hosts: 1}, nil)
 		var demands []Demand
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
@@ -136,8 +139,8 @@
 			"tick": func(t *rapid.T) {
 				m.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
 				m.q.Prune(m.now)
-				m.q.SetCapacity(Capacity{Slots: rapid.SampledFrom([]int{4, 40}).Draw(t, "slots"), Spare: rapid.IntRange(-1, 4).Draw(t, "spare"), Hosts: rapid.IntRange(1, 3).Draw(t, "hosts")})
-				m.q.SetModelLimits(map[string]int{"m": rapid.IntRange(1, 5).Draw(t, "limit")})
+				m.q.SetCapacity(Capacity{Slots: rapid.SampledFrom([]int{4, 40}).Draw(t, "slots"), Spare: rapid.IntRange(-1, 4).Draw(t, "spare"), Hosts: rapid.IntRange(1, 3).Draw(t, "hosts")},
+					map[string]Capacity{"m": {Slots: rapid.IntRange(1, 5).Draw(t, "limit"), Spare: -1}})
 				m.settle(t)
 			},
 			"report": func(*rapid.T) { demands = append(demands, m.q.Demand(m.now)) },
@@ -150,6 +153,11 @@
 				for _, td := range d.Teams {
 					g.Teams = append(g.Teams, TeamGrant{Team: td.Team, Window: rapid.IntRange(0, 6).Draw(t, "window")})
 				}
+				for _, fd := range d.Flows {
+					if rapid.Bool().Draw(t, "bounded") {
+						g.Flows = append(g.Flows, FlowGrant{Team: fd.Team, Model: fd.Model, Window: rapid.IntRange(0, 3).Draw(t, "flow window")})
+					}
+				}
 				m.q.Apply(m.now, g)
 				m.settle(t)
 			},
@@ -165,7 +173,7 @@
 		const largest = 1000
 		weights := map[string]float64{"a": rapid.Float64Range(0.5, 8).Draw(t, "wa"), "b": rapid.Float64Range(0.5, 8).Draw(t, "wb")}
 		q := NewQueue(Limits{TeamItems: 10000, PoolItems: 10000})
-		q.SetCapacity(Capacity{Slots: 3, Spare: -1, Hosts: 1})
+		q.SetCapacity(Capacity{Slots: 3, Spare: -1, Hosts: 1}, nil)
 		id := uint64(0)
 		push := func(team string) {
 			id++
@@ -199,7 +207,7 @@
 // served alone for long: it must not be served alone in turn.
 func TestLongIdleTeamGetsItsShareOnly(t *testing.T) {
 	q := NewQueue(Limits{TeamItems: 1000, PoolItems: 2000})
-	q.SetCapacity(Capacity{Slots: 1, Spare: -1, Hosts: 1})
+	q.SetCapacity(Capacity{Slots: 1, Spare: -1, Hosts: 1}, nil)
 	served := map[string]int{}
 	serve := func(n int) {
 		for range n {
@@ -229,7 +237,7 @@
 
 func TestOldGrantsChangeNothing(t *testing.T) {
 	q := NewQueue(Limits{TeamItems: 10, PoolItems: 10})
-	q.SetCapacity(Capacity{Slots: 40, Spare: -1, Hosts: 1})
+	q.SetCapacity(Capacity{Slots: 40, Spare: -1, Hosts: 1}, nil)
 	if ref := q.Push(0, Item{ID: 1, Team: "a", Deadline: time.Hour}); ref != nil {
 		t.Fatal(ref)
 	}
@@ -288,6 +296,52 @@
 	})
 }
 
+// TestRootStarvesNobody divides random demands with random credit: a team gets
+// what it wants up to half its share by weight, whatever the credit of others,
+// and a team within its share gets all it wants.
+func TestRootStarvesNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := NewNode()
+		slots := rapid.IntRange(1, 300).Draw(t, "slots")
+		n.SetRoot(0, Targets{Sizes: []int{slots}}, -1)
+		d := Demand{Seq: 1}
+		weight := 0.0
+		for i := range rapid.IntRange(1, 6).Draw(t, "teams") {
+			td := TeamDemand{
+				Team:    fmt.Sprint(i),
+				Weight:  rapid.Float64Range(0.2, 5).Draw(t, "weight"),
+				Running: rapid.IntRange(0, 100).Draw(t, "running"),
+				Waiting: rapid.IntRange(0, 300).Draw(t, "waiting"),
+			}
+			weight += td.Weight
+			d.Teams = append(d.Teams, td)
+		}
+		n.Report(0, "h", d)
+		n.credits.byTeam = map[string]float64{}
+		for _, td := range d.Teams {
+			n.credits.byTeam[td.Team] = rapid.Float64Range(0, 1000).Draw(t, "credit")
+		}
+		totals := n.totals()
+		n.shares(0, totals)
+		given := 0
+		for _, td := range d.Teams {
+			s := totals[td.Team]
+			fair := float64(slots) * td.Weight / weight
+			least := min(float64(s.want), fair/2-float64(slots)/reserveDivisor-1)
+			if float64(s.want) <= fair-1 {
+				least = float64(s.want)
+			}
+			if float64(s.share) < least {
+				t.Fatalf("team %+v has %d of %d slots, its share is %v", td, s.share, slots, fair)
+			}
+			given += min(s.share, s.want)
+		}
+		if given > slots {
+			t.Fatalf("%d slots given of %d", given, slots)
+		}
+	})
+}
+
 // TestMessageFaultsAreHarmless runs the whole in a bad network: requests are
 // answered by their deadlines all the same, and the small team fares no worse
 // than without any coordinator.
--- a/coord/fair/root.go
+++ b/coord/fair/root.go
@@ -58,18 +58,22 @@
 		return left
 	}
 	claims = claims[:0]
+	rest := 0
 	for _, name := range names {
 		s := totals[name]
-		if boosts[name] == 0 {
+		switch boost := boosts[name]; {
+		case boost > 0:
+			s.share += boost
+			s.boosted = true
+			s.limited = s.share < s.want
+			rest -= boost
+		case s.limited:
 			claims = append(claims, &s.claim)
-			continue
+			rest += s.share
 		}
-		s.share += boosts[name]
-		s.boosted = true
-		s.limited = s.share < s.want
-		slots -= s.share
 	}
-	return divide(slots, claims)
+	divide(rest, claims)
+	return left
 }
 
 // squeeze takes the reserve out of the shares of the limited teams that do not
--- a/coord/fair/sim_test.go
+++ b/coord/fair/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -46,12 +47,15 @@
 	lose, dup     float64 // of messages between hosts
 	maxDelay      time.Duration
 	reportLag     time.Duration
+	ready         map[string][]int // engines that have a model ready; nil: no models
+	noFlows       bool
 	noSlots       bool // hosts route by reports alone
 	ideal         bool // requests go to the engine with the least load at that moment
 }
 
 type simTeam struct {
 	name     string
+	model    string
 	weight   float64
 	rate     float64 // requests a second
 	hosts    []int
@@ -114,11 +118,18 @@
 
 func newSim(c simConfig) *sim {
 	s := &sim{simConfig: c, rng: rand.New(rand.NewPCG(c.seed, 1)), byName: map[string]*simHost{}, byID: map[uint64]*simRequest{}, byTarget: map[string]*simEngine{}}
+	s.seen = make([]int, c.engines)
+	if !c.noFlows {
+		s.targets.Ready = c.ready
+	}
 	var names []string
 	for i := range c.hosts {
 		h := &simHost{name: fmt.Sprintf("h%d", i), q: NewQueue(Limits{TeamItems: simBigQueue, PoolItems: simBigQueue}), node: NewNode()}
 		h.routes = routing.New(routing.Options{Seed: c.seed + uint64(i)})
 		h.routes.SetTargets(simTargets(c))
+		for i := range c.engines {
+			h.routes.Report(fmt.Sprintf("e%d", i), routing.Load{Ready: c.models(i)})
+		}
 		s.hosts = append(s.hosts, h)
 		s.byName[h.name] = h
 		names = append(names, h.name)
@@ -130,9 +141,8 @@
 		s.byTarget[fmt.Sprintf("e%d", i)] = e
 		s.targets.Sizes = append(s.targets.Sizes, c.slots)
 	}
-	s.seen = make([]int, c.engines)
 	for i, h := range s.hosts {
-		h.q.SetCapacity(Capacity{Slots: c.engines * c.slots, Spare: -1, Hosts: c.hosts})
+		h.q.SetCapacity(Capacity{Slots: c.engines * c.slots, Spare: -1, Hosts: c.hosts}, s.modelCapacity())
 		h.node.SetTree(s.tree)
 		tick := s.tree.Interval()
 		s.every(tick*time.Duration(i+1)/time.Duration(c.hosts), tick, func() { s.tick(h) })
@@ -169,7 +179,7 @@
 		service := t.service/2 + time.Duration(rng.ExpFloat64()*float64(t.service/2))
 		h := s.hosts[t.hosts[rng.IntN(len(t.hosts))]]
 		r := &simRequest{arrived: at, service: max(service, simPrefill), host: h}
-		r.Item = Item{ID: uint64(len(s.requests) + 1), Team: t.name, Weight: t.weight, Tokens: int64(service / (10 * time.Millisecond)), Deadline: at + t.deadline}
+		r.Item = Item{ID: uint64(len(s.requests) + 1), Team: t.name, Model: t.model, Weight: t.weight, Tokens: int64(service / (10 * time.Millisecond)), Deadline: at + t.deadline}
 		s.requests = append(s.requests, r)
 		s.byID[r.ID] = r
 		s.after(at, func() { s.arrive(r) })
@@ -270,20 +280,32 @@
 		return best
 	}
 	var d routing.Decision
-	if !r.host.routes.Pick(s.now, simQuery, &d) {
+	if !r.host.routes.Pick(s.now, r.query(), &d) {
 		panic("no target")
 	}
 	r.route = d.Chosen
-	r.host.routes.Sent(s.now, d.Chosen, simQuery)
+	r.host.routes.Sent(s.now, d.Chosen, r.query())
 	return s.byTarget[r.host.routes.Name(d.Chosen)]
 }
 
-var simQuery = routing.Query{Pool: "pool"}
+func (r *simRequest) query() routing.Query { return routing.Query{Pool: "pool", Model: r.Model} }
+
+// models returns the models that are ready on an engine.
+func (c *simConfig) models(engine int) []string {
+	var out []string
+	for model, engines := range c.ready {
+		if slices.Contains(engines, engine) {
+			out = append(out, model)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
 
 func simTargets(c simConfig) []routing.Target {
 	var out []routing.Target
 	for i := range c.engines {
-		out = append(out, routing.Target{Name: fmt.Sprintf("e%d", i), Pool: "pool", Slots: c.slots})
+		out = append(out, routing.Target{Name: fmt.Sprintf("e%d", i), Pool: "pool", Slots: c.slots, Engine: c.ready != nil})
 	}
 	return out
 }
@@ -299,7 +321,7 @@
 			s.start(e, next)
 		}
 		if !s.ideal {
-			r.host.routes.Done(s.now, r.route, simQuery, routing.Outcome{OK: true, Held: s.now - r.dispatched})
+			r.host.routes.Done(s.now, r.route, r.query(), routing.Outcome{OK: true, Held: s.now - r.dispatched})
 		}
 		if !s.fifo {
 			r.host.q.Release(r.Item)
@@ -319,7 +341,7 @@
 		s.seen = load
 		for _, h := range s.hosts {
 			for i, n := range load {
-				h.routes.Report(fmt.Sprintf("e%d", i), routing.Load{At: at, Running: n})
+				h.routes.Report(fmt.Sprintf("e%d", i), routing.Load{At: at, Running: n, Ready: s.models(i)})
 			}
 		}
 	})
@@ -330,7 +352,7 @@
 	for _, n := range s.seen {
 		occupied += n
 	}
-	h.q.SetCapacity(Capacity{Slots: total, Spare: max(total-occupied, 0), Hosts: s.simConfig.hosts})
+	h.q.SetCapacity(Capacity{Slots: total, Spare: max(total-occupied, 0), Hosts: s.simConfig.hosts}, s.modelCapacity())
 	if s.tree.Root() == h.name {
 		h.node.SetRoot(s.now, s.targets, occupied)
 	} else {
@@ -343,6 +365,22 @@
 	s.pump(h)
 }
 
+// modelCapacity is what hosts know of the models that are ready on some
+// engines only.
+func (s *sim) modelCapacity() map[string]Capacity {
+	out := map[string]Capacity{}
+	for model, list := range s.targets.Ready {
+		c := Capacity{Slots: len(list) * s.slots, Hosts: s.simConfig.hosts}
+		load := 0
+		for _, i := range list {
+			load += s.seen[i]
+		}
+		c.Spare = max(c.Slots-load, 0)
+		out[model] = c
+	}
+	return out
+}
+
 func (s *sim) report(h *simHost) {
 	if s.noCoordinator {
 		return
--- a/coord/fair/slots.go
+++ b/coord/fair/slots.go
@@ -1,5 +1,7 @@
 package fair
 
+import "sort"
+
 // Busy says where a host's requests run, by target. Targets are numbered in
 // the order of the pool's list; Version identifies the list.
 type Busy struct {
@@ -16,10 +18,11 @@
 	Common  []int  `json:"c"` // free for any host
 }
 
-// Targets are the sizes of a pool's targets, in the order of its list.
+// Targets are a pool's targets, numbered in the order of its list.
 type Targets struct {
 	Version uint64
-	Sizes   []int
+	Sizes   []int            // slots of each
+	Ready   map[string][]int // targets that have a model ready, ascending
 }
 
 // assign gives the child slots up to the sum of its windows. Slots that it has
@@ -36,16 +39,15 @@
 	if c.demand.Busy.Version != n.targets.Version || len(c.demand.Busy.Running) != len(n.targets.Sizes) {
 		return nil
 	}
-	want := 0
-	for _, t := range c.teams {
-		want += t.window
-	}
 	if len(c.own) != len(n.targets.Sizes) {
 		c.own = make([]int, len(n.targets.Sizes))
 	}
-	free := n.freeSlots()
-	c.giveBack(want, free)
-	c.take(want, free)
+	needs := n.needs(c)
+	free, over := n.freeSlots()
+	c.giveBack(needs, free, over)
+	for _, need := range needs {
+		c.take(need, free, over)
+	}
 	s := &Slots{Version: n.targets.Version, Own: append([]int(nil), c.own...), Common: make([]int, len(free))}
 	for i, f := range free {
 		s.Common[i] = max(f, 0)
@@ -53,16 +55,60 @@
 	return s
 }
 
+// need is a number of slots that a child wants on some targets.
+type need struct {
+	slots   int
+	targets []int
+}
+
+// needs returns what a child wants: slots for each flow on the targets that
+// have its model ready, models that are ready on few targets first. Without
+// flows it wants the sum of its windows anywhere.
+func (n *Node) needs(c *child) []need {
+	windows := 0
+	for _, t := range c.teams {
+		windows += t.window
+	}
+	if len(c.flows) == 0 || len(n.targets.Ready) == 0 {
+		all := make([]int, len(n.targets.Sizes))
+		for i := range all {
+			all[i] = i
+		}
+		return []need{{slots: windows, targets: all}}
+	}
+	byModel := map[string]int{}
+	for key, f := range c.flows {
+		slots := f.Running + f.Waiting + 1
+		if f.bounded {
+			slots = min(slots, f.window)
+		}
+		byModel[key.model] += slots
+	}
+	var out []need
+	for _, model := range sortedNames(byModel) {
+		slots := min(byModel[model], windows)
+		out = append(out, need{slots: slots, targets: n.targets.Ready[model]})
+	}
+	sort.SliceStable(out, func(i, j int) bool { return len(out[i].targets) < len(out[j].targets) })
+	return out
+}
+
 // freeSlots returns the slots of each target that are neither set aside nor in
-// use; negative if more are.
-func (n *Node) freeSlots() []int {
-	free := append([]int(nil), n.targets.Sizes...)
-	for _, c := range n.children {
-		for i := range free {
+// use, negative if more are; and by how many more slots are set aside than
+// there are, negative if fewer.
+func (n *Node) freeSlots() (free, over []int) {
+	free = append([]int(nil), n.targets.Sizes...)
+	over = make([]int, len(free))
+	for i, size := range n.targets.Sizes {
+		over[i] = -size
+		for _, c := range n.children {
 			free[i] -= c.taken(i)
+			if i < len(c.own) {
+				over[i] += c.own[i]
+			}
 		}
 	}
-	return free
+	return free, over
 }
 
 // taken returns the slots of a target that the child has or uses.
@@ -77,10 +123,28 @@
 	return max(own, running)
 }
 
-// giveBack frees slots that the child does not use, fullest target first,
-// until it has no more than it wants.
-func (c *child) giveBack(want int, free []int) {
-	for have := sum(c.own); have > want; have-- {
+// giveBack frees slots that the child neither uses nor needs, on the fullest
+// targets first, and those of which too many were set aside.
+func (c *child) giveBack(needs []need, free, over []int) {
+	wanted, useful := 0, make([]bool, len(c.own))
+	for _, need := range needs {
+		wanted += need.slots
+		for _, i := range need.targets {
+			useful[i] = true
+		}
+	}
+	for i := range c.own {
+		for over[i] > 0 && c.own[i] > 0 {
+			c.own[i]--
+			over[i]--
+		}
+		for !useful[i] && c.own[i] > c.demand.Busy.Running[i] {
+			c.own[i]--
+			over[i]--
+			free[i]++
+		}
+	}
+	for have := sum(c.own); have > wanted; have-- {
 		worst := -1
 		for i, own := range c.own {
 			if own > c.demand.Busy.Running[i] && (worst < 0 || free[i] < free[worst]) {
@@ -91,31 +155,37 @@
 			return // all in use; the next report shows some free
 		}
 		c.own[worst]--
+		over[worst]--
 		free[worst]++
 	}
 }
 
-// take sets free slots aside for the child, emptiest target first, until it
-// has what it wants. Slots that it uses already come first.
-func (c *child) take(want int, free []int) {
-	have := sum(c.own)
-	for i, running := range c.demand.Busy.Running {
-		for c.own[i] < running && have < want {
+// take sets free slots aside for a need, on the emptiest target first, until it
+// is met. Slots that the child uses already come first.
+func (c *child) take(need need, free, over []int) {
+	have := 0
+	for _, i := range need.targets {
+		have += c.own[i]
+	}
+	for _, i := range need.targets {
+		for over[i] < 0 && c.own[i] < c.demand.Busy.Running[i] && have < need.slots {
 			c.own[i]++
+			over[i]++
 			have++
 		}
 	}
-	for ; have < want; have++ {
-		best := 0
-		for i := range free {
-			if free[i] > free[best] {
+	for ; have < need.slots; have++ {
+		best := -1
+		for _, i := range need.targets {
+			if best < 0 || free[i] > free[best] {
 				best = i
 			}
 		}
-		if len(free) == 0 || free[best] <= 0 {
+		if best < 0 || free[best] <= 0 {
 			return
 		}
 		c.own[best]++
+		over[best]++
 		free[best]--
 	}
 }
--- a/internal/queue/pool.go
+++ b/internal/queue/pool.go
@@ -136,7 +136,7 @@
 	} else {
 		p.node.SetInner(now)
 	}
-	p.queue.SetCapacity(v.capacity())
+	p.queue.SetCapacity(v.capacity(), v.models)
 	p.queue.Prune(now)
 	p.pump(now)
 	p.metrics.Gauge("waiting").Update(float64(p.queue.Waiting()))
--- a/internal/queue/report.go
+++ b/internal/queue/report.go
@@ -91,7 +91,7 @@
 // the caller holds mu.
 func (p *pool) busy() *fair.Busy {
 	slots := p.owner.opts.Slots
-	if slots == nil || !p.view.tree.Flat() || len(p.view.targets) > maxSlotTargets {
+	if slots == nil || !p.view.perTarget() {
 		return nil
 	}
 	b := &fair.Busy{Version: p.view.slots.Version, Running: make([]int, len(p.view.targets))}
--- a/internal/queue/view.go
+++ b/internal/queue/view.go
@@ -10,6 +10,7 @@
 	"buckthornseam.dev/coord/fair"
 	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/target"
 )
 
 // silentAfter is the age of a report after which an engine counts as not
@@ -20,10 +21,11 @@
 type view struct {
 	tree     *fair.Tree
 	hosts    int
-	targets  []*config.Target // that take new work, by name
-	slots    fair.Targets     // their sizes, 0 for silent ones
-	total    int              // of slots
-	occupied int              // running and waiting at the targets by the latest reports, -1 if unknown
+	targets  []*config.Target         // that take new work, by name
+	slots    fair.Targets             // their sizes, 0 for silent ones
+	total    int                      // of slots
+	occupied int                      // running and waiting at the targets by the latest reports, -1 if unknown
+	models   map[string]fair.Capacity // of models that are ready on few targets
 }
 
 // capacity returns what the host may use without a grant.
@@ -65,9 +67,9 @@
 		versions: map[string]uint64{},
 		trees:    map[string]*fair.Tree{},
 	}
-	for _, target := range s.Targets {
-		if !target.Leaving {
-			t.targets[target.Pool] = append(t.targets[target.Pool], target)
+	for _, each := range s.Targets {
+		if !each.Leaving {
+			t.targets[each.Pool] = append(t.targets[each.Pool], each)
 		}
 	}
 	for pool, list := range t.targets {
@@ -119,22 +121,23 @@
 // large pool.
 func (q *Queue) occupancy(v *view) {
 	v.slots.Sizes = make([]int, len(v.targets))
+	v.slots.Ready = map[string][]int{}
+	loads := make([]int, len(v.targets))
 	var silent []int
 	seen, load := 0, 0
 	for i, t := range v.targets {
 		v.slots.Sizes[i] = t.Slots
 		v.total += t.Slots
-		if q.opts.Reports == nil {
-			continue
-		}
-		r, age, ok := q.opts.Reports.Latest(t.Name)
+		r, age, ok := q.latest(t.Name)
 		switch {
 		case !ok:
 		case age > silentAfter:
 			silent = append(silent, i)
 		default:
 			seen += t.Slots
-			load += r.Running + r.Waiting
+			loads[i] = r.Running + r.Waiting
+			load += loads[i]
+			v.addReady(i, r)
 		}
 	}
 	v.occupied = -1
@@ -146,4 +149,46 @@
 		v.slots.Sizes[i] = 0
 	}
 	v.occupied = load * v.total / seen
+	v.modelCapacities(loads)
+}
+
+func (q *Queue) latest(name string) (r target.Report, age time.Duration, ok bool) {
+	if q.opts.Reports == nil {
+		return target.Report{}, 0, false
+	}
+	return q.opts.Reports.Latest(name)
+}
+
+// perTarget reports whether reports and grants of the pool list its targets.
+func (v *view) perTarget() bool {
+	return v.tree.Flat() && len(v.targets) <= maxSlotTargets
+}
+
+// addReady notes the models that are ready on the i-th target.
+func (v *view) addReady(i int, r target.Report) {
+	if !v.perTarget() {
+		return
+	}
+	for _, replica := range r.Replicas {
+		if replica.State == target.ReplicaReady {
+			v.slots.Ready[replica.Model] = append(v.slots.Ready[replica.Model], i)
+		}
+	}
+}
+
+// modelCapacities works out what the host may use of each model that is ready
+// on few targets while it has no grant.
+func (v *view) modelCapacities(loads []int) {
+	v.models = map[string]fair.Capacity{}
+	for model, list := range v.slots.Ready {
+		if !v.slots.Restricted(model) {
+			continue
+		}
+		c := fair.Capacity{Hosts: v.hosts}
+		for _, i := range list {
+			c.Slots += v.slots.Sizes[i]
+			c.Spare += max(v.slots.Sizes[i]-loads[i], 0)
+		}
+		v.models[model] = c
+	}
 }
