--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -140,15 +140,6 @@
 	return fmt.Sprintf("%d whole answers, %d load", n, c.Loads("lease-13b"))
 }
 
-// Loads returns how often engines loaded a model.
-func (c *Cluster) Loads(model string) int {
-	n := 0
-	for _, e := range c.Engines {
-		n += e.Stats().LoadsByModel[model]
-	}
-	return n
-}
-
 func streamed(ctx context.Context, c *Cluster) string {
 	r, err := send(ctx, c.Hosts[1], chatPath, vanuaKey, chat("listing-blurb", true), nil)
 	if err != nil {
@@ -174,7 +165,10 @@
 		return err.Error()
 	}
 	same := "other answer"
-	if first.status == http.StatusOK && bytes.Equal(first.body, second.body) {
+	if first.status != http.StatusOK || second.status != http.StatusOK {
+		return first.refused() + ", then " + second.refused()
+	}
+	if bytes.Equal(first.body, second.body) {
 		same = "same answer"
 	}
 	return fmt.Sprintf("%s, %d run", same, c.Services["billing"].Runs(body))
@@ -256,12 +250,5 @@
 }
 
 func keysSeen(_ context.Context, c *Cluster) string {
-	n := 0
-	for _, e := range c.Engines {
-		n += e.Stats().KeysSeen
-	}
-	for _, s := range c.Services {
-		n += s.KeysSeen()
-	}
-	return fmt.Sprint(n)
+	return fmt.Sprint(c.KeysSeen())
 }
