--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// Lapse tells that the holder seen last is known to be gone, so that its
+// lease need not run out. Only for work whose safety rests on more than the
+// lease: the holder may be alive beyond a partition.
+func (l *Lease) Lapse() {
+	if l.known && l.rec.Holder != l.cfg.Holder {
+		l.seenAt = -l.cfg.TTL - l.cfg.Guard
+	}
+}
+
 // NeedsRead reports whether the object must be read before anything else: it
 // was never read, or the outcome of a write is unknown.
 func (l *Lease) NeedsRead() bool { return !l.known }
--- /dev/null
+++ b/coord/lease/lease_test.go
@@ -0,0 +1,129 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestOneHolder runs processes with faulty writes, pauses and clocks of
+// different rate, and checks that no two hold the lease at one instant.
+func TestOneHolder(t *testing.T) {
+	for seed := range uint64(300) {
+		holds, err := contest(rand.New(rand.NewPCG(seed, 1)), 500*time.Millisecond)
+		if err != "" {
+			t.Fatalf("seed %d: %s", seed, err)
+		}
+		if holds == 0 {
+			t.Fatalf("seed %d: nobody ever held the lease", seed)
+		}
+	}
+}
+
+// TestGuardNeeded shows that the check sees two holders without the guard.
+func TestGuardNeeded(t *testing.T) {
+	for seed := range uint64(300) {
+		if _, err := contest(rand.New(rand.NewPCG(seed, 1)), 0); err != "" {
+			return
+		}
+	}
+	t.Fatal("no run without a guard shows two holders")
+}
+
+type process struct {
+	l    *Lease
+	rate float64 // of its clock
+	wake time.Duration
+}
+
+func (p *process) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now) * p.rate)
+}
+
+// contest returns the number of instants at which somebody held the lease.
+func contest(rng *rand.Rand, guard time.Duration) (int, string) {
+	const step = 10 * time.Millisecond
+	var rec Record
+	var version uint64
+	var lastEpoch uint64
+	holds := 0
+	ps := make([]*process, 3)
+	for i := range ps {
+		cfg := Config{Holder: fmt.Sprint(i), TTL: 2 * time.Second, Guard: guard, Renew: 500 * time.Millisecond}
+		ps[i] = &process{l: New(cfg), rate: 0.9 + 0.1*rng.Float64()}
+	}
+	for now := step; now < time.Minute; now += step {
+		for _, p := range ps {
+			if now < p.wake {
+				continue
+			}
+			if rng.Float64() < 0.002 {
+				p.wake = now + time.Duration(rng.Int64N(int64(5*time.Second)))
+			}
+			local := p.clock(now)
+			if rng.Float64() < 0.2 {
+				p.l.Observe(local, rec, version)
+			}
+			w, due := p.l.Next(local)
+			if !due {
+				continue
+			}
+			switch x := rng.Float64(); {
+			case w.Version != version:
+				p.l.Finish(Conflict, 0)
+			case x < 0.1:
+				p.l.Finish(Failed, 0)
+			default:
+				if w.Record.Epoch < lastEpoch {
+					return holds, "epoch went back"
+				}
+				lastEpoch = w.Record.Epoch
+				rec, version = w.Record, version+1
+				if x < 0.2 {
+					p.l.Finish(Unknown, 0)
+					continue
+				}
+				p.l.Finish(Written, version)
+			}
+		}
+		holders := 0
+		for _, p := range ps {
+			if _, ok := p.l.Held(p.clock(now)); ok {
+				holders++
+			}
+		}
+		if holders > 1 {
+			return holds, fmt.Sprintf("%v: %d holders", now, holders)
+		}
+		holds += holders
+	}
+	return holds, ""
+}
+
+func TestReleaseAndLapse(t *testing.T) {
+	a := New(Config{Holder: "a", TTL: 10 * time.Second, Guard: time.Second, Renew: time.Second})
+	b := New(Config{Holder: "b", TTL: 10 * time.Second, Guard: time.Second, Renew: time.Second})
+	a.Observe(0, Record{}, 0)
+	w, ok := a.Next(0)
+	if !ok || w.Record.Epoch != 1 {
+		t.Fatalf("first take: %+v %v", w, ok)
+	}
+	a.Finish(Written, 1)
+	b.Observe(0, w.Record, 1)
+	if _, ok := b.Next(5 * time.Second); ok {
+		t.Fatal("taken over while held")
+	}
+	b.Lapse()
+	if w, ok := b.Next(5 * time.Second); !ok || w.Record.Epoch != 2 {
+		t.Fatalf("take over after the holder is gone: %+v %v", w, ok)
+	}
+	b.Finish(Written, 2)
+	r, ok := b.Release(6 * time.Second)
+	if !ok || r.Record.Holder != "" || r.Version != 2 {
+		t.Fatalf("release: %+v %v", r, ok)
+	}
+	if _, held := b.Held(6 * time.Second); held {
+		t.Fatal("held after release")
+	}
+}
--- a/coord/placement/decider.go
+++ b/coord/placement/decider.go
@@ -54,6 +54,7 @@
 	retireWhy string
 	loadedAt  map[string]time.Duration // by model: when first reported ready
 	avoid     map[string]time.Duration // by model: not chosen before
+	lost      bool                     // does not answer
 }
 
 // claimState is what the decider knows of one claim record.
@@ -262,7 +263,7 @@
 	ts.known = true
 	ts.stale = false
 	ts.confirmedAt = max(ts.confirmedAt, began)
-	if ts.rep != nil && ts.rep.TakenAt <= began {
+	if ts.rep != nil && !ts.rep.Relayed && ts.rep.TakenAt <= began {
 		ts.confirmed = ts.rep.Incarnation
 	}
 	ts.noteRetired(now)
@@ -303,7 +304,7 @@
 // one known shows nothing beyond it. The record had the same version from
 // knownSince to until.
 func (d *Decider) checkReport(ts *targetState, until time.Duration) {
-	if d.opt.Assert == nil || ts.rep == nil || ts.rep.TakenAt < ts.knownSince || ts.rep.TakenAt > until {
+	if d.opt.Assert == nil || ts.rep == nil || ts.rep.Relayed || ts.rep.TakenAt < ts.knownSince || ts.rep.TakenAt > until {
 		return
 	}
 	var sum int64
@@ -328,6 +329,7 @@
 	if !rep.newerThan(ts.rep) {
 		return
 	}
+	ts.lost = false
 	d.learn(ts, &rep)
 	ts.rep = &rep
 	if rep.MaxFence > ts.rec.Fence || len(ts.retired) > 0 || len(ts.orders) > 0 {
@@ -471,3 +473,29 @@
 	d.serial++
 	return fmt.Sprintf("%s-%d", d.opt.ID, d.serial)
 }
+
+// Use takes in a host's use of a model: requests begun since its last message
+// and running now. Requests that wait are told by Want.
+func (d *Decider) Use(now time.Duration, host, model string, used, running int) {
+	spec, ok := d.specs[model]
+	if !ok {
+		return
+	}
+	for _, name := range []string{model, spec.Base} {
+		if name == "" {
+			continue
+		}
+		ms := d.model(name)
+		if used > 0 {
+			ms.use.arrive(now)
+		}
+		ms.lastUse = now
+		ms.used = true
+		if w := ms.wants[host]; w != nil {
+			w.Running = running
+			continue
+		}
+		ms.put(Want{Host: host, Model: name, Running: running}, now)
+		d.wanted[name] = true
+	}
+}
--- a/coord/placement/orders.go
+++ b/coord/placement/orders.go
@@ -22,6 +22,11 @@
 	until    time.Duration
 }
 
+// Lost takes in that the target does not answer. The next report ends it.
+func (d *Decider) Lost(target string) {
+	d.target(target).lost = true
+}
+
 // order sets what the target shall do with a slot. The same order again
 // changes nothing.
 func (d *Decider) order(ts *targetState, s *Slot, op OrderOp, why string) *orderState {
@@ -56,7 +61,7 @@
 
 // silent reports whether the target has not reported for too long.
 func (d *Decider) silent(ts *targetState) bool {
-	return ts.rep == nil || d.now-ts.rep.TakenAt > d.opt.ReportLife
+	return ts.rep == nil || ts.lost || d.now-ts.rep.TakenAt > d.opt.ReportLife
 }
 
 // reconcile drives the target towards its record and its orders.
@@ -180,10 +185,13 @@
 // record must have been confirmed within SendWindow, and the target must not
 // have restarted since, which takes it longer than that.
 func (d *Decider) maySend(ts *targetState, s *Slot, os *orderState) (time.Duration, bool) {
-	if d.silent(ts) {
+	if d.silent(ts) || ts.rep.Relayed {
 		return 0, false
 	}
 	until := ts.rep.TakenAt + d.opt.SendWindow
+	if d.now >= until {
+		return 0, false
+	}
 	if os.op == OrderUnload {
 		return until, true
 	}
--- a/coord/placement/report.go
+++ b/coord/placement/report.go
@@ -43,7 +43,8 @@
 	Waiting     int   // requests
 	Replicas    map[string]Replica
 	Cached      map[string]Cache
-	TakenAt     time.Duration // receipt less the lag of the report, on the receiver's clock
+	TakenAt     time.Duration // not later than the state described, on the receiver's clock
+	Relayed     bool          // came through another host: TakenAt is not certain
 }
 
 // orderSeparator joins the decision of a slot and the number of an order.
@@ -102,9 +103,9 @@
 // GoneRule holds what Slot.Gone needs besides the report.
 type GoneRule struct {
 	ChecksFence bool
-	// RetiredFor is the time since this process first knew the slot to be
-	// retired. SendWindow plus OrderLife is the time after which every order
-	// sent by a process that did not know it has ended.
+	// RetiredAt is when this process first knew the slot to be retired.
+	// SendWindow plus OrderLife later every order sent by a process that did
+	// not know it has ended.
 	RetiredAt  time.Duration
 	SendWindow time.Duration
 	OrderLife  time.Duration
@@ -131,5 +132,5 @@
 	if s.SeenIncarnation != "" && rep.Incarnation == s.SeenIncarnation {
 		return rep.Sequence > s.SeenSequence
 	}
-	return rep.TakenAt >= rule.RetiredAt+rule.SendWindow+rule.OrderLife
+	return !rep.Relayed && rep.TakenAt >= rule.RetiredAt+rule.SendWindow+rule.OrderLife
 }
--- a/coord/placement/status.go
+++ b/coord/placement/status.go
@@ -109,12 +109,12 @@
 	return false
 }
 
-// Loading returns the targets with a load under way, whose reports are worth
-// reading often.
-func (d *Decider) Loading() []string {
+// Watched returns the targets with something under way, whose own reports are
+// needed often.
+func (d *Decider) Watched() []string {
 	var out []string
 	for _, name := range sortedKeys(d.work) {
-		if len(d.targets[name].orders) > 0 {
+		if ts := d.targets[name]; ts.present && len(ts.orders)+len(ts.retired) > 0 {
 			out = append(out, name)
 		}
 	}
