Decide placement by one host with lease, claims and slots

Cause: the thin placer lets each host decide on its own, with one engine for each model, no eviction, no limits of the weight store and no outage. internal/place runs the cores: lease, wants of all hosts to one decider, reports polled by rendezvous share, orders with fencing numbers. The stand-in engine drains a model before it unloads it, counts undecided loads and forgets its orders on restart; the stand-in store serves adapters and hanging loads. Seen to fail first: a burst looped on its own status question; a model without room held the permit of all others; loads of a retired view were counted twice after the death of the decider. Tests for each are in place_test.go.

interface: target.ReplicaUnloading is new.

--- a/coord/placement/decider.go
+++ b/coord/placement/decider.go
@@ -46,9 +46,10 @@
 	retryAt time.Duration
 	txn     *transaction
 
-	rep     *Report
-	retired map[string]time.Duration // by decision: when known to be retired
-	orders  map[string]*orderState   // by decision of the slot
+	rep           *Report
+	incarnationAt time.Duration            // when a report of this incarnation first came in
+	retired       map[string]time.Duration // by decision: when known to be retired
+	orders        map[string]*orderState   // by decision of the slot
 
 	retiring  map[string]bool // decisions to retire with the next write
 	retireWhy string
@@ -263,7 +264,7 @@
 	ts.known = true
 	ts.stale = false
 	ts.confirmedAt = max(ts.confirmedAt, began)
-	if ts.rep != nil && !ts.rep.Relayed && ts.rep.TakenAt <= began {
+	if ts.rep != nil && ts.incarnationAt <= began {
 		ts.confirmed = ts.rep.Incarnation
 	}
 	ts.noteRetired(now)
@@ -324,13 +325,16 @@
 }
 
 // Report takes in a target's report.
-func (d *Decider) Report(target string, rep Report) {
+func (d *Decider) Report(now time.Duration, target string, rep Report) {
 	ts := d.target(target)
 	if !rep.newerThan(ts.rep) {
 		return
 	}
 	ts.lost = false
 	d.learn(ts, &rep)
+	if ts.rep == nil || ts.rep.Incarnation != rep.Incarnation {
+		ts.incarnationAt = now
+	}
 	ts.rep = &rep
 	if rep.MaxFence > ts.rec.Fence || len(ts.retired) > 0 || len(ts.orders) > 0 {
 		d.attend(ts)
@@ -481,21 +485,31 @@
 	if !ok {
 		return
 	}
-	for _, name := range []string{model, spec.Base} {
-		if name == "" {
-			continue
-		}
-		ms := d.model(name)
-		if used > 0 {
-			ms.use.arrive(now)
-		}
-		ms.lastUse = now
-		ms.used = true
-		if w := ms.wants[host]; w != nil {
-			w.Running = running
-			continue
-		}
-		ms.put(Want{Host: host, Model: name, Running: running}, now)
-		d.wanted[name] = true
+	d.use(now, host, model, used, running)
+	if spec.Base != "" {
+		d.use(now, host+orderSeparator+model, spec.Base, 0, running)
 	}
 }
+
+func (d *Decider) use(now time.Duration, host, model string, used, running int) {
+	ms := d.model(model)
+	if used > 0 {
+		ms.use.arrive(now)
+	}
+	ms.lastUse = now
+	ms.used = true
+	if w := ms.wants[host]; w != nil && w.Waiting > 0 {
+		w.Running = running
+		return
+	}
+	ms.put(Want{Host: host, Model: model, Running: running}, now)
+	d.wanted[model] = true
+}
+
+// SetPace sets how long a want, a use and a report count. Hosts speak less
+// often the more of them there are.
+func (d *Decider) SetPace(wantLife, useQuiet, reportLife time.Duration) {
+	d.opt.WantLife = wantLife
+	d.opt.UseQuiet = useQuiet
+	d.opt.ReportLife = reportLife
+}
--- a/coord/placement/orders.go
+++ b/coord/placement/orders.go
@@ -132,6 +132,9 @@
 	if os.busy || os.sent && d.now < os.sentAt+d.opt.Resend {
 		return
 	}
+	if os.op == OrderLoad && os.sent && ts.rep.Replicas[s.Model].State == StateLoading && ts.rep.TakenAt >= os.firstAt {
+		return // under way
+	}
 	until, ok := d.maySend(ts, s, os)
 	if !ok {
 		return
--- a/coord/placement/places.go
+++ b/coord/placement/places.go
@@ -36,7 +36,8 @@
 		return placeRetiring
 	}
 	os := ts.orders[s.Decision]
-	if os != nil && os.op == OrderUnload {
+	unloading := ts.rep != nil && ts.rep.Replicas[s.Model].State == StateUnloading
+	if unloading || os != nil && os.op == OrderUnload {
 		return placeClosing
 	}
 	if ts.rep != nil && ts.rep.Replicas[s.Model].State == StateReady {
--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -15,6 +15,7 @@
 	deadline time.Duration
 	begin    time.Duration // expected
 	end      time.Duration
+	room     bool // has or gets a slot
 	idle     bool // nobody waits: kept replicas, promises and prewarming
 	late     bool // cannot make its deadline; loaded for those who come back
 }
@@ -173,7 +174,7 @@
 // candidate returns the model's need for another replica, nil if it has none.
 func (d *Decider) candidate(name string) *candidate {
 	spec, ok := d.specs[name]
-	if !ok {
+	if !ok || !d.possible(&spec) {
 		return nil
 	}
 	ms := d.model(name)
@@ -251,11 +252,19 @@
 		}
 	}
 	if c.at != nil {
+		c.room = true
 		return
 	}
 	if ts := d.choose(&c.spec); ts != nil {
+		c.room = true
 		c.cache = ts.cacheOf(c.spec.Name)
 	}
+	c.room = c.room || d.adding(c.ms)
+}
+
+// adding reports whether a slot for the model is on its way into the records.
+func (d *Decider) adding(ms *modelState) bool {
+	return ms.adding != nil && ms.adding.stage != addDropped && d.live(ms.adding)
 }
 
 // baseReady reports whether the target can load the adapter; true for a base
@@ -286,6 +295,7 @@
 		c.begin, c.end = begin, end
 		line.take(c)
 	}
+	// A candidate without room takes no permit: it must not hold up others.
 	for _, c := range cands {
 		if !c.idle && !c.late && !d.opt.DemandOnly {
 			continue
@@ -345,7 +355,7 @@
 		c.ms.reason = "waits for a permit of the weight store"
 		return
 	}
-	if c.ms.adding != nil && c.ms.adding.stage != addDropped && d.live(c.ms.adding) {
+	if d.adding(c.ms) {
 		return
 	}
 	d.place(c)
@@ -382,8 +392,10 @@
 func (d *Decider) freeStranded(model string) {
 	for _, p := range d.places(model) {
 		spec := d.specs[model]
-		stranded := p.state == placeEmpty && (!d.usable(p.ts) || d.now < p.ts.avoid[model] || !d.baseReady(p.ts, &spec))
-		if stranded {
+		if p.state != placeEmpty || d.silent(p.ts) {
+			continue // a silent target may have the model loaded
+		}
+		if p.ts.spec.Leaving || d.now < p.ts.avoid[model] || !d.baseReady(p.ts, &spec) {
 			d.retire(p.ts, p.slot, "slot cannot be used where it is")
 		}
 	}
--- a/coord/placement/report.go
+++ b/coord/placement/report.go
@@ -13,6 +13,9 @@
 	StateLoading State = "loading"
 	StateReady   State = "ready"
 	StateFailed  State = "failed"
+
+	// StateUnloading takes no new requests and still holds its memory.
+	StateUnloading State = "unloading"
 )
 
 // Cache says where a target finds the weights of a model.
--- a/coord/placement/sim_test.go
+++ b/coord/placement/sim_test.go
@@ -435,7 +435,7 @@
 			wait = n.s.upTo(3 * time.Second)
 		}
 		n.s.after(wait, func() {
-			n.do(gen, func() { n.d.Report(spec.Name, rep) })
+			n.do(gen, func() { n.d.Report(n.s.now, spec.Name, rep) })
 		})
 	}
 }
--- a/coord/placement/timeline.go
+++ b/coord/placement/timeline.go
@@ -59,6 +59,7 @@
 // take uses the permits of the candidate.
 func (t *timeline) take(c *candidate) {
 	switch {
+	case !c.room:
 	case c.spec.Base != "":
 		t.adapters--
 	case c.cache == CacheRemote:
--- /dev/null
+++ b/internal/place/cluster_test.go
@@ -0,0 +1,211 @@
+package place
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/coord/placement"
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/invariant"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/peer/peertest"
+	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/standin/engine"
+	"buckthornseam.dev/seam/internal/standin/objectapi"
+	"buckthornseam.dev/seam/internal/standin/weightstore"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// cluster is some hosts before some engines, all in process.
+type cluster struct {
+	t       *testing.T
+	store   *objectapi.Store
+	weights *weightstore.Store
+	engines map[string]*engine.Engine
+	net     *peertest.Net
+	hosts   []*testHost
+	snap    *config.Snapshot
+}
+
+type testHost struct {
+	*Placer
+	host *peertest.Host
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func (c *cluster) Snapshot() *config.Snapshot { return c.snap }
+
+// Order implements target.Controller.
+func (c *cluster) Order(_ context.Context, address string, o target.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	status, data, err := c.call(address, http.MethodPost, target.PathOrders, body)
+	if err != nil || status < 400 {
+		return err
+	}
+	var p target.Problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.Code == target.CodeFenced {
+		return &target.FencedError{Address: address, Fence: o.Fence, Max: p.MaxFence}
+	}
+	return &target.RejectedError{Address: address, Code: p.Code, Reason: p.Message}
+}
+
+// Report implements target.Controller.
+func (c *cluster) Report(_ context.Context, address string) (target.Report, error) {
+	var r target.Report
+	_, data, err := c.call(address, http.MethodGet, target.PathReport, nil)
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(data, &r)
+}
+
+// CacheEvents implements target.Controller.
+func (c *cluster) CacheEvents(context.Context, string, uint64) ([]target.CacheEvent, error) {
+	return nil, nil
+}
+
+func (c *cluster) call(address, method, path string, body []byte) (status int, data []byte, err error) {
+	defer func() {
+		if recover() != nil {
+			err = &target.UnknownOutcomeError{Address: address, Cause: io.ErrUnexpectedEOF}
+		}
+	}()
+	w := httptest.NewRecorder()
+	c.engines[address].Handler().ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(body)))
+	return w.Code, w.Body.Bytes(), nil
+}
+
+// decided reports whether the store has a slot for the model.
+func (c *cluster) decided(engine, model string) bool {
+	obj, err := c.store.Via(nil).Get(context.Background(), platform.KindPlacements, targetPrefix+engine)
+	var rec placement.TargetRecord
+	return err != nil || json.Unmarshal(obj.Data, &rec) == nil && rec.SlotOf(model) != nil
+}
+
+const gb = int64(1 << 30)
+
+// violations makes a violated invariant fail the test that runs now.
+var violations = struct {
+	sync.Mutex
+	list []string
+	once sync.Once
+}{}
+
+func newCluster(t *testing.T, hosts, engines int, models []config.Model) *cluster {
+	violations.once.Do(func() {
+		invariant.OnViolation(func(v invariant.Violation) {
+			violations.Lock()
+			defer violations.Unlock()
+			violations.list = append(violations.list, v.Error())
+		})
+	})
+	c := &cluster{
+		t: t, store: objectapi.NewStore(), engines: map[string]*engine.Engine{}, net: peertest.New(1),
+		weights: weightstore.New(weightstore.Options{LoadsPerSecond: 6, FullSpeed: 4, BytesPerSecond: 2 * float64(gb)}),
+	}
+	e := config.Entities{Models: models}
+	for i := range engines {
+		name := fmt.Sprintf("e%d", i)
+		c.engines[name] = engine.New(engine.Options{
+			Name: name, MemoryBytes: 40 * gb, ChecksFence: i%2 == 0, ReportLag: 20 * time.Millisecond, Fetch: c.weights, Decided: c.decided,
+		})
+		e.Targets = append(e.Targets, config.Target{
+			Name: name, Kind: config.TargetEngine, Address: name, Zone: "suva", Pool: "drafting",
+			MemoryBytes: 40 * gb, Slots: 8, ChecksFence: i%2 == 0, OrderSeconds: 10,
+		})
+	}
+	c.snap = config.NewSnapshot(1, e)
+	for i := range hosts {
+		c.addHost(fmt.Sprintf("h%d", i))
+	}
+	return c
+}
+
+func (c *cluster) addHost(name string) {
+	h := c.net.Add(peer.Member{ID: peer.ID{Name: name, Incarnation: "1"}, Zone: "suva"})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if os.Getenv("PLACE_LOG") != "" {
+		log.SetOutput(os.Stderr)
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	p, err := New(Options{Members: h, Caller: h, Registrar: h, API: c.store.Via(nil), Config: c, Control: c, Log: log})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	th := &testHost{Placer: p, host: h, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(th.done)
+		_ = p.Run(ctx) // ends with the test
+	}()
+	c.hosts = append(c.hosts, th)
+}
+
+// kill ends a host without notice.
+func (c *cluster) kill(h *testHost) {
+	h.host.Down(true)
+	h.stop()
+	<-h.done
+}
+
+func (c *cluster) close() {
+	for _, h := range c.hosts {
+		h.stop()
+		<-h.done
+	}
+	time.Sleep(time.Minute) // lets calls under way end
+	violations.Lock()
+	defer violations.Unlock()
+	for _, v := range violations.list {
+		c.t.Error(v)
+	}
+	violations.list = nil
+}
+
+// decider returns the host that decides.
+func (c *cluster) decider() *testHost {
+	for _, h := range c.hosts {
+		if h.lease.active() {
+			return h
+		}
+	}
+	return nil
+}
+
+// ensure asks for a model at a host within a deadline.
+func (c *cluster) ensure(h *testHost, model string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return h.Ensure(ctx, model)
+}
+
+func (c *cluster) loads(model string) int {
+	n := 0
+	for _, e := range c.engines {
+		n += e.Stats().LoadsByModel[model]
+	}
+	return n
+}
+
+func baseModel(name string, bytes int64) config.Model {
+	return config.Model{Name: name, Bytes: bytes, Pool: "drafting", MaxReplicas: 1, IdleSeconds: 60}
+}
--- a/internal/place/handlers.go
+++ b/internal/place/handlers.go
@@ -52,16 +52,17 @@
 
 // wantInput is a want for the core.
 type wantInput struct {
-	want   placement.Want
-	within bool // Earliest and Latest are remaining times
+	want  placement.Want // Earliest and Latest are remaining times
+	reply chan<- wantResult
 }
 
 func (in wantInput) apply(l *loop, now time.Duration) {
-	if in.within {
-		in.want.Earliest += now
-		in.want.Latest += now
-	}
+	in.want.Earliest += now
+	in.want.Latest += now
 	l.d.Want(now, in.want)
+	l.waits[in.want.Model] = append(l.waits[in.want.Model], waitEntry{
+		reply: in.reply, earliest: in.want.Earliest, until: now + holdAnswer,
+	})
 }
 
 // statusInput asks the core for the state of models.
@@ -98,8 +99,9 @@
 	case r := <-in.reply:
 		return r, true
 	case <-ctx.Done():
-		return statusReply{}, false
+	case <-time.After(2 * holdAnswer): // the loop has ended
 	}
+	return statusReply{}, false
 }
 
 // handleWant answers when the model is ready, when its time is known to the
@@ -112,46 +114,39 @@
 	if !p.lease.active() {
 		return wantResult{Holder: p.lease.hint()}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, holdAnswer)
-	defer cancel()
-	p.loop.tell(ctx, wantInput{within: true, want: placement.Want{
+	reply := make(chan wantResult, 1)
+	in := wantInput{reply: reply, want: placement.Want{
 		Host: from.Name, Model: params.Model, Waiting: params.Waiting, Earliest: params.Earliest, Latest: params.Latest, Used: 1,
-	}})
-	var last wantResult
-	for {
-		stepped := p.loop.next(ctx)
-		r, ok := p.status(ctx, []string{params.Model})
-		if !ok {
-			return last, nil
-		}
-		last = resultOf(r)
-		if final(last, params) || stepped == nil {
-			return last, nil
-		}
-		select {
-		case <-stepped:
-		case <-ctx.Done():
-			return last, nil
-		}
+	}}
+	if !p.loop.tell(ctx, in) {
+		return wantResult{}, nil
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+	case <-time.After(2 * holdAnswer): // the loop has ended
 	}
+	return wantResult{}, nil
 }
 
-func resultOf(r statusReply) wantResult {
-	st := r.models[0]
-	out := wantResult{Decider: r.active, Serving: st.Serving, Reason: st.Reason}
+func (l *loop) wantResult(model string, now time.Duration) wantResult {
+	st := l.d.Status(model)
+	out := wantResult{Decider: l.active, Serving: st.Serving, Reason: st.Reason}
 	if st.ReadyBy > 0 {
-		out.ReadyIn = max(st.ReadyBy-r.now, time.Millisecond)
+		out.ReadyIn = max(st.ReadyBy-now, time.Millisecond)
 	}
 	return out
 }
 
-// final reports whether the asking host can decide about all its requests.
-func final(r wantResult, params wantParams) bool {
+// final reports whether the asking host can decide about all its requests or
+// has one to refuse.
+func final(r wantResult, left time.Duration) bool {
 	switch r.Serving {
 	case placement.ServingReady, placement.ServingImpossible:
 		return true
 	case placement.ServingLoading:
-		return r.ReadyIn > 0 && r.ReadyIn+etaMargin > params.Earliest
+		return r.ReadyIn > 0 && r.ReadyIn+etaMargin > left
 	}
 	return false
 }
--- a/internal/place/host.go
+++ b/internal/place/host.go
@@ -32,13 +32,12 @@
 
 // hostModel is one model as this host sees it.
 type hostModel struct {
-	ready     bool
-	readyAt   time.Duration // when the decider last said so
-	used      int           // since the last message to the decider
-	missed    bool          // the router found no replica though ready was told
-	waiters   map[*waiter]bool
-	asking    bool
-	askCancel context.CancelFunc
+	ready   bool
+	readyAt time.Duration // when the decider last said so
+	used    int           // since the last message to the decider
+	missed  bool          // the router found no replica though ready was told
+	waiters map[*waiter]bool
+	asking  bool // chase runs
 }
 
 // waiter is a request that waits for a model.
--- a/internal/place/leasekeeper.go
+++ b/internal/place/leasekeeper.go
@@ -33,7 +33,6 @@
 	mu      sync.Mutex
 	core    *lease.Lease
 	apiDown bool // last call failed
-	ready   bool // was active when the API went down
 	stopped bool
 	holder  string        // host name of the holder seen last
 	place   int           // rank of this host, -1 if it has none
@@ -111,6 +110,7 @@
 func (k *leaseKeeper) run(ctx context.Context) {
 	for {
 		rank := k.rank()
+		k.p.hosts.Store(int64(len(k.p.opts.Members.Members())))
 		k.mu.Lock()
 		k.place = rank
 		k.mu.Unlock()
--- a/internal/place/loop.go
+++ b/internal/place/loop.go
@@ -28,12 +28,11 @@
 
 // loop owns the decider core.
 type loop struct {
-	p       *Placer
-	d       *placement.Decider
-	inbox   chan input
-	calls   chan struct{} // bounds the calls under way
-	changed chan struct{} // closed and replaced after each step
-	ask     chan chan struct{}
+	p     *Placer
+	d     *placement.Decider
+	inbox chan input
+	calls chan struct{}          // bounds the calls under way
+	waits map[string][]waitEntry // questions without a final answer, by model
 
 	snapshot *config.Snapshot
 	syncAt   time.Duration
@@ -48,8 +47,7 @@
 		d:        placement.NewDecider(policy),
 		inbox:    make(chan input, inboxSize),
 		calls:    make(chan struct{}, maxCalls),
-		changed:  make(chan struct{}),
-		ask:      make(chan chan struct{}),
+		waits:    map[string][]waitEntry{},
 		watching: map[string]time.Duration{},
 	}
 }
@@ -64,17 +62,6 @@
 	}
 }
 
-// next returns a channel that is closed after the next step.
-func (l *loop) next(ctx context.Context) <-chan struct{} {
-	reply := make(chan chan struct{}, 1)
-	select {
-	case l.ask <- reply:
-		return <-reply
-	case <-ctx.Done():
-		return nil
-	}
-}
-
 func (l *loop) run(ctx context.Context) {
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
@@ -84,9 +71,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case reply := <-l.ask:
-			reply <- l.changed
-			continue
 		case <-watch.C:
 			l.watch(ctx)
 			continue
@@ -119,6 +103,7 @@
 		l.syncAt = now + syncEvery
 		l.call(func() { l.sync(ctx) })
 	}
+	l.pace()
 	begin := time.Now()
 	for _, a := range l.d.Step(now) {
 		l.logAction(a)
@@ -126,8 +111,41 @@
 	}
 	l.p.opts.Metrics.Timer("place_step").Record(time.Since(begin))
 	l.watch(ctx)
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.answer(now)
+}
+
+// waitEntry is a question of a host, kept until its answer is final.
+type waitEntry struct {
+	reply    chan<- wantResult // has room for one
+	earliest time.Duration     // first deadline at the host
+	until    time.Duration     // answered at the latest
+}
+
+// answer answers the questions whose answer has become final, or that have
+// been kept for long enough.
+func (l *loop) answer(now time.Duration) {
+	for model, entries := range l.waits {
+		r := l.wantResult(model, now)
+		kept := entries[:0]
+		for _, e := range entries {
+			if now < e.until && r.Decider && !final(r, e.earliest-now) {
+				kept = append(kept, e)
+				continue
+			}
+			e.reply <- r
+		}
+		l.waits[model] = kept
+		if len(kept) == 0 {
+			delete(l.waits, model)
+		}
+	}
+}
+
+// pace fits the lives of what the core is told to how often it is told, which
+// depends on the number of hosts.
+func (l *loop) pace() {
+	interval := l.p.interval()
+	l.d.SetPace(3*interval, 2*interval, 3*l.p.refresh()+time.Second)
 }
 
 // call runs f in its own goroutine; the number of calls is bounded.
@@ -195,7 +213,7 @@
 func (in *watchedInput) apply(l *loop, now time.Duration) {
 	l.watching[in.target] = now + watchEvery
 	if in.ok {
-		l.d.Report(in.target, in.rep)
+		l.d.Report(now, in.target, in.rep)
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -48,6 +49,7 @@
 	opts  Options
 	start time.Time
 	id    string
+	hosts atomic.Int64 // members, counted now and then
 
 	host  *hostSide
 	loop  *loop
@@ -136,7 +138,7 @@
 // interval returns how often a host tells the decider about its use of models,
 // so that the decider hears from at most 50 hosts a second.
 func (p *Placer) interval() time.Duration {
-	return max(useInterval, time.Duration(len(p.opts.Members.Members()))*useIntervalPer)
+	return max(useInterval, time.Duration(p.hosts.Load())*useIntervalPer)
 }
 
 // leaseConfig returns the times of the decider's lease. A decider that dies is
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,210 @@
+package place
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornseam.dev/coord/placement"
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/standin/objectapi"
+)
+
+// settle lets a decider be found and reports be read.
+const settle = 5 * time.Second
+
+func TestBurstLoadsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 8, 4, []config.Model{baseModel("m", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		began := time.Now()
+		var wait sync.WaitGroup
+		for i := range 80 {
+			wait.Go(func() {
+				if err := c.ensure(c.hosts[i%8], "m", 20*time.Second); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wait.Wait()
+		if n := c.loads("m"); n != 1 {
+			t.Errorf("%d loads for one burst", n)
+		}
+		t.Logf("ready after %v, the load alone takes 4s", time.Since(began))
+		if err := c.ensure(c.hosts[3], "m", time.Millisecond); err != nil {
+			t.Errorf("loaded model: %v", err)
+		}
+	})
+}
+
+func TestRefusedAtOnceWhenLoadTakesTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2, []config.Model{baseModel("m", 16*gb), baseModel("huge", 80*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		for model, code := range map[string]refusal.Code{"m": refusal.CodeDeadline, "huge": refusal.CodeNoCapacity, "gone": refusal.CodeUnknownModel} {
+			began := time.Now()
+			err := c.ensure(c.hosts[1], model, 4*time.Second)
+			var ref *refusal.Error
+			if !errors.As(err, &ref) || ref.Code != code || ref.Execution != refusal.NotRun {
+				t.Errorf("%s: %v, want %s", model, err, code)
+			}
+			if waited := time.Since(began); waited > time.Second {
+				t.Errorf("%s: refused after %v only", model, waited)
+			}
+		}
+		// The load goes on for those who were told to come back.
+		time.Sleep(9 * time.Second)
+		if err := c.ensure(c.hosts[2], "m", time.Second); err != nil {
+			t.Errorf("after the time told: %v", err)
+		}
+	})
+}
+
+func TestDeciderDiesDuringLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 2, []config.Model{baseModel("m", 16*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		dead := c.decider()
+		var wait sync.WaitGroup
+		for _, h := range c.hosts {
+			if h == dead {
+				continue
+			}
+			wait.Go(func() {
+				if err := c.ensure(h, "m", 30*time.Second); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		c.kill(dead)
+		wait.Wait()
+		if n := c.loads("m"); n != 1 {
+			t.Errorf("%d loads", n)
+		}
+	})
+}
+
+// TestOutage lets the object API fail for an hour. A model whose slot is held
+// on an engine that checks fencing numbers is loaded again; one without a slot
+// is not.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, []config.Model{baseModel("m", 8*gb), baseModel("new", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		if err := c.ensure(c.hosts[0], "m", 20*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		c.store.SetFaults(objectapi.Faults{Down: true})
+		time.Sleep(30 * time.Minute)
+		if c.engines["e0"].Stats().Unloads != 1 {
+			t.Errorf("idle model not unloaded: %+v", c.engines["e0"].Stats())
+		}
+		if err := c.ensure(c.hosts[1], "m", 20*time.Second); err != nil {
+			t.Errorf("model with a held slot: %v", err)
+		}
+		if err := c.ensure(c.hosts[2], "new", 10*time.Second); err == nil {
+			t.Error("a model was loaded without a decision")
+		}
+		time.Sleep(30 * time.Minute)
+		c.store.SetFaults(objectapi.Faults{})
+		time.Sleep(settle)
+		if err := c.ensure(c.hosts[2], "new", 20*time.Second); err != nil {
+			t.Errorf("after the outage: %v", err)
+		}
+	})
+}
+
+// TestEvictsForWaiting fills the memory and asks for one more model, on both
+// kinds of target.
+func TestEvictsForWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var models []config.Model
+		for i := range 12 {
+			models = append(models, baseModel(fmt.Sprintf("m%d", i), 10*gb))
+		}
+		c := newCluster(t, 3, 2, models)
+		defer c.close()
+		time.Sleep(settle)
+		for i := range 12 {
+			if err := c.ensure(c.hosts[i%3], models[i].Name, 60*time.Second); err != nil {
+				t.Errorf("%s: %v", models[i].Name, err)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+func TestFaultyTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2, []config.Model{baseModel("m", 8*gb), baseModel("slow", 8*gb), baseModel("stuck", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		if err := c.ensure(c.hosts[0], "m", 20*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		// Both engines restart: what was loaded is gone and is loaded again.
+		for _, e := range c.engines {
+			e.Restart()
+		}
+		time.Sleep(2 * time.Second)
+		c.hosts[0].Missed("m")
+		if err := c.ensure(c.hosts[0], "m", 20*time.Second); err != nil {
+			t.Errorf("after a restart: %v", err)
+		}
+		c.weights.Slow(10)
+		if err := c.ensure(c.hosts[1], "slow", 80*time.Second); err != nil {
+			t.Errorf("store slowed by 10: %v", err)
+		}
+		c.weights.Slow(1)
+		c.weights.Hang("stuck", true)
+		if err := c.ensure(c.hosts[2], "stuck", 30*time.Second); err == nil {
+			t.Error("a load that never ends was reported ready")
+		}
+		c.weights.Hang("stuck", false)
+		time.Sleep(3 * time.Minute)
+		if err := c.ensure(c.hosts[2], "stuck", 60*time.Second); err != nil {
+			t.Errorf("after a load that never ended: %v", err)
+		}
+		for _, e := range c.engines {
+			e.SetSilent(true)
+		}
+		time.Sleep(20 * time.Second)
+		c.hosts[0].Missed("m")
+		if err := c.ensure(c.hosts[0], "m", 5*time.Second); err == nil {
+			t.Error("model on a silent engine reported ready")
+		}
+	})
+}
+
+func TestAdapterAndStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		adapter := config.Model{Name: "a", Base: "m", Bytes: gb / 8, Pool: "drafting", MaxReplicas: 1, IdleSeconds: 30}
+		c := newCluster(t, 3, 2, []config.Model{baseModel("m", 8*gb), adapter})
+		defer c.close()
+		time.Sleep(settle)
+		if err := c.ensure(c.hosts[0], "a", 20*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		st, err := c.hosts[2].Status(t.Context(), "")
+		if err != nil || len(st) != 2 || st[0].Serving != placement.ServingReady || st[1].Serving != placement.ServingReady {
+			t.Errorf("status %+v, %v", st, err)
+		}
+		old := c.decider()
+		if err := old.Drain(t.Context()); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(3 * time.Second)
+		if now := c.decider(); now == nil || now == old {
+			t.Error("no new decider after a planned stop")
+		}
+	})
+}
--- a/internal/place/poll.go
+++ b/internal/place/poll.go
@@ -167,7 +167,7 @@
 // each other one now and then.
 func (q *poller) relay(ctx context.Context, reports []targetReport) {
 	now := q.p.now()
-	refresh := max(refreshEvery, time.Duration(len(q.p.opts.Members.Members()))*refreshPer)
+	refresh := q.p.refresh()
 	var params reportsParams
 	for _, r := range reports {
 		lost := q.lost(r)
@@ -192,6 +192,11 @@
 	}
 }
 
+// refresh returns how often an unchanged report is passed on again.
+func (p *Placer) refresh() time.Duration {
+	return max(refreshEvery, time.Duration(p.hosts.Load())*refreshPer)
+}
+
 // digest covers the fields of a report that matter for placement.
 func digest(r target.Report) uint64 {
 	r.Sequence = 0
@@ -212,10 +217,10 @@
 	lost   bool
 }
 
-func (in reportInput) apply(l *loop, _ time.Duration) {
+func (in reportInput) apply(l *loop, now time.Duration) {
 	if in.lost {
 		l.d.Lost(in.target)
 		return
 	}
-	l.d.Report(in.target, in.rep)
+	l.d.Report(now, in.target, in.rep)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,22 +17,12 @@
 	Name         string
 	MemoryBytes  int64
 	ChecksFence  bool
-	TokenDelay   time.Duration // time for each generated token
-	ReportLag    time.Duration // age of the reports given out
-	Fetch        Fetcher       // brings weights; nil means at once
-	DiskCached   []string      // models found on the engine's own disk
-	CrashPrompts string        // a prompt containing this text breaks the connection
-}
-
-// Fetcher brings the weights of a model from the weight store.
-type Fetcher interface {
-	// Fetch returns when the weights are there or cancel is closed.
-	Fetch(model string, bytes int64, cancel <-chan struct{}) error
-}
-
-type replica struct {
-	report target.ReplicaReport
-	cancel chan struct{}
+	TokenDelay   time.Duration                   // time for each generated token
+	ReportLag    time.Duration                   // age of the reports given out
+	Fetch        Fetcher                         // brings weights; nil means at once
+	Decided      func(engine, model string) bool // whether the platform has a slot for the model; nil for no check
+	DiskCached   []string                        // models found on the engine's own disk
+	CrashPrompts string                          // a prompt containing this text breaks the connection
 }
 
 // Engine is a stand-in engine.
@@ -46,6 +36,8 @@
 	maxFence  uint64
 	sequence  uint64
 	running   int
+	runningOf map[string]int // by model
+	silent    bool           // answers nothing on the control interface
 	history   []timedReport
 	events    []target.CacheEvent
 	cached    map[string]target.Cache
@@ -63,6 +55,7 @@
 	Unloads       int
 	Requests      int
 	Overcommits   int // orders that would have exceeded the memory
+	Undecided     int // loads without a slot, see Options.Decided
 	FencedOrders  int
 	KeysSeen      int // requests that carried a credential
 	CutStreams    int
@@ -78,6 +71,7 @@
 		incarnation: uuid.NewString(),
 		replicas:    map[string]*replica{},
 		decisions:   map[string]bool{},
+		runningOf:   map[string]int{},
 		cached:      map[string]target.Cache{},
 		stats:       Stats{LoadsByModel: map[string]int{}, RequestsByTag: map[string]int{}},
 	}
@@ -104,108 +98,6 @@
 	return s
 }
 
-// order carries out an order and returns a problem if it is refused.
-func (e *Engine) order(o target.Order) *target.Problem {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.opts.ChecksFence && o.Fence < e.maxFence {
-		e.stats.FencedOrders++
-		return &target.Problem{Code: target.CodeFenced, Message: "old fencing number", MaxFence: e.maxFence}
-	}
-	e.maxFence = max(e.maxFence, o.Fence)
-	switch o.Op {
-	case target.OrderLoad:
-		return e.load(o)
-	case target.OrderUnload:
-		return e.unload(o)
-	case target.OrderCancel:
-		return e.cancelLoad(o)
-	}
-	return &target.Problem{Code: "unknown_order", Message: string(o.Op)}
-}
-
-// load starts a load; the caller holds mu.
-func (e *Engine) load(o target.Order) *target.Problem {
-	if e.decisions[o.Decision] {
-		return nil
-	}
-	if r := e.replicas[o.Model]; r != nil && r.report.State != target.ReplicaFailed {
-		return &target.Problem{Code: "already_loaded", Message: o.Model}
-	}
-	if e.used()+o.Bytes > e.opts.MemoryBytes {
-		e.stats.Overcommits++
-		return &target.Problem{Code: "out_of_memory", Message: o.Model}
-	}
-	e.decisions[o.Decision] = true
-	r := &replica{
-		report: target.ReplicaReport{Model: o.Model, State: target.ReplicaLoading, Decision: o.Decision, Bytes: o.Bytes},
-		cancel: make(chan struct{}),
-	}
-	e.replicas[o.Model] = r
-	e.stats.Loads++
-	e.stats.LoadsByModel[o.Model]++
-	e.stats.MaxUsedBytes = max(e.stats.MaxUsedBytes, e.used())
-	e.changed()
-	go e.finishLoad(r, o)
-	return nil
-}
-
-func (e *Engine) finishLoad(r *replica, o target.Order) {
-	var err error
-	e.mu.Lock()
-	_, onDisk := e.cached[o.Model]
-	e.mu.Unlock()
-	if e.opts.Fetch != nil && !onDisk {
-		err = e.opts.Fetch.Fetch(o.Model, o.Bytes, r.cancel)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.replicas[o.Model] != r {
-		return
-	}
-	r.report.State = target.ReplicaReady
-	if err != nil {
-		r.report.State = target.ReplicaFailed
-	} else {
-		e.cached[o.Model] = target.CacheDisk
-	}
-	e.changed()
-}
-
-// unload drops a replica; the caller holds mu.
-func (e *Engine) unload(o target.Order) *target.Problem {
-	r := e.replicas[o.Model]
-	if r == nil {
-		return nil
-	}
-	if r.report.State == target.ReplicaLoading {
-		close(r.cancel)
-	}
-	delete(e.replicas, o.Model)
-	e.stats.Unloads++
-	e.changed()
-	return nil
-}
-
-func (e *Engine) cancelLoad(o target.Order) *target.Problem {
-	r := e.replicas[o.Model]
-	if r == nil || r.report.State != target.ReplicaLoading {
-		return nil
-	}
-	return e.unload(o)
-}
-
-// used returns the memory in use; the caller holds mu.
-func (e *Engine) used() int64 {
-	var n int64
-	for _, r := range e.replicas {
-		if r.report.State != target.ReplicaFailed {
-			n += r.report.Bytes
-		}
-	}
-	return n
-}
-
 // changed records a report of the state now; the caller holds mu.
 func (e *Engine) changed() {
 	e.sequence++
@@ -245,10 +137,3 @@
 	r.Age = e.opts.ReportLag
 	return r
 }
-
-func (e *Engine) ready(model string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r := e.replicas[model]
-	return r != nil && r.report.State == target.ReplicaReady
-}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -49,6 +49,7 @@
 }
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	e.hangUpIfSilent()
 	var o target.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		writeJSON(w, http.StatusBadRequest, target.Problem{Code: "malformed", Message: err.Error()})
@@ -62,6 +63,7 @@
 }
 
 func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
+	e.hangUpIfSilent()
 	writeJSON(w, http.StatusOK, e.report())
 }
 
@@ -86,12 +88,11 @@
 	}
 	id := r.Header.Get(target.HeaderRequestID)
 	w.Header().Set(target.HeaderRequestID, id)
-	if !e.ready(req.Model) {
+	if !e.begin(r, id, req.Model) {
 		writeJSON(w, http.StatusConflict, target.Problem{Code: "model_not_loaded", Message: req.Model})
 		return
 	}
-	e.begin(r, id)
-	defer e.end()
+	defer e.end(req.Model)
 	if e.opts.CrashPrompts != "" && strings.Contains(req.text(), e.opts.CrashPrompts) {
 		panic(http.ErrAbortHandler)
 	}
@@ -106,22 +107,30 @@
 	e.whole(w, r, req, chat)
 }
 
-func (e *Engine) begin(r *http.Request, id string) {
+// begin counts a request to a model; it reports false if the model is not ready.
+func (e *Engine) begin(r *http.Request, id, model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.ready(model) {
+		return false
+	}
 	e.running++
+	e.runningOf[model]++
 	e.stats.Requests++
 	e.stats.RequestsByTag[id]++
 	if r.Header.Get("Authorization") != "" || r.Header.Get("X-Api-Key") != "" {
 		e.stats.KeysSeen++
 	}
 	e.changed()
+	return true
 }
 
-func (e *Engine) end() {
+func (e *Engine) end(model string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
+	e.runningOf[model]--
+	e.finishUnload(model)
 	e.changed()
 }
 
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -13,8 +13,17 @@
 	LoadsPerSecond float64 // starts a second
 	FullSpeed      int     // loads in flight at full speed
 	BytesPerSecond float64 // speed of one load at full speed
+
+	Adapter         time.Duration // time to load an adapter, 0 for DefaultAdapter
+	AdapterParallel int           // adapters in flight at full speed, 0 for DefaultAdapterParallel
 }
 
+// Defaults for adapters.
+const (
+	DefaultAdapter         = 8 * time.Millisecond
+	DefaultAdapterParallel = 32
+)
+
 // Store is a stand-in weight store.
 type Store struct {
 	opts Options
@@ -25,6 +34,9 @@
 	slowdown float64 // 1 is healthy
 	loads    int
 	maxAtOne int
+	hanging  map[string]bool // models whose loads never end
+	adapters int             // adapters in flight
+	maxAdapt int
 }
 
 // step is the time between two adjustments of a load's speed.
@@ -32,7 +44,13 @@
 
 // New returns a healthy store.
 func New(opts Options) *Store {
-	return &Store{opts: opts, slowdown: 1}
+	if opts.Adapter == 0 {
+		opts.Adapter = DefaultAdapter
+	}
+	if opts.AdapterParallel == 0 {
+		opts.AdapterParallel = DefaultAdapterParallel
+	}
+	return &Store{opts: opts, slowdown: 1, hanging: map[string]bool{}}
 }
 
 // Slow makes every load take factor times as long.
@@ -49,6 +67,46 @@
 	return s.loads, s.maxAtOne
 }
 
+// Hang makes loads of a model never end, or end again.
+func (s *Store) Hang(model string, hang bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hanging[model] = hang
+}
+
+func (s *Store) hangs(model string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hanging[model]
+}
+
+// MaxAdapters returns the most adapters in flight at once.
+func (s *Store) MaxAdapters() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maxAdapt
+}
+
+// FetchAdapter implements the engine's AdapterFetcher. Beyond
+// Options.AdapterParallel in flight it takes longer in proportion.
+func (s *Store) FetchAdapter(model string, cancel <-chan struct{}) error {
+	s.mu.Lock()
+	s.adapters++
+	s.maxAdapt = max(s.maxAdapt, s.adapters)
+	crowd := max(1, float64(s.adapters)/float64(s.opts.AdapterParallel))
+	took := time.Duration(float64(s.opts.Adapter) * crowd * s.slowdown)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.adapters--
+		s.mu.Unlock()
+	}()
+	if !sleep(took, cancel) {
+		return &CanceledError{Model: model}
+	}
+	return nil
+}
+
 // CanceledError reports a load that was cancelled.
 type CanceledError struct {
 	Model string
@@ -67,7 +125,9 @@
 		if !sleep(step, cancel) {
 			return &CanceledError{Model: model}
 		}
-		left -= s.speed() * step.Seconds()
+		if !s.hangs(model) {
+			left -= s.speed() * step.Seconds()
+		}
 	}
 	return nil
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -37,6 +37,10 @@
 	ReplicaLoading ReplicaState = "loading"
 	ReplicaReady   ReplicaState = "ready"
 	ReplicaFailed  ReplicaState = "failed" // load ended without success; holds no memory
+
+	// ReplicaUnloading takes no new requests; it holds its memory until
+	// those running have ended.
+	ReplicaUnloading ReplicaState = "unloading"
 )
 
 // Cache says where an engine finds the weights of a model.
