Keep models by the gaps of their own use

Cause: one idle time for all models pays for long gaps that nobody returns in. Ruled out: prediction of the next visit alone (most visits are irregular).

--- a/coord/placement/decider.go
+++ b/coord/placement/decider.go
@@ -23,6 +23,7 @@
 	minimum  []string                   // models with replicas kept when idle
 	idleAt   time.Duration              // next search for idle models
 	est      estimator
+	gaps     gapHistogram // over all models
 	store    permits
 	serial   uint64
 	actions  []Action
@@ -350,7 +351,7 @@
 	}
 	ms := d.model(w.Model)
 	if w.Used > 0 {
-		ms.use.arrive(now)
+		d.arrive(ms, now)
 	}
 	if w.Used > 0 || w.Running > 0 || w.Waiting > 0 {
 		ms.lastUse = now
@@ -494,7 +495,7 @@
 func (d *Decider) use(now time.Duration, host, model string, used, running int) {
 	ms := d.model(model)
 	if used > 0 {
-		ms.use.arrive(now)
+		d.arrive(ms, now)
 	}
 	ms.lastUse = now
 	ms.used = true
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -129,13 +129,13 @@
 func (d *Decider) costOf(ts *targetState, s *Slot) float64 {
 	ms := d.model(s.Model)
 	if ts.stateOf(s) == placeEmpty {
-		return ms.use.rate(d.now) * slotCost.Seconds()
+		return ms.use.rate(d.now, ms.lastUse) * slotCost.Seconds()
 	}
 	if d.opt.LRU {
 		return float64(s.Bytes) / max((d.now-ms.lastUse).Seconds(), 1e-3)
 	}
 	cache := max(ts.cacheOf(s.Model), CacheDisk)
-	return ms.use.rate(d.now) * d.est.time(cache, s.Bytes).Seconds()
+	return ms.use.rate(d.now, ms.lastUse) * d.est.time(cache, s.Bytes).Seconds()
 }
 
 // slotCost is the time that the writes of a new slot take.
@@ -185,7 +185,7 @@
 		return
 	}
 	idleFrom := max(ms.lastUse, p.ts.loadedAt[p.slot.Model])
-	if d.now < idleFrom+spec.Idle || d.hasAdapters(p) {
+	if d.now < idleFrom+d.keep(ms, spec) || d.hasAdapters(p) {
 		return
 	}
 	d.unload(p.ts, p.slot, "idle")
@@ -204,7 +204,7 @@
 
 // foreseeReturn has a model loaded ahead of a regular return.
 func (d *Decider) foreseeReturn(ms *modelState, spec *ModelSpec) {
-	next, ok := ms.use.next()
+	next, ok := ms.use.next(ms.lastUse)
 	if !ok {
 		return
 	}
--- a/coord/placement/types.go
+++ b/coord/placement/types.go
@@ -134,6 +134,12 @@
 	CancelAfter time.Duration // a load that nobody wants is cancelled after
 	ScaleAfter  time.Duration // all replicas must be saturated for so long before another is added
 
+	// ColdCost is the idle time of a loaded model that is worth one cold
+	// start less. A model is kept after its last use for as long as its own
+	// history makes worthwhile, and never longer than ModelSpec.Idle. Zero
+	// keeps every model for ModelSpec.Idle.
+	ColdCost time.Duration
+
 	DemandOnly bool // baseline: loads in order of arrival
 	LRU        bool // baseline: evicts the least recently used
 	Prewarm    bool // loads ahead of a regular return, into free memory only
--- a/internal/place/loop.go
+++ b/internal/place/loop.go
@@ -68,10 +68,14 @@
 	watch := time.NewTicker(watchEvery)
 	defer watch.Stop()
 	for {
+		var due <-chan time.Time
+		if l.active {
+			due = watch.C
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-watch.C:
+		case <-due:
 			l.watch(ctx)
 			continue
 		case in := <-l.inbox:
