--- a/coord/placement/decider.go
+++ b/coord/placement/decider.go
@@ -23,6 +23,7 @@
 	minimum  []string                   // models with replicas kept when idle
 	idleAt   time.Duration              // next search for idle models
 	est      estimator
+	gaps     gapHistogram // over all models
 	store    permits
 	serial   uint64
 	actions  []Action
@@ -46,14 +47,16 @@
 	retryAt time.Duration
 	txn     *transaction
 
-	rep     *Report
-	retired map[string]time.Duration // by decision: when known to be retired
-	orders  map[string]*orderState   // by decision of the slot
+	rep           *Report
+	incarnationAt time.Duration            // when a report of this incarnation first came in
+	retired       map[string]time.Duration // by decision: when known to be retired
+	orders        map[string]*orderState   // by decision of the slot
 
 	retiring  map[string]bool // decisions to retire with the next write
 	retireWhy string
 	loadedAt  map[string]time.Duration // by model: when first reported ready
 	avoid     map[string]time.Duration // by model: not chosen before
+	lost      bool                     // does not answer
 }
 
 // claimState is what the decider knows of one claim record.
@@ -262,7 +265,7 @@
 	ts.known = true
 	ts.stale = false
 	ts.confirmedAt = max(ts.confirmedAt, began)
-	if ts.rep != nil && ts.rep.TakenAt <= began {
+	if ts.rep != nil && ts.incarnationAt <= began {
 		ts.confirmed = ts.rep.Incarnation
 	}
 	ts.noteRetired(now)
@@ -303,7 +306,7 @@
 // one known shows nothing beyond it. The record had the same version from
 // knownSince to until.
 func (d *Decider) checkReport(ts *targetState, until time.Duration) {
-	if d.opt.Assert == nil || ts.rep == nil || ts.rep.TakenAt < ts.knownSince || ts.rep.TakenAt > until {
+	if d.opt.Assert == nil || ts.rep == nil || ts.rep.Relayed || ts.rep.TakenAt < ts.knownSince || ts.rep.TakenAt > until {
 		return
 	}
 	var sum int64
@@ -323,12 +326,16 @@
 }
 
 // Report takes in a target's report.
-func (d *Decider) Report(target string, rep Report) {
+func (d *Decider) Report(now time.Duration, target string, rep Report) {
 	ts := d.target(target)
 	if !rep.newerThan(ts.rep) {
 		return
 	}
+	ts.lost = false
 	d.learn(ts, &rep)
+	if ts.rep == nil || ts.rep.Incarnation != rep.Incarnation {
+		ts.incarnationAt = now
+	}
 	ts.rep = &rep
 	if rep.MaxFence > ts.rec.Fence || len(ts.retired) > 0 || len(ts.orders) > 0 {
 		d.attend(ts)
@@ -344,7 +351,7 @@
 	}
 	ms := d.model(w.Model)
 	if w.Used > 0 {
-		ms.use.arrive(now)
+		d.arrive(ms, now)
 	}
 	if w.Used > 0 || w.Running > 0 || w.Waiting > 0 {
 		ms.lastUse = now
@@ -471,3 +478,39 @@
 	d.serial++
 	return fmt.Sprintf("%s-%d", d.opt.ID, d.serial)
 }
+
+// Use takes in a host's use of a model: requests begun since its last message
+// and running now. Requests that wait are told by Want.
+func (d *Decider) Use(now time.Duration, host, model string, used, running int) {
+	spec, ok := d.specs[model]
+	if !ok {
+		return
+	}
+	d.use(now, host, model, used, running)
+	if spec.Base != "" {
+		d.use(now, host+orderSeparator+model, spec.Base, 0, running)
+	}
+}
+
+func (d *Decider) use(now time.Duration, host, model string, used, running int) {
+	ms := d.model(model)
+	if used > 0 {
+		d.arrive(ms, now)
+	}
+	ms.lastUse = now
+	ms.used = true
+	if w := ms.wants[host]; w != nil && w.Waiting > 0 {
+		w.Running = running
+		return
+	}
+	ms.put(Want{Host: host, Model: model, Running: running}, now)
+	d.wanted[model] = true
+}
+
+// SetPace sets how long a want, a use and a report count. Hosts speak less
+// often the more of them there are.
+func (d *Decider) SetPace(wantLife, useQuiet, reportLife time.Duration) {
+	d.opt.WantLife = wantLife
+	d.opt.UseQuiet = useQuiet
+	d.opt.ReportLife = reportLife
+}
