Wire placement by one decider with lease, claims and slots

Cause: the thin placer took an engine by hash, polled it on each request and never unloaded. Change: place.Placer is told which models have requests at targets, and when the router finds none ready; the thin package goes.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -120,6 +120,7 @@
 		Quarantine:    d.quarantine,
 		Retries:       d.retries,
 		Sender:        d.targets,
+		Running:       d.running,
 		EntryHosts:    entry.New(a.members, milliseconds(s.Requests.AnswerLifeMS), seedOf(id)),
 		Log:           log,
 		Metrics:       metrics.Scope,
--- a/internal/app/duties.go
+++ b/internal/app/duties.go
@@ -12,14 +12,15 @@
 	"buckthornseam.dev/seam/internal/journal"
 	"buckthornseam.dev/seam/internal/limit"
 	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/place"
 	"buckthornseam.dev/seam/internal/platform"
 	"buckthornseam.dev/seam/internal/quarantine"
 	"buckthornseam.dev/seam/internal/queue"
 	"buckthornseam.dev/seam/internal/reports"
 	"buckthornseam.dev/seam/internal/retry"
 	"buckthornseam.dev/seam/internal/route"
+	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/target"
-	"buckthornseam.dev/seam/internal/thin"
 )
 
 // runner is a duty with a loop of its own.
@@ -51,7 +52,8 @@
 	queue      *queue.Queue
 	reports    *reports.Cache
 	router     *route.Router
-	placer     *thin.Placer
+	placer     *place.Placer
+	running    *serve.Running
 	journal    *journal.Journal
 	quarantine *quarantine.Quarantine
 	retries    *retry.Budget
@@ -60,7 +62,7 @@
 
 // newDuties builds the duties in the order in which they need one another.
 func newDuties(env environment) (*duties, error) {
-	d := &duties{targets: target.NewClient()}
+	d := &duties{targets: target.NewClient(), running: serve.NewRunning()}
 	for _, build := range []func(environment) error{
 		d.buildConfig, d.buildLimits, d.buildRouting, d.buildQueue, d.buildPlacement, d.buildJournal, d.buildRetries,
 	} {
@@ -118,8 +120,12 @@
 }
 
 func (d *duties) buildPlacement(env environment) error {
-	d.placer = &thin.Placer{Config: d.store, API: env.api, Control: d.targets, Log: env.log}
-	return nil
+	var err error
+	d.placer, err = place.New(place.Options{
+		Members: env.members, Caller: env.caller, Registrar: env.registrar, API: env.api,
+		Config: d.store, Control: d.targets, Running: d.running.Counts, Log: env.log, Metrics: env.metrics,
+	})
+	return err
 }
 
 func (d *duties) buildJournal(env environment) error {
@@ -146,13 +152,13 @@
 
 // runners returns the duties that have loops.
 func (d *duties) runners() []runner {
-	return []runner{d.store, d.limiter, d.reports, d.router, d.queue, d.journal, d.quarantine}
+	return []runner{d.store, d.limiter, d.reports, d.router, d.queue, d.placer, d.journal, d.quarantine}
 }
 
 // drainers returns the duties to hand over, in that order: the journal before
 // the limits, since a call that ends in the journal settles its tokens.
 func (d *duties) drainers() []drainer {
-	return []drainer{d.queue, d.journal, d.limiter}
+	return []drainer{d.queue, d.placer, d.journal, d.limiter}
 }
 
 // seedOf returns a seed that differs between hosts and between starts.
--- a/internal/serve/duties.go
+++ b/internal/serve/duties.go
@@ -62,6 +62,9 @@
 	// Ensure returns once a replica of the model is ready, or a refusal as
 	// soon as it is known that none will be before the ctx deadline.
 	Ensure(ctx context.Context, model string) error
+	// Missed tells that no target had the model although Ensure found it
+	// ready: what this host knows of its replicas is out of date.
+	Missed(model string)
 }
 
 // RouteQuery asks for a target.
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -29,6 +29,7 @@
 	Quarantine Quarantine
 	Retries    RetryBudget
 	Sender     target.Sender
+	Running    *Running     // requests at targets, as placement sees them
 	EntryHosts http.Handler // answers GET /v1/entry-hosts
 	Log        logrus.FieldLogger
 	Metrics    tally.Scope
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -97,6 +97,9 @@
 	if err := m.h.opts.Placer.Ensure(ctx, m.call.model.Name); err != nil {
 		return true, m.finish(err)
 	}
+	// Counted from here on, so that the model is not unloaded while the
+	// request waits in the queue for a target that has it.
+	defer m.h.opts.Running.begin(m.call.model.Name)()
 	release, err := m.h.opts.Queue.Acquire(ctx, m.ticket())
 	if err != nil {
 		return true, m.finish(err)
@@ -107,6 +110,7 @@
 	}
 	choice, err := m.h.opts.Router.Pick(m.query())
 	if err != nil {
+		m.h.opts.Placer.Missed(m.call.model.Name)
 		return false, err
 	}
 	return m.dispatch(ctx, choice)
