--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,7 +15,10 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"buckthornseam.dev/seam/internal/entry"
+	"buckthornseam.dev/seam/internal/retry"
 )
 
 // Mode says how a client uses the addresses it was given.
@@ -44,6 +47,9 @@
 	minRefresh   = 200 * time.Millisecond
 )
 
+// maxHosts bounds the entry hosts whose repeats are counted.
+const maxHosts = 256
+
 // Options configure a Client.
 type Options struct {
 	Seeds []string // IP:port of some entry hosts, asked in order at the start
@@ -51,10 +57,14 @@
 	Mode  Mode
 }
 
+// budgetName is the name under which a client's repeats are counted.
+const budgetName = "caller"
+
 // Client sends requests to entry hosts. It is safe for concurrent use.
 type Client struct {
-	opts Options
-	http *http.Client
+	opts   Options
+	http   *http.Client
+	budget *retry.Budget
 
 	mu      sync.Mutex
 	hosts   []entry.Host // first is the one in use
@@ -90,13 +100,22 @@
 func (e *SilentError) Error() string { return "entry host " + e.Address + " is silent" }
 
 // New returns a client that knows no addresses yet.
-func New(opts Options) *Client {
+func New(opts Options) (*Client, error) {
+	budget, err := retry.New(retry.Options{Metrics: tally.NoopScope, MaxBudgets: maxHosts})
+	if err != nil {
+		return nil, err
+	}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{opts: opts, http: &http.Client{Transport: transport}, stats: Stats{Uses: map[string]int{}}}
+	return &Client{
+		opts:   opts,
+		http:   &http.Client{Transport: transport},
+		budget: budget,
+		stats:  Stats{Uses: map[string]int{}},
+	}, nil
 }
 
 // Request is a request to any entry host.
@@ -112,12 +131,15 @@
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
 	var last error
 	tried := map[string]bool{}
-	for {
+	for attempt := 0; ; attempt++ {
 		address, err := c.pick(ctx, tried)
 		if err != nil {
 			return nil, &NoHostError{Cause: firstError(last, err)}
 		}
 		tried[address] = true
+		if attempt == 0 {
+			c.budget.Sent(budgetName, address)
+		}
 		resp, err := c.send(ctx, address, r)
 		if err == nil {
 			return resp, nil
@@ -127,6 +149,11 @@
 		if c.opts.Mode == ModeOne || ctx.Err() != nil || !(r.Repeatable || isDial(err)) {
 			return nil, err
 		}
+		// Repeats are bounded to a share of the requests: hosts that are
+		// slow from load must not be sent more of it.
+		if !c.budget.Allow(budgetName, address) {
+			return nil, err
+		}
 	}
 }
 
--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -80,7 +80,10 @@
 	})
 	ctx, cancel := waitContext(c.Duration + c.Timeout)
 	defer cancel()
-	s := load.Run(ctx, c.options(progress()), requests)
+	s, err := load.Run(ctx, c.options(progress()), requests)
+	if err != nil {
+		return err
+	}
 	return c.print(c.callerOptions, fmt.Sprintf("%s, %.0f requests a second, mode %s", c.Preset, c.Rate, c.Mode), s)
 }
 
@@ -119,7 +122,10 @@
 	}
 	ctx, cancel := waitContext(length + c.Timeout)
 	defer cancel()
-	s := load.Run(ctx, c.options(progress()), requests)
+	s, err := load.Run(ctx, c.options(progress()), requests)
+	if err != nil {
+		return err
+	}
 	if err := c.print(c.callerOptions, header.Trace, s); err != nil {
 		return err
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -50,10 +50,13 @@
 }
 
 // Run sends the requests at their times and returns the sum of the outcomes.
-func Run(ctx context.Context, opts Options, requests []Request) *Summary {
+func Run(ctx context.Context, opts Options, requests []Request) (*Summary, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	clients := startClients(ctx, opts)
+	clients, err := startClients(ctx, opts)
+	if err != nil {
+		return nil, err
+	}
 	sum := newSummary()
 	var wait sync.WaitGroup
 	start := time.Now()
@@ -75,10 +78,10 @@
 	}
 	wait.Wait()
 	sum.finish(time.Since(start), clients)
-	return sum
+	return sum, nil
 }
 
-func startClients(ctx context.Context, opts Options) []*client {
+func startClients(ctx context.Context, opts Options) ([]*client, error) {
 	clients := make([]*client, opts.Callers)
 	for i := range clients {
 		zone := ""
@@ -88,13 +91,17 @@
 		// Each caller starts with another seed, as callers configured by
 		// different people do.
 		seeds := append(append([]string{}, opts.Seeds[i%len(opts.Seeds):]...), opts.Seeds[:i%len(opts.Seeds)]...)
-		c := &client{Client: caller.New(caller.Options{Seeds: seeds, Zone: zone, Mode: opts.Mode})}
+		each, err := caller.New(caller.Options{Seeds: seeds, Zone: zone, Mode: opts.Mode})
+		if err != nil {
+			return nil, err
+		}
+		c := &client{Client: each}
 		clients[i] = c
 		if opts.Mode == caller.ModeTwo {
 			go c.KeepPaths(ctx)
 		}
 	}
-	return clients
+	return clients, nil
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -87,10 +87,9 @@
 // answer whole.
 func (m *modelRun) relayStream(a *attempt, body io.Reader) error {
 	flush := http.NewResponseController(m.w)
-	events := bufio.NewScanner(body)
-	events.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	for events.Scan() {
-		line := events.Bytes()
+	events := newLineReader(body)
+	for events.next() {
+		line := events.line
 		data, ok := bytes.CutPrefix(line, []byte(eventPrefix))
 		if !ok {
 			continue
@@ -100,17 +99,59 @@
 		if _, err := fmt.Fprintf(m.w, "%s%s\n\n", eventPrefix, data); err != nil {
 			return err
 		}
-		_ = flush.Flush()
+		// Events that have come together leave together.
+		if !events.more() {
+			_ = flush.Flush()
+		}
 		if string(data) == eventDone {
 			return nil
 		}
 		m.delivered++
 	}
-	cause := events.Err()
-	if cause == nil {
-		cause = io.ErrUnexpectedEOF
+	return &IncompleteError{Cause: events.err}
+}
+
+// lineReader reads the lines of a stream of events.
+type lineReader struct {
+	in   *bufio.Reader
+	line []byte // without its end
+	err  error
+}
+
+// readBufferBytes holds several events of usual size.
+const readBufferBytes = 8 << 10
+
+func newLineReader(r io.Reader) *lineReader {
+	return &lineReader{in: bufio.NewReaderSize(r, readBufferBytes)}
+}
+
+// next reads a line. A last line without its end is not returned: it may have
+// been cut.
+func (l *lineReader) next() bool {
+	l.line = l.line[:0]
+	for {
+		part, err := l.in.ReadSlice('\n')
+		l.line = append(l.line, part...)
+		if err == nil {
+			l.line = bytes.TrimRight(l.line, "\r\n")
+			return true
+		}
+		if err == bufio.ErrBufferFull && len(l.line) <= maxEventBytes {
+			continue
+		}
+		l.err = err
+		if err == io.EOF {
+			l.err = io.ErrUnexpectedEOF
+		}
+		return false
 	}
-	return &IncompleteError{Cause: cause}
+}
+
+// more reports whether another whole line has come already. Part of a line
+// does not count: the rest of it may never come.
+func (l *lineReader) more() bool {
+	waiting, _ := l.in.Peek(l.in.Buffered()) // cannot fail for what is buffered
+	return bytes.IndexByte(bytes.TrimLeft(waiting, "\r\n"), '\n') >= 0
 }
 
 // openStream sends the head of a streamed answer once.
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,317 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/refusal"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// fakes implements every duty in the simplest way. Targets t0 and t1 answer
+// with send.
+type fakes struct {
+	mu      sync.Mutex
+	snap    *config.Snapshot
+	send    func(n int, address string, r target.Request) (*target.Response, error)
+	sent    []target.Request
+	invalid bool // keys fail at dispatch
+	settled int64
+	crashed int
+}
+
+func newFakes() *fakes {
+	return &fakes{snap: config.NewSnapshot(1, config.Entities{
+		Teams:     []config.Team{{Name: "a", Rate: 1, Burst: 1, Weight: 1}},
+		Models:    []config.Model{{Name: "m", Pool: "p", ContextTokens: 1000}},
+		Offerings: []config.Offering{{Team: "a", Name: "m", Model: "m", MaxTokens: 4}},
+		Targets: []config.Target{
+			{Name: "t0", Address: "t0", Pool: "p", Resumes: true}, {Name: "t1", Address: "t1", Pool: "p", Resumes: true},
+			{Name: "s0", Address: "s0", Pool: "pay"},
+		},
+		Services: []config.Service{{Name: "pay", Prefix: "/pay", NonRepeatable: true}},
+	})}
+}
+
+func (f *fakes) Snapshot() *config.Snapshot { return f.snap }
+func (f *fakes) Authenticate(string) (*config.Key, error) {
+	return &config.Key{Hash: "h", Team: "a"}, nil
+}
+func (f *fakes) StillValid(string) error {
+	if f.invalid {
+		return refusal.New(401, refusal.CodeInvalidKey, "withdrawn")
+	}
+	return nil
+}
+func (f *fakes) Reserve(context.Context, *config.Team, int64) (Reservation, error) { return f, nil }
+func (f *fakes) Settle(used int64)                                                 { f.settled = used }
+func (f *fakes) Acquire(context.Context, Ticket) (func(), error)                   { return func() {}, nil }
+func (f *fakes) Ensure(context.Context, string) error                              { return nil }
+func (f *fakes) Missed(string)                                                     {}
+func (f *fakes) Check(string, string) error                                        { return nil }
+func (f *fakes) Crashed(string, string, string)                                    { f.crashed++ }
+func (f *fakes) Sent(string, string)                                               {}
+func (f *fakes) Allow(string, string) bool                                         { return true }
+func (f *fakes) Backoff(int) time.Duration                                         { return time.Millisecond }
+func (f *fakes) Do(ctx context.Context, _ AttemptID, run RunFunc) (Answer, error) {
+	a, _, err := run(ctx)
+	return a, err
+}
+
+func (f *fakes) Pick(q RouteQuery) (Choice, error) {
+	for _, name := range []string{"t0", "t1", "s0"} {
+		t := f.snap.Targets[name]
+		if t.Pool == q.Pool && !q.Exclude[name] {
+			return Choice{Target: t, Done: func(Outcome) {}}, nil
+		}
+	}
+	return Choice{}, refusal.New(503, refusal.CodeNoCapacity, "none")
+}
+
+func (f *fakes) Send(ctx context.Context, address string, r target.Request) (*target.Response, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, r)
+	n := len(f.sent)
+	f.mu.Unlock()
+	resp, err := f.send(n, address, r)
+	if resp != nil {
+		resp.Body = &ctxBody{ctx: ctx, ReadCloser: resp.Body}
+	}
+	return resp, err
+}
+
+// ctxBody fails once its context has ended, as a connection's body does.
+type ctxBody struct {
+	ctx context.Context
+	io.ReadCloser
+}
+
+func (b *ctxBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == errSilent {
+		<-b.ctx.Done()
+		return n, b.ctx.Err()
+	}
+	return n, err
+}
+
+type testError string
+
+func (e testError) Error() string { return string(e) }
+
+const (
+	errReset  = testError("connection reset")
+	errSilent = testError("nothing comes any more")
+)
+
+// events returns a body of tokens from..to, ended by end.
+func events(from, to int, done bool, end error) *target.Response {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "data: {\"t\":%d}\n\n", i)
+	}
+	if done {
+		b.WriteString("data: [DONE]\n\n")
+	}
+	r := io.MultiReader(strings.NewReader(b.String()), &endReader{err: end})
+	return &target.Response{Status: 200, Body: io.NopCloser(r)}
+}
+
+type endReader struct{ err error }
+
+func (r *endReader) Read([]byte) (int, error) {
+	if r.err == nil {
+		return 0, io.EOF
+	}
+	return 0, r.err
+}
+
+func (f *fakes) handler() *Handler {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{
+		Config: f, Auth: f, Limits: f, Queue: f, Placer: f, Router: f, Journal: f, Quarantine: f, Retries: f, Sender: f,
+		Running: NewRunning(), EntryHosts: http.NotFoundHandler(), Log: log, Metrics: tally.NoopScope,
+		BodyBytes: 1 << 16, Deadline: 5 * time.Second, TokenGap: time.Second, MaxConcurrent: 10,
+	})
+}
+
+func (f *fakes) post(path, body string, header map[string]string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer k")
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	w := httptest.NewRecorder()
+	f.handler().ServeHTTP(w, r)
+	return w
+}
+
+const streamed = `{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}`
+
+const wholeStream = "data: {\"t\":0}\n\ndata: {\"t\":1}\n\ndata: {\"t\":2}\n\ndata: {\"t\":3}\n\ndata: [DONE]\n\n"
+
+// TestStreams covers the ways in which a stream breaks. A stream that cannot
+// be completed ends with an error event and never with [DONE].
+func TestStreams(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		send func(n int) (*target.Response, error)
+		want string // whole body, or the code of the last event
+	}{
+		{"whole", func(int) (*target.Response, error) { return events(0, 4, true, nil), nil }, wholeStream},
+		{"cut after two tokens, resumed", func(n int) (*target.Response, error) {
+			if n == 1 {
+				return events(0, 2, false, errReset), nil
+			}
+			return events(2, 4, true, nil), nil
+		}, wholeStream},
+		{"closed cleanly without the end, resumed", func(n int) (*target.Response, error) {
+			if n == 1 {
+				return events(0, 3, false, nil), nil
+			}
+			return events(3, 4, true, nil), nil
+		}, wholeStream},
+		{"silent midway, resumed", func(n int) (*target.Response, error) {
+			if n == 1 {
+				return events(0, 1, false, errSilent), nil
+			}
+			return events(1, 4, true, nil), nil
+		}, wholeStream},
+		{"unreachable first", func(n int) (*target.Response, error) {
+			if n == 1 {
+				return nil, &target.UnreachableError{Address: "t0", Cause: errReset}
+			}
+			return events(0, 4, true, nil), nil
+		}, wholeStream},
+		{"all targets cut", func(int) (*target.Response, error) { return events(0, 1, false, errReset), nil }, "target_failed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakes()
+				f.send = func(n int, _ string, _ target.Request) (*target.Response, error) { return tc.send(n) }
+				body := f.post("/v1/chat/completions", streamed, nil).Body.String()
+				if strings.Contains(tc.want, "data:") {
+					if body != tc.want {
+						t.Fatalf("got %q", body)
+					}
+					return
+				}
+				if strings.Contains(body, "[DONE]") || !strings.Contains(body, `"code":"`+tc.want+`"`) {
+					t.Fatalf("got %q", body)
+				}
+			})
+		})
+	}
+}
+
+func TestResumeNamesDeliveredTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		f.send = func(n int, _ string, _ target.Request) (*target.Response, error) {
+			if n == 1 {
+				return events(0, 3, false, errReset), nil
+			}
+			return events(3, 4, true, nil), nil
+		}
+		f.post("/v1/chat/completions", streamed, nil)
+		if got := f.sent[1].Header[target.HeaderResumeFrom]; got != "3" {
+			t.Errorf("resumed from %q", got)
+		}
+		if want := int64(4 + 12); f.settled > want || f.settled < 4 {
+			t.Errorf("charged %d tokens", f.settled)
+		}
+	})
+}
+
+// TestExecution checks that not_run is only said when no byte was sent.
+func TestExecution(t *testing.T) {
+	unreachable := &target.UnreachableError{Address: "s0", Cause: errReset}
+	unknown := &target.UnknownOutcomeError{Address: "s0", Cause: errReset}
+	for _, tc := range []struct {
+		name    string
+		err     error
+		invalid bool
+		header  map[string]string
+		want    refusal.Execution
+		sends   int
+	}{
+		{"unreachable", unreachable, false, nil, refusal.NotRun, 1},
+		{"connection lost", unknown, false, nil, refusal.Unknown, 1},
+		{"connection lost, with idempotency key", unknown, false, map[string]string{HeaderIdempotencyKey: "k"}, refusal.Unknown, 1},
+		{"key withdrawn before dispatch", unknown, true, nil, refusal.NotRun, 0},
+	} {
+		f := newFakes()
+		f.invalid = tc.invalid
+		f.send = func(int, string, target.Request) (*target.Response, error) { return nil, tc.err }
+		w := f.post("/pay/x", "{}", tc.header)
+		if got := refusal.Execution(w.Header().Get(refusal.HeaderExecution)); got != tc.want || len(f.sent) != tc.sends {
+			t.Errorf("%s: execution %q after %d sends, want %q after %d", tc.name, got, len(f.sent), tc.want, tc.sends)
+		}
+	}
+}
+
+func TestKeyNeverEntersARequest(t *testing.T) {
+	f := newFakes()
+	f.send = func(int, string, target.Request) (*target.Response, error) {
+		return &target.Response{Status: 200, Body: io.NopCloser(strings.NewReader("{}"))}, nil
+	}
+	f.post("/pay/x", "{}", map[string]string{"X-Api-Key": "k", "Cookie": "k", "Content-Type": "application/json"})
+	for k, v := range f.sent[0].Header {
+		if strings.Contains(v, "k") && k != "Content-Type" {
+			t.Errorf("header %s: %q", k, v)
+		}
+	}
+}
+
+func TestStoppingHostRefusesAndWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		release := make(chan struct{})
+		f.send = func(int, string, target.Request) (*target.Response, error) {
+			<-release
+			return events(0, 4, true, nil), nil
+		}
+		h := f.handler()
+		w := httptest.NewRecorder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(streamed))
+			r.Header.Set("Authorization", "Bearer k")
+			h.ServeHTTP(w, r)
+		}()
+		synctest.Wait()
+		if h.Load() == 0 {
+			close(release)
+			<-done
+			t.Fatalf("the request is not in progress: %s", w.Body)
+		}
+		h.Stop()
+		late := httptest.NewRecorder()
+		h.ServeHTTP(late, httptest.NewRequest(http.MethodGet, "/v1/models", nil))
+		if late.Code != 503 || !strings.Contains(late.Body.String(), "host_stopping") {
+			t.Errorf("a new request got %d %s", late.Code, late.Body)
+		}
+		close(release)
+		if left := h.Wait(t.Context()); left != 0 {
+			t.Errorf("%d requests left", left)
+		}
+		<-done
+		if w.Body.String() != wholeStream {
+			t.Errorf("the request in progress got %q", w.Body)
+		}
+	})
+}
