Keep keys from targets however they are presented, and tell crashes from lost paths

Cause: a key in a query, cookie or body reached services; a stream cut midway was not counted as a crash, silence was; once all targets had failed a request its refusal said that there was no capacity instead of what failed. Seen failing first: TestStreams with all targets cut said no_capacity. Conclusion: go test ./internal/serve ./internal/demo passes.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -7,32 +7,32 @@
 )
 
 // attempt bounds one dispatch to a target: up to the request's deadline until
-// the first token, then by the gap between tokens.
+// the first token. After that the target's silence is bounded by the sender.
 type attempt struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	gap    time.Duration
 	timer  *time.Timer
 	first  time.Time // arrival of the first token
 }
 
 // newAttempt returns an attempt that ends with the caller's ctx. Bounded
-// carries the deadline for the first token, if any.
-func newAttempt(caller, bounded context.Context, gap time.Duration) *attempt {
+// carries the deadline for the first token; without one, resumed is the bound.
+func newAttempt(caller, bounded context.Context, resumed time.Duration) *attempt {
 	ctx, cancel := context.WithCancel(caller)
-	wait := gap
+	wait := resumed
 	if deadline, ok := bounded.Deadline(); ok {
 		wait = time.Until(deadline)
 	}
-	return &attempt{ctx: ctx, cancel: cancel, gap: gap, timer: time.AfterFunc(wait, cancel)}
+	return &attempt{ctx: ctx, cancel: cancel, timer: time.AfterFunc(wait, cancel)}
 }
 
 // progress notes that a token came.
 func (a *attempt) progress() {
-	if a.first.IsZero() {
-		a.first = time.Now()
+	if !a.first.IsZero() {
+		return
 	}
-	a.timer.Reset(a.gap)
+	a.first = time.Now()
+	a.timer.Stop()
 }
 
 func (a *attempt) close() {
--- a/internal/serve/duties.go
+++ b/internal/serve/duties.go
@@ -133,6 +133,8 @@
 	Check(team, fingerprint string) error
 	// Crashed records that a target was lost while it ran the request.
 	Crashed(team, fingerprint, target string)
+	// Succeeded records that the request ran to its end.
+	Succeeded(team, fingerprint string)
 }
 
 // RetryBudget limits retries to a share of requests (package retry).
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/credential"
 	"buckthornseam.dev/seam/internal/refusal"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -175,7 +176,7 @@
 	h.opts.Metrics.Tagged(map[string]string{"code": string(ref.Code), "execution": string(ref.Execution)}).Counter("refusals").Inc(1)
 	h.opts.Log.WithFields(logrus.Fields{
 		"event":     "request_refused",
-		"path":      r.URL.Path,
+		"path":      credential.Find(r).Scrub(r.URL.Path),
 		"code":      ref.Code,
 		"execution": ref.Execution,
 		"cause":     ref.Error(),
--- a/internal/serve/model.go
+++ b/internal/serve/model.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/credential"
 	"buckthornseam.dev/seam/internal/refusal"
 )
 
@@ -47,11 +48,7 @@
 
 // authenticate finds the key and team of a request.
 func (h *Handler) authenticate(r *http.Request) (*config.Key, *config.Team, error) {
-	presented, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || presented == "" {
-		return nil, nil, refusal.New(http.StatusUnauthorized, refusal.CodeMissingKey, "Send a key as 'Authorization: Bearer KEY'.")
-	}
-	key, err := h.opts.Auth.Authenticate(presented)
+	key, err := h.lookUp(credential.Find(r))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -62,6 +59,20 @@
 	return key, team, nil
 }
 
+// lookUp finds the entry in force of the key that a request presents.
+func (h *Handler) lookUp(presented credential.Presented) (*config.Key, error) {
+	key, ok := presented.Key()
+	if !ok {
+		return nil, refusal.New(http.StatusUnauthorized, refusal.CodeMissingKey, "Send a key, for example as 'Authorization: Bearer KEY'.")
+	}
+	return h.opts.Auth.Authenticate(key)
+}
+
+// leaked refuses a request that repeats its key where a target would see it.
+func leaked(err error) *refusal.Error {
+	return invalidRequest("The request repeats its key outside the place for keys.").WithCause(err)
+}
+
 // parseCall checks a request to a model.
 func (h *Handler) parseCall(w http.ResponseWriter, r *http.Request) (*modelCall, error) {
 	call := &modelCall{id: newRequestID(), arrived: time.Now(), path: r.URL.Path}
@@ -74,6 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := credential.Find(r).Body(body); err != nil {
+		return nil, leaked(err)
+	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, invalidRequest("The request body is not a JSON object.")
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -43,9 +43,11 @@
 	r       *http.Request
 	exclude map[string]bool // targets that failed this request
 
+	attempts  int   // dispatches so far, this one included
 	sent      bool  // some attempt may have reached a target
 	headSent  bool  // the caller has the head of the answer
 	delivered int64 // tokens passed on to the caller
+	failure   error // of the last attempt at a target
 }
 
 // charge returns the tokens that the team pays for.
@@ -110,12 +112,23 @@
 	}
 	choice, err := m.h.opts.Router.Pick(m.query())
 	if err != nil {
-		m.h.opts.Placer.Missed(m.call.model.Name)
-		return false, err
+		return false, m.unrouted(err)
 	}
 	return m.dispatch(ctx, choice)
 }
 
+// unrouted follows up a request for which no target was found. If targets that
+// failed it were left out, they are tried again, and their failure stays the
+// cause; otherwise what this host knows of the model's replicas is out of date.
+func (m *modelRun) unrouted(err error) error {
+	if len(m.exclude) == 0 {
+		m.h.opts.Placer.Missed(m.call.model.Name)
+		return err
+	}
+	m.exclude = map[string]bool{}
+	return m.failure
+}
+
 func (m *modelRun) ticket() Ticket {
 	return Ticket{
 		ID:       m.call.id,
@@ -144,6 +157,7 @@
 func (m *modelRun) dispatch(ctx context.Context, choice Choice) (done bool, err error) {
 	start := time.Now()
 	before := m.delivered
+	m.attempts++
 	a := newAttempt(m.r.Context(), ctx, m.h.opts.TokenGap)
 	defer a.close()
 	m.h.opts.Retries.Sent(m.call.team.Name, choice.Target.Name)
@@ -158,6 +172,7 @@
 	}
 	choice.Done(out)
 	if err == nil {
+		m.h.opts.Quarantine.Succeeded(m.call.team.Name, m.call.fingerprint)
 		return true, nil
 	}
 	return m.judge(ctx, choice.Target, err)
@@ -171,6 +186,8 @@
 		Header:   map[string]string{"Content-Type": "application/json"},
 		Body:     m.call.body,
 		Priority: m.call.offering.Priority,
+		Fresh:    m.attempts > 1,
+		Silence:  m.h.opts.TokenGap,
 	}
 	if m.delivered > 0 && t.Resumes {
 		req.Header[target.HeaderResumeFrom] = formatInt(m.delivered)
@@ -194,28 +211,30 @@
 	if ctx.Err() != nil && !m.headSent {
 		return true, m.finish(m.late(err))
 	}
-	var lost *target.UnknownOutcomeError
-	if errors.As(err, &lost) {
+	if lostWhileRunning(err) {
 		m.h.opts.Quarantine.Crashed(m.call.team.Name, m.call.fingerprint, t.Name)
 		if err := m.h.opts.Quarantine.Check(m.call.team.Name, m.call.fingerprint); err != nil {
 			return true, m.finish(err)
 		}
 	}
-	m.exclude[t.Name] = !m.onlyTarget(t)
+	m.failure = err
+	m.exclude[t.Name] = true
 	if !m.h.opts.Retries.Allow(m.call.team.Name, t.Name) {
 		return true, m.giveUp(err)
 	}
 	return false, err
 }
 
-// onlyTarget reports whether excluding t would leave no engine in the pool.
-func (m *modelRun) onlyTarget(t *config.Target) bool {
-	for _, other := range m.h.opts.Config.Snapshot().Targets {
-		if other.Pool == t.Pool && other.Name != t.Name && !other.Leaving {
-			return false
-		}
+// lostWhileRunning reports whether the target broke the connection while it had
+// the request. Silence is a lost path, not a crash.
+func lostWhileRunning(err error) bool {
+	var silent *target.SilentError
+	var unknown *target.UnknownOutcomeError
+	var incomplete *IncompleteError
+	if errors.As(err, &silent) {
+		return false
 	}
-	return true
+	return errors.As(err, &unknown) || errors.As(err, &incomplete)
 }
 
 func (m *modelRun) execution() refusal.Execution {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -62,6 +62,7 @@
 func (f *fakes) Missed(string)                                                     {}
 func (f *fakes) Check(string, string) error                                        { return nil }
 func (f *fakes) Crashed(string, string, string)                                    { f.crashed++ }
+func (f *fakes) Succeeded(string, string)                                          {}
 func (f *fakes) Sent(string, string)                                               {}
 func (f *fakes) Allow(string, string) bool                                         { return true }
 func (f *fakes) Backoff(int) time.Duration                                         { return time.Millisecond }
@@ -87,22 +88,27 @@
 	f.mu.Unlock()
 	resp, err := f.send(n, address, r)
 	if resp != nil {
-		resp.Body = &ctxBody{ctx: ctx, ReadCloser: resp.Body}
+		resp.Body = &ctxBody{ctx: ctx, silence: r.Silence, ReadCloser: resp.Body}
 	}
 	return resp, err
 }
 
 // ctxBody fails once its context has ended, as a connection's body does.
 type ctxBody struct {
-	ctx context.Context
+	ctx     context.Context
+	silence time.Duration
 	io.ReadCloser
 }
 
 func (b *ctxBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == errSilent {
-		<-b.ctx.Done()
-		return n, b.ctx.Err()
+		select {
+		case <-b.ctx.Done():
+			return n, b.ctx.Err()
+		case <-time.After(b.silence):
+			return n, &target.UnknownOutcomeError{Cause: &target.SilentError{After: b.silence}}
+		}
 	}
 	return n, err
 }
@@ -268,11 +274,17 @@
 	f.send = func(int, string, target.Request) (*target.Response, error) {
 		return &target.Response{Status: 200, Body: io.NopCloser(strings.NewReader("{}"))}, nil
 	}
-	f.post("/pay/x", "{}", map[string]string{"X-Api-Key": "k", "Cookie": "k", "Content-Type": "application/json"})
-	for k, v := range f.sent[0].Header {
-		if strings.Contains(v, "k") && k != "Content-Type" {
-			t.Errorf("header %s: %q", k, v)
-		}
+	const key = "secret-key-0001"
+	w := f.post("/pay/x?api_key="+key, "{}", map[string]string{"Authorization": "Bearer " + key, "X-Api-Key": key, "Cookie": key, "Content-Type": "application/json"})
+	if len(f.sent) != 1 {
+		t.Fatalf("not sent: %s", w.Body)
+	}
+	if text := fmt.Sprint(f.sent[0]); strings.Contains(text, key) {
+		t.Errorf("the target sees %s", text)
+	}
+	w = f.post("/pay/x", `{"note":"`+key+`"}`, map[string]string{"Authorization": "Bearer " + key})
+	if len(f.sent) != 1 || w.Code != http.StatusBadRequest || strings.Contains(w.Body.String(), key) {
+		t.Errorf("a body with the key got %d %s", w.Code, w.Body)
 	}
 }
 
--- a/internal/serve/service.go
+++ b/internal/serve/service.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/credential"
 	"buckthornseam.dev/seam/internal/refusal"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -89,7 +90,7 @@
 	if svc == nil {
 		return nil, refusal.New(http.StatusNotFound, refusal.CodeUnknownRoute, "No service has this path.")
 	}
-	call := &serviceCall{id: newRequestID(), service: svc, method: r.Method, path: r.URL.RequestURI(), header: map[string]string{}}
+	call := &serviceCall{id: newRequestID(), service: svc, method: r.Method}
 	if !svc.Open {
 		key, team, err := h.authenticate(r)
 		if err != nil {
@@ -105,14 +106,26 @@
 		return nil, err
 	}
 	call.body = body
-	for _, name := range serviceHeaders {
-		if v := r.Header.Get(name); v != "" {
-			call.header[name] = v
-		}
+	if err := call.withoutKey(credential.Find(r), r); err != nil {
+		return nil, leaked(err)
 	}
 	return call, nil
 }
 
+// withoutKey takes over path, headers and body for the target. It fails if the
+// key that the request presents would be in any of them.
+func (c *serviceCall) withoutKey(presented credential.Presented, r *http.Request) (err error) {
+	c.path, err = presented.Target(r.URL)
+	if err != nil {
+		return err
+	}
+	c.header, err = presented.Header(r.Header, serviceHeaders)
+	if err != nil {
+		return err
+	}
+	return presented.Body(c.body)
+}
+
 // runService performs the call: journalled, once, or with retries.
 func (h *Handler) runService(ctx context.Context, call *serviceCall, idempotencyKey string) (Answer, error) {
 	if call.repeatable() {
@@ -234,6 +247,7 @@
 	h.opts.Retries.Sent(call.teamName(), choice.Target.Name)
 	resp, err := h.opts.Sender.Send(ctx, choice.Target.Address, target.Request{
 		ID: newRequestID(), Method: call.method, Path: call.path, Header: call.header, Body: call.body,
+		Fresh: !call.repeatable() || len(exclude) > 0,
 	})
 	if err != nil {
 		choice.Done(Outcome{})
