Keep the watches few from the start, and measure costs

Cause: a starting host opened a watch of its own, since nothing had confirmed it yet: 300 hosts made 300 watches.

Ruled out: no own watch at all (a host cut off from its peers, but not from the API, would stop).

--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,24 @@
 	net     *peertest.Net
 	members fixedMembers
 	hosts   []*testHost
+	calls   atomic.Int64
+	bytes   atomic.Int64
+}
+
+// countingCaller counts calls between hosts and the bytes of their JSON.
+type countingCaller struct {
+	*peertest.Host
+	fleet *fleet
+}
+
+func (c *countingCaller) Call(ctx context.Context, host, method string, params, result any) error {
+	err := c.Host.Call(ctx, host, method, params, result)
+	c.fleet.calls.Add(1)
+	for _, v := range []any{params, result} {
+		data, _ := json.Marshal(v)
+		c.fleet.bytes.Add(int64(len(data)))
+	}
+	return err
 }
 
 type testHost struct {
@@ -71,9 +90,13 @@
 }
 
 func newFleet(t *testing.T, ctx context.Context, n int, seed uint64) *fleet {
+	return newZones(t, ctx, n, 3, seed)
+}
+
+func newZones(t *testing.T, ctx context.Context, n, zones int, seed uint64) *fleet {
 	f := &fleet{t: t, ctx: ctx, api: objectapi.NewStore(), net: peertest.New(seed)}
 	for i := range n {
-		m := peer.Member{ID: peer.ID{Name: fmt.Sprintf("host-%d", i), Incarnation: "1"}, Zone: fmt.Sprintf("zone-%d", i%3), State: peer.StateAlive}
+		m := peer.Member{ID: peer.ID{Name: fmt.Sprintf("host-%d", i), Incarnation: "1"}, Zone: fmt.Sprintf("zone-%d", i%zones), State: peer.StateAlive}
 		f.members.list = append(f.members.list, m)
 	}
 	go f.bookmarks()
@@ -97,7 +120,7 @@
 	log.SetLevel(logrus.PanicLevel)
 	s, err := NewStore(StoreOptions{
 		API: &hostAPI{View: f.api.Via(h.view), host: h}, Members: memberView{fleet: f, self: m},
-		Caller: h.peers, Registrar: h.peers, Log: log, Metrics: tally.NoopScope, Seed: seed,
+		Caller: &countingCaller{Host: h.peers, fleet: f}, Registrar: h.peers, Log: log, Metrics: tally.NoopScope, Seed: seed,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -29,7 +29,8 @@
 	callTimeout   = time.Second             // of a call to a peer
 	watchSilence  = 1900 * time.Millisecond // bookmarks come every second
 	listTimeout   = 15 * time.Second        // the API may be as slow as 5 s a call
-	ownWatchAfter = 1500 * time.Millisecond // without confirmation, a host opens a watch itself
+	ownWatchAfter = 3 * time.Second         // without confirmation, a host opens a watch itself
+	ownWatchStart = 6 * time.Second         // a starting host leaves the watchers that long
 	ownWatchLife  = 30 * time.Second        // before such a watch may be closed again
 	bootstrapWait = time.Second             // a starting host asks peers for so long before it lists
 	retryBackoff  = 200 * time.Millisecond  // doubled after each failed call to the API
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -102,3 +102,30 @@
 	}
 	return 0
 }
+
+// TestFewWatchers runs a fleet whose zones have more hosts than watchers, and
+// reports what an idle fleet and a change cost. SEAM_HOSTS makes it larger.
+func TestFewWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := testContext(t)
+		defer end()
+		const zones = 3
+		n := hosts(24)
+		f := newZones(t, ctx, n, zones, 1)
+		f.put("base", teamInstance("base", 1))
+		time.Sleep(10 * time.Second)
+		calls, bytes := f.calls.Load(), f.bytes.Load()
+		const idle = 30 * time.Second
+		time.Sleep(idle)
+		perHost := func(v int64) float64 { return float64(v) / float64(n) / idle.Seconds() }
+		t.Logf("idle: %.1f calls and %.0f bytes of JSON a second for each host", perHost(f.calls.Load()-calls), perHost(f.bytes.Load()-bytes))
+		calls, bytes = f.calls.Load(), f.bytes.Load()
+		f.put("new", teamInstance("new", 7))
+		took := f.awaitTeam("new", 7, make([]platform.Version, n))
+		time.Sleep(time.Second)
+		if opened := f.api.Calls()["watch"]; opened > zones*watchersPerZone {
+			t.Errorf("%d watches, want at most %d for each of %d zones", opened, watchersPerZone, zones)
+		}
+		t.Logf("change: in force everywhere after %v, %d calls and %d bytes in that time and a second", took, f.calls.Load()-calls, f.bytes.Load()-bytes)
+	})
+}
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -70,7 +70,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := s.fresh.SourceAge(s.now())
-	return age < 0 || age > ownWatchAfter
+	if age < 0 {
+		return s.now() > ownWatchStart
+	}
+	return age > ownWatchAfter
 }
 
 // SilentWatchError reports a watch that delivered nothing, not even a
