Document and measure fair queueing and routing

Reports: in fleets of more than seven owners a host asks four owners a second instead of eight (554 bytes a call for four engines: 2.2 KB/s instead of 4.4 KB/s).

--- a/coord/fair/credit.go
+++ b/coord/fair/credit.go
@@ -31,8 +31,9 @@
 	}
 	dt := min(now-c.at, longestGap).Seconds()
 	c.at = now
+	weight := totalWeight(totals)
 	for name, s := range totals {
-		share := equalShare(slots, s, totals)
+		share := equalShare(slots, s, weight)
 		limit := share * creditTime.Seconds()
 		have, known := c.byTeam[name]
 		if !known {
@@ -76,16 +77,17 @@
 // ahead returns by how much the credit of each limited team exceeds that of
 // the limited team with the least for its share; 0 for others.
 func (c *credits) ahead(slots int, totals map[string]*total) map[string]float64 {
+	weight := totalWeight(totals)
 	least := math.Inf(1)
 	for name, s := range totals {
 		if s.limited {
-			least = min(least, c.byTeam[name]/equalShare(slots, s, totals))
+			least = min(least, c.byTeam[name]/equalShare(slots, s, weight))
 		}
 	}
 	out := map[string]float64{}
 	for name, s := range totals {
 		if s.limited {
-			out[name] = max(c.byTeam[name]-least*equalShare(slots, s, totals), 0)
+			out[name] = max(c.byTeam[name]-least*equalShare(slots, s, weight), 0)
 		}
 	}
 	return out
@@ -93,11 +95,16 @@
 
 func (c *credits) forget(team string) { delete(c.byTeam, team) }
 
-// equalShare returns a team's share if all teams wanted theirs.
-func equalShare(slots int, s *total, totals map[string]*total) float64 {
+// equalShare returns a team's share if all teams, of the given weight together,
+// wanted theirs.
+func equalShare(slots int, s *total, weight float64) float64 {
+	return float64(slots) * s.Weight / weight
+}
+
+func totalWeight(totals map[string]*total) float64 {
 	weight := 0.0
-	for _, o := range totals {
-		weight += o.Weight
+	for _, s := range totals {
+		weight += s.Weight
 	}
-	return float64(slots) * s.Weight / weight
+	return weight
 }
--- a/coord/fair/fairness_test.go
+++ b/coord/fair/fairness_test.go
@@ -1,6 +1,8 @@
 package fair
 
 import (
+	"fmt"
+	"os"
 	"testing"
 	"time"
 )
@@ -84,3 +86,51 @@
 		t.Errorf("small team: p95 %v beside, %v alone; refused %d", beside.p95, alone.p95, beside.refused)
 	}
 }
+
+// TestFleet runs 1,200 hosts before one pool of 1,960 slots, with a large team
+// at all hosts and a small one at a single host. It takes a while; set
+// FAIR_FLEET to run it.
+func TestFleet(t *testing.T) {
+	if os.Getenv("FAIR_FLEET") == "" {
+		t.Skip("set FAIR_FLEET to run")
+	}
+	c := simConfig{hosts: 1200, engines: 245, slots: 8, length: 40 * time.Second, reportLag: time.Second, ideal: true}
+	all := make([]int, c.hosts)
+	for i := range all {
+		all[i] = i
+	}
+	s := newSim(c)
+	s.arrivals(simTeam{name: "small", weight: 1, rate: 50, hosts: []int{3}, service: 2 * time.Second, deadline: 30 * time.Second})
+	s.arrivals(simTeam{name: "large", weight: 1, rate: 2000, hosts: all, service: 2 * time.Second, deadline: 30 * time.Second})
+	s.run()
+	if s.violated != "" {
+		t.Error(s.violated)
+	}
+	t.Logf("small: %+v", s.stats("small", 20*time.Second, c.length))
+	t.Logf("large: %+v", s.stats("large", 20*time.Second, c.length))
+	t.Logf("%.1f messages a second and host; %.1f%% of slots free beside a queue",
+		float64(s.messages)/float64(c.hosts)/c.length.Seconds(), 100*s.idle.Seconds()/(float64(c.engines*c.slots)*c.length.Seconds()))
+}
+
+// BenchmarkRoot measures one report and its answer at a root with 16 children.
+func BenchmarkRoot(b *testing.B) {
+	for _, teams := range []int{5, 50} {
+		b.Run(fmt.Sprintf("%d teams", teams), func(b *testing.B) {
+			n := NewNode()
+			n.SetRoot(0, Targets{Sizes: []int{2000}}, -1)
+			d := Demand{}
+			for i := range teams {
+				d.Teams = append(d.Teams, TeamDemand{Team: fmt.Sprintf("team-%02d", i), Weight: 1, Running: 10, Waiting: 20})
+			}
+			i := 0
+			for b.Loop() {
+				i++
+				d.Seq = uint64(i)
+				from := fmt.Sprintf("h%d", i%Fanout)
+				now := time.Duration(i) * time.Millisecond
+				n.Report(now, from, d)
+				n.Grant(now, from)
+			}
+		})
+	}
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -35,7 +35,7 @@
 	callTimeout       = time.Second
 	maxParallelCalls  = 32
 	smallFleetOwners  = 7 // up to this many owners are all asked in each tick
-	ownersATick       = 4 // of more owners, so many are asked in each tick
+	ownersATick       = 2 // of more owners, so many are asked in each tick
 	staleTurns        = 4 // turns of an owner without news after which an engine is polled directly
 	directPollsATick  = 8
 	pinLife           = 5 * time.Minute
