Name the metrics of queue, route and reports apart

Cause: all three used the root scope, where names such as waiting or running may meet those of other duties.

--- a/coord/routing/routing_test.go
+++ b/coord/routing/routing_test.go
@@ -24,24 +24,36 @@
 
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{100, 1000, 4900} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			t := fleet(n)
-			exclude := map[string]bool{"e1": true}
-			var d Decision
-			now := 2 * time.Second
-			b.ReportAllocs()
-			i := uint64(0)
-			for b.Loop() {
-				i++
-				now += 100 * time.Microsecond
-				q := Query{Pool: "p", Model: "m", Prefix: i%1000 + 1, Exclude: exclude}
-				if !t.Pick(now, q, &d) {
-					b.Fatal("no target")
-				}
-				t.Sent(now, d.Chosen, q)
-				t.Done(now, d.Chosen, q, Outcome{OK: true, FirstToken: 200 * time.Millisecond, Held: 2 * time.Second})
-			}
-		})
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchmarkPick(b, fleet(n)) })
+	}
+	// The most targets for which slots are set aside; all of this host's are
+	// in use, so that each decision looks for one in vain.
+	b.Run("128 with quotas", func(b *testing.B) {
+		t := fleet(128)
+		var quotas []Quota
+		for i := range 128 {
+			quotas = append(quotas, Quota{Target: fmt.Sprintf("e%d", i)})
+		}
+		t.SetQuotas("p", quotas, 24*time.Hour)
+		benchmarkPick(b, t)
+	})
+}
+
+func benchmarkPick(b *testing.B, t *Table) {
+	exclude := map[string]bool{"e1": true}
+	var d Decision
+	now := 2 * time.Second
+	b.ReportAllocs()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		now += 100 * time.Microsecond
+		q := Query{Pool: "p", Model: "m", Prefix: i%1000 + 1, Exclude: exclude}
+		if !t.Pick(now, q, &d) {
+			b.Fatal("no target")
+		}
+		t.Sent(now, d.Chosen, q)
+		t.Done(now, d.Chosen, q, Outcome{OK: true, FirstToken: 200 * time.Millisecond, Held: 2 * time.Second})
 	}
 }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -113,6 +113,7 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	o.Metrics = o.Metrics.SubScope("queue")
 	if o.Limits.TeamItems <= 0 {
 		o.Limits.TeamItems = defaultTeamItems
 	}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -105,6 +105,7 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	o.Metrics = o.Metrics.SubScope("reports")
 	if o.Interval == 0 {
 		o.Interval = DefaultInterval
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -86,6 +86,7 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	o.Metrics = o.Metrics.SubScope("route")
 	r := &Router{
 		opts:         o,
 		start:        time.Now(),
