--- a/internal/queue/pool.go
+++ b/internal/queue/pool.go
@@ -28,6 +28,7 @@
 	nextID    uint64
 	reporting bool          // a report is under way
 	reported  time.Duration // start of the latest report
+	unheard   time.Duration // of the latest report without a grant
 	used      time.Duration // last sign of use
 }
 
@@ -43,6 +44,7 @@
 		waiters:  map[uint64]*waiter{},
 		used:     q.now(),
 		reported: -time.Hour,
+		unheard:  -time.Hour,
 	}
 }
 
@@ -197,7 +199,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.owner.now()
-	if !p.queue.Urgent(now) {
+	// A parent that gave no grant is asked again at the usual pace.
+	if !p.queue.Urgent(now) || now-p.unheard < p.view.tree.Interval() {
 		return notUrgent
 	}
 	if p.reporting || now-p.reported < minReportGap {
--- a/internal/queue/report.go
+++ b/internal/queue/report.go
@@ -47,14 +47,15 @@
 	var result reportResult
 	if err := p.owner.opts.Caller.Call(ctx, parent, methodReport, params, &result); err != nil {
 		p.metrics.Counter("report_failures").Inc(1)
-		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.owner.now()
-	if result.Grant != nil {
-		p.node.Apply(now, *result.Grant)
+	if result.Grant == nil {
+		p.unheard = now
+		return
 	}
+	p.node.Apply(now, *result.Grant)
 	p.applyOwn(now)
 }
 
