--- a/coord/placement/decider.go
+++ b/coord/placement/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -15,13 +16,16 @@
 	claims   map[string]*claimState
 	models   map[string]*modelState
 	specs    map[string]ModelSpec
-	where    map[string]map[string]bool // targets with a slot, by model
-	pools    map[string][]string        // targets present, by pool
-	work     map[string]bool            // targets with something under way
-	wanted   map[string]bool            // models with wants
-	promised map[string]bool            // models loaded for callers to come
-	minimum  []string                   // models with replicas kept when idle
-	idleAt   time.Duration              // next search for idle models
+	where    map[string][]string // targets with a slot, sorted, by model
+	pools    map[string][]string // targets present, by pool
+	work     map[string]bool     // targets with something under way
+	wanted   map[string]bool     // models with wants
+	promised map[string]bool     // models loaded for callers to come
+	minimum  []string            // models with replicas kept when idle
+	reserved map[string]int64    // bytes per target that earlier candidates of this step wait for
+	sweep    []string            // models still to be looked at in the search for idle ones
+	sweepAt  time.Duration       // next part of that search
+	sweepLen int                 // models in a part
 	est      estimator
 	gaps     gapHistogram // over all models
 	store    permits
@@ -68,6 +72,7 @@
 	stale   bool
 	retryAt time.Duration
 	adding  []*addition
+	check   bool // some claim may count nothing any more
 }
 
 // modelState is kept for models that are wanted, loaded or were used.
@@ -100,8 +105,9 @@
 		claims:   map[string]*claimState{},
 		models:   map[string]*modelState{},
 		specs:    map[string]ModelSpec{},
-		where:    map[string]map[string]bool{},
+		where:    map[string][]string{},
 		pools:    map[string][]string{},
+		reserved: map[string]int64{},
 		work:     map[string]bool{},
 		wanted:   map[string]bool{},
 		promised: map[string]bool{},
@@ -135,6 +141,9 @@
 		}
 	}
 	sort.Strings(d.minimum)
+	for _, cs := range d.claims {
+		cs.check = true // a target may have left the configuration
+	}
 }
 
 // attend has the next steps look at the target.
@@ -143,16 +152,20 @@
 // reindex replaces the slots of a target in the index by model.
 func (d *Decider) reindex(old, rec *TargetRecord) {
 	for _, s := range old.Slots {
-		delete(d.where[s.Model], rec.Target)
+		names := d.where[s.Model]
+		if i, ok := slices.BinarySearch(names, rec.Target); ok {
+			d.where[s.Model] = slices.Delete(names, i, i+1)
+		}
 		if len(d.where[s.Model]) == 0 {
 			delete(d.where, s.Model)
 		}
+		d.claim(s.base()).check = true
 	}
 	for _, s := range rec.Slots {
-		if d.where[s.Model] == nil {
-			d.where[s.Model] = map[string]bool{}
+		names := d.where[s.Model]
+		if i, ok := slices.BinarySearch(names, rec.Target); !ok {
+			d.where[s.Model] = slices.Insert(names, i, rec.Target)
 		}
-		d.where[s.Model][rec.Target] = true
 	}
 }
 
@@ -194,7 +207,7 @@
 func (d *Decider) model(name string) *modelState {
 	ms := d.models[name]
 	if ms == nil {
-		ms = &modelState{wants: map[string]*hostWant{}}
+		ms = &modelState{}
 		d.models[name] = ms
 	}
 	return ms
@@ -300,6 +313,7 @@
 	cs.version = version
 	cs.known = true
 	cs.stale = false
+	cs.check = true
 }
 
 // checkReport asserts that a report taken while the record was certainly the
@@ -350,7 +364,7 @@
 		return
 	}
 	ms := d.model(w.Model)
-	if w.Used > 0 {
+	if w.Used > 0 || w.Waiting > 0 && ms.waiting() == 0 {
 		d.arrive(ms, now)
 	}
 	if w.Used > 0 || w.Running > 0 || w.Waiting > 0 {
@@ -381,6 +395,9 @@
 	if w.Waiting > 0 && ms.waiting() == 0 {
 		ms.wantedAt = now
 	}
+	if ms.wants == nil {
+		ms.wants = map[string]*hostWant{}
+	}
 	ms.wants[w.Host] = &hostWant{Want: w, at: now}
 }
 
@@ -397,6 +414,7 @@
 			ms.unwantedAt = now
 		}
 		if len(ms.wants) == 0 {
+			ms.wants = nil
 			delete(d.wanted, name)
 		}
 	}
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// idleSweep is the time between searches for idle models.
-const idleSweep = time.Second
+// idleSweep is the time in which all models are searched for idle ones, in
+// sweepParts parts, so that no single step takes long.
+const (
+	idleSweep  = time.Second
+	sweepParts = 10
+)
 
 // victim is a slot that may be retired with what depends on it.
 type victim struct {
@@ -15,29 +19,46 @@
 	cost  float64
 }
 
+// evictTime is the time from the choice of victims to room for a new slot.
+const evictTime = 100 * time.Millisecond
+
+// makeRoomNear makes room on a target with a better cached copy than ts has,
+// if the load is faster there by more than the eviction costs.
+func (d *Decider) makeRoomNear(c *candidate, ts *targetState) bool {
+	here := ts.cacheOf(c.spec.Name)
+	for cache := CacheMemory; cache > here; cache-- {
+		gain := d.est.time(here, c.spec.Bytes) - d.est.time(cache, c.spec.Bytes) - evictTime
+		if gain > 0 && d.makeRoom(&c.spec, cache, gain.Seconds()) {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoom retires the slots that are cheapest to do without, on the target
-// where that frees enough. It reports whether memory is on its way.
-func (d *Decider) makeRoom(spec *ModelSpec) bool {
+// with at least the given cached copy where that frees enough at the least
+// cost below the limit. It reports whether memory is on its way.
+func (d *Decider) makeRoom(spec *ModelSpec, atLeast Cache, limit float64) bool {
 	var best *targetState
 	var bestVictims []victim
-	bestCost := -1.0
 	for _, name := range d.candidatesFor(spec) {
 		ts := d.targets[name]
-		if !d.suits(ts, spec) || ts.txn != nil || ts.capacity() < spec.Bytes {
+		if ts.cacheOf(spec.Name) < atLeast || !d.suits(ts, spec) || ts.txn != nil || ts.capacity() < spec.Bytes {
 			continue
 		}
-		need := spec.Bytes - ts.free() - ts.leavingBytes()
+		need := spec.Bytes + d.reserved[name] - ts.free() - ts.leavingBytes()
 		if need <= 0 {
+			d.reserved[name] += spec.Bytes
 			return true
 		}
-		victims, cost, ok := d.cheapest(ts, need, spec)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = ts, victims, cost
+		if victims, cost, ok := d.cheapest(ts, need, spec); ok && cost < limit {
+			best, bestVictims, limit = ts, victims, cost
 		}
 	}
 	if best == nil {
 		return false
 	}
+	d.reserved[best.rec.Target] += spec.Bytes
 	for _, v := range bestVictims {
 		for _, s := range v.slots {
 			d.retire(best, s, "evicted for "+spec.Name)
@@ -59,10 +80,10 @@
 
 // cheapest returns victims on the target that free the memory needed, and
 // their cost.
-func (d *Decider) cheapest(ts *targetState, need int64, for_ *ModelSpec) ([]victim, float64, bool) {
+func (d *Decider) cheapest(ts *targetState, need int64, newcomer *ModelSpec) ([]victim, float64, bool) {
 	var all []victim
 	for i := range ts.rec.Slots {
-		if v, ok := d.victimOf(ts, &ts.rec.Slots[i], for_); ok {
+		if v, ok := d.victimOf(ts, &ts.rec.Slots[i], newcomer); ok {
 			all = append(all, v)
 		}
 	}
@@ -84,8 +105,8 @@
 
 // victimOf returns what retiring the slot frees and costs; ok is false if the
 // slot must stay.
-func (d *Decider) victimOf(ts *targetState, s *Slot, for_ *ModelSpec) (victim, bool) {
-	if !d.evictable(ts, s) || for_.Base == s.Model {
+func (d *Decider) victimOf(ts *targetState, s *Slot, newcomer *ModelSpec) (victim, bool) {
+	if !d.evictable(ts, s) || newcomer.Base == s.Model {
 		return victim{}, false
 	}
 	v := victim{slots: []*Slot{s}, bytes: s.Bytes, cost: d.costOf(ts, s)}
@@ -144,7 +165,13 @@
 // sweepIdle unloads models without requests, frees targets that leave, and
 // retires slots of models that are no longer configured.
 func (d *Decider) sweepIdle() {
-	for _, model := range sortedKeys(d.where) {
+	if len(d.sweep) == 0 {
+		d.sweep = sortedKeys(d.where)
+		d.sweepLen = len(d.sweep)/sweepParts + 1
+	}
+	part := d.sweep[:min(d.sweepLen, len(d.sweep))]
+	d.sweep = d.sweep[len(part):]
+	for _, model := range part {
 		spec, known := d.specs[model]
 		ms := d.model(model)
 		if !ms.used {
--- a/coord/placement/places.go
+++ b/coord/placement/places.go
@@ -22,8 +22,8 @@
 
 // places returns the slots of a model in the order of target names.
 func (d *Decider) places(model string) []place {
-	var out []place
-	for _, name := range sortedKeys(d.where[model]) {
+	out := make([]place, 0, len(d.where[model]))
+	for _, name := range d.where[model] {
 		ts := d.targets[name]
 		s := ts.rec.SlotOf(model)
 		out = append(out, place{ts: ts, slot: s, state: ts.stateOf(s)})
@@ -127,7 +127,8 @@
 }
 
 // choose returns the target for a new slot: the best cached copy first, then
-// the most free memory. It returns nil if there is no room.
+// the least free memory that suffices, so that large models find room later.
+// It returns nil if there is no room.
 func (d *Decider) choose(spec *ModelSpec) *targetState {
 	var best *targetState
 	var bestCache Cache
@@ -137,12 +138,12 @@
 		if !d.suits(ts, spec) || !ts.open(d.now) {
 			continue
 		}
-		free := ts.free()
+		free := ts.free() - d.reserved[name]
 		if free < spec.Bytes {
 			continue
 		}
 		cache := ts.cacheOf(spec.Name)
-		if best == nil || cache > bestCache || cache == bestCache && free > bestFree {
+		if best == nil || cache > bestCache || cache == bestCache && free < bestFree {
 			best, bestCache, bestFree = ts, cache, free
 		}
 	}
@@ -155,5 +156,5 @@
 	if spec.Base == "" {
 		return d.pools[spec.Pool]
 	}
-	return sortedKeys(d.where[spec.Base])
+	return d.where[spec.Base]
 }
--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -9,7 +10,8 @@
 type candidate struct {
 	spec     ModelSpec
 	ms       *modelState
-	at       *place // held slot to load into, nil if a new one is needed
+	at       *place       // held slot to load into, nil if a new one is needed
+	on       *targetState // target for a new slot, as long as it has room
 	cache    Cache
 	est      time.Duration
 	deadline time.Duration
@@ -30,14 +32,15 @@
 
 // plan decides what is loaded and unloaded next.
 func (d *Decider) plan() {
+	clear(d.reserved)
 	running := d.inFlight()
 	cands := d.candidates()
 	d.schedule(cands, running)
 	for _, c := range cands {
 		d.start(c)
 	}
-	if d.now >= d.idleAt {
-		d.idleAt = d.now + idleSweep
+	if d.now >= d.sweepAt {
+		d.sweepAt = d.now + idleSweep/sweepParts
 		d.sweepIdle()
 	}
 }
@@ -251,17 +254,29 @@
 			c.cache = cache
 		}
 	}
-	if c.at != nil {
+	if c.at != nil && c.cache > CacheRemote || c.at != nil && !d.mayClaim(&c.spec) {
+		c.room = true
+		return
+	}
+	c.on = d.choose(&c.spec)
+	if c.at != nil && (c.on == nil || c.on.cacheOf(c.spec.Name) <= c.cache) {
 		c.room = true
 		return
 	}
-	if ts := d.choose(&c.spec); ts != nil {
+	c.at = nil
+	if c.on != nil {
 		c.room = true
-		c.cache = ts.cacheOf(c.spec.Name)
+		c.cache = c.on.cacheOf(c.spec.Name)
 	}
 	c.room = c.room || d.adding(c.ms)
 }
 
+// mayClaim reports whether the model may have another slot.
+func (d *Decider) mayClaim(spec *ModelSpec) bool {
+	cs := d.claim(spec.claimBase())
+	return cs.known && cs.rec.Count(spec.Name) < spec.Max
+}
+
 // adding reports whether a slot for the model is on its way into the records.
 func (d *Decider) adding(ms *modelState) bool {
 	return ms.adding != nil && ms.adding.stage != addDropped && d.live(ms.adding)
@@ -277,11 +292,16 @@
 	return base != nil && ts.stateOf(base) == placeReady
 }
 
-// schedule orders the candidates and foresees when each is loaded. Those for
-// whom somebody waits come by the latest time at which their load may begin;
-// one that cannot make its deadline gives way to all that can.
+// schedule orders the candidates and foresees when each is loaded. The shortest
+// load for the most waiting requests comes first, which keeps the sum of all
+// waits small, as long as every load then ends in time. Otherwise the earliest
+// deadline comes first, so that none is missed for a load with a later one; a
+// load that cannot make its deadline at its turn gives way to all that can.
 func (d *Decider) schedule(cands []*candidate, f flights) {
-	sort.SliceStable(cands, func(i, j int) bool { return d.before(cands[i], cands[j]) })
+	sort.SliceStable(cands, func(i, j int) bool { return d.shorter(cands[i], cands[j]) })
+	if d.opt.DemandOnly || !d.allInTime(cands, f) {
+		sort.SliceStable(cands, func(i, j int) bool { return d.before(cands[i], cands[j]) })
+	}
 	line := newTimeline(d.now, f, d.opt, &d.store)
 	for _, c := range cands {
 		if c.idle || d.opt.DemandOnly {
@@ -310,6 +330,31 @@
 	}
 }
 
+// shorter orders by the time of the load for each waiting request.
+func (d *Decider) shorter(a, b *candidate) bool {
+	if a.idle != b.idle {
+		return b.idle
+	}
+	return a.est.Seconds()*float64(b.ms.waiting()) < b.est.Seconds()*float64(a.ms.waiting())
+}
+
+// allInTime reports whether the loads end by their deadlines in this order, as
+// far as they could alone.
+func (d *Decider) allInTime(cands []*candidate, f flights) bool {
+	line := newTimeline(d.now, f, d.opt, &d.store)
+	for _, c := range cands {
+		if c.idle {
+			continue
+		}
+		c.begin, c.end = line.foresee(c)
+		if c.end > c.deadline && d.now+c.est <= c.deadline {
+			return false
+		}
+		line.take(c)
+	}
+	return true
+}
+
 func (d *Decider) before(a, b *candidate) bool {
 	if a.idle != b.idle {
 		return b.idle
@@ -317,7 +362,10 @@
 	if d.opt.DemandOnly {
 		return a.ms.firstWant() < b.ms.firstWant()
 	}
-	return a.deadline-a.est < b.deadline-b.est
+	if a.deadline != b.deadline {
+		return a.deadline < b.deadline
+	}
+	return a.est > b.est
 }
 
 // firstWant returns when the model was first waited for.
@@ -372,7 +420,15 @@
 		d.freeStranded(c.spec.Name)
 		return
 	}
-	if ts := d.choose(&c.spec); ts != nil {
+	ts := c.on
+	if ts == nil || !ts.open(d.now) || ts.free()-d.reserved[ts.rec.Target] < c.spec.Bytes {
+		ts = d.choose(&c.spec)
+	}
+	if ts != nil && !c.idle && d.makeRoomNear(c, ts) {
+		c.ms.reason = "waits for memory to be freed beside its cached copy"
+		return
+	}
+	if ts != nil {
 		c.ms.reason = "gets a slot on " + ts.rec.Target
 		c.ms.adding = d.propose(ts, c.spec, "slot for "+c.spec.Name)
 		return
@@ -380,7 +436,7 @@
 	if d.now < c.ms.prewarmUntil && c.idle {
 		return
 	}
-	if d.makeRoom(&c.spec) {
+	if d.makeRoom(&c.spec, CacheRemote, math.Inf(1)) {
 		c.ms.reason = "waits for memory to be freed"
 		return
 	}
--- a/coord/placement/record.go
+++ b/coord/placement/record.go
@@ -57,6 +57,14 @@
 	SeenSequence    uint64 `json:"seen_sequence,omitempty"`
 }
 
+// base returns the base model whose record holds the claim of the slot.
+func (s *Slot) base() string {
+	if s.Base != "" {
+		return s.Base
+	}
+	return s.Model
+}
+
 // TargetRecord is the stored placement of one target.
 type TargetRecord struct {
 	Target string `json:"target"`
--- a/coord/placement/transact.go
+++ b/coord/placement/transact.go
@@ -83,12 +83,13 @@
 func (d *Decider) sweepClaims() {
 	for _, base := range sortedKeys(d.claims) {
 		cs := d.claims[base]
-		if !cs.known || cs.busy || cs.stale || d.now < cs.retryAt {
+		if !cs.known || cs.busy || cs.stale || d.now < cs.retryAt || !cs.check && len(cs.adding) == 0 {
 			continue
 		}
+		cs.check = false
 		void := map[string]bool{}
 		for i := range cs.rec.Claims {
-			if d.claimVoid(&cs.rec.Claims[i]) {
+			if d.claimVoid(cs, &cs.rec.Claims[i]) {
 				void[cs.rec.Claims[i].Decision] = true
 			}
 		}
@@ -136,11 +137,15 @@
 
 // claimVoid reports whether a claim may be dropped. A claim on a target that
 // the operators have taken out of the configuration is dropped on their word.
-func (d *Decider) claimVoid(c *Claim) bool {
+func (d *Decider) claimVoid(cs *claimState, c *Claim) bool {
 	ts := d.targets[c.Target]
 	if ts == nil || !ts.present {
 		return true
 	}
+	if ts.known && ts.rec.Slot(c.Decision) != nil {
+		return false
+	}
+	cs.check = true // to be settled by a later step
 	if !ts.known || ts.pending(c.Decision) {
 		return false
 	}
--- a/coord/placement/usage.go
+++ b/coord/placement/usage.go
@@ -12,7 +12,7 @@
 func gapEdge(i int) time.Duration { return time.Duration(2<<i) * time.Second }
 
 // gapHistogram counts the gaps between uses by length.
-type gapHistogram [gapBuckets]float64
+type gapHistogram [gapBuckets]float32
 
 func (h *gapHistogram) add(gap time.Duration) {
 	for i := range h {
@@ -26,13 +26,13 @@
 func (h *gapHistogram) total() float64 {
 	var sum float64
 	for _, n := range h {
-		sum += n
+		sum += float64(n)
 	}
 	return sum
 }
 
 // fade lets older gaps count less.
-func (h *gapHistogram) fade(factor float64) {
+func (h *gapHistogram) fade(factor float32) {
 	for i := range h {
 		h[i] *= factor
 	}
@@ -57,10 +57,10 @@
 	for i, n := range h {
 		typical := gapEdge(i) * 3 / 4
 		if gapEdge(i) <= keep {
-			cost += n * typical.Seconds()
+			cost += float64(n) * typical.Seconds()
 			continue
 		}
-		cost += n * (keep + cold).Seconds()
+		cost += float64(n) * (keep + cold).Seconds()
 	}
 	return cost
 }
@@ -138,7 +138,7 @@
 	mixed := ms.use.gaps
 	if all := d.gaps.total(); all > 0 {
 		for i := range mixed {
-			mixed[i] += d.gaps[i] * ownWeight / all
+			mixed[i] += d.gaps[i] * float32(ownWeight/all)
 		}
 	}
 	return max(d.opt.MinResident, mixed.keepTime(d.opt.ColdCost, spec.Idle))
--- a/internal/place/handlers.go
+++ b/internal/place/handlers.go
@@ -116,7 +116,7 @@
 	}
 	reply := make(chan wantResult, 1)
 	in := wantInput{reply: reply, want: placement.Want{
-		Host: from.Name, Model: params.Model, Waiting: params.Waiting, Earliest: params.Earliest, Latest: params.Latest, Used: 1,
+		Host: from.Name, Model: params.Model, Waiting: params.Waiting, Earliest: params.Earliest, Latest: params.Latest,
 	}}
 	if !p.loop.tell(ctx, in) {
 		return wantResult{}, nil
