--- a/coord/placement/estimate.go
+++ b/coord/placement/estimate.go
@@ -5,9 +5,30 @@
 	"time"
 )
 
-// estimator learns how fast weights load from each place of the cache.
+// route is the way by which weights reach a target: the places of the cache,
+// and for adapters one of their own, which is far faster than the weight store
+// for their size.
+type route int
+
+const (
+	routeAdapter = route(CacheMemory) + 1
+	routes       = int(routeAdapter) + 1
+)
+
+// routeOf returns the way of a load.
+func routeOf(c Cache, base string) route {
+	if base != "" {
+		return routeAdapter
+	}
+	return route(c)
+}
+
+// adapterSpeed is the first estimate of bytes a second of an adapter's load.
+const adapterSpeed = 25e9
+
+// estimator learns how fast weights load by each route.
 type estimator struct {
-	speed [3]float64 // bytes a second, by Cache
+	speed [routes]float64 // bytes a second
 	floor time.Duration
 }
 
@@ -15,28 +36,31 @@
 const speedGain = 0.3
 
 func newEstimator(speed [3]float64, floor time.Duration) estimator {
-	return estimator{speed: speed, floor: floor}
+	e := estimator{floor: floor}
+	copy(e.speed[:], speed[:])
+	e.speed[routeAdapter] = adapterSpeed
+	return e
 }
 
 // time returns the expected duration of a load.
-func (e *estimator) time(c Cache, bytes int64) time.Duration {
-	seconds := float64(bytes) / e.speed[c]
+func (e *estimator) time(by route, bytes int64) time.Duration {
+	seconds := float64(bytes) / e.speed[by]
 	return max(e.floor, time.Duration(seconds*float64(time.Second)))
 }
 
 // measured takes in the duration of a finished load.
-func (e *estimator) measured(c Cache, bytes int64, took time.Duration) {
+func (e *estimator) measured(by route, bytes int64, took time.Duration) {
 	if took <= 0 {
 		return
 	}
 	speed := float64(bytes) / took.Seconds()
-	e.speed[c] = math.Exp((1-speedGain)*math.Log(e.speed[c]) + speedGain*math.Log(speed))
+	e.speed[by] = math.Exp((1-speedGain)*math.Log(e.speed[by]) + speedGain*math.Log(speed))
 }
 
 // slower takes in a load that is still not finished after the given time.
-func (e *estimator) slower(c Cache, bytes int64, sofar time.Duration) {
-	if bound := float64(bytes) / sofar.Seconds(); bound < e.speed[c] {
-		e.speed[c] = bound
+func (e *estimator) slower(by route, bytes int64, sofar time.Duration) {
+	if bound := float64(bytes) / sofar.Seconds(); bound < e.speed[by] {
+		e.speed[by] = bound
 	}
 }
 
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -27,7 +27,7 @@
 func (d *Decider) makeRoomNear(c *candidate, ts *targetState) bool {
 	here := ts.cacheOf(c.spec.Name)
 	for cache := CacheMemory; cache > here; cache-- {
-		gain := d.est.time(here, c.spec.Bytes) - d.est.time(cache, c.spec.Bytes) - evictTime
+		gain := d.est.time(route(here), c.spec.Bytes) - d.est.time(route(cache), c.spec.Bytes) - evictTime
 		if gain > 0 && d.makeRoom(&c.spec, cache, gain.Seconds()) {
 			return true
 		}
@@ -156,7 +156,7 @@
 		return float64(s.Bytes) / max((d.now-ms.lastUse).Seconds(), 1e-3)
 	}
 	cache := max(ts.cacheOf(s.Model), CacheDisk)
-	return ms.use.rate(d.now, ms.lastUse) * d.est.time(cache, s.Bytes).Seconds()
+	return ms.use.rate(d.now, ms.lastUse) * d.est.time(routeOf(cache, s.Base), s.Bytes).Seconds()
 }
 
 // slotCost is the time that the writes of a new slot take.
@@ -235,7 +235,7 @@
 	if !ok {
 		return
 	}
-	lead := 2*d.est.time(CacheRemote, spec.Bytes) + idleSweep
+	lead := 2*d.est.time(routeOf(CacheRemote, spec.Base), spec.Bytes) + idleSweep
 	until := next + time.Duration(4*ms.use.dev*float64(time.Second)) + lead
 	if d.now < next-lead || d.now > until {
 		return
--- a/coord/placement/orders.go
+++ b/coord/placement/orders.go
@@ -35,7 +35,7 @@
 	}
 	os := &orderState{op: op, id: d.orderID(ts, s, op), why: why}
 	os.cache = ts.cacheOf(s.Model)
-	os.est = d.est.time(os.cache, s.Bytes)
+	os.est = d.est.time(routeOf(os.cache, s.Base), s.Bytes)
 	ts.orders[s.Decision] = os
 	d.attend(ts)
 	return os
@@ -240,7 +240,7 @@
 			continue
 		}
 		if now.State == StateReady {
-			d.est.measured(os.cache, s.Bytes, rep.TakenAt-os.firstAt)
+			d.est.measured(routeOf(os.cache, s.Base), s.Bytes, rep.TakenAt-os.firstAt)
 		}
 		os.shown = true
 	}
--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -90,8 +90,8 @@
 func (d *Decider) abandon(ts *targetState, s *Slot, os *orderState) bool {
 	sofar := d.now - os.firstAt
 	if sofar > 2*os.est {
-		d.est.slower(os.cache, s.Bytes, sofar)
-		os.est = d.est.time(os.cache, s.Bytes)
+		d.est.slower(routeOf(os.cache, s.Base), s.Bytes, sofar)
+		os.est = d.est.time(routeOf(os.cache, s.Base), s.Bytes)
 	}
 	if os.until == 0 {
 		os.until = os.firstAt + max(time.Duration(d.opt.LoadFactor*float64(os.est)), minLoadLimit)
@@ -204,7 +204,7 @@
 	}
 	c := &candidate{spec: spec, ms: ms, idle: !waiting || ready > 0}
 	d.locate(c, places)
-	c.est = d.est.time(c.cache, spec.Bytes)
+	c.est = d.est.time(routeOf(c.cache, spec.Base), spec.Bytes)
 	c.deadline = ms.deadline(d.now + c.est)
 	return c
 }
--- a/coord/placement/wants.go
+++ b/coord/placement/wants.go
@@ -55,7 +55,7 @@
 	}
 	// An adapter needs its base model as well, a little earlier.
 	key := w.Host + orderSeparator + w.Model
-	lead := d.est.time(CacheRemote, spec.Bytes)
+	lead := d.est.time(routeAdapter, spec.Bytes)
 	w.Model = spec.Base
 	w.Host = key
 	w.Earliest -= lead
