Read an engine's report anew when a router misses a model there

Cause: after an engine's restart hosts were told ready for up to two seconds, and a request used up its attempts. Now the decider reads the reports of the engines concerned before it answers; seen in TestFaultyTargets, which asks 30 ms after the restart.

--- a/internal/place/handlers.go
+++ b/internal/place/handlers.go
@@ -52,17 +52,21 @@
 
 // wantInput is a want for the core.
 type wantInput struct {
-	want  placement.Want // Earliest and Latest are remaining times
-	reply chan<- wantResult
+	want   placement.Want // Earliest and Latest are remaining times
+	missed bool           // the host's router found no replica
+	reply  chan<- wantResult
 }
 
 func (in wantInput) apply(l *loop, now time.Duration) {
 	in.want.Earliest += now
 	in.want.Latest += now
 	l.d.Want(now, in.want)
-	l.waits[in.want.Model] = append(l.waits[in.want.Model], waitEntry{
-		reply: in.reply, earliest: in.want.Earliest, until: now + holdAnswer,
-	})
+	e := waitEntry{reply: in.reply, earliest: in.want.Earliest, until: now + holdAnswer}
+	if in.missed {
+		e.from = now + recheckTime
+		l.recheck(in.want.Model, now)
+	}
+	l.waits[in.want.Model] = append(l.waits[in.want.Model], e)
 }
 
 // statusInput asks the core for the state of models.
@@ -115,7 +119,7 @@
 		return wantResult{Holder: p.lease.hint()}, nil
 	}
 	reply := make(chan wantResult, 1)
-	in := wantInput{reply: reply, want: placement.Want{
+	in := wantInput{reply: reply, missed: params.Missed, want: placement.Want{
 		Host: from.Name, Model: params.Model, Waiting: params.Waiting, Earliest: params.Earliest, Latest: params.Latest,
 	}}
 	if !p.loop.tell(ctx, in) {
--- a/internal/place/loop.go
+++ b/internal/place/loop.go
@@ -37,7 +37,8 @@
 	snapshot *config.Snapshot
 	syncAt   time.Duration
 	syncing  bool
-	watching map[string]time.Duration // last own poll, by target
+	watching map[string]time.Duration // next own poll, by target
+	suspect  map[string]time.Duration // targets to poll once, with the time of the suspicion
 	active   bool
 }
 
@@ -49,6 +50,7 @@
 		calls:    make(chan struct{}, maxCalls),
 		waits:    map[string][]waitEntry{},
 		watching: map[string]time.Duration{},
+		suspect:  map[string]time.Duration{},
 	}
 }
 
@@ -123,6 +125,18 @@
 	reply    chan<- wantResult // has room for one
 	earliest time.Duration     // first deadline at the host
 	until    time.Duration     // answered at the latest
+	from     time.Duration     // not answered before
+}
+
+// recheckTime is the time given to read the reports of the engines that should
+// have a model when a router found it on none.
+const recheckTime = 100 * time.Millisecond
+
+// recheck has the reports of the model's engines read at the next watch.
+func (l *loop) recheck(model string, now time.Duration) {
+	for _, p := range l.d.Status(model).Places {
+		l.suspect[p.Target] = now
+	}
 }
 
 // answer answers the questions whose answer has become final, or that have
@@ -132,7 +146,7 @@
 		r := l.wantResult(model, now)
 		kept := entries[:0]
 		for _, e := range entries {
-			if now < e.until && r.Decider && !final(r, e.earliest-now) {
+			if now < e.from || now < e.until && r.Decider && !final(r, e.earliest-now) {
 				kept = append(kept, e)
 				continue
 			}
@@ -194,7 +208,12 @@
 		return
 	}
 	now := l.p.now()
-	for _, name := range l.d.Watched() {
+	names := l.d.Watched()
+	for name := range l.suspect {
+		names = append(names, name)
+	}
+	clear(l.suspect)
+	for _, name := range names {
 		t := l.snapshot.Targets[name]
 		if t == nil || now < l.watching[name] {
 			continue
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -155,10 +155,10 @@
 		for _, e := range c.engines {
 			e.Restart()
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(30 * time.Millisecond) // lag of reports
 		c.hosts[0].Missed("m")
-		if err := c.ensure(c.hosts[0], "m", 20*time.Second); err != nil {
-			t.Errorf("after a restart: %v", err)
+		if err := c.ensure(c.hosts[0], "m", 20*time.Second); err != nil || c.loads("m") != 2 {
+			t.Errorf("after a restart: %v, %d loads", err, c.loads("m"))
 		}
 		c.weights.Slow(10)
 		if err := c.ensure(c.hosts[1], "slow", 80*time.Second); err != nil {
@@ -208,3 +208,23 @@
 		}
 	})
 }
+
+// TestIdleCost counts what placement costs while nothing happens.
+func TestIdleCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 12, 4, []config.Model{baseModel("m", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		before := c.store.Calls()
+		const minutes = 10
+		time.Sleep(minutes * time.Minute)
+		after := c.store.Calls()
+		seconds := float64(minutes * 60)
+		writes := float64(after["put"]-before["put"]) / seconds
+		reads := float64(after["get"]+after["list"]-before["get"]-before["list"]) / seconds
+		t.Logf("12 hosts, idle: %.2f writes/s, %.2f reads/s", writes, reads)
+		if writes > 1 || reads > 5 {
+			t.Errorf("%.2f writes/s, %.2f reads/s for the whole fleet", writes, reads)
+		}
+	})
+}
