--- a/coord/vmap/freshness.go
+++ b/coord/vmap/freshness.go
@@ -152,8 +152,12 @@
 }
 
 // Until returns the time up to which the replica may rely on its state. It
-// lies in the past if it may not.
+// lies in the past if it may not. While the source is in touch the quorum is not
+// counted, so a later call may return a later time.
 func (f *Freshness) Until(now time.Duration) time.Duration {
+	if now-f.source <= f.limit/2 {
+		return f.source + f.limit
+	}
 	return max(f.source, f.quorumAt(now)) + f.limit
 }
 
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -198,6 +198,7 @@
 	if s.objects.Known() {
 		until = s.fresh.Until(s.now())
 	}
+	invariant.Check(until <= s.now()+StaleAfter, invariant.KeyWithdrawn, "keys would be accepted until %v on evidence of the future", until)
 	s.until.Store(int64(until))
 	s.stats.observe(s)
 }
