Decode templates once

Cause: a first start renders 82,000 instances, 2.8 s of CPU; each rendering decoded its template again. Now 1.8 s (BenchmarkChange/rebuild).

--- a/internal/config/template.go
+++ b/internal/config/template.go
@@ -29,6 +29,8 @@
 	Doc      string          `json:"doc"`
 	Params   []Param         `json:"params"`
 	Entities json.RawMessage `json:"entities"`
+
+	parsed any // Entities, decoded once
 }
 
 // Instance is a template with its parameters, as operators submit it.
@@ -99,6 +101,9 @@
 	if err := strictUnmarshal(data, t); err != nil {
 		return nil, &TemplateError{File: file, Cause: err}
 	}
+	if err := json.Unmarshal(t.Entities, &t.parsed); err != nil {
+		return nil, &TemplateError{File: file, Cause: err}
+	}
 	return t, nil
 }
 
@@ -116,11 +121,7 @@
 	if len(faults) > 0 {
 		return Entities{}, &InvalidInstanceError{Instance: name, Faults: faults}
 	}
-	var body any
-	if err := json.Unmarshal(t.Entities, &body); err != nil {
-		return Entities{}, invalid(name, "template", err.Error())
-	}
-	data, err := json.Marshal(substitute(body, values))
+	data, err := json.Marshal(substitute(t.parsed, values))
 	if err != nil {
 		return Entities{}, invalid(name, "params", err.Error())
 	}
@@ -201,19 +202,22 @@
 	return value, ""
 }
 
-// substitute replaces each string "${name}" by its value.
+// substitute returns a copy in which each string "${name}" is replaced by its
+// value.
 func substitute(node any, values map[string]any) any {
 	switch n := node.(type) {
 	case map[string]any:
+		out := make(map[string]any, len(n))
 		for k, v := range n {
-			n[k] = substitute(v, values)
+			out[k] = substitute(v, values)
 		}
-		return n
+		return out
 	case []any:
+		out := make([]any, len(n))
 		for i, v := range n {
-			n[i] = substitute(v, values)
+			out[i] = substitute(v, values)
 		}
-		return n
+		return out
 	case string:
 		if name, ok := placeholder(n); ok {
 			return values[name]
