--- a/internal/opclient/opclient.go
+++ b/internal/opclient/opclient.go
@@ -68,6 +68,15 @@
 	return c.call(ctx, http.MethodDelete, "/instances/"+url.PathEscape(name)+query(version), nil, nil)
 }
 
+// Progress waits up to wait, in whole seconds below the timeout of a call, for a
+// stored version to be in force on every host, and says how far it has come.
+func (c *Client) Progress(ctx context.Context, name string, version platform.Version, wait time.Duration) (admin.Outcome, error) {
+	var out admin.Outcome
+	path := fmt.Sprintf("/instances/%s/progress?version=%d&wait=%d", url.PathEscape(name), version, int(wait.Seconds()))
+	err := c.call(ctx, http.MethodGet, path, nil, &out)
+	return out, err
+}
+
 // Get returns one instance.
 func (c *Client) Get(ctx context.Context, name string) (admin.Instance, error) {
 	var out admin.Instance
