--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -236,7 +236,20 @@
 	return obj.Version
 }
 
-func (f *fleet) withdraw(name string) {
+// putTeam stores a team and a key of it.
+func (f *fleet) putTeam(name string, rate int) {
+	f.put(name, teamInstance(name, rate))
+	key := keyInstance(HashKey(name))
+	key.Params["team"] = json.RawMessage(`"` + name + `"`)
+	f.put("key."+name, key)
+}
+
+// withdraw marks an instance as withdrawn, or removes the object.
+func (f *fleet) withdraw(name string, mark bool) {
+	if mark {
+		f.put(name, Instance{Withdrawn: true})
+		return
+	}
 	obj, err := f.api.Get(context.Background(), platform.KindInstances, name)
 	if err == nil {
 		err = f.api.Delete(context.Background(), platform.KindInstances, name, obj.Version)
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -62,22 +62,32 @@
 			seen[i] = 0
 		}
 		name := fmt.Sprintf("team-%d", rng.IntN(4))
-		want := 0
-		if _, err := f.api.Get(ctx, platform.KindInstances, name); err == nil && rng.IntN(2) == 0 {
-			f.withdraw(name)
-		} else {
-			want = 10 + step
-			f.put(name, teamInstance(name, want))
+		want := wanted{team: name}
+		current, err := f.api.Get(ctx, platform.KindInstances, name)
+		switch {
+		case err == nil && !isWithdrawn(current.Data) && rng.IntN(2) == 0:
+			mark := rng.IntN(2) == 0
+			f.withdraw("key."+name, mark)
+			f.withdraw(name, mark)
+		default:
+			want.rate = float64(10 + step)
+			f.putTeam(name, 10+step)
 		}
-		worst = max(worst, f.awaitTeam(name, want, seen))
+		worst = max(worst, f.await(want, seen))
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	}
 	t.Logf("slowest change in force everywhere after %v", worst)
 }
 
-// awaitTeam waits until the team has the rate, 0 for withdrawn, on each host
-// that accepts requests, and returns how long it took.
-func (f *fleet) awaitTeam(name string, rate int, seen []platform.Version) time.Duration {
+// wanted is a team with its rate, 0 for one that is withdrawn.
+type wanted struct {
+	team string
+	rate float64
+}
+
+// await waits until what is wanted is in force on each host that accepts
+// requests, and returns how long it took.
+func (f *fleet) await(w wanted, seen []platform.Version) time.Duration {
 	start := time.Now()
 	for {
 		lagging := ""
@@ -87,7 +97,7 @@
 				f.t.Fatalf("%s went back from version %d to %d", h.name, seen[i], snap.Version)
 			}
 			seen[i] = snap.Version
-			if h.Accepting() && rateOf(snap, name) != float64(rate) {
+			if h.Accepting() && (rateOf(snap, w.team) != w.rate || hasKey(snap, w.team) != (w.rate > 0)) {
 				lagging = h.name
 			}
 		}
@@ -95,12 +105,14 @@
 			return time.Since(start)
 		}
 		if time.Since(start) > inForceWithin {
-			f.t.Fatalf("%s: rate %d of %s not in force after %v", lagging, rate, name, inForceWithin)
+			f.t.Fatalf("%s: rate %v of %s not in force after %v", lagging, w.rate, w.team, inForceWithin)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+func hasKey(s *Snapshot, team string) bool { return s.Keys[HashKey(team)] != nil }
+
 func rateOf(s *Snapshot, team string) float64 {
 	if t := s.Teams[team]; t != nil {
 		return t.Rate
@@ -125,8 +137,8 @@
 		perHost := func(v int64) float64 { return float64(v) / float64(n) / idle.Seconds() }
 		t.Logf("idle: %.1f calls and %.0f bytes of JSON a second for each host", perHost(f.calls.Load()-calls), perHost(f.bytes.Load()-bytes))
 		calls, bytes = f.calls.Load(), f.bytes.Load()
-		f.put("new", teamInstance("new", 7))
-		took := f.awaitTeam("new", 7, make([]platform.Version, n))
+		f.putTeam("new", 7)
+		took := f.await(wanted{team: "new", rate: 7}, make([]platform.Version, n))
 		time.Sleep(time.Second)
 		if opened := f.api.Calls()["watch"]; opened > int64(zones*watchersPerZone) {
 			t.Errorf("%d watches, want at most %d for each of %d zones", opened, watchersPerZone, zones)
