Show what a lost coordinator costs, and mend what it brought to light

Cause: nothing showed the loss of a coordinator in a contended pool.

TestCoordinatorLost takes it away at 30 s.

--- a/coord/fair/fairness_test.go
+++ b/coord/fair/fairness_test.go
@@ -20,6 +20,12 @@
 // 80 requests a second, 40 for each of two teams of equal weight. Requests are
 // routed by reports that are half a second old.
 func contest(c simConfig, smallRate float64, alone bool) *sim {
+	s := newContest(c, smallRate, alone)
+	s.run()
+	return s
+}
+
+func newContest(c simConfig, smallRate float64, alone bool) *sim {
 	c.hosts, c.engines, c.slots, c.length = 8, 20, 8, simLength
 	c.reportLag = 500 * time.Millisecond
 	s := newSim(c)
@@ -27,7 +33,6 @@
 	if !alone {
 		s.arrivals(simTeam{name: "large", weight: 1, rate: 400, hosts: allHosts, service: 2 * time.Second, deadline: 30 * time.Second})
 	}
-	s.run()
 	return s
 }
 
@@ -77,13 +82,41 @@
 		if s.violated != "" {
 			t.Error(s.violated)
 		}
-		t.Logf("large team: %+v", s.stats("large", simWarm, simLength))
 		return s.stats("small", simWarm, simLength)
 	}
-	alone, beside, unbounded := run(simConfig{}, false), run(simConfig{}, true), run(simConfig{noFlows: true}, true)
-	t.Logf("small team: first token p95 %v alone, %v beside, %v beside without windows by model", alone.p95, beside.p95, unbounded.p95)
-	if beside.refused > 0 || float64(beside.p95) > 1.2*float64(alone.p95) {
-		t.Errorf("small team: p95 %v beside, %v alone; refused %d", beside.p95, alone.p95, beside.refused)
+	for seed := range uint64(simSeeds) {
+		alone, beside := run(simConfig{seed: seed}, false), run(simConfig{seed: seed}, true)
+		unbounded := run(simConfig{seed: seed, noFlows: true}, true)
+		t.Logf("small team, seed %d: first token p95 %v alone, %v beside, %v beside without windows by model", seed, alone.p95, beside.p95, unbounded.p95)
+		if beside.refused > 0 || float64(beside.p95) > 1.2*float64(alone.p95) {
+			t.Errorf("small team, seed %d: p95 %v beside, %v alone; refused %d", seed, beside.p95, alone.p95, beside.refused)
+		}
+	}
+}
+
+// TestCoordinatorLost takes the coordinator away; the other hosts notice after
+// three seconds and go by another. The small team loses time and no request. If
+// the coordinator's host crashed, it is as well off as before afterwards; a host
+// that is cut off but serves on takes slots that the others do not know of.
+func TestCoordinatorLost(t *testing.T) {
+	const lost, noticed = 30 * time.Second, 3 * time.Second
+	for _, crashed := range []bool{true, false} {
+		for seed := range uint64(simSeeds) {
+			s := newContest(simConfig{seed: seed}, 20, false)
+			s.lose(lost, noticed, crashed)
+			s.run()
+			during, after := s.stats("small", lost, lost+noticed), s.stats("small", lost+noticed+5*time.Second, simLength)
+			t.Logf("crashed %v, seed %d: first token p95 %v while there is no coordinator, %v from 5 s after it was replaced", crashed, seed, during.p95, after.p95)
+			if s.violated != "" {
+				t.Error(s.violated)
+			}
+			if all := s.stats("small", 0, simLength); all.refused > 0 {
+				t.Errorf("%d requests of the small team refused within its share", all.refused)
+			}
+			if crashed && float64(after.p95) > 1.2*float64(simPrefill) {
+				t.Errorf("p95 %v after the coordinator was replaced, %v alone", after.p95, simPrefill)
+			}
+		}
 	}
 }
 
--- a/coord/fair/flows.go
+++ b/coord/fair/flows.go
@@ -77,6 +77,7 @@
 // flows that want more.
 func (n *Node) divideFlows(flows []*flow) {
 	left := append([]int(nil), n.targets.Sizes...)
+	n.sharers = make([]int, len(left))
 	for i := range left {
 		var here []*flow
 		perTeam := map[string]float64{}
@@ -91,6 +92,7 @@
 			targets := len(n.targets.Ready[f.key.model])
 			claims[k] = &claim{weight: f.weight / perTeam[f.key.team], want: (f.want + targets - 1) / targets}
 		}
+		n.sharers[i] = len(perTeam)
 		if len(perTeam) > 1 && left[i] >= minSharedSlots {
 			left[i]-- // for the next request of a flow within its share
 		}
--- a/coord/fair/node.go
+++ b/coord/fair/node.go
@@ -36,6 +36,7 @@
 	flat           bool  // all children are hosts
 	slots          int   // of the pool, at the root
 	unseen         []int // slots taken by hosts that do not report, latest last
+	sharers        []int // teams with flows, by target
 	seq            uint64
 	applied        uint64
 	grantEnd       time.Duration
--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -339,8 +339,9 @@
 func (c Capacity) local(running int) int {
 	hosts := max(c.Hosts, 1)
 	share := max((c.Slots+hosts-1)/hosts, 1)
-	if c.Spare > 0 {
-		share = max(share, running+(c.Spare+hosts-1)/hosts)
+	// What a coordinator keeps free for teams within their shares is not spare.
+	if spare := c.Spare - c.Slots/reserveDivisor; spare > 0 {
+		share = max(share, running+(spare+hosts-1)/hosts)
 	}
 	return share
 }
--- a/coord/fair/queue_test.go
+++ b/coord/fair/queue_test.go
@@ -342,13 +342,41 @@
 	})
 }
 
+// TestRootLeavesOutSlotsTakenByOthers has reports show requests that no host
+// reports to the root: once they last, their slots are not given out.
+func TestRootLeavesOutSlotsTakenByOthers(t *testing.T) {
+	n := NewNode()
+	targets := Targets{Sizes: []int{100}}
+	d := Demand{Seq: 1, Teams: []TeamDemand{{Team: "a", Weight: 1, Running: 20, Waiting: 200}}}
+	window := func() int {
+		d.Seq++
+		n.Report(0, "h", d)
+		g, _ := n.Grant(0, "h")
+		return g.Teams[0].Window
+	}
+	for i := range unseenSamples {
+		n.SetRoot(0, targets, 20+30)
+		if w := window(); i < unseenSamples-1 && w != 100 {
+			t.Fatalf("window %d after %d readings, want all 100", w, i+1)
+		}
+	}
+	n.SetRoot(0, targets, 20+30)
+	if w := window(); w != 70 {
+		t.Fatalf("window %d, want 70 of 100 with 30 taken by others", w)
+	}
+	n.SetRoot(0, targets, 20)
+	if w := window(); w != 100 {
+		t.Fatalf("window %d after the others' requests ended, want 100", w)
+	}
+}
+
 // TestMessageFaultsAreHarmless runs the whole in a bad network: requests are
 // answered by their deadlines all the same, and the small team fares no worse
 // than without any coordinator.
 func TestMessageFaultsAreHarmless(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			bad := faultyRun(t, simConfig{seed: seed, lose: 0.2, dup: 0.2, maxDelay: 2 * time.Second})
+			bad := faultyRun(t, simConfig{seed: seed, loss: 0.2, dup: 0.2, maxDelay: 2 * time.Second})
 			none := faultyRun(t, simConfig{seed: seed, noCoordinator: true})
 			t.Logf("small team: first token p95 %v, %v without coordinator; refused %d and %d", bad.p95, none.p95, bad.refused, none.refused)
 			if bad.refused > none.refused || float64(bad.p95) > 1.2*float64(none.p95) {
--- a/coord/fair/root.go
+++ b/coord/fair/root.go
@@ -118,7 +118,7 @@
 }
 
 func (n *Node) unseenSlots() int {
-	if len(n.unseen) == 0 {
+	if len(n.unseen) < unseenSamples {
 		return 0
 	}
 	least := n.unseen[0]
--- a/coord/fair/sim_hosts_test.go
+++ b/coord/fair/sim_hosts_test.go
@@ -27,7 +27,30 @@
 	})
 }
 
+// lose takes the coordinator from the other hosts at a moment; they leave it out
+// of the tree when they have noticed. If it crashed, what waits there is lost,
+// and its callers go to the next host; if it is cut off from its peers, it
+// serves its callers as before.
+func (s *sim) lose(at, noticed time.Duration, crashed bool) {
+	s.after(at, func() {
+		s.cutOff = s.tree.Root()
+		if crashed {
+			s.dead = s.cutOff
+		}
+	})
+	s.after(at+noticed, func() {
+		var names []string
+		for _, h := range s.hosts {
+			if h.name != s.cutOff {
+				names = append(names, h.name)
+			}
+		}
+		s.tree = NewTree("pool", names)
+	})
+}
+
 func (s *sim) tick(h *simHost) {
+	h.node.SetTree(s.tree)
 	total, occupied := s.slots*len(s.engines), 0
 	for _, n := range s.seen {
 		occupied += n
@@ -62,7 +85,7 @@
 }
 
 func (s *sim) report(h *simHost) {
-	if s.noCoordinator {
+	if s.noCoordinator || h.name == s.cutOff {
 		return
 	}
 	h.lastReport = s.now
@@ -74,6 +97,9 @@
 	}
 	d := h.node.Demand(s.now)
 	s.message(func() {
+		if parent == s.cutOff {
+			return
+		}
 		p := s.byName[parent]
 		p.node.Report(s.now, h.name, d)
 		g, ok := p.node.Grant(s.now, h.name)
@@ -122,7 +148,7 @@
 // and late.
 func (s *sim) message(f func()) {
 	s.messages++
-	if s.rng.Float64() < s.lose {
+	if s.rng.Float64() < s.loss {
 		return
 	}
 	times := 1
--- a/coord/fair/sim_test.go
+++ b/coord/fair/sim_test.go
@@ -44,7 +44,7 @@
 	length        time.Duration
 	fifo          bool // hosts send at once: plain first in, first out
 	noCoordinator bool
-	lose, dup     float64 // of messages between hosts
+	loss, dup     float64 // of messages between hosts
 	maxDelay      time.Duration
 	reportLag     time.Duration
 	ready         map[string][]int // engines that have a model ready; nil: no models
@@ -112,6 +112,8 @@
 	requests []*simRequest
 	byID     map[uint64]*simRequest
 	messages int
+	dead     string        // host that crashed
+	cutOff   string        // host that reaches no other
 	idle     time.Duration // slot time idle while something was waiting at a host
 	violated string
 }
@@ -213,6 +215,9 @@
 }
 
 func (s *sim) arrive(r *simRequest) {
+	for i := 0; r.host.name == s.dead; i++ {
+		r.host = s.hosts[i]
+	}
 	if s.fifo {
 		s.send(r)
 		return
@@ -236,6 +241,9 @@
 }
 
 func (s *sim) pump(h *simHost) {
+	if h.name == s.dead {
+		return
+	}
 	for {
 		it, ok := h.q.Next(s.now)
 		if !ok {
--- a/coord/fair/slots.go
+++ b/coord/fair/slots.go
@@ -46,7 +46,7 @@
 	free, over := n.freeSlots()
 	c.giveBack(needs, free, over)
 	for _, need := range needs {
-		c.take(need, free, over)
+		c.take(need, free, over, n.sharers)
 	}
 	s := &Slots{Version: n.targets.Version, Own: append([]int(nil), c.own...), Common: make([]int, len(free))}
 	for i, f := range free {
@@ -97,9 +97,10 @@
 // use, negative if more are; and by how many more slots are set aside than
 // there are, negative if fewer.
 func (n *Node) freeSlots() (free, over []int) {
-	free = append([]int(nil), n.targets.Sizes...)
+	free = make([]int, len(n.targets.Sizes))
 	over = make([]int, len(free))
 	for i, size := range n.targets.Sizes {
+		free[i] = size
 		over[i] = -size
 		for _, c := range n.children {
 			free[i] -= c.taken(i)
@@ -160,9 +161,10 @@
 	}
 }
 
-// take sets free slots aside for a need, on the emptiest target first, until it
-// is met. Slots that the child uses already come first.
-func (c *child) take(need need, free, over []int) {
+// take sets free slots aside for a need until it is met: on targets that the
+// fewest teams want first, of these on the emptiest. Slots that the child uses
+// already come before all.
+func (c *child) take(need need, free, over, sharers []int) {
 	have := 0
 	for _, i := range need.targets {
 		have += c.own[i]
@@ -177,11 +179,11 @@
 	for ; have < need.slots; have++ {
 		best := -1
 		for _, i := range need.targets {
-			if best < 0 || free[i] > free[best] {
+			if free[i] > 0 && (best < 0 || better(i, best, free, sharers)) {
 				best = i
 			}
 		}
-		if best < 0 || free[best] <= 0 {
+		if best < 0 {
 			return
 		}
 		c.own[best]++
@@ -190,6 +192,14 @@
 	}
 }
 
+// better orders targets for take.
+func better(i, j int, free, sharers []int) bool {
+	if len(sharers) == len(free) && sharers[i] != sharers[j] {
+		return sharers[i] < sharers[j]
+	}
+	return free[i] > free[j]
+}
+
 func sum(list []int) int {
 	n := 0
 	for _, v := range list {
