--- a/coord/placement/decider.go
+++ b/coord/placement/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -15,14 +16,18 @@
 	claims   map[string]*claimState
 	models   map[string]*modelState
 	specs    map[string]ModelSpec
-	where    map[string]map[string]bool // targets with a slot, by model
-	pools    map[string][]string        // targets present, by pool
-	work     map[string]bool            // targets with something under way
-	wanted   map[string]bool            // models with wants
-	promised map[string]bool            // models loaded for callers to come
-	minimum  []string                   // models with replicas kept when idle
-	idleAt   time.Duration              // next search for idle models
+	where    map[string][]string // targets with a slot, sorted, by model
+	pools    map[string][]string // targets present, by pool
+	work     map[string]bool     // targets with something under way
+	wanted   map[string]bool     // models with wants
+	promised map[string]bool     // models loaded for callers to come
+	minimum  []string            // models with replicas kept when idle
+	reserved map[string]int64    // bytes per target that earlier candidates of this step wait for
+	sweep    []string            // models still to be looked at in the search for idle ones
+	sweepAt  time.Duration       // next part of that search
+	sweepLen int                 // models in a part
 	est      estimator
+	gaps     gapHistogram // over all models
 	store    permits
 	serial   uint64
 	actions  []Action
@@ -46,14 +51,16 @@
 	retryAt time.Duration
 	txn     *transaction
 
-	rep     *Report
-	retired map[string]time.Duration // by decision: when known to be retired
-	orders  map[string]*orderState   // by decision of the slot
+	rep           *Report
+	incarnationAt time.Duration            // when a report of this incarnation first came in
+	retired       map[string]time.Duration // by decision: when known to be retired
+	orders        map[string]*orderState   // by decision of the slot
 
 	retiring  map[string]bool // decisions to retire with the next write
 	retireWhy string
 	loadedAt  map[string]time.Duration // by model: when first reported ready
 	avoid     map[string]time.Duration // by model: not chosen before
+	lost      bool                     // does not answer
 }
 
 // claimState is what the decider knows of one claim record.
@@ -65,28 +72,7 @@
 	stale   bool
 	retryAt time.Duration
 	adding  []*addition
-}
-
-// modelState is kept for models that are wanted, loaded or were used.
-type modelState struct {
-	wants        map[string]*hostWant // by host
-	lastUse      time.Duration
-	used         bool
-	use          usage
-	need         int
-	adding       *addition
-	wantedAt     time.Duration // since when requests wait
-	prewarmUntil time.Duration
-	unwantedAt   time.Duration // when the last want ended
-	saturatedAt  time.Duration // since when all replicas are saturated, 0 if not
-	promise      time.Duration // callers were told to come back until then
-	readyBy      time.Duration // expected end of the load, 0 if none is planned
-	reason       string        // last decision in words
-}
-
-type hostWant struct {
-	Want
-	at time.Duration
+	check   bool // some claim may count nothing any more
 }
 
 // NewDecider returns a decider that knows nothing yet.
@@ -97,8 +83,9 @@
 		claims:   map[string]*claimState{},
 		models:   map[string]*modelState{},
 		specs:    map[string]ModelSpec{},
-		where:    map[string]map[string]bool{},
+		where:    map[string][]string{},
 		pools:    map[string][]string{},
+		reserved: map[string]int64{},
 		work:     map[string]bool{},
 		wanted:   map[string]bool{},
 		promised: map[string]bool{},
@@ -132,6 +119,9 @@
 		}
 	}
 	sort.Strings(d.minimum)
+	for _, cs := range d.claims {
+		cs.check = true // a target may have left the configuration
+	}
 }
 
 // attend has the next steps look at the target.
@@ -140,16 +130,20 @@
 // reindex replaces the slots of a target in the index by model.
 func (d *Decider) reindex(old, rec *TargetRecord) {
 	for _, s := range old.Slots {
-		delete(d.where[s.Model], rec.Target)
+		names := d.where[s.Model]
+		if i, ok := slices.BinarySearch(names, rec.Target); ok {
+			d.where[s.Model] = slices.Delete(names, i, i+1)
+		}
 		if len(d.where[s.Model]) == 0 {
 			delete(d.where, s.Model)
 		}
+		d.claim(s.base()).check = true
 	}
 	for _, s := range rec.Slots {
-		if d.where[s.Model] == nil {
-			d.where[s.Model] = map[string]bool{}
+		names := d.where[s.Model]
+		if i, ok := slices.BinarySearch(names, rec.Target); !ok {
+			d.where[s.Model] = slices.Insert(names, i, rec.Target)
 		}
-		d.where[s.Model][rec.Target] = true
 	}
 }
 
@@ -188,15 +182,6 @@
 	return cs
 }
 
-func (d *Decider) model(name string) *modelState {
-	ms := d.models[name]
-	if ms == nil {
-		ms = &modelState{wants: map[string]*hostWant{}}
-		d.models[name] = ms
-	}
-	return ms
-}
-
 // StoredTarget is a target record with its version.
 type StoredTarget struct {
 	Record  TargetRecord
@@ -262,7 +247,7 @@
 	ts.known = true
 	ts.stale = false
 	ts.confirmedAt = max(ts.confirmedAt, began)
-	if ts.rep != nil && ts.rep.TakenAt <= began {
+	if ts.rep != nil && ts.incarnationAt <= began {
 		ts.confirmed = ts.rep.Incarnation
 	}
 	ts.noteRetired(now)
@@ -297,13 +282,14 @@
 	cs.version = version
 	cs.known = true
 	cs.stale = false
+	cs.check = true
 }
 
 // checkReport asserts that a report taken while the record was certainly the
 // one known shows nothing beyond it. The record had the same version from
 // knownSince to until.
 func (d *Decider) checkReport(ts *targetState, until time.Duration) {
-	if d.opt.Assert == nil || ts.rep == nil || ts.rep.TakenAt < ts.knownSince || ts.rep.TakenAt > until {
+	if d.opt.Assert == nil || ts.rep == nil || ts.rep.Relayed || ts.rep.TakenAt < ts.knownSince || ts.rep.TakenAt > until {
 		return
 	}
 	var sum int64
@@ -323,114 +309,22 @@
 }
 
 // Report takes in a target's report.
-func (d *Decider) Report(target string, rep Report) {
+func (d *Decider) Report(now time.Duration, target string, rep Report) {
 	ts := d.target(target)
 	if !rep.newerThan(ts.rep) {
 		return
 	}
+	ts.lost = false
 	d.learn(ts, &rep)
+	if ts.rep == nil || ts.rep.Incarnation != rep.Incarnation {
+		ts.incarnationAt = now
+	}
 	ts.rep = &rep
 	if rep.MaxFence > ts.rec.Fence || len(ts.retired) > 0 || len(ts.orders) > 0 {
 		d.attend(ts)
 	}
 }
 
-// Want takes in what a host says of a model. Earlier words of the host on the
-// model are replaced.
-func (d *Decider) Want(now time.Duration, w Want) {
-	spec, ok := d.specs[w.Model]
-	if !ok {
-		return
-	}
-	ms := d.model(w.Model)
-	if w.Used > 0 {
-		ms.use.arrive(now)
-	}
-	if w.Used > 0 || w.Running > 0 || w.Waiting > 0 {
-		ms.lastUse = now
-		ms.used = true
-	}
-	ms.put(w, now)
-	d.wanted[w.Model] = true
-	if spec.Base == "" {
-		return
-	}
-	// An adapter needs its base model as well, a little earlier.
-	key := w.Host + orderSeparator + w.Model
-	lead := d.est.time(CacheRemote, spec.Bytes)
-	w.Model = spec.Base
-	w.Host = key
-	w.Earliest -= lead
-	w.Latest -= lead
-	w.Used = 0
-	base := d.model(w.Model)
-	base.put(w, now)
-	d.wanted[w.Model] = true
-	base.lastUse = max(base.lastUse, ms.lastUse)
-	base.used = true
-}
-
-func (ms *modelState) put(w Want, now time.Duration) {
-	if w.Waiting > 0 && ms.waiting() == 0 {
-		ms.wantedAt = now
-	}
-	ms.wants[w.Host] = &hostWant{Want: w, at: now}
-}
-
-// expire drops wants that were not repeated.
-func (d *Decider) expire(now time.Duration) {
-	for name := range d.wanted {
-		ms := d.models[name]
-		for host, w := range ms.wants {
-			if now-w.at > d.opt.WantLife {
-				delete(ms.wants, host)
-			}
-		}
-		if ms.waiting() > 0 {
-			ms.unwantedAt = now
-		}
-		if len(ms.wants) == 0 {
-			delete(d.wanted, name)
-		}
-	}
-}
-
-func (ms *modelState) waiting() int {
-	n := 0
-	for _, w := range ms.wants {
-		n += w.Waiting
-	}
-	return n
-}
-
-func (ms *modelState) running() int {
-	n := 0
-	for _, w := range ms.wants {
-		n += w.Running
-	}
-	return n
-}
-
-// deadline returns the deadline that a load ending at the given time should
-// meet: the earliest that it can, or the latest of all.
-func (ms *modelState) deadline(end time.Duration) time.Duration {
-	var latest time.Duration
-	best := time.Duration(-1)
-	for _, w := range ms.wants {
-		if w.Waiting == 0 {
-			continue
-		}
-		latest = max(latest, w.Latest)
-		if w.Earliest >= end && (best < 0 || w.Earliest < best) {
-			best = w.Earliest
-		}
-	}
-	if best >= 0 {
-		return best
-	}
-	return latest
-}
-
 // Step decides and returns what to do. It is called after each input and at
 // least a few times a second.
 func (d *Decider) Step(now time.Duration) []Action {
@@ -471,3 +365,11 @@
 	d.serial++
 	return fmt.Sprintf("%s-%d", d.opt.ID, d.serial)
 }
+
+// SetPace sets how long a want, a use and a report count. Hosts speak less
+// often the more of them there are.
+func (d *Decider) SetPace(wantLife, useQuiet, reportLife time.Duration) {
+	d.opt.WantLife = wantLife
+	d.opt.UseQuiet = useQuiet
+	d.opt.ReportLife = reportLife
+}
--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"sort"
+	"math"
 	"time"
 )
 
@@ -9,12 +9,14 @@
 type candidate struct {
 	spec     ModelSpec
 	ms       *modelState
-	at       *place // held slot to load into, nil if a new one is needed
+	at       *place       // held slot to load into, nil if a new one is needed
+	on       *targetState // target for a new slot, as long as it has room
 	cache    Cache
 	est      time.Duration
 	deadline time.Duration
 	begin    time.Duration // expected
 	end      time.Duration
+	room     bool // has or gets a slot
 	idle     bool // nobody waits: kept replicas, promises and prewarming
 	late     bool // cannot make its deadline; loaded for those who come back
 }
@@ -29,14 +31,15 @@
 
 // plan decides what is loaded and unloaded next.
 func (d *Decider) plan() {
+	clear(d.reserved)
 	running := d.inFlight()
 	cands := d.candidates()
 	d.schedule(cands, running)
 	for _, c := range cands {
 		d.start(c)
 	}
-	if d.now >= d.idleAt {
-		d.idleAt = d.now + idleSweep
+	if d.now >= d.sweepAt {
+		d.sweepAt = d.now + idleSweep/sweepParts
 		d.sweepIdle()
 	}
 }
@@ -87,8 +90,8 @@
 func (d *Decider) abandon(ts *targetState, s *Slot, os *orderState) bool {
 	sofar := d.now - os.firstAt
 	if sofar > 2*os.est {
-		d.est.slower(os.cache, s.Bytes, sofar)
-		os.est = d.est.time(os.cache, s.Bytes)
+		d.est.slower(routeOf(os.cache, s.Base), s.Bytes, sofar)
+		os.est = d.est.time(routeOf(os.cache, s.Base), s.Bytes)
 	}
 	if os.until == 0 {
 		os.until = os.firstAt + max(time.Duration(d.opt.LoadFactor*float64(os.est)), minLoadLimit)
@@ -173,7 +176,7 @@
 // candidate returns the model's need for another replica, nil if it has none.
 func (d *Decider) candidate(name string) *candidate {
 	spec, ok := d.specs[name]
-	if !ok {
+	if !ok || !d.possible(&spec) {
 		return nil
 	}
 	ms := d.model(name)
@@ -201,7 +204,7 @@
 	}
 	c := &candidate{spec: spec, ms: ms, idle: !waiting || ready > 0}
 	d.locate(c, places)
-	c.est = d.est.time(c.cache, spec.Bytes)
+	c.est = d.est.time(routeOf(c.cache, spec.Base), spec.Bytes)
 	c.deadline = ms.deadline(d.now + c.est)
 	return c
 }
@@ -250,12 +253,32 @@
 			c.cache = cache
 		}
 	}
-	if c.at != nil {
+	if c.at != nil && c.cache > CacheRemote || c.at != nil && !d.mayClaim(&c.spec) {
+		c.room = true
 		return
 	}
-	if ts := d.choose(&c.spec); ts != nil {
-		c.cache = ts.cacheOf(c.spec.Name)
+	c.on = d.choose(&c.spec)
+	if c.at != nil && (c.on == nil || c.on.cacheOf(c.spec.Name) <= c.cache) {
+		c.room = true
+		return
+	}
+	c.at = nil
+	if c.on != nil {
+		c.room = true
+		c.cache = c.on.cacheOf(c.spec.Name)
 	}
+	c.room = c.room || d.adding(c.ms)
+}
+
+// mayClaim reports whether the model may have another slot.
+func (d *Decider) mayClaim(spec *ModelSpec) bool {
+	cs := d.claim(spec.claimBase())
+	return cs.known && cs.rec.Count(spec.Name) < spec.Max
+}
+
+// adding reports whether a slot for the model is on its way into the records.
+func (d *Decider) adding(ms *modelState) bool {
+	return ms.adding != nil && ms.adding.stage != addDropped && d.live(ms.adding)
 }
 
 // baseReady reports whether the target can load the adapter; true for a base
@@ -268,89 +291,6 @@
 	return base != nil && ts.stateOf(base) == placeReady
 }
 
-// schedule orders the candidates and foresees when each is loaded. Those for
-// whom somebody waits come by the latest time at which their load may begin;
-// one that cannot make its deadline gives way to all that can.
-func (d *Decider) schedule(cands []*candidate, f flights) {
-	sort.SliceStable(cands, func(i, j int) bool { return d.before(cands[i], cands[j]) })
-	line := newTimeline(d.now, f, d.opt, &d.store)
-	for _, c := range cands {
-		if c.idle || d.opt.DemandOnly {
-			continue
-		}
-		begin, end := line.foresee(c)
-		if end > c.ms.deadline(end) {
-			c.late = true
-			continue
-		}
-		c.begin, c.end = begin, end
-		line.take(c)
-	}
-	for _, c := range cands {
-		if !c.idle && !c.late && !d.opt.DemandOnly {
-			continue
-		}
-		c.begin, c.end = line.foresee(c)
-		line.take(c)
-		c.late = c.late || !c.idle && c.end > c.ms.deadline(c.end)
-	}
-	sort.SliceStable(cands, func(i, j int) bool { return cands[i].begin < cands[j].begin })
-	for _, c := range cands {
-		d.tell(c)
-	}
-}
-
-func (d *Decider) before(a, b *candidate) bool {
-	if a.idle != b.idle {
-		return b.idle
-	}
-	if d.opt.DemandOnly {
-		return a.ms.firstWant() < b.ms.firstWant()
-	}
-	return a.deadline-a.est < b.deadline-b.est
-}
-
-// firstWant returns when the model was first waited for.
-func (ms *modelState) firstWant() time.Duration { return ms.wantedAt }
-
-// tell notes what callers are told. Those whose deadline the load will miss
-// are told to come back, and the load is kept for them for a while.
-func (d *Decider) tell(c *candidate) {
-	if c.ms.waiting() == 0 {
-		return
-	}
-	c.ms.readyBy = c.end
-	if c.late {
-		c.ms.promise = c.end + promiseLife
-		d.promised[c.spec.Name] = true
-	}
-}
-
-// start takes the next step towards loading a candidate.
-func (d *Decider) start(c *candidate) {
-	if c.at != nil {
-		if c.begin > d.now {
-			c.ms.reason = "waits for a permit of the weight store"
-			return
-		}
-		if c.cache == CacheRemote && c.spec.Base == "" {
-			d.store.tokens--
-		}
-		c.ms.reason = "loads into its slot on " + c.at.ts.rec.Target
-		d.order(c.at.ts, c.at.slot, OrderLoad, "requests wait")
-		d.drive(c.at.ts, c.at.slot, c.at.ts.orders[c.at.slot.Decision])
-		return
-	}
-	if c.begin > d.now+slotLead {
-		c.ms.reason = "waits for a permit of the weight store"
-		return
-	}
-	if c.ms.adding != nil && c.ms.adding.stage != addDropped && d.live(c.ms.adding) {
-		return
-	}
-	d.place(c)
-}
-
 // place proposes a new slot or makes room for one.
 func (d *Decider) place(c *candidate) {
 	cs := d.claim(c.spec.claimBase())
@@ -362,7 +302,15 @@
 		d.freeStranded(c.spec.Name)
 		return
 	}
-	if ts := d.choose(&c.spec); ts != nil {
+	ts := c.on
+	if ts == nil || !ts.open(d.now) || ts.free()-d.reserved[ts.rec.Target] < c.spec.Bytes {
+		ts = d.choose(&c.spec)
+	}
+	if ts != nil && !c.idle && d.makeRoomNear(c, ts) {
+		c.ms.reason = "waits for memory to be freed beside its cached copy"
+		return
+	}
+	if ts != nil {
 		c.ms.reason = "gets a slot on " + ts.rec.Target
 		c.ms.adding = d.propose(ts, c.spec, "slot for "+c.spec.Name)
 		return
@@ -370,7 +318,7 @@
 	if d.now < c.ms.prewarmUntil && c.idle {
 		return
 	}
-	if d.makeRoom(&c.spec) {
+	if d.makeRoom(&c.spec, CacheRemote, math.Inf(1)) {
 		c.ms.reason = "waits for memory to be freed"
 		return
 	}
@@ -382,8 +330,10 @@
 func (d *Decider) freeStranded(model string) {
 	for _, p := range d.places(model) {
 		spec := d.specs[model]
-		stranded := p.state == placeEmpty && (!d.usable(p.ts) || d.now < p.ts.avoid[model] || !d.baseReady(p.ts, &spec))
-		if stranded {
+		if p.state != placeEmpty || d.silent(p.ts) {
+			continue // a silent target may have the model loaded
+		}
+		if p.ts.spec.Leaving || d.now < p.ts.avoid[model] || !d.baseReady(p.ts, &spec) {
 			d.retire(p.ts, p.slot, "slot cannot be used where it is")
 		}
 	}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -29,7 +29,8 @@
 	callTimeout   = time.Second             // of a call to a peer
 	watchSilence  = 1900 * time.Millisecond // bookmarks come every second
 	listTimeout   = 15 * time.Second        // the API may be as slow as 5 s a call
-	ownWatchAfter = 1500 * time.Millisecond // without confirmation, a host opens a watch itself
+	ownWatchAfter = 3 * time.Second         // without confirmation, a host opens a watch itself
+	ownWatchStart = 6 * time.Second         // a starting host leaves the watchers that long
 	ownWatchLife  = 30 * time.Second        // before such a watch may be closed again
 	bootstrapWait = time.Second             // a starting host asks peers for so long before it lists
 	retryBackoff  = 200 * time.Millisecond  // doubled after each failed call to the API
@@ -39,10 +40,10 @@
 
 // Bounds of the store's queues and messages.
 const (
-	maxDeltaChanges = 500 // changes in one message; more take a full reading
-	pageObjects     = 500 // objects in a part of a full reading
-	pushQueue       = 1   // a waiting push carries all changes since the last one
-	pushFanout      = 2   // hosts anywhere that each new change is passed on to
+	maxDeltaChanges = 500  // changes in one message; more take a full reading
+	pageObjects     = 2000 // objects in a part of a full reading
+	pushQueue       = 1    // a waiting push carries all changes since the last one
+	pushFanout      = 2    // hosts anywhere that each new change is passed on to
 	syncsAtOnce     = 4
 	pushesAtOnce    = 16
 )
@@ -83,8 +84,9 @@
 	reading   bool // a full reading from a peer is in progress
 	round     uint64
 
-	push chan struct{}
-	sema chan struct{} // bounds concurrent exchanges
+	push   chan struct{}
+	sema   chan struct{} // bounds concurrent exchanges
+	asking chan struct{} // bounds concurrent collections of acknowledgements
 }
 
 // NewStore returns a store with an empty configuration, which accepts nothing
@@ -107,6 +109,7 @@
 		rng:       rand.New(rand.NewPCG(o.Seed, vmapSeed(self))),
 		push:      make(chan struct{}, pushQueue),
 		sema:      make(chan struct{}, syncsAtOnce),
+		asking:    make(chan struct{}, progressAtOnce),
 		stats:     newStoreMetrics(o.Metrics),
 	}
 	s.until.Store(-1)
--- a/internal/queue/pool.go
+++ b/internal/queue/pool.go
@@ -28,6 +28,7 @@
 	nextID    uint64
 	reporting bool          // a report is under way
 	reported  time.Duration // start of the latest report
+	unheard   time.Duration // of the latest report without a grant
 	used      time.Duration // last sign of use
 }
 
@@ -43,6 +44,7 @@
 		waiters:  map[uint64]*waiter{},
 		used:     q.now(),
 		reported: -time.Hour,
+		unheard:  -time.Hour,
 	}
 }
 
@@ -130,19 +132,18 @@
 	defer p.mu.Unlock()
 	now := p.owner.now()
 	p.view = v
-	p.node.SetInterval(v.tree.Interval())
+	p.node.SetTree(v.tree)
 	if v.tree.Root() == p.owner.self.Name {
 		p.node.SetRoot(now, v.slots, v.occupied)
 	} else {
 		p.node.SetInner(now)
 	}
-	p.queue.SetCapacity(v.capacity())
-	p.queue.SetModelLimits(v.models)
+	p.queue.SetCapacity(v.capacity(), v.models)
 	p.queue.Prune(now)
 	p.pump(now)
 	p.metrics.Gauge("waiting").Update(float64(p.queue.Waiting()))
 	p.metrics.Gauge("running").Update(float64(p.queue.Running()))
-	p.metrics.Gauge("slots").Update(float64(v.slots))
+	p.metrics.Gauge("slots").Update(float64(v.total))
 	granted := 0.0
 	if p.queue.Granted(now) {
 		granted = 1
@@ -198,7 +199,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.owner.now()
-	if !p.queue.Urgent(now) {
+	// A parent that gave no grant is asked again at the usual pace.
+	if !p.queue.Urgent(now) || now-p.unheard < p.view.tree.Interval() {
 		return notUrgent
 	}
 	if p.reporting || now-p.reported < minReportGap {
--- a/internal/serve/duties.go
+++ b/internal/serve/duties.go
@@ -62,6 +62,9 @@
 	// Ensure returns once a replica of the model is ready, or a refusal as
 	// soon as it is known that none will be before the ctx deadline.
 	Ensure(ctx context.Context, model string) error
+	// Missed tells that no target had the model although Ensure found it
+	// ready: what this host knows of its replicas is out of date.
+	Missed(model string)
 }
 
 // RouteQuery asks for a target.
@@ -130,6 +133,8 @@
 	Check(team, fingerprint string) error
 	// Crashed records that a target was lost while it ran the request.
 	Crashed(team, fingerprint, target string)
+	// Succeeded records that the request ran to its end.
+	Succeeded(team, fingerprint string)
 }
 
 // RetryBudget limits retries to a share of requests (package retry).
