--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -40,6 +40,12 @@
 	unused   int64   // of these, to be given back
 }
 
+// due reports whether home has to hear of settlements: of every permit that
+// comes back, and of what other reservations did not use.
+func (h *handed) due(kind Kind) bool {
+	return h.unused > 0 || kind == Permits && h.taken > 0
+}
+
 // borrow serves local waits from the loan, and gives the loan back for another
 // when it is short.
 func (l *Limit) borrow(now time.Duration) {
@@ -139,7 +145,7 @@
 	if h := d.handed[d.turn-1]; h != nil {
 		h.home = a.Mark
 		h.answered = true
-		if h.taken > 0 {
+		if h.due(l.kind) {
 			l.queueClaim(now, d.turn-1)
 		}
 	}
@@ -250,8 +256,11 @@
 	h.open--
 	h.taken += r.Amount
 	h.unused += h.past.reduce(unused, r.mark)
-	if h.answered {
+	switch {
+	case h.due(l.kind) && h.answered:
 		l.queueClaim(now, r.turn)
+	case !h.due(l.kind) && h.open == 0:
+		delete(l.debt.handed, r.turn)
 	}
 }
 
--- a/coord/quota/messages.go
+++ b/coord/quota/messages.go
@@ -7,32 +7,32 @@
 // and with a higher Part when more requests have come to wait.
 type Ask struct {
 	Limit  string  `json:"limit"`
-	Epoch  uint64  `json:"epoch"`  // epoch of the limit that the loan belongs to
-	Seq    uint64  `json:"seq"`    // rises by one with each ask to this home
-	Return Share   `json:"return"` // what is given back; already debited
-	Open   int64   `json:"open"`   // nanotokens of reservations open on this loan
-	Spent  int64   `json:"spent"`  // nanotokens taken by requests that home did not grant
-	Burst  int64   `json:"burst"`  // nanotokens over all hosts, as the borrower knows it
-	Claims []Claim `json:"claims"` // settlements of reservations handed over before
-	Part   int     `json:"part"`
-	Needs  []Need  `json:"needs"`  // all requests that wait at the borrower, in order
-	Keep   int64   `json:"keep"`   // nanotokens wanted back without need, if there is no scarcity
-	Demand float64 `json:"demand"` // nanotokens a second spent lately
+	Epoch  uint64  `json:"epoch"`           // epoch of the limit that the loan belongs to
+	Seq    uint64  `json:"seq"`             // rises by one with each ask to this home
+	Return Share   `json:"return,omitzero"` // what is given back; already debited
+	Open   int64   `json:"open,omitzero"`   // nanotokens of reservations open on this loan
+	Spent  int64   `json:"spent,omitzero"`  // nanotokens taken by requests that home did not grant
+	Burst  int64   `json:"burst,omitzero"`  // nanotokens over all hosts, as the borrower knows it
+	Claims []Claim `json:"claims,omitzero"` // settlements of reservations handed over before
+	Part   int     `json:"part,omitzero"`
+	Needs  []Need  `json:"needs,omitzero"`  // all requests that wait at the borrower, in order
+	Keep   int64   `json:"keep,omitzero"`   // nanotokens wanted back without need, if there is no scarcity
+	Demand float64 `json:"demand,omitzero"` // nanotokens a second spent lately
 }
 
 // Need is a request that waits at a borrower.
 type Need struct {
 	Wait     uint64        `json:"wait"` // names the request
 	Amount   int64         `json:"amount"`
-	Patience time.Duration `json:"patience"` // how long it can still wait
+	Patience time.Duration `json:"patience,omitzero"` // how long it can still wait
 }
 
 // Claim settles reservations of a loan that was given back while they were
 // open.
 type Claim struct {
-	Mark   Mark  `json:"mark"`   // of home, when the loan came back
-	Taken  int64 `json:"taken"`  // nanotokens reserved
-	Unused int64 `json:"unused"` // of these, to be given back
+	Mark   Mark  `json:"mark,omitzero"`   // of home, when the loan came back
+	Taken  int64 `json:"taken,omitzero"`  // nanotokens reserved
+	Unused int64 `json:"unused,omitzero"` // of these, to be given back
 }
 
 // Answer is home's reply to an Ask.
@@ -40,17 +40,17 @@
 	Limit   string   `json:"limit"`
 	Epoch   uint64   `json:"epoch"`
 	Seq     uint64   `json:"seq"`
-	Loan    Share    `json:"loan"`    // already debited at home
-	Mark    Mark     `json:"mark"`    // of home, when the loan came back
-	Granted []uint64 `json:"granted"` // requests that the loan is for
-	Denied  []Denial `json:"denied"`
+	Loan    Share    `json:"loan,omitzero"`    // already debited at home
+	Mark    Mark     `json:"mark,omitzero"`    // of home, when the loan came back
+	Granted []uint64 `json:"granted,omitzero"` // requests that the loan is for
+	Denied  []Denial `json:"denied,omitzero"`
 }
 
 // Denial refuses a request for which the tokens will not come in time.
 type Denial struct {
 	Wait  uint64        `json:"wait"`
-	After time.Duration `json:"after"` // when its tokens will have accrued
-	Sure  time.Duration `json:"sure"`  // until then a request as large is denied, too
+	After time.Duration `json:"after,omitzero"` // when its tokens will have accrued
+	Sure  time.Duration `json:"sure,omitzero"`  // until then a request as large is denied, too
 }
 
 // Recall asks a borrower to give its loan back, since the limit is scarce.
--- a/coord/quota/refusals_test.go
+++ b/coord/quota/refusals_test.go
@@ -142,7 +142,8 @@
 	name string
 	host func(at time.Duration, rng *rand.Rand) int
 }{
-	{"one host", func(time.Duration, *rand.Rand) int { return 3 }},
+	{"the home", func(time.Duration, *rand.Rand) int { return 3 }},
+	{"one other host", func(time.Duration, *rand.Rand) int { return 5 }},
 	{"all hosts", func(_ time.Duration, rng *rand.Rand) int { return rng.IntN(hostsMeasured) }},
 	{"changing host", func(at time.Duration, _ *rand.Rand) int { return int(at/time.Second) * 5 % hostsMeasured }},
 }
@@ -209,13 +210,12 @@
 func TestDeadHost(t *testing.T) {
 	const death, lag, lease = 20 * time.Second, 10 * time.Second, 5 * time.Second
 	c := conf{1000, 10000}
-	home := func(w *world) int { return w.byName(w.ledger.Limits["team"].Home.Name).index }
 	for _, who := range []struct {
 		name string
 		kill func(w *world)
 	}{
-		{"home", func(w *world) { w.nodes[home(w)].die(lag) }},
-		{"another host", func(w *world) { w.nodes[(home(w)+1)%hostsMeasured].die(lag) }},
+		{"home", func(w *world) { w.byName(w.ledger.Limits["team"].Home.Name).die(lag) }},
+		{"one other host", func(w *world) { w.nodes[5].die(lag) }},
 	} {
 		for _, e := range entries {
 			arrivals := load(1, c, 0.95, 100*Nano, 100*Nano, 0, e.host)
@@ -224,7 +224,7 @@
 			during := ours.wrongful(ideal, arrivals, death, death+lag)
 			after := ours.wrongful(ideal, arrivals, death+lag, death+2*lag)
 			owner := central(c, arrivals, death, lease).wrongful(ideal, arrivals, death, death+lag)
-			t.Logf("%-12s dead, entry by %-14s wrongful while listed %.1f%%, in the 10s after %.1f%%; central owner dead, lease %v: %.1f%%",
+			t.Logf("%-14s dead, entry by %-14s wrongful while listed %.1f%%, in the 10s after %.1f%%; central owner dead, lease %v: %.1f%%",
 				who.name, e.name, during, after, lease, owner)
 		}
 	}
@@ -243,7 +243,7 @@
 		if name == "flood" {
 			share = 10
 		}
-		for _, a := range load(7, c, share, 20*Nano, 20*Nano, 0, entries[1].host) {
+		for _, a := range load(7, c, share, 20*Nano, 20*Nano, 0, entries[2].host) {
 			w.after(2*time.Second+a.at, func() {
 				w.nodes[a.host].request(name, a.est, a.used, 0, func(granted bool) {
 					if !granted {
--- a/coord/quota/units.go
+++ b/coord/quota/units.go
@@ -26,9 +26,9 @@
 
 // Share is a share of a limit.
 type Share struct {
-	Rate   int64 `json:"rate"`   // parts of the refill rate, of Whole
-	Cap    int64 `json:"cap"`    // parts of the burst, of Whole
-	Tokens int64 `json:"tokens"` // nanotokens, at most Cap parts of the burst
+	Rate   int64 `json:"rate,omitzero"`   // parts of the refill rate, of Whole
+	Cap    int64 `json:"cap,omitzero"`    // parts of the burst, of Whole
+	Tokens int64 `json:"tokens,omitzero"` // nanotokens, at most Cap parts of the burst
 }
 
 // mulDiv returns a*b/c rounded down. It needs 0 <= a, b and b <= c or a <= c.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -333,6 +333,18 @@
 	}
 }
 
+// BenchmarkSweep is the work of one second on a host that is home of 1,000
+// idle teams.
+func BenchmarkSweep(b *testing.B) {
+	f := newFleet(b.Context(), b, 1, manyTeams(1000)...)
+	f.reserve(f.hosts[0], "team-0", 1)
+	for b.Loop() {
+		f.hosts[0].sweep()
+		f.hosts[0].keeper.forgetGone()
+		f.hosts[0].keeper.hasWork(f.hosts[0].keeper.snapshot())
+	}
+}
+
 func manyTeams(n int) []config.Team {
 	teams := make([]config.Team, n)
 	for i := range teams {
