Lend no refill to hosts whose requests settle later

A small bucket that refills has no room for what open reservations give back; and a denial remembered for 250 ms is applied after home would judge otherwise.

Refill is lent only to hosts without open reservations, and denials are remembered for 50 ms.

--- a/coord/quota/home.go
+++ b/coord/quota/home.go
@@ -18,6 +18,7 @@
 
 	demand  float64 // as the last ask said
 	keep    int64
+	settles bool     // its requests are settled later
 	granted []uint64 // decided for the next answer
 	sum     int64    // nanotokens granted
 	most    int64    // the largest amount granted
@@ -63,6 +64,7 @@
 		acc.seq = a.Seq
 		acc.answer = nil
 		acc.keep = a.Keep
+		acc.settles = acc.settles || a.Open > 0 || len(a.Claims) > 0
 		acc.demand = a.Demand
 	default:
 		return false
@@ -253,7 +255,7 @@
 	loan := Share{Tokens: acc.sum}
 	if extra := l.extra(acc); extra > 0 {
 		loan.Tokens += extra
-		loan.Rate = min(l.rateParts(acc.demand), l.parts.Rate/rateShare)
+		loan.Rate = l.refill(acc)
 	}
 	if l.kind == Rate {
 		loan.Cap = min(capParts(loan.Tokens, l.burst), l.parts.Cap)
@@ -294,6 +296,16 @@
 	return extra
 }
 
+// refill returns the share of the refill to lend. A small bucket that refills
+// soon has no room for what open reservations give back, so those that settle
+// later get tokens only.
+func (l *Limit) refill(acc *account) int64 {
+	if acc.settles {
+		return 0
+	}
+	return min(l.rateParts(acc.demand), l.parts.Rate/rateShare)
+}
+
 // rateParts returns the share of the refill that yields rate.
 func (l *Limit) rateParts(rate float64) int64 {
 	if l.rate <= 0 || rate >= l.rate {
--- a/coord/quota/limit.go
+++ b/coord/quota/limit.go
@@ -29,7 +29,7 @@
 	// denyMemory bounds how long a denial is applied to later requests
 	// without asking home again. It ends denyMargin early, since home judged
 	// before its answer arrived.
-	denyMemory = 250 * time.Millisecond
+	denyMemory = 50 * time.Millisecond
 	denyMargin = 5 * time.Millisecond
 )
 
