--- a/coord/placement/bench_test.go
+++ b/coord/placement/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime"
 	"testing"
 	"time"
@@ -82,14 +83,45 @@
 	}
 	actions := d.Step(now)
 	for _, a := range actions {
-		if a.Kind != SendOrder {
-			d.serial++
-			d.Done(now, Result{Action: a, Version: 1<<20 + d.serial})
+		d.serial++
+		d.Done(now, Result{Action: a, Version: 1<<20 + d.serial, Target: d.target(a.Name).rec.Clone()})
+		if a.Kind == SendOrder {
+			d.carryOut(a.Name, a.Order)
 		}
 	}
+	for _, name := range d.Watched() {
+		rep := *d.target(name).rep
+		rep.TakenAt = now + time.Millisecond
+		d.Report(now, name, rep)
+	}
 	return len(actions)
 }
 
+// carryOut shows an order as carried out in the target's report.
+func (d *Decider) carryOut(name string, o Order) {
+	rep := *d.target(name).rep
+	rep.Replicas = maps.Clone(rep.Replicas)
+	rep.Sequence++
+	rep.MaxFence = max(rep.MaxFence, o.Fence)
+	if o.Op == OrderLoad {
+		rep.Replicas[o.Model] = Replica{State: StateReady, Order: o.Decision, Bytes: o.Bytes}
+	} else {
+		delete(rep.Replicas, o.Model)
+	}
+	d.Report(d.now, name, rep)
+}
+
+// BenchmarkQuietStep measures a step while nobody wants anything.
+func BenchmarkQuietStep(b *testing.B) {
+	d := fleet(61, 41000, 4900)
+	d.SetPace(3*time.Second, 2*time.Second, 24*time.Hour)
+	now := 2 * time.Second
+	for b.Loop() {
+		now += 100 * time.Millisecond
+		d.Step(now)
+	}
+}
+
 // BenchmarkStep measures one step with 30 idle adapters wanted and the sweep
 // for idle models, and the memory of the decider.
 func BenchmarkStep(b *testing.B) {
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -5,11 +5,13 @@
 	"time"
 )
 
-// idleSweep is the time in which all models are searched for idle ones, in
-// sweepParts parts, so that no single step takes long.
+// idleSweep is the time in which the models with slots are searched for idle
+// ones, in sweepParts parts. With more than sweepMost models in a part the
+// search takes longer instead, so that no step does.
 const (
 	idleSweep  = time.Second
 	sweepParts = 10
+	sweepMost  = 200
 )
 
 // victim is a slot that may be retired with what depends on it.
@@ -167,7 +169,7 @@
 func (d *Decider) sweepIdle() {
 	if len(d.sweep) == 0 {
 		d.sweep = sortedKeys(d.where)
-		d.sweepLen = len(d.sweep)/sweepParts + 1
+		d.sweepLen = min(len(d.sweep)/sweepParts+1, sweepMost)
 	}
 	part := d.sweep[:min(d.sweepLen, len(d.sweep))]
 	d.sweep = d.sweep[len(part):]
