--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -29,7 +29,8 @@
 	callTimeout   = time.Second             // of a call to a peer
 	watchSilence  = 1900 * time.Millisecond // bookmarks come every second
 	listTimeout   = 15 * time.Second        // the API may be as slow as 5 s a call
-	ownWatchAfter = 1500 * time.Millisecond // without confirmation, a host opens a watch itself
+	ownWatchAfter = 3 * time.Second         // without confirmation, a host opens a watch itself
+	ownWatchStart = 6 * time.Second         // a starting host leaves the watchers that long
 	ownWatchLife  = 30 * time.Second        // before such a watch may be closed again
 	bootstrapWait = time.Second             // a starting host asks peers for so long before it lists
 	retryBackoff  = 200 * time.Millisecond  // doubled after each failed call to the API
@@ -39,10 +40,10 @@
 
 // Bounds of the store's queues and messages.
 const (
-	maxDeltaChanges = 500 // changes in one message; more take a full reading
-	pageObjects     = 500 // objects in a part of a full reading
-	pushQueue       = 1   // a waiting push carries all changes since the last one
-	pushFanout      = 2   // hosts anywhere that each new change is passed on to
+	maxDeltaChanges = 500  // changes in one message; more take a full reading
+	pageObjects     = 2000 // objects in a part of a full reading
+	pushQueue       = 1    // a waiting push carries all changes since the last one
+	pushFanout      = 2    // hosts anywhere that each new change is passed on to
 	syncsAtOnce     = 4
 	pushesAtOnce    = 16
 )
