Keep deciding through a slow object API, and give way when cut off alone

Cause: with calls of 5 s the lease lapsed between renewals and every decision under way was dropped; a decider cut off from the object API alone went on answering hosts that another could have served. Now the holder goes on for 15 s beyond its lease and, cut off, gives way to a host that holds it. Tests: TestSlowAPI, TestDeciderCutOff. The test cluster delays calls of hosts, not those of the engines' own check: an engine waited for the store under its lock, which stopped fake time.

--- a/internal/place/cluster_test.go
+++ b/internal/place/cluster_test.go
@@ -36,13 +36,15 @@
 	net     *peertest.Net
 	hosts   []*testHost
 	snap    *config.Snapshot
+	mu      sync.Mutex // guards the faults of hosts
 }
 
 type testHost struct {
 	*Placer
-	host *peertest.Host
-	stop context.CancelFunc
-	done chan struct{}
+	faults objectapi.Faults // of this host's way to the object API
+	host   *peertest.Host
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 func (c *cluster) Snapshot() *config.Snapshot { return c.snap }
@@ -147,12 +149,18 @@
 		log.SetOutput(os.Stderr)
 		log.SetFormatter(&logrus.JSONFormatter{})
 	}
-	p, err := New(Options{Members: h, Caller: h, Registrar: h, API: c.store.Via(nil), Config: c, Control: c, Log: log})
+	th := &testHost{host: h, done: make(chan struct{})}
+	api := c.store.Via(func() objectapi.Faults {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return th.faults
+	})
+	p, err := New(Options{Members: h, Caller: h, Registrar: h, API: api, Config: c, Control: c, Log: log})
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	th := &testHost{Placer: p, host: h, stop: cancel, done: make(chan struct{})}
+	th.Placer, th.stop = p, cancel
 	go func() {
 		defer close(th.done)
 		_ = p.Run(ctx) // ends with the test
@@ -160,6 +168,21 @@
 	c.hosts = append(c.hosts, th)
 }
 
+// setFaults changes a host's way to the object API.
+func (c *cluster) setFaults(h *testHost, f objectapi.Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.faults = f
+}
+
+// setAllFaults changes the way of all hosts to the object API. The engines'
+// check of decisions still sees the store.
+func (c *cluster) setAllFaults(f objectapi.Faults) {
+	for _, h := range c.hosts {
+		c.setFaults(h, f)
+	}
+}
+
 // kill ends a host without notice.
 func (c *cluster) kill(h *testHost) {
 	h.host.Down(true)
--- a/internal/place/handlers.go
+++ b/internal/place/handlers.go
@@ -201,7 +201,7 @@
 		rep.Relayed = true
 		p.loop.tell(ctx, reportInput{target: r.Target, rep: rep, lost: r.Lost})
 	}
-	return reportsResult{Decider: true}, nil
+	return reportsResult{Decider: true, Held: p.lease.held()}, nil
 }
 
 func (p *Placer) handleStatus(ctx context.Context, _ peer.ID, raw json.RawMessage) (any, error) {
--- a/internal/place/leasekeeper.go
+++ b/internal/place/leasekeeper.go
@@ -20,8 +20,11 @@
 const (
 	leaseName  = "place"
 	leaseEvery = time.Second
-	candidates = 3               // hosts that stand ready to decide
-	goneAfter  = 3 * time.Second // a holder that is no live member for so long is taken for gone
+	candidates = 3 // hosts that stand ready to decide
+	// activeGrace is how long the holder goes on after its lease has run out
+	// and no other holder is known; longer than a slow renewal.
+	activeGrace = 15 * time.Second
+	goneAfter   = 3 * time.Second // a holder that is no live member for so long is taken for gone
 )
 
 // leaseKeeper holds or watches the decider's lease. Only the first few hosts
@@ -37,6 +40,8 @@
 	holder  string        // host name of the holder seen last
 	place   int           // rank of this host, -1 if it has none
 	aliveAt time.Duration // when the holder was last a live member
+	heldAt  time.Duration // when this host last held the lease
+	yielded bool          // another host holds it, as that host says
 }
 
 func newLeaseKeeper(p *Placer) *leaseKeeper {
@@ -88,14 +93,54 @@
 	if k.stopped {
 		return false
 	}
-	if _, held := k.core.Held(k.p.now()); held {
+	now := k.p.now()
+	if _, held := k.core.Held(now); held {
+		k.heldAt = now
 		return true
 	}
+	if k.yielded {
+		return false
+	}
 	// While the object API is down no host can take over by the lease. The
-	// holder goes on; if it is gone, the first live host acts. Conditional
-	// updates keep this safe: without the API neither can decide anything.
+	// holder goes on, also while a slow renewal is under way; if it is gone,
+	// the first live host acts. Conditional updates keep this safe: without
+	// the API neither can decide anything.
+	mine := k.core.Holder() == k.p.id
 	first := k.place == 0 && !k.alive(k.holder)
-	return k.apiDown && (k.holder == k.p.opts.Members.Self().ID.Name || first)
+	return mine && (k.apiDown || now < k.heldAt+activeGrace) || k.apiDown && first
+}
+
+// held reports whether this host holds the lease for certain.
+func (k *leaseKeeper) held() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, held := k.core.Held(k.p.now())
+	return held
+}
+
+// yield gives way to a host that holds the lease while this one, cut off from
+// the object API, still acts. Its callers' requests then go to that host.
+func (k *leaseKeeper) yield(ctx context.Context) {
+	k.mu.Lock()
+	cutOff := k.apiDown
+	k.mu.Unlock()
+	if !cutOff || !k.active() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseEvery)
+	defer cancel()
+	ready := order(k.p.opts.Members.Members())
+	for _, host := range ready[:min(len(ready), candidates)] {
+		var r reportsResult
+		if host == k.p.opts.Members.Self().ID.Name || k.p.callHost(ctx, host, methodReports, reportsParams{}, &r) != nil || !r.Held {
+			continue
+		}
+		k.mu.Lock()
+		k.yielded = true
+		k.holder = host
+		k.mu.Unlock()
+		return
+	}
 }
 
 func (k *leaseKeeper) alive(host string) bool {
@@ -117,6 +162,7 @@
 		if k.standsBy() || k.active() {
 			k.round(ctx)
 		}
+		k.yield(ctx)
 		k.p.loop.tell(ctx, activeInput{active: k.active()})
 		select {
 		case <-ctx.Done():
@@ -171,6 +217,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.apiDown = false
+	k.yielded = false
 	k.core.Observe(began, rec, uint64(obj.Version))
 	k.holder = hostOf(k.core.Holder())
 	return true
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -64,6 +64,7 @@
 
 type reportsResult struct {
 	Decider bool   `json:"decider"`
+	Held    bool   `json:"held"` // the answering host holds the lease
 	Holder  string `json:"holder,omitempty"`
 }
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -103,7 +103,7 @@
 		if err := c.ensure(c.hosts[0], "m", 20*time.Second); err != nil {
 			t.Fatal(err)
 		}
-		c.store.SetFaults(objectapi.Faults{Down: true})
+		c.setAllFaults(objectapi.Faults{Down: true})
 		time.Sleep(30 * time.Minute)
 		if c.engines["e0"].Stats().Unloads != 1 {
 			t.Errorf("idle model not unloaded: %+v", c.engines["e0"].Stats())
@@ -115,7 +115,7 @@
 			t.Error("a model was loaded without a decision")
 		}
 		time.Sleep(30 * time.Minute)
-		c.store.SetFaults(objectapi.Faults{})
+		c.setAllFaults(objectapi.Faults{})
 		time.Sleep(settle)
 		if err := c.ensure(c.hosts[2], "new", 20*time.Second); err != nil {
 			t.Errorf("after the outage: %v", err)
@@ -123,6 +123,44 @@
 	})
 }
 
+// TestSlowAPI has every call of the object API take 5 s: a new model takes two
+// writes and its load.
+func TestSlowAPI(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 2, []config.Model{baseModel("m", 8*gb), baseModel("new", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		c.setAllFaults(objectapi.Faults{Delay: 5 * time.Second})
+		time.Sleep(time.Minute)
+		for _, model := range []string{"m", "new"} {
+			if err := c.ensure(c.hosts[1], model, 30*time.Second); err != nil {
+				t.Errorf("%s: %v", model, err)
+			}
+		}
+	})
+}
+
+// TestDeciderCutOff cuts the decider off from the object API alone. Another
+// host takes over, and all hosts find it.
+func TestDeciderCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 2, []config.Model{baseModel("m", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		old := c.decider()
+		c.setFaults(old, objectapi.Faults{Down: true})
+		time.Sleep(20 * time.Second)
+		if old.lease.active() {
+			t.Error("the host that is cut off still decides")
+		}
+		for _, h := range c.hosts {
+			if err := c.ensure(h, "m", 20*time.Second); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
 // TestEvictsForWaiting fills the memory and asks for one more model, on both
 // kinds of target.
 func TestEvictsForWaiting(t *testing.T) {
