interface: build a host's duties without its sockets

app.NewCore builds all duties and the handler of one host over given interfaces, so that a test runs hosts in memory and in fake time; App is made of it. target.NewClientOver takes the function that makes connections, so that such a host uses the real client, with its check of crossed answers and of bytes sent, over in-memory connections. Behaviour is unchanged: go test ./internal/app ./internal/target ./internal/demo passes.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,13 +13,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornseam.dev/seam/internal/admin"
-	"buckthornseam.dev/seam/internal/entry"
 	"buckthornseam.dev/seam/internal/member"
 	"buckthornseam.dev/seam/internal/observe"
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/platform"
-	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/settings"
+	"buckthornseam.dev/seam/internal/target"
 )
 
 // headTimeout bounds the reading of a request's head.
@@ -77,10 +76,9 @@
 	members   *member.View
 	peers     *peer.Client
 	peerServe *peer.Server
-	handler   *serve.Handler
+	core      *Core
 	callers   *http.Server
 	admin     *http.Server
-	duties    *duties
 	metrics   *observe.Metrics
 
 	stopOnce sync.Once
@@ -101,58 +99,37 @@
 	a.peers = peer.NewClient(id, s.Peers.Secret, a.members)
 	a.members.Connect(a.peers)
 
-	d, err := newDuties(environment{
-		members: a.members, caller: a.peers, registrar: a.peerServe, api: api,
-		log: log, metrics: metrics.Scope, seed: seedOf(id),
-	})
+	core, err := NewCore(Environment{
+		Members: a.members, Caller: a.peers, Registrar: a.peerServe, API: api,
+		Targets: target.NewClient(), Log: log, Metrics: metrics.Scope,
+	}, s.Requests)
 	if err != nil {
 		return nil, err
 	}
-	a.duties = d
-	a.handler = serve.New(serve.Options{
-		Config:        d.store,
-		Auth:          d.auth,
-		Limits:        d.limiter,
-		Queue:         d.queue,
-		Placer:        d.placer,
-		Router:        d.router,
-		Journal:       d.journal,
-		Quarantine:    d.quarantine,
-		Retries:       d.retries,
-		Sender:        d.targets,
-		Running:       d.running,
-		EntryHosts:    entry.New(a.members, milliseconds(s.Requests.AnswerLifeMS), seedOf(id)),
-		Log:           log,
-		Metrics:       metrics.Scope,
-		BodyBytes:     s.Requests.BodyBytes,
-		Deadline:      milliseconds(s.Requests.DeadlineMS),
-		TokenGap:      milliseconds(s.Requests.TokenGapMS),
-		MaxConcurrent: s.Requests.MaxConcurrent,
-	})
-	a.members.ReportLoad(a.handler.Load)
+	a.core = core
+	a.members.ReportLoad(core.Handler.Load)
 	operators, err := admin.New(admin.Options{
-		API: api, Config: d.store, Members: a.members, TokenHash: s.Admin.TokenHash,
+		API: api, Config: core.Config, Members: a.members, TokenHash: s.Admin.TokenHash,
 		Metrics: metrics.Handler, Ready: a.Ready, Log: log,
 	})
 	if err != nil {
 		return nil, err
 	}
-	a.callers = &http.Server{Handler: a.handler, ReadHeaderTimeout: headTimeout}
+	a.callers = &http.Server{Handler: core.Handler, ReadHeaderTimeout: headTimeout}
 	a.admin = &http.Server{Handler: operators, ReadHeaderTimeout: headTimeout}
 	return a, nil
 }
 
 // Ready reports whether the host has a configuration.
-func (a *App) Ready() bool { return a.duties.store.Accepting() }
+func (a *App) Ready() bool { return a.core.Config.Accepting() }
 
 // Run serves until ctx ends or Stop is called, then shuts down gracefully.
 func (a *App) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, d := range append(a.duties.runners(), a.members) {
-		group.Go(func() error { return d.Run(ctx) })
-	}
+	group.Go(func() error { return a.core.Run(ctx) })
+	group.Go(func() error { return a.members.Run(ctx) })
 	group.Go(func() error { return a.peerServe.Serve(ctx, a.listeners.Peers) })
 	group.Go(func() error { return serveHTTP(a.callers, a.listeners.Callers) })
 	group.Go(func() error { return serveHTTP(a.admin, a.listeners.Admin) })
@@ -188,30 +165,13 @@
 	case <-time.After(milliseconds(a.settings.Requests.AnswerLifeMS)):
 	case <-ctx.Done():
 	}
-	a.handler.Stop()
-	left := a.handler.Wait(ctx)
-	a.handOver(ctx)
+	left := a.core.Finish(ctx)
 	a.log.WithFields(logrus.Fields{"event": "host_stopped", "requests_left": left}).Info("host stopped")
 	_ = a.callers.Shutdown(ctx)
 	a.callers.Close()
 	a.admin.Close()
 }
 
-// handOverTimeout bounds the hand-over of one duty: a host that finds nobody to
-// hand to, as the last one of a deployment, stops all the same.
-const handOverTimeout = 5 * time.Second
-
-// handOver gives what this host owns to the others.
-func (a *App) handOver(ctx context.Context) {
-	for _, d := range a.duties.drainers() {
-		step, cancel := context.WithTimeout(ctx, handOverTimeout)
-		if err := d.Drain(step); err != nil {
-			a.log.WithField("event", "drain_incomplete").Warn(err.Error())
-		}
-		cancel()
-	}
-}
-
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func serveHTTP(s *http.Server, l net.Listener) error {
--- /dev/null
+++ b/internal/app/core.go
@@ -0,0 +1,106 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/entry"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/serve"
+	"buckthornseam.dev/seam/internal/settings"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// Environment is what the duties of a host reach the outside through.
+type Environment struct {
+	Members   peer.Members
+	Caller    peer.Caller
+	Registrar peer.Registrar
+	API       platform.API
+	Targets   *target.Client
+	Log       logrus.FieldLogger
+	Metrics   tally.Scope
+}
+
+// Core is one entry host without its sockets: all duties and the handler that
+// they serve.
+type Core struct {
+	Handler *serve.Handler
+	Config  *config.Store
+
+	log    logrus.FieldLogger
+	duties *duties
+}
+
+// NewCore builds the duties. They do nothing before Run.
+func NewCore(env Environment, bounds settings.Requests) (*Core, error) {
+	seed := seedOf(env.Members.Self().ID)
+	d, err := newDuties(environment{
+		members: env.Members, caller: env.Caller, registrar: env.Registrar, api: env.API,
+		targets: env.Targets, log: env.Log, metrics: env.Metrics, seed: seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	handler := serve.New(serve.Options{
+		Config:        d.store,
+		Auth:          d.auth,
+		Limits:        d.limiter,
+		Queue:         d.queue,
+		Placer:        d.placer,
+		Router:        d.router,
+		Journal:       d.journal,
+		Quarantine:    d.quarantine,
+		Retries:       d.retries,
+		Sender:        d.targets,
+		Running:       d.running,
+		EntryHosts:    entry.New(env.Members, milliseconds(bounds.AnswerLifeMS), seed),
+		Log:           env.Log,
+		Metrics:       env.Metrics,
+		BodyBytes:     bounds.BodyBytes,
+		Deadline:      milliseconds(bounds.DeadlineMS),
+		TokenGap:      milliseconds(bounds.TokenGapMS),
+		MaxConcurrent: bounds.MaxConcurrent,
+	})
+	return &Core{Handler: handler, Config: d.store, log: env.Log, duties: d}, nil
+}
+
+// Run runs the loops of the duties until ctx ends.
+func (c *Core) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, d := range c.duties.runners() {
+		group.Go(func() error { return d.Run(ctx) })
+	}
+	return group.Wait()
+}
+
+// Finish refuses new requests, waits for those in progress and hands over what
+// this host owns. It returns the number of requests still in progress when ctx
+// ended.
+func (c *Core) Finish(ctx context.Context) int {
+	c.Handler.Stop()
+	left := c.Handler.Wait(ctx)
+	c.handOver(ctx)
+	return left
+}
+
+// handOverTimeout bounds the hand-over of one duty: a host that finds nobody to
+// hand to, as the last one of a deployment, stops all the same.
+const handOverTimeout = 5 * time.Second
+
+// handOver gives what this host owns to the others.
+func (c *Core) handOver(ctx context.Context) {
+	for _, d := range c.duties.drainers() {
+		step, cancel := context.WithTimeout(ctx, handOverTimeout)
+		if err := d.Drain(step); err != nil {
+			c.log.WithField("event", "drain_incomplete").Warn(err.Error())
+		}
+		cancel()
+	}
+}
--- a/internal/app/duties.go
+++ b/internal/app/duties.go
@@ -39,6 +39,7 @@
 	caller    peer.Caller
 	registrar peer.Registrar
 	api       platform.API
+	targets   *target.Client
 	log       logrus.FieldLogger
 	metrics   tally.Scope
 	seed      uint64 // differs between hosts and between starts
@@ -62,7 +63,7 @@
 
 // newDuties builds the duties in the order in which they need one another.
 func newDuties(env environment) (*duties, error) {
-	d := &duties{targets: target.NewClient(), running: serve.NewRunning()}
+	d := &duties{targets: env.targets, running: serve.NewRunning()}
 	for _, build := range []func(environment) error{
 		d.buildConfig, d.buildLimits, d.buildRouting, d.buildQueue, d.buildPlacement, d.buildJournal, d.buildRetries,
 	} {
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -39,8 +39,12 @@
 	},
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := dialer.DialContext(ctx, network, address)
+// Dial opens a connection to a target.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// counted returns dial with the bytes of its connections counted.
+func (dial Dial) counted(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -51,14 +51,18 @@
 	fresh *http.Transport // one connection for each request
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{kept: newTransport(false), fresh: newTransport(true)}
+// NewClient returns a client over TCP, without connections.
+func NewClient() *Client { return NewClientOver(dialer.DialContext) }
+
+// NewClientOver returns a client whose connections are made by dial. Such
+// connections must find lost paths themselves, as those over TCP do.
+func NewClientOver(dial Dial) *Client {
+	return &Client{kept: newTransport(dial, false), fresh: newTransport(dial, true)}
 }
 
-func newTransport(fresh bool) *http.Transport {
+func newTransport(dial Dial, fresh bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            dial.counted,
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -271,7 +271,7 @@
 
 func TestProbesRunDuringRequestsOnly(t *testing.T) {
 	raw := newRawTarget(t, func(w io.Writer, r *http.Request, _ string, _ int64) bool { ok(w, r); return true })
-	conn, err := dial(context.Background(), "tcp", raw.address)
+	conn, err := Dial(dialer.DialContext).counted(context.Background(), "tcp", raw.address)
 	if err != nil {
 		t.Fatal(err)
 	}
