--- /dev/null
+++ b/internal/wholerun/net_test.go
@@ -0,0 +1,192 @@
+package wholerun
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// lostAfter is the time after which a connection that lost its path fails, as
+// the kernel's timers see to on the client's TCP connections.
+const lostAfter = 3 * time.Second
+
+type netError string
+
+func (e netError) Error() string   { return string(e) }
+func (e netError) Timeout() bool   { return false }
+func (e netError) Temporary() bool { return false }
+
+const (
+	errRefused = netError("connection refused")
+	errClosed  = netError("listener closed")
+)
+
+// targetNet carries the connections from hosts to targets in memory.
+type targetNet struct {
+	mu        sync.Mutex
+	listeners map[string]*listener // by target
+	names     map[string]string    // of targets, by address
+	refuse    map[string]bool      // targets that take no connection
+	conns     map[*faultConn]bool
+}
+
+func newTargetNet() *targetNet {
+	return &targetNet{listeners: map[string]*listener{}, names: map[string]string{}, refuse: map[string]bool{}, conns: map[*faultConn]bool{}}
+}
+
+// addressOf returns the address of a target, which takes the form of IP:port.
+func addressOf(target string) string {
+	sum := xxhash.Sum64String(target)
+	return fmt.Sprintf("10.%d.%d.%d:80", byte(sum), byte(sum>>8), byte(sum>>16))
+}
+
+// listener implements net.Listener for one target.
+type listener struct {
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, errClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serve runs an HTTP server for a target; the result closes it.
+func (n *targetNet) serve(name string, h http.Handler) (closeServer func()) {
+	l := &listener{accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	n.listeners[name] = l
+	n.names[addressOf(name)] = name
+	n.mu.Unlock()
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }() // ends with the run
+	return func() { server.Close() }
+}
+
+func (n *targetNet) setRefuse(name string, refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refuse[name] = refuse
+}
+
+// dialer returns the dial function of one host. Down reports that the host has
+// crashed or is paused.
+func (n *targetNet) dialer(host string, down func() bool) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.mu.Lock()
+		name := n.names[address]
+		l, refused := n.listeners[name], n.refuse[name]
+		n.mu.Unlock()
+		if l == nil || refused || down() {
+			return nil, errRefused
+		}
+		client, server := net.Pipe()
+		select {
+		case l.accept <- server:
+		case <-l.closed:
+			return nil, errRefused
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		c := &faultConn{Conn: client, net: n, host: host, target: name}
+		n.mu.Lock()
+		n.conns[c] = true
+		n.mu.Unlock()
+		return c, nil
+	}
+}
+
+// each calls f for the open connections that match; an empty name matches all.
+func (n *targetNet) each(host, target string, f func(*faultConn)) {
+	n.mu.Lock()
+	var matching []*faultConn
+	for c := range n.conns {
+		if (host == "" || c.host == host) && (target == "" || c.target == target) {
+			matching = append(matching, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range matching {
+		f(c)
+	}
+}
+
+// faultConn is the host's end of a connection. A silent one stays open and
+// carries nothing.
+type faultConn struct {
+	net.Conn
+	net          *targetNet
+	host, target string
+
+	mu      sync.Mutex
+	silent  bool
+	waiting bool // something was written since the last read
+}
+
+func (c *faultConn) silence() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.silent && c.waiting {
+		c.failLater()
+	}
+	c.silent = true
+}
+
+func (c *faultConn) failLater() { time.AfterFunc(lostAfter, func() { c.Close() }) }
+
+func (c *faultConn) Read(p []byte) (int, error) {
+	for {
+		read, err := c.Conn.Read(p)
+		c.mu.Lock()
+		silent := c.silent
+		if !silent {
+			c.waiting = false
+		}
+		c.mu.Unlock()
+		if !silent || err != nil {
+			return read, err
+		}
+	}
+}
+
+func (c *faultConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	silent := c.silent
+	if silent && !c.waiting {
+		c.failLater()
+	}
+	c.waiting = true
+	c.mu.Unlock()
+	if silent {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *faultConn) Close() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// chance reports true with probability p.
+func chance(rng *rand.Rand, p float64) bool { return rng.Float64() < p }
--- /dev/null
+++ b/internal/wholerun/world_test.go
@@ -0,0 +1,298 @@
+package wholerun
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/coord/placement"
+	"buckthornseam.dev/seam/internal/app"
+	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/member"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/peer/peertest"
+	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/settings"
+	"buckthornseam.dev/seam/internal/standin/engine"
+	"buckthornseam.dev/seam/internal/standin/objectapi"
+	"buckthornseam.dev/seam/internal/standin/service"
+	"buckthornseam.dev/seam/internal/standin/weightstore"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// Sizes and bounds of a run.
+const (
+	hostCount    = 5
+	engineCount  = 4
+	modelCount   = 6
+	teamCount    = 3
+	engineMemory = 40 << 30
+	modelBytes   = 16 << 30 // two fit an engine, so models compete for memory
+	tokenDelay   = 20 * time.Millisecond
+	peerTimeout  = 2 * time.Second // of calls without a deadline, as peer.Client's
+)
+
+// bounds are the settings of all hosts.
+var bounds = settings.Requests{
+	BodyBytes: 1 << 16, DeadlineMS: 8000, TokenGapMS: 3000, DrainMS: 40_000, AnswerLifeMS: 1000, MaxConcurrent: 1000,
+}
+
+var zones = []string{"suva", "lautoka", "nadi"}
+
+// world is everything of one run.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand // of the schedule; used by one goroutine
+	start   time.Time
+	store   *objectapi.Store
+	peers   *peertest.Net
+	targets *targetNet
+	weights *weightstore.Store
+	engines map[string]*engine.Engine
+	flaky   map[string]*flaky
+	watch   *watcher
+	log     *logrus.Logger
+	wait    sync.WaitGroup
+	closers []func()
+
+	engineNames []string
+
+	mu       sync.Mutex
+	hosts    []*host // those up
+	keys     [teamCount][]*key
+	calls    []*call
+	apply    []applied
+	leaving  map[string]bool
+	maxRate  [teamCount]float64 // largest in force so far
+	maxBurst [teamCount]float64
+	lastMark int64
+	history  []string // of faults
+	bad      []string // failed checks
+	noise    []span   // times at which hosts may have been cut off from the configuration
+}
+
+// host is one run of one entry host.
+type host struct {
+	name     string
+	index    int
+	core     *app.Core
+	view     *member.View
+	peer     *peertest.Host
+	ctx      context.Context // ends with a crash or at the end of a planned stop
+	cancel   context.CancelFunc
+	dead     atomic.Bool
+	crashed  atomic.Bool
+	stopping atomic.Bool // chosen to crash or to stop
+	cutOff   atomic.Bool // no path to peers and API
+	api      atomic.Pointer[objectapi.Faults]
+}
+
+func (h *host) faults() objectapi.Faults {
+	if h.dead.Load() || h.cutOff.Load() {
+		return objectapi.Faults{Down: true}
+	}
+	return *h.api.Load()
+}
+
+// boundedCaller gives calls without a deadline one, as peer.Client does.
+type boundedCaller struct{ peer.Caller }
+
+func (c boundedCaller) Call(ctx context.Context, host, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return c.Caller.Call(ctx, host, method, params, result)
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), store: objectapi.NewStore(), peers: peertest.New(seed),
+		targets: newTargetNet(), engines: map[string]*engine.Engine{}, flaky: map[string]*flaky{},
+		weights: weightstore.New(weightstore.Options{LoadsPerSecond: 6, FullSpeed: 4, BytesPerSecond: 16 << 30}),
+		watch:   &watcher{seen: map[string][]sighting{}}, log: logrus.New(),
+	}
+	w.leaving = map[string]bool{}
+	for i := range teamCount {
+		w.maxRate[i], w.maxBurst[i] = teamRate, teamBurst
+	}
+	w.log.SetOutput(io.Discard)
+	w.log.SetLevel(logrus.PanicLevel)
+	if *verbose {
+		w.log.SetOutput(os.Stderr)
+		w.log.SetLevel(logrus.InfoLevel)
+	}
+	for i := range engineCount {
+		w.addEngine(fmt.Sprintf("engine-%d", i), i)
+	}
+	for i := range 2 {
+		w.addService(fmt.Sprintf("billing-%d", i), "billing", i)
+	}
+	w.addService("tariffs-0", "tariffs", 0)
+	w.submitAll(seed)
+	for i := range hostCount {
+		w.startHost(i)
+	}
+	return w
+}
+
+func (w *world) serveTarget(name string, f *flaky) {
+	w.flaky[name] = f
+	w.closers = append(w.closers, w.targets.serve(name, f))
+}
+
+// addEngine starts an engine; every second one ignores fencing numbers.
+func (w *world) addEngine(name string, i int) {
+	e := engine.New(engine.Options{
+		Name: name, MemoryBytes: engineMemory, ChecksFence: i%2 == 0, TokenDelay: tokenDelay,
+		ReportLag: 50 * time.Millisecond, Fetch: w.weights, Decided: w.decided,
+	})
+	w.engines[name] = e
+	crash := func() {
+		e.Restart()
+		w.targets.each("", name, func(c *faultConn) { c.Close() })
+	}
+	w.serveTarget(name, &flaky{name: name, next: e.Handler(), watch: w.watch, crash: crash, rng: rand.New(rand.NewPCG(uint64(i), 2))})
+	w.engineNames = append(w.engineNames, name)
+	w.submitEngine(name, i, false)
+}
+
+func (w *world) addService(name, svc string, i int) {
+	w.serveTarget(name, &flaky{name: name, next: service.New(svc), watch: w.watch, rng: rand.New(rand.NewPCG(uint64(i), 3))})
+	w.submit(name, "service-target", map[string]any{"name": name, "service": svc, "address": addressOf(name), "zone": zones[i%len(zones)]})
+}
+
+// decided reports whether the store has a slot for the model.
+func (w *world) decided(engine, model string) bool {
+	obj, err := w.store.Get(context.Background(), platform.KindPlacements, "target."+engine)
+	var rec placement.TargetRecord
+	return err == nil && json.Unmarshal(obj.Data, &rec) == nil && rec.SlotOf(model) != nil
+}
+
+// submit puts a template instance as an operator does and returns its version.
+func (w *world) submit(name, template string, params map[string]any) platform.Version {
+	return w.put(name, config.Instance{Template: template, Params: encode(params)})
+}
+
+func encode(params map[string]any) map[string]json.RawMessage {
+	raw := make(map[string]json.RawMessage, len(params))
+	for k, v := range params {
+		data, err := json.Marshal(v)
+		if err != nil {
+			panic(err) // the run's own constants
+		}
+		raw[k] = data
+	}
+	return raw
+}
+
+func (w *world) put(name string, inst config.Instance) platform.Version {
+	data, err := json.Marshal(inst)
+	if err != nil {
+		panic(err) // the run's own constants
+	}
+	obj := platform.Object{Kind: platform.KindInstances, Name: name, Data: data}
+	if old, err := w.store.Get(context.Background(), obj.Kind, name); err == nil {
+		obj.Version = old.Version
+	}
+	stored, err := w.store.Put(context.Background(), obj)
+	if err != nil {
+		w.t.Fatal(err) // nothing else writes instances, and the store has no faults of its own
+	}
+	return stored.Version
+}
+
+// list enters a host in the platform's list.
+func (w *world) list(self peer.Member) {
+	data, err := json.Marshal(member.HostEntry{Name: self.ID.Name, Zone: self.Zone, Address: self.Address, PeerAddress: self.PeerAddress})
+	if err != nil {
+		panic(err) // strings only
+	}
+	obj := platform.Object{Kind: platform.KindHosts, Name: self.ID.Name, Data: data}
+	if old, err := w.store.Get(context.Background(), obj.Kind, obj.Name); err == nil {
+		obj.Version = old.Version
+	}
+	_, _ = w.store.Put(context.Background(), obj) // the store has no faults of its own
+}
+
+// startHost starts a host, or a new run of one that stopped.
+func (w *world) startHost(i int) {
+	name := fmt.Sprintf("host-%d", i)
+	self := peer.Member{
+		ID: peer.ID{Name: name, Incarnation: uuid.NewString()}, Zone: zones[i%len(zones)], Address: name, PeerAddress: name,
+	}
+	w.list(self)
+	h := &host{name: name, index: i, peer: w.peers.Add(self)}
+	h.api.Store(&objectapi.Faults{})
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	log := w.log.WithField("host", name)
+	api, caller := w.store.Via(h.faults), boundedCaller{h.peer}
+	h.view = member.NewView(member.Options{Self: self, API: api, Caller: caller, Registrar: h.peer, Log: log, Metrics: tally.NoopScope})
+	targets := target.NewClientOver(w.targets.dialer(self.ID.String(), h.dead.Load))
+	core, err := app.NewCore(app.Environment{
+		Members: h.view, Caller: caller, Registrar: h.peer, API: api, Targets: targets, Log: log, Metrics: tally.NoopScope,
+	}, bounds)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	h.core = core
+	h.view.ReportLoad(core.Handler.Load)
+	w.wait.Go(func() { _ = h.view.Run(h.ctx) })
+	w.wait.Go(func() { _ = core.Run(h.ctx) })
+	w.wait.Go(func() {
+		<-h.ctx.Done()
+		h.dead.Store(true)
+		h.peer.Down(true)
+		w.targets.each(self.ID.String(), "", func(c *faultConn) { c.Close() })
+		targets.Close()
+	})
+	w.mu.Lock()
+	w.hosts = append(w.hosts, h)
+	w.mu.Unlock()
+}
+
+// remove takes a host from those that callers use.
+func (w *world) remove(h *host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, other := range w.hosts {
+		if other == h {
+			w.hosts = append(w.hosts[:i:i], w.hosts[i+1:]...)
+			return
+		}
+	}
+}
+
+func (w *world) up() []*host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*host(nil), w.hosts...)
+}
+
+// fail notes a failed check.
+func (w *world) fail(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bad = append(w.bad, fmt.Sprintf("%v: ", time.Since(w.start))+fmt.Sprintf(format, args...))
+}
+
+// close ends the run.
+func (w *world) close() {
+	for _, h := range w.up() {
+		h.cancel()
+	}
+	w.wait.Wait()
+	for _, f := range w.closers {
+		f()
+	}
+	w.targets.each("", "", func(c *faultConn) { c.Close() })
+}
