--- a/internal/wholerun/faults_test.go
+++ b/internal/wholerun/faults_test.go
@@ -31,7 +31,7 @@
 	{"history expired", false, func(w *world) func() { w.store.Expire(); w.store.BreakWatches(); return nil }},
 	{"peer calls lossy", true, func(w *world) func() {
 		w.peers.SetFaults(peertest.Faults{LoseCall: 0.1, LoseAnswer: 0.1, Duplicate: 0.2, MaxDelay: 30 * time.Millisecond})
-		return func() { w.peers.SetFaults(peertest.Faults{MaxDelay: time.Millisecond}) }
+		return func() { w.peers.SetFaults(healthyPeers) }
 	}},
 	{"peers cut", true, func(w *world) func() {
 		a, b := w.rng.IntN(hostCount), w.rng.IntN(hostCount)
@@ -85,6 +85,9 @@
 	}},
 }
 
+// healthyPeers are the calls between hosts without faults.
+var healthyPeers = peertest.Faults{MaxDelay: time.Millisecond}
+
 func hostName(i int) string { return fmt.Sprintf("host-%d", i) }
 
 func (w *world) someEngine() string { return w.engineNames[w.rng.IntN(engineCount)] }
--- a/internal/wholerun/world_test.go
+++ b/internal/wholerun/world_test.go
@@ -40,7 +40,8 @@
 	engineMemory = 40 << 30
 	modelBytes   = 16 << 30 // two fit an engine, so models compete for memory
 	tokenDelay   = 20 * time.Millisecond
-	peerTimeout  = 2 * time.Second // of calls without a deadline, as peer.Client's
+	apiLatency   = 2 * time.Millisecond // of each call; none would let a retry loop stop fake time
+	peerTimeout  = 2 * time.Second      // of calls without a deadline, as peer.Client's
 )
 
 // bounds are the settings of all hosts.
@@ -102,7 +103,9 @@
 	if h.dead.Load() || h.cutOff.Load() {
 		return objectapi.Faults{Down: true}
 	}
-	return *h.api.Load()
+	f := *h.api.Load()
+	f.Delay = max(f.Delay, apiLatency)
+	return f
 }
 
 // boundedCaller gives calls without a deadline one, as peer.Client does.
@@ -131,6 +134,7 @@
 		w.log.SetOutput(os.Stderr)
 		w.log.SetLevel(logrus.InfoLevel)
 	}
+	w.peers.SetFaults(healthyPeers)
 	for i := range engineCount {
 		w.addEngine(fmt.Sprintf("engine-%d", i), i)
 	}
