--- a/internal/wholerun/caller_test.go
+++ b/internal/wholerun/caller_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"buckthornseam.dev/seam/internal/invariant"
 	"buckthornseam.dev/seam/internal/refusal"
 	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/standin/engine"
@@ -85,7 +86,14 @@
 	select {
 	case <-done:
 	case <-h.ctx.Done():
-		c.cut = true
+		select {
+		case <-done:
+		default:
+			c.cut = true
+		}
+	}
+	if c.cut && !h.crashed.Load() {
+		w.fail("%s: call %s was cut by the planned stop of %s", invariant.ShutdownGraceful, c.tag, h.name)
 	}
 	// A call that ended in the instant of the crash may have seen either.
 	if h.crashed.Load() {
--- a/internal/wholerun/faults_test.go
+++ b/internal/wholerun/faults_test.go
@@ -46,7 +46,7 @@
 		return nil
 	}},
 	{"connections broken", false, func(w *world) func() {
-		w.targets.each("", w.someTarget(), func(c *faultConn) { c.Close() })
+		w.targets.each("", w.someTarget(), closeConn)
 		return nil
 	}},
 	{"target refuses", false, func(w *world) func() {
--- a/internal/wholerun/net_test.go
+++ b/internal/wholerun/net_test.go
@@ -150,7 +150,7 @@
 	c.silent = true
 }
 
-func (c *faultConn) failLater() { time.AfterFunc(lostAfter, func() { c.Close() }) }
+func (c *faultConn) failLater() { time.AfterFunc(lostAfter, func() { closeConn(c) }) }
 
 func (c *faultConn) Read(p []byte) (int, error) {
 	for {
@@ -188,5 +188,8 @@
 	return c.Conn.Close()
 }
 
+// closeConn closes a connection; a pipe's end always closes.
+func closeConn(c *faultConn) { _ = c.Close() }
+
 // chance reports true with probability p.
 func chance(rng *rand.Rand, p float64) bool { return rng.Float64() < p }
--- a/internal/wholerun/world_test.go
+++ b/internal/wholerun/world_test.go
@@ -163,7 +163,7 @@
 	w.engines[name] = e
 	crash := func() {
 		e.Restart()
-		w.targets.each("", name, func(c *faultConn) { c.Close() })
+		w.targets.each("", name, closeConn)
 	}
 	w.serveTarget(name, &flaky{name: name, next: e.Handler(), watch: w.watch, crash: crash, rng: rand.New(rand.NewPCG(uint64(i), 2))})
 	w.engineNames = append(w.engineNames, name)
@@ -256,7 +256,7 @@
 		<-h.ctx.Done()
 		h.dead.Store(true)
 		h.peer.Down(true)
-		w.targets.each(self.ID.String(), "", func(c *faultConn) { c.Close() })
+		w.targets.each(self.ID.String(), "", closeConn)
 		targets.Close()
 	})
 	w.mu.Lock()
@@ -298,5 +298,5 @@
 	for _, f := range w.closers {
 		f()
 	}
-	w.targets.each("", "", func(c *faultConn) { c.Close() })
+	w.targets.each("", "", closeConn)
 }
