Count object API calls, and do not hold a declined request against its target

Cause: app built the API client without metrics; an engine that had unloaded a model was ejected after two declined requests; the stand-in API sent a bookmark ahead of events still buffered, which vouched for what had not been delivered.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -92,7 +92,7 @@
 	a := &App{settings: s, log: log, listeners: l, metrics: metrics, stop: make(chan struct{})}
 
 	id := peer.ID{Name: s.Host.Name, Incarnation: uuid.NewString()}
-	api := platform.NewClient(s.Platform.URL)
+	api := platform.NewClient(s.Platform.URL, platform.WithMetrics(metrics.Scope))
 	self := peer.Member{ID: id, Zone: s.Host.Zone, Address: s.Callers.Advertise, PeerAddress: s.Peers.Advertise}
 	a.peerServe = peer.NewServer(id, s.Peers.Secret, log, metrics.Scope)
 	a.members = member.NewView(member.Options{Self: self, API: api, Registrar: a.peerServe, Log: log, Metrics: metrics.Scope})
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -166,7 +166,7 @@
 		m.sent = true
 		err = m.relay(a, resp)
 	}
-	out := Outcome{OK: err == nil, Canceled: m.r.Context().Err() != nil, Tokens: m.delivered - before}
+	out := Outcome{OK: err == nil || declined(err), Canceled: m.r.Context().Err() != nil, Tokens: m.delivered - before}
 	if !a.first.IsZero() {
 		out.FirstToken = a.first.Sub(start)
 	}
@@ -225,6 +225,13 @@
 	return false, err
 }
 
+// declined reports whether a healthy target answered that it does not take the
+// request, for example since it has unloaded the model.
+func declined(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status) && status.Status < http.StatusInternalServerError
+}
+
 // lostWhileRunning reports whether the target broke the connection while it had
 // the request. Silence is a lost path, not a crash.
 func lostWhileRunning(err error) bool {
--- a/internal/standin/objectapi/http.go
+++ b/internal/standin/objectapi/http.go
@@ -134,7 +134,7 @@
 				return
 			}
 		case <-tick.C:
-			e, open = s.bookmark()
+			e, open = s.bookmark(stream)
 			if !open {
 				continue
 			}
@@ -146,11 +146,12 @@
 	}
 }
 
-// bookmark returns a bookmark event unless watches are silenced.
-func (s *server) bookmark() (platform.Event, bool) {
+// bookmark returns a bookmark event unless watches are silenced, or events that
+// it would vouch for still wait to be sent.
+func (s *server) bookmark(stream platform.Watch) (platform.Event, bool) {
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
-	if s.store.faults.SilentWatches {
+	if s.store.faults.SilentWatches || len(stream.Events()) > 0 {
 		return platform.Event{}, false
 	}
 	return platform.Event{Type: platform.EventBookmark, Object: platform.Object{Version: s.store.version}}, true
