Stop at once when the context ends, gracefully when told to stop

Cause: ending the context stopped the duties before the hand-over that needed them, so a drain waited for its whole time; the demo ended that way. Change: Stop drains, the context's end cuts; the demo stops its hosts first.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -123,7 +123,8 @@
 // Ready reports whether the host has a configuration.
 func (a *App) Ready() bool { return a.core.Config.Accepting() }
 
-// Run serves until ctx ends or Stop is called, then shuts down gracefully.
+// Run serves until Stop is called, then shuts down gracefully. If ctx ends it
+// returns at once and cuts what is in progress.
 func (a *App) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -137,8 +138,10 @@
 		select {
 		case <-ctx.Done():
 		case <-a.stop:
+			a.shutdown()
 		}
-		a.shutdown()
+		a.callers.Close()
+		a.admin.Close()
 		cancel()
 		return nil
 	})
@@ -167,9 +170,7 @@
 	}
 	left := a.core.Finish(ctx)
 	a.log.WithFields(logrus.Fields{"event": "host_stopped", "requests_left": left}).Info("host stopped")
-	_ = a.callers.Shutdown(ctx)
-	a.callers.Close()
-	a.admin.Close()
+	_ = a.callers.Shutdown(ctx) // what is left after the drain time is cut, and was logged
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -157,15 +157,15 @@
 	})
 }
 
-// Close stops everything at once.
+// Close stops all hosts gracefully, then the stand-ins.
 func (c *Cluster) Close() {
-	c.cancel()
 	for _, h := range c.Hosts {
 		h.App.Stop()
 	}
 	for _, h := range c.Hosts {
 		<-h.Done
 	}
+	c.cancel()
 	c.StandIns.Close()
 	c.wait.Wait()
 }
