--- a/internal/wholerun/check_test.go
+++ b/internal/wholerun/check_test.go
@@ -15,7 +15,7 @@
 	grace         = time.Second      // after the deadline, for the answer to leave
 	streamBound   = 40 * time.Second // head by the deadline, then bounded silences and retries
 	inForceWithin = 3 * time.Second  // of a withdrawal or a leaving target, on connected hosts
-	staleWithin   = 8 * time.Second  // the same when hosts may be cut off: they stop accepting
+	staleWithin   = 6 * time.Second  // the same when hosts may be cut off: they stop accepting
 )
 
 // violated notes a failed check of an invariant.
--- a/internal/wholerun/config_test.go
+++ b/internal/wholerun/config_test.go
@@ -8,13 +8,16 @@
 	"buckthornseam.dev/seam/internal/config"
 )
 
-// Rates of the teams: traffic goes beyond them now and then.
-const (
-	teamRate  = 120 // tokens a second
-	teamBurst = 300 // tokens
-	moneyCost = 5   // tokens of a call to the billing service
+// Rates of the teams. The traffic of the first team is well beyond its rate, that
+// of the others now and then.
+var (
+	teamRate  = [teamCount]int{20, 60, 120} // tokens a second
+	teamBurst = [teamCount]int{40, 200, 300}
 )
 
+// moneyCost is what a call to the billing service is charged.
+const moneyCost = 5 // tokens
+
 // key is a key of a team with its life in the operators' view.
 type key struct {
 	value     string
@@ -42,7 +45,7 @@
 // submitAll puts the configuration that the run starts with.
 func (w *world) submitAll(seed uint64) {
 	for i := range teamCount {
-		w.submitTeam(i, teamRate, teamBurst)
+		w.submitTeam(i, teamRate[i], teamBurst[i])
 		w.giveKey(i, fmt.Sprintf("secret-%d-%d-stable", seed, i))
 	}
 	for m := range modelCount {
--- a/internal/wholerun/faults_test.go
+++ b/internal/wholerun/faults_test.go
@@ -16,60 +16,61 @@
 type fault struct {
 	name  string
 	noisy bool // hosts may be cut off from the configuration meanwhile
+	often int  // weight in the draw
 	start func(w *world) (end func())
 }
 
 var faults = []fault{
-	{"API down for one host", true, func(w *world) func() { return w.apiFault(w.someHosts(1), objectapi.Faults{Down: true}) }},
-	{"API down", true, func(w *world) func() { return w.apiFault(w.up(), objectapi.Faults{Down: true}) }},
-	{"API slow", true, func(w *world) func() {
+	{"API down for one host", true, 1, func(w *world) func() { return w.apiFault(w.someHosts(1), objectapi.Faults{Down: true}) }},
+	{"API down", true, 1, func(w *world) func() { return w.apiFault(w.up(), objectapi.Faults{Down: true}) }},
+	{"API slow", true, 1, func(w *world) func() {
 		return w.apiFault(w.up(), objectapi.Faults{Delay: time.Duration(w.rng.Int64N(int64(800 * time.Millisecond)))})
 	}},
-	{"API loses answers", true, func(w *world) func() { return w.apiFault(w.up(), objectapi.Faults{LoseAnswers: true}) }},
-	{"watches silent", true, func(w *world) func() { return w.apiFault(w.someHosts(2), objectapi.Faults{SilentWatches: true}) }},
-	{"watches broken", false, func(w *world) func() { w.store.BreakWatches(); return nil }},
-	{"history expired", false, func(w *world) func() { w.store.Expire(); w.store.BreakWatches(); return nil }},
-	{"peer calls lossy", true, func(w *world) func() {
+	{"API loses answers", true, 1, func(w *world) func() { return w.apiFault(w.up(), objectapi.Faults{LoseAnswers: true}) }},
+	{"watches silent", true, 1, func(w *world) func() { return w.apiFault(w.someHosts(2), objectapi.Faults{SilentWatches: true}) }},
+	{"watches broken", false, 1, func(w *world) func() { w.store.BreakWatches(); return nil }},
+	{"history expired", false, 1, func(w *world) func() { w.store.Expire(); w.store.BreakWatches(); return nil }},
+	{"peer calls lossy", true, 1, func(w *world) func() {
 		w.peers.SetFaults(peertest.Faults{LoseCall: 0.1, LoseAnswer: 0.1, Duplicate: 0.2, MaxDelay: 30 * time.Millisecond})
 		return func() { w.peers.SetFaults(healthyPeers) }
 	}},
-	{"peers cut", true, func(w *world) func() {
+	{"peers cut", true, 1, func(w *world) func() {
 		a, b := w.rng.IntN(hostCount), w.rng.IntN(hostCount)
 		w.peers.Cut(hostName(a), hostName(b), true)
 		return func() { w.peers.Cut(hostName(a), hostName(b), false) }
 	}},
-	{"host crashes", true, crashHost},
-	{"host paused", true, pauseHost},
-	{"host stops", true, stopHost},
-	{"connections silent", false, func(w *world) func() {
+	{"host crashes", true, 2, crashHost},
+	{"host paused", true, 2, pauseHost},
+	{"host stops", true, 2, stopHost},
+	{"connections silent", false, 1, func(w *world) func() {
 		w.targets.each("", w.someTarget(), func(c *faultConn) { c.silence() })
 		return nil
 	}},
-	{"connections broken", false, func(w *world) func() {
+	{"connections broken", false, 1, func(w *world) func() {
 		w.targets.each("", w.someTarget(), closeConn)
 		return nil
 	}},
-	{"target refuses", false, func(w *world) func() {
+	{"target refuses", false, 1, func(w *world) func() {
 		name := w.someTarget()
 		w.targets.setRefuse(name, true)
 		return func() { w.targets.setRefuse(name, false) }
 	}},
-	{"target moody", false, func(w *world) func() {
+	{"target moody", false, 2, func(w *world) func() {
 		f := w.flaky[w.someTarget()]
-		f.set(moods{dropBefore: 0.2, dropAfter: 0.2, crossed: 0.2, late: 0.3, lateBy: 4 * time.Second})
+		f.set(moods{dropBefore: 0.15, dropAfter: 0.15, crossed: 0.4, late: 0.3, lateBy: 4 * time.Second})
 		return func() { f.set(moods{}) }
 	}},
-	{"engine restarts", false, func(w *world) func() { w.flaky[w.someEngine()].restart(); return nil }},
-	{"engine control silent", false, func(w *world) func() {
+	{"engine restarts", false, 1, func(w *world) func() { w.flaky[w.someEngine()].restart(); return nil }},
+	{"engine control silent", false, 1, func(w *world) func() {
 		e := w.engines[w.someEngine()]
 		e.SetSilent(true)
 		return func() { e.SetSilent(false) }
 	}},
-	{"weights slow", false, func(w *world) func() {
+	{"weights slow", false, 1, func(w *world) func() {
 		w.weights.Slow(4)
 		return func() { w.weights.Slow(1) }
 	}},
-	{"engine leaves", false, func(w *world) func() {
+	{"engine leaves", false, 1, func(w *world) func() {
 		name := w.someEngine()
 		if w.leaving[name] {
 			return nil
@@ -197,8 +198,11 @@
 func (w *world) injectFaults(ctx context.Context) {
 	var ends sync.WaitGroup
 	for ctx.Err() == nil {
-		f := faults[w.rng.IntN(len(faults))]
+		f := w.drawFault()
 		life := time.Duration(200+w.rng.IntN(5000)) * time.Millisecond
+		if chance(w.rng, 0.2) {
+			life *= 3 // longer than hosts accept an old configuration
+		}
 		w.begin(f, life, &ends)
 		if chance(w.rng, 0.2) {
 			w.begin(f, life/2, &ends) // the same once more
@@ -208,6 +212,20 @@
 	ends.Wait()
 }
 
+func (w *world) drawFault() fault {
+	sum := 0
+	for _, f := range faults {
+		sum += f.often
+	}
+	draw := w.rng.IntN(sum)
+	for _, f := range faults {
+		if draw -= f.often; draw < 0 {
+			return f
+		}
+	}
+	return faults[0] // not reached: the weights add up to sum
+}
+
 func (w *world) begin(f fault, life time.Duration, ends *sync.WaitGroup) {
 	w.log.WithField("fault", f.name).WithField("life", life.String()).Info("fault begins")
 	end := f.start(w)
@@ -242,10 +260,10 @@
 		team := rng.IntN(teamCount)
 		w.mark(n)
 		w.lastMark = int64(n)
-		switch rng.IntN(3) {
+		switch rng.IntN(4) {
 		case 0:
 			w.giveKey(team, fmt.Sprintf("secret-%d-%d-%d", seed, team, n))
-		case 1:
+		case 1, 2:
 			w.mu.Lock()
 			keys := w.keys[team]
 			k := keys[len(keys)-1]
@@ -253,10 +271,10 @@
 			if len(keys) > 1 && k.withdrawn.IsZero() {
 				w.withdraw(k)
 			}
-		case 2:
-			rate := teamRate/2 + rng.IntN(teamRate)
+		case 3:
+			rate := teamRate[team]/2 + rng.IntN(teamRate[team])
 			w.maxRate[team] = max(w.maxRate[team], float64(rate))
-			w.submitTeam(team, rate, teamBurst)
+			w.submitTeam(team, rate, teamBurst[team])
 		}
 	}
 }
--- a/internal/wholerun/world_test.go
+++ b/internal/wholerun/world_test.go
@@ -126,7 +126,7 @@
 	}
 	w.leaving = map[string]bool{}
 	for i := range teamCount {
-		w.maxRate[i], w.maxBurst[i] = teamRate, teamBurst
+		w.maxRate[i], w.maxBurst[i] = float64(teamRate[i]), float64(teamBurst[i])
 	}
 	w.log.SetOutput(io.Discard)
 	w.log.SetLevel(logrus.PanicLevel)
