fix: confirm a record again before ordering a load from a restarted target

The engine ignores fencing numbers. Its slot had gone by the proof that the engine had carried out its only load order; then the engine restarted and forgot that order; a decider that was cut off from the object API and had confirmed the record 11 s before, within SendWindow, sent the order again. Ruled out: a stale read (the API was down for this host) and a late delivery (the order was sent anew).

The load is now sent only to the incarnation that was alive when the record was last confirmed, as with targets that check fencing numbers. What stays an assumption: a target does not restart within SendWindow of its last report. TestRestartNeedsConfirmation fails without the change.

--- a/coord/placement/orders.go
+++ b/coord/placement/orders.go
@@ -185,8 +185,11 @@
 // target that checks fencing numbers this holds if the incarnation that is
 // addressed is the one that was alive when the record was last confirmed: if
 // the slot went since, that incarnation has seen a larger number. Otherwise the
-// record must have been confirmed within SendWindow, and the target must not
-// have restarted since, which takes it longer than that.
+// record must have been confirmed within SendWindow and while the incarnation
+// that is addressed was alive: after a restart the target has forgotten the
+// order that it carried out, and the slot may have gone before. The target must
+// not have restarted since its last report, which takes it longer than
+// SendWindow.
 func (d *Decider) maySend(ts *targetState, s *Slot, os *orderState) (time.Duration, bool) {
 	if d.silent(ts) || ts.rep.Relayed {
 		return 0, false
@@ -201,10 +204,11 @@
 	if s.Phase != PhaseHold {
 		return 0, false
 	}
-	if ts.spec.ChecksFence && ts.confirmed != "" && ts.rep.Incarnation == ts.confirmed {
+	same := ts.confirmed != "" && ts.rep.Incarnation == ts.confirmed
+	if same && ts.spec.ChecksFence {
 		return until, true
 	}
-	if d.now-ts.confirmedAt < d.opt.SendWindow {
+	if same && d.now-ts.confirmedAt < d.opt.SendWindow {
 		return min(until, ts.confirmedAt+d.opt.SendWindow), true
 	}
 	ts.stale = true
--- /dev/null
+++ b/coord/placement/restart_test.go
@@ -0,0 +1,48 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRestartNeedsConfirmation lets a target that ignores fencing numbers
+// restart after its record was confirmed. The slot may have gone meanwhile, by
+// the proof that the earlier incarnation had carried out its only load order,
+// which the new one has forgotten; so no load order may be sent to the new one
+// before the record is read again.
+func TestRestartNeedsConfirmation(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		d := NewDecider(DefaultOptions("n"))
+		d.SetActive(true)
+		d.Configure([]TargetSpec{{Name: "t", Pool: "p", Bytes: 10, Slots: 1, OrderLife: time.Second}},
+			[]ModelSpec{{Name: "m", Pool: "p", Bytes: 1, Max: 1, Idle: time.Minute}})
+		rec := TargetRecord{Target: "t", Fence: 1, Slots: []Slot{{Decision: "x", Model: "m", Bytes: 1, Phase: PhaseHold, Fence: 1}}}
+		d.Report(time.Second, "t", Report{Incarnation: "a", Sequence: 1, TakenAt: time.Second})
+		d.Sync(time.Second, time.Second, []StoredTarget{{Record: rec, Version: 1}}, nil, 1)
+		now := 2 * time.Second
+		if restarted {
+			d.Report(now, "t", Report{Incarnation: "b", Sequence: 1, TakenAt: now})
+		}
+		d.Want(now, Want{Host: "h", Model: "m", Waiting: 1, Earliest: time.Minute, Latest: time.Minute})
+		if sent := loadsSent(d.Step(now)); sent == restarted {
+			t.Errorf("restarted %v: load order sent %v", restarted, sent)
+		}
+		for _, a := range d.Step(now + time.Millisecond) {
+			if a.Kind == ReadTarget {
+				d.Done(now+time.Second, Result{Action: a, Outcome: Succeeded, Target: rec, Version: 1})
+			}
+		}
+		if sent := loadsSent(d.Step(now + 2*time.Second)); sent != restarted {
+			t.Errorf("restarted %v: load order sent after the record was read %v", restarted, sent)
+		}
+	}
+}
+
+func loadsSent(actions []Action) bool {
+	for _, a := range actions {
+		if a.Kind == SendOrder && a.Order.Op == OrderLoad {
+			return true
+		}
+	}
+	return false
+}
