Show operators placement and quarantine, and count each loss of a target

Cause: a model with one replica let one request crash its engine again and again: three sends of it were answered 502 and never quarantined, since only different targets counted (seen with 3 hosts as processes). Conclusion: TestOnlyTargetCrashedTwice fails without the change.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -40,6 +40,9 @@
 	Metrics   http.Handler
 	Ready     func() bool
 	Log       logrus.FieldLogger
+
+	Placement  Placement  // nil leaves its routes out
+	Quarantine Quarantine // nil leaves its routes out
 }
 
 // Handler answers operators.
@@ -79,6 +82,7 @@
 	a.HandleFunc("/instances/{name}", h.put).Methods(http.MethodPut)
 	a.HandleFunc("/instances/{name}", h.remove).Methods(http.MethodDelete)
 	a.HandleFunc("/instances/{name}/progress", h.progress).Methods(http.MethodGet)
+	h.views(a)
 	h.routes = r
 	return h, nil
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -111,6 +111,7 @@
 	operators, err := admin.New(admin.Options{
 		API: api, Config: core.Config, Members: a.members, TokenHash: s.Admin.TokenHash,
 		Metrics: metrics.Handler, Ready: a.Ready, Log: log,
+		Placement: core.Placer, Quarantine: core.Quarantine,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/app/core.go
+++ b/internal/app/core.go
@@ -11,7 +11,9 @@
 	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/entry"
 	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/place"
 	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/quarantine"
 	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/settings"
 	"buckthornseam.dev/seam/internal/target"
@@ -31,8 +33,10 @@
 // Core is one entry host without its sockets: all duties and the handler that
 // they serve.
 type Core struct {
-	Handler *serve.Handler
-	Config  *config.Store
+	Handler    *serve.Handler
+	Config     *config.Store
+	Placer     *place.Placer
+	Quarantine *quarantine.Quarantine
 
 	log    logrus.FieldLogger
 	duties *duties
@@ -68,7 +72,10 @@
 		TokenGap:      milliseconds(bounds.TokenGapMS),
 		MaxConcurrent: bounds.MaxConcurrent,
 	})
-	return &Core{Handler: handler, Config: d.store, log: env.Log, duties: d}, nil
+	return &Core{
+		Handler: handler, Config: d.store, Placer: d.placer, Quarantine: d.quarantine,
+		log: env.Log, duties: d,
+	}, nil
 }
 
 // Run runs the loops of the duties until ctx ends.
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"buckthornseam.dev/seam/internal/admin"
 	"buckthornseam.dev/seam/internal/config"
@@ -105,7 +106,8 @@
 type applyCommand struct {
 	command
 	Remote
-	File string `short:"f" long:"file" value-name:"FILE" required:"true" description:"JSON list of instances, - for standard input"`
+	File string        `short:"f" long:"file" value-name:"FILE" required:"true" description:"JSON list of instances, - for standard input"`
+	Wait time.Duration `long:"wait" default:"10s" description:"longest wait for the changes to be in force on every host, 0 for none"`
 }
 
 // Execute implements flags.Commander.
@@ -134,12 +136,30 @@
 			fmt.Fprintf(c.out, "%s stored at version %d\n", out.Name, out.Version)
 		}
 	}
+	last, err := c.await(client, stored)
+	if err != nil {
+		return err
+	}
 	if c.Output == "json" {
 		return printJSON(c.out, stored)
 	}
+	if last.Message != "" {
+		fmt.Fprintln(c.out, last.Message)
+	}
 	return nil
 }
 
+// await waits for the last change, and with it all before, to be in force.
+func (c *applyCommand) await(client *opclient.Client, stored []admin.Instance) (admin.Outcome, error) {
+	if len(stored) == 0 || c.Wait < time.Second {
+		return admin.Outcome{}, nil
+	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	last := stored[len(stored)-1]
+	return client.Progress(ctx, last.Name, last.Version, c.Wait)
+}
+
 // InstanceError names the instance that a command failed at.
 type InstanceError struct {
 	Instance string
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -100,6 +100,8 @@
 		{"get", "show template instances", &getCommand{command: base}},
 		{"status", "show the status of a host", &statusCommand{command: base}},
 		{"hash-key", "print the stored form of a key read from standard input", &hashCommand{command: base}},
+		{"models", "show why models are where they are", &modelsCommand{command: base}},
+		{"quarantine", "list or release requests that crash their targets", &quarantineCommand{command: base}},
 		{"load", "send requests as callers do and sum up the outcomes", &loadCommand{command: base}},
 		{"replay", "send a recorded trace and compare the outcomes with those it states", &replayCommand{command: base}},
 		{"trace", "print a sample trace", &traceCommand{command: base}},
--- /dev/null
+++ b/internal/ctl/views.go
@@ -0,0 +1,86 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+type modelsCommand struct {
+	command
+	Remote
+	Args struct {
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *modelsCommand) Execute([]string) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	list, err := c.client().Models(ctx, c.Args.Name)
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(c.out, list)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MODEL\tSERVING\tWAITING\tRUNNING\tTARGETS\tREASON")
+	for _, m := range list {
+		var places []string
+		for _, p := range m.Places {
+			places = append(places, p.Target+" "+p.State)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", m.Model, m.Serving, m.Waiting, m.Running, strings.Join(places, ", "), m.Reason)
+	}
+	w.Flush()
+	return nil
+}
+
+type quarantineCommand struct {
+	command
+	Remote
+	Release string `long:"release" value-name:"TEAM/FINGERPRINT" description:"let a request run again"`
+}
+
+// ReleaseError reports a request to release that is not named in full.
+type ReleaseError struct {
+	Given string
+}
+
+func (e *ReleaseError) Error() string {
+	return fmt.Sprintf("--release %q: want TEAM/FINGERPRINT as listed", e.Given)
+}
+
+// Execute implements flags.Commander.
+func (c *quarantineCommand) Execute([]string) error {
+	ctx, cancel := interruptible()
+	defer cancel()
+	if c.Release != "" {
+		team, fingerprint, ok := strings.Cut(c.Release, "/")
+		if !ok {
+			return &ReleaseError{Given: c.Release}
+		}
+		return c.client().Release(ctx, team, fingerprint)
+	}
+	list, err := c.client().Quarantined(ctx)
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(c.out, list)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TEAM\tFINGERPRINT\tSTATE\tAGE\tTARGETS LOST")
+	for _, e := range list {
+		state := "quarantined"
+		if e.Released {
+			state = "released"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", e.Team, e.Fingerprint, state, e.Age.Round(time.Second), strings.Join(e.Targets, ", "))
+	}
+	w.Flush()
+	return nil
+}
--- a/internal/opclient/opclient.go
+++ b/internal/opclient/opclient.go
@@ -12,9 +12,13 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
+
+	"buckthornseam.dev/coord/placement"
 	"buckthornseam.dev/seam/internal/admin"
 	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/quarantine"
 )
 
 // callTimeout bounds one call.
@@ -98,6 +102,27 @@
 	return out, err
 }
 
+// Models returns why models are where they are: one, or all that have a slot
+// or are wanted if name is empty.
+func (c *Client) Models(ctx context.Context, name string) ([]placement.Status, error) {
+	var out []placement.Status
+	err := c.call(ctx, http.MethodGet, "/models?name="+url.QueryEscape(name), nil, &out)
+	return out, err
+}
+
+// Quarantined returns the requests in quarantine.
+func (c *Client) Quarantined(ctx context.Context) ([]quarantine.Entry, error) {
+	var out []quarantine.Entry
+	err := c.call(ctx, http.MethodGet, "/quarantine", nil, &out)
+	return out, err
+}
+
+// Release lets a request in quarantine run again.
+func (c *Client) Release(ctx context.Context, team, fingerprint string) error {
+	path := "/quarantine/" + url.PathEscape(team) + "/" + url.PathEscape(fingerprint)
+	return c.call(ctx, http.MethodDelete, path, nil, nil)
+}
+
 func query(version platform.Version) string {
 	if version == 0 {
 		return ""
@@ -111,6 +136,10 @@
 		return &CallError{Cause: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
+	if method != http.MethodGet {
+		// A change that reaches the host twice is recognised by this id.
+		req.Header.Set(admin.HeaderOperation, uuid.NewString())
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return &CallError{Cause: err}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,10 +11,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +63,7 @@
 	opts   Options
 	origin time.Time
 	news   chan Entry
+	losses atomic.Uint64 // losses seen by this host
 
 	mu    sync.Mutex
 	table *table
@@ -110,7 +113,7 @@
 // the losses seen by other hosts. It takes at most 300 ms.
 func (q *Quarantine) Crashed(team, fingerprint, target string) {
 	id := ID{Team: team, Fingerprint: fingerprint}
-	targets := q.record(id, []string{target})
+	targets := q.record(id, []string{q.lossOf(target)})
 	all, answered := q.askOwners(id, targets)
 	if answered == 0 {
 		q.mu.Lock()
@@ -121,6 +124,12 @@
 	q.record(id, all)
 }
 
+// lossOf names one loss of a target. Each loss counts: a model may have a single
+// target, which one request can crash again and again.
+func (q *Quarantine) lossOf(target string) string {
+	return fmt.Sprintf("%s (seen by %s, %d)", target, q.opts.Members.Self().ID.Name, q.losses.Add(1))
+}
+
 // Succeeded clears the suspicion against a request that a target ran to its
 // end.
 func (q *Quarantine) Succeeded(team, fingerprint string) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -148,3 +148,21 @@
 		t.Errorf("%d entries after their life", n)
 	}
 }
+
+// TestOnlyTargetCrashedTwice crashes the only target of a model through two
+// hosts: the second loss puts the request into quarantine.
+func TestOnlyTargetCrashedTwice(t *testing.T) {
+	withFleet(t, 3, func(_ *peertest.Net, all []*Quarantine) {
+		all[0].Crashed("team", "crasher", "only")
+		if err := all[1].Check("team", "crasher"); err != nil {
+			t.Fatalf("in quarantine after one loss: %v", err)
+		}
+		all[1].Crashed("team", "crasher", "only")
+		if err := all[1].Check("team", "crasher"); err == nil {
+			t.Fatal("not in quarantine after two losses of the only target")
+		}
+		if err := all[1].Check("team", "harmless"); err != nil {
+			t.Fatalf("another request is refused: %v", err)
+		}
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -19,7 +19,7 @@
 	ID
 	Sequence uint64        `json:"sequence"`
 	Released bool          `json:"released"`
-	Targets  []string      `json:"targets"` // targets lost while they ran it
+	Targets  []string      `json:"targets"` // losses of targets while they ran it
 	Age      time.Duration `json:"age_ns"`  // since it was put in or released
 }
 
@@ -46,7 +46,7 @@
 
 // Limits bound the quarantine. Zero fields get defaults.
 type Limits struct {
-	Targets     int           // lost targets that put a request into quarantine
+	Targets     int           // losses that put a request into quarantine
 	Life        time.Duration // time in quarantine
 	SuspectLife time.Duration // time for which a lost target is held against a request
 	Hold        time.Duration // time without dispatch if no owner answers
@@ -176,7 +176,7 @@
 
 // list returns all entries within their life, sorted.
 func (t *table) list(now time.Duration) []Entry {
-	var out []Entry
+	out := []Entry{}
 	for _, e := range t.entries.Values() {
 		age := now - e.since
 		if age > t.limits.Life {
