--- a/internal/app/core.go
+++ b/internal/app/core.go
@@ -93,7 +93,8 @@
 func (c *Core) Finish(ctx context.Context) int {
 	c.Handler.Stop()
 	left := c.Handler.Wait(ctx)
-	c.handOver(ctx)
+	// The hand-over has time of its own, however long the requests took.
+	c.handOver(context.WithoutCancel(ctx))
 	return left
 }
 
