--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -92,11 +92,11 @@
 	a := &App{settings: s, log: log, listeners: l, metrics: metrics, stop: make(chan struct{})}
 
 	id := peer.ID{Name: s.Host.Name, Incarnation: uuid.NewString()}
-	api := platform.NewClient(s.Platform.URL)
+	api := platform.NewClient(s.Platform.URL, platform.WithMetrics(metrics.Scope))
 	self := peer.Member{ID: id, Zone: s.Host.Zone, Address: s.Callers.Advertise, PeerAddress: s.Peers.Advertise}
-	a.peerServe = peer.NewServer(id, s.Peers.Secret, log)
+	a.peerServe = peer.NewServer(id, s.Peers.Secret, log, metrics.Scope)
 	a.members = member.NewView(member.Options{Self: self, API: api, Registrar: a.peerServe, Log: log, Metrics: metrics.Scope})
-	a.peers = peer.NewClient(id, s.Peers.Secret, a.members)
+	a.peers = peer.NewClient(id, s.Peers.Secret, a.members, metrics.Scope)
 	a.members.Connect(a.peers)
 
 	core, err := NewCore(Environment{
@@ -111,6 +111,7 @@
 	operators, err := admin.New(admin.Options{
 		API: api, Config: core.Config, Members: a.members, TokenHash: s.Admin.TokenHash,
 		Metrics: metrics.Handler, Ready: a.Ready, Log: log,
+		Placement: core.Placer, Quarantine: core.Quarantine,
 	})
 	if err != nil {
 		return nil, err
@@ -123,7 +124,8 @@
 // Ready reports whether the host has a configuration.
 func (a *App) Ready() bool { return a.core.Config.Accepting() }
 
-// Run serves until ctx ends or Stop is called, then shuts down gracefully.
+// Run serves until Stop is called, then shuts down gracefully. If ctx ends it
+// returns at once and cuts what is in progress.
 func (a *App) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -137,8 +139,10 @@
 		select {
 		case <-ctx.Done():
 		case <-a.stop:
+			a.shutdown()
 		}
-		a.shutdown()
+		a.callers.Close()
+		a.admin.Close()
 		cancel()
 		return nil
 	})
@@ -167,9 +171,7 @@
 	}
 	left := a.core.Finish(ctx)
 	a.log.WithFields(logrus.Fields{"event": "host_stopped", "requests_left": left}).Info("host stopped")
-	_ = a.callers.Shutdown(ctx)
-	a.callers.Close()
-	a.admin.Close()
+	_ = a.callers.Shutdown(ctx) // what is left after the drain time is cut, and was logged
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
