Let a deciding host read the placement records whatever its rank

Cause: a host that took the lease while few members were known kept it by renewal, but read records only while it ranked among the first three. Ruled out: reports (none missing, none old), the lease itself (held), claims. Seen: known=0 of 10 targets, needs sync, not standing by, in the decider's log of a failing start. Change: the active decider reads too. Conclusion: in-memory tests had started all hosts at once.

--- a/internal/place/cluster_test.go
+++ b/internal/place/cluster_test.go
@@ -47,7 +47,11 @@
 	done   chan struct{}
 }
 
-func (c *cluster) Snapshot() *config.Snapshot { return c.snap }
+func (c *cluster) Snapshot() *config.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snap
+}
 
 // Order implements target.Controller.
 func (c *cluster) Order(_ context.Context, address string, o target.Order) error {
--- a/internal/place/loop.go
+++ b/internal/place/loop.go
@@ -104,7 +104,7 @@
 func (l *loop) step(ctx context.Context) {
 	l.configure()
 	now := l.p.now()
-	if (l.d.NeedsSync() || now >= l.syncAt) && !l.syncing && l.p.lease.standsBy() {
+	if (l.d.NeedsSync() || now >= l.syncAt) && !l.syncing && (l.active || l.p.lease.standsBy()) {
 		l.syncing = true
 		l.syncAt = now + syncEvery
 		l.call(func() { l.sync(ctx) })
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -10,6 +10,7 @@
 
 	"buckthornseam.dev/coord/placement"
 	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/refusal"
 	"buckthornseam.dev/seam/internal/standin/objectapi"
 )
@@ -266,3 +267,33 @@
 		}
 	})
 }
+
+// TestDeciderBeyondTheCandidates has the host that ranks last take the lease
+// while it is alone. Models that come with the others must be decided on.
+func TestDeciderBeyondTheCandidates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 0, 4, nil)
+		defer c.close()
+		var members []peer.Member
+		for i := range 8 {
+			members = append(members, peer.Member{ID: peer.ID{Name: fmt.Sprintf("h%d", i)}, State: peer.StateAlive})
+		}
+		names := order(members)
+		c.addHost(names[7])
+		time.Sleep(settle)
+		for _, name := range names[:7] {
+			c.addHost(name)
+		}
+		time.Sleep(settle)
+		c.mu.Lock()
+		e := config.Entities{Models: []config.Model{baseModel("m", 8*gb)}}
+		for _, t := range c.snap.Targets {
+			e.Targets = append(e.Targets, *t)
+		}
+		c.snap = config.NewSnapshot(2, e)
+		c.mu.Unlock()
+		if err := c.ensure(c.hosts[3], "m", 20*time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+}
