--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -9,6 +9,8 @@
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"buckthornseam.dev/seam/internal/invariant"
 )
 
 // reportInterval is the time between two updates of the exported values.
@@ -33,6 +35,9 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
+	invariant.OnViolation(func(v invariant.Violation) {
+		scope.Tagged(map[string]string{"invariant": string(v.Name)}).Counter("invariant_violations").Inc(1)
+	})
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
