Pace placement's writes when the object API loses answers

Cause: a write of unknown outcome was read back and repeated at once; found by the run of the whole, where fake time stood still. Change: a record in doubt is read again after the usual pause, as after a failed call; a conflict is still read again at once. Conclusion: TestLostAnswersArePaced fails without the change.

--- a/coord/placement/transact.go
+++ b/coord/placement/transact.go
@@ -260,7 +260,7 @@
 		// under way is given up there, as its version has passed or may
 		// still pass.
 		ts.stale = true
-		ts.retryAt = d.now
+		ts.retryAt = d.afterDoubt(r.Outcome)
 		if !d.opt.Unsafe.NoVersionedSlot {
 			ts.txn = nil
 		}
@@ -268,6 +268,16 @@
 	d.attend(ts)
 }
 
+// afterDoubt returns when a record is read again whose write conflicted or may
+// have taken effect. An API that loses answers must not be written to as fast
+// as it loses them.
+func (d *Decider) afterDoubt(o Outcome) time.Duration {
+	if o == Unknown {
+		return d.now + d.opt.Backoff
+	}
+	return d.now
+}
+
 func (d *Decider) readTarget(r Result) {
 	ts := d.target(r.Action.Name)
 	ts.busy = false
@@ -291,6 +301,7 @@
 		cs.settle(addDropped)
 	default:
 		cs.stale = true
+		cs.retryAt = d.afterDoubt(r.Outcome)
 		cs.settle(addDropped)
 	}
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -297,3 +297,24 @@
 		}
 	})
 }
+
+// TestLostAnswersArePaced has the object API lose the answer of every write.
+// The fleet may write several hundred times a second for all its duties; one
+// model that waits must not take more than ten a second of that.
+func TestLostAnswersArePaced(t *testing.T) {
+	const perSecond, seconds = 10, 10
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2, []config.Model{baseModel("m", 8*gb)})
+		defer c.close()
+		time.Sleep(settle)
+		c.setAllFaults(objectapi.Faults{LoseAnswers: true, Delay: 2 * time.Millisecond})
+		before := c.store.Calls()["put"]
+		_ = c.ensure(c.hosts[0], "m", seconds*time.Second) // the load may or may not be decided
+		time.Sleep(seconds * time.Second)
+		n := c.store.Calls()["put"] - before
+		t.Logf("%d writes", n)
+		if n > perSecond*seconds {
+			t.Errorf("%d writes in up to 20 s", n)
+		}
+	})
+}
