--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,10 @@
 	_ = json.NewEncoder(w).Encode(answer) // a caller that is gone needs no answer
 }
 
+// maxHosts bounds an answer. Callers use two addresses and need a few more for
+// when those fail; all 1,200 of a large fleet would be 100 KB.
+const maxHosts = 16
+
 // order draws the hosts without replacement, each with a chance in proportion
 // to its weight, so that callers spread over the first as well as over the
 // second addresses. Hosts that take no new work are left out, suspect ones
@@ -63,7 +67,8 @@
 	alive, suspect := split(members)
 	out := h.draw(alive)
 	preferZones(out, zone)
-	return append(out, h.draw(suspect)...)
+	out = append(out, h.draw(suspect)...)
+	return out[:min(len(out), maxHosts)]
 }
 
 func split(members []peer.Member) (alive, suspect []peer.Member) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -75,3 +75,16 @@
 		t.Errorf("a host at 90%% load is chosen as often as %v", first)
 	}
 }
+
+func TestAnswersOfALargeFleetStaySmall(t *testing.T) {
+	var members []peer.Member
+	for i := range 1200 {
+		members = append(members, peer.Member{
+			ID: peer.ID{Name: fmt.Sprintf("host-%d", i)}, Zone: fmt.Sprintf("zone-%d", i%12), State: peer.StateAlive,
+		})
+	}
+	out := New(nil, time.Second, 1).order(members, "zone-7")
+	if len(out) != maxHosts || out[0].Zone != "zone-7" || out[1].Zone == "zone-7" {
+		t.Errorf("%d hosts, first %v and %v", len(out), out[0], out[1])
+	}
+}
--- /dev/null
+++ b/internal/load/trace_test.go
@@ -0,0 +1,81 @@
+package load
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func samplePeak() Peak {
+	return Peak{
+		Name: "sample", Seconds: 30, Rate: 10, Factor: 4, Large: 0.8, Service: 0.2, Seed: 1,
+		Models: []Request{
+			{Team: "a", Model: "m0"}, {Team: "a", Model: "m1"}, {Team: "b", Model: "m0"}, {Team: "b", Model: "m1"},
+		},
+		Services: []Request{{Team: "a", Service: "/pay"}, {Team: "b", Service: "/pay"}},
+		Outcomes: Outcomes{RefusedShare: map[string]float64{"a": 0}},
+	}
+}
+
+func TestTraceRoundTrip(t *testing.T) {
+	header, requests := GeneratePeak(samplePeak())
+	var file bytes.Buffer
+	if err := WriteTrace(&file, header, requests); err != nil {
+		t.Fatal(err)
+	}
+	gotHeader, got, err := ReadTrace(&file)
+	if err != nil || !reflect.DeepEqual(gotHeader, header) || !reflect.DeepEqual(got, requests) {
+		t.Fatalf("the trace changed on its way: %v", err)
+	}
+	peak, outside := 0, 0
+	for _, r := range requests {
+		if r.AtMS > 10_000 && r.AtMS < 20_000 {
+			peak++
+		} else {
+			outside++
+		}
+	}
+	if peak <= outside {
+		t.Errorf("%d requests in the peak, %d outside", peak, outside)
+	}
+}
+
+func TestReadTraceNamesTheLine(t *testing.T) {
+	const header = `{"trace":"x","version":1}` + "\n"
+	for _, tc := range []struct {
+		file string
+		line int
+	}{
+		{`{"trace":"x","version":9}`, 1},
+		{header + `{"at_ms":0}`, 2},
+		{header + `{"at_ms":0,"model":"m","service":"/s"}`, 2},
+		{header + `{"at_ms":5,"model":"m"}` + "\n" + `{"at_ms":4,"model":"m"}`, 3},
+		{header + `{"at_ms":`, 2},
+	} {
+		_, _, err := ReadTrace(strings.NewReader(tc.file))
+		var bad *TraceError
+		if !errors.As(err, &bad) || bad.Line != tc.line {
+			t.Errorf("%q: %v, want line %d", tc.file, err, tc.line)
+		}
+	}
+}
+
+func TestCompareFindsDeviations(t *testing.T) {
+	s := newSummary()
+	for range 9 {
+		s.add(Result{Request: Request{Team: "a"}, Class: ClassOK, First: 2e9})
+	}
+	s.add(Result{Request: Request{Team: "a"}, Class: ClassRefused})
+	s.add(Result{Request: Request{Team: "b"}, Class: ClassCut})
+	s.finish(1, nil)
+	want := Outcomes{FirstTokenP95MS: 960, WorstTeamP95MS: 960, RefusedShare: map[string]float64{"a": 0.05, "c": 0}}
+	if got := want.Compare(s); len(got) != 4 {
+		t.Errorf("deviations %v", got)
+	}
+	loose := Outcomes{FirstTokenP95MS: 3000, RefusedShare: map[string]float64{"a": 0.2}}
+	if got := loose.Compare(s); len(got) != 1 {
+		t.Errorf("deviations %v, want the cut answer only", got)
+	}
+}
