Step placement less often on hosts that do not decide

Cause: the decider woke up 50 times a second to look at targets of which none had anything under way, the others stepped ten times a second for nothing. Change: close watching only while something is under way; half a second between steps of a host that does not decide.

--- a/internal/place/loop.go
+++ b/internal/place/loop.go
@@ -12,10 +12,11 @@
 
 // Sizes and times of the decider's loop.
 const (
-	inboxSize  = 1024
-	stepEvery  = 100 * time.Millisecond
-	watchEvery = 20 * time.Millisecond // between reports of targets with something under way
-	syncEvery  = 30 * time.Second
+	inboxSize     = 1024
+	stepEvery     = 100 * time.Millisecond
+	idleStepEvery = 500 * time.Millisecond // of a host that does not decide
+	watchEvery    = 20 * time.Millisecond  // between reports of targets with something under way
+	syncEvery     = 30 * time.Second
 	// syncPerRecord stretches the time between full lists as records grow.
 	syncPerRecord = 50 * time.Millisecond
 	maxCalls      = 128 // inputs and outputs under way at once
@@ -40,6 +41,7 @@
 	watching map[string]time.Duration // next own poll, by target
 	suspect  map[string]time.Duration // targets to poll once, with the time of the suspicion
 	active   bool
+	underWay bool // some target is to be watched closely
 }
 
 func newLoop(p *Placer, policy placement.Options) *loop {
@@ -65,13 +67,13 @@
 }
 
 func (l *loop) run(ctx context.Context) {
-	tick := time.NewTicker(stepEvery)
+	tick := time.NewTimer(stepEvery)
 	defer tick.Stop()
 	watch := time.NewTicker(watchEvery)
 	defer watch.Stop()
 	for {
 		var due <-chan time.Time
-		if l.active {
+		if l.active && l.underWay {
 			due = watch.C
 		}
 		select {
@@ -84,11 +86,21 @@
 			in.apply(l, l.p.now())
 			l.drainInbox()
 		case <-tick.C:
+			tick.Reset(l.stepInterval())
 		}
 		l.step(ctx)
 	}
 }
 
+// stepInterval returns the time between steps without an input. A host that
+// does not decide only keeps its view of the records.
+func (l *loop) stepInterval() time.Duration {
+	if l.active {
+		return stepEvery
+	}
+	return idleStepEvery
+}
+
 // drainInbox applies what has come in meanwhile, so that a burst takes one step.
 func (l *loop) drainInbox() {
 	for range inboxSize {
@@ -209,6 +221,7 @@
 	}
 	now := l.p.now()
 	names := l.d.Watched()
+	l.underWay = len(names) > 0
 	for name := range l.suspect {
 		names = append(names, name)
 	}
--- a/scripts/rolling.sh
+++ b/scripts/rolling.sh
@@ -6,7 +6,7 @@
 start
 bin/seamctl load --hosts "$(seeds)" --preset "$preset" --rate 50 --duration 5s --callers 50 > /dev/null 2>&1 # loads the models
 bin/seamctl load --hosts "$(seeds)" --preset "$preset" --rate "${RATE:-2000}" --duration "${DURATION:-60s}" \
-  --callers "${CALLERS:-400}" --mode "${MODE:-two}" --plot "$out/rolling.svg" > "$out/load.out" 2> "$out/load.err" &
+  --callers "${CALLERS:-400}" --mode "${MODE:-two}" ${LOAD_FLAGS:-} --plot "$out/rolling.svg" > "$out/load.out" 2> "$out/load.err" &
 load=$!
 for ((i = 0; i < hosts; i++)); do
   sleep 1
