Hold requests back until a starting host knows what it needs

Cause: a replaced host refused requests in its first second, since it knew neither configuration nor load reports: 67 of 26,808 during a rolling replacement of 8 hosts at 600 requests a second (configuration_stale 37, no_capacity 27, route_not_found 3). Ruled out: a listener that opens late, callers would wait in the kernel's queue without a bound; refusing as starting, callers would see as many refusals. Change: requests wait up to 5 s for the first confirmed configuration and the first load reports; /readyz says the same.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -122,7 +122,7 @@
 }
 
 // Ready reports whether the host has a configuration.
-func (a *App) Ready() bool { return a.core.Config.Accepting() }
+func (a *App) Ready() bool { return a.core.Ready() }
 
 // Run serves until Stop is called, then shuts down gracefully. If ctx ends it
 // returns at once and cuts what is in progress.
--- a/internal/app/core.go
+++ b/internal/app/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,6 +41,7 @@
 
 	log    logrus.FieldLogger
 	duties *duties
+	opened atomic.Bool
 }
 
 // NewCore builds the duties. They do nothing before Run.
@@ -84,9 +86,49 @@
 	for _, d := range c.duties.runners() {
 		group.Go(func() error { return d.Run(ctx) })
 	}
+	group.Go(func() error {
+		c.open(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
+// Bounds on the start of a host.
+const (
+	openPoll    = 20 * time.Millisecond
+	reportsWait = 2 * time.Second // for the first load reports, once the configuration is known
+)
+
+// open lets requests in once the configuration is confirmed and load reports
+// have come.
+func (c *Core) open(ctx context.Context) {
+	tick := time.NewTicker(openPoll)
+	defer tick.Stop()
+	var confirmed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			if !c.Config.Accepting() {
+				confirmed = time.Time{}
+				continue
+			}
+			if confirmed.IsZero() {
+				confirmed = now
+			}
+			if c.duties.knowsReports() || now.Sub(confirmed) > reportsWait {
+				c.opened.Store(true)
+				c.Handler.Open()
+				return
+			}
+		}
+	}
+}
+
+// Ready reports whether the host has opened and may act on its configuration.
+func (c *Core) Ready() bool { return c.opened.Load() && c.Config.Accepting() }
+
 // Finish refuses new requests, waits for those in progress and hands over what
 // this host owns. It returns the number of requests still in progress when ctx
 // ended.
--- a/internal/app/duties.go
+++ b/internal/app/duties.go
@@ -164,3 +164,17 @@
 
 // seedOf returns a seed that differs between hosts and between starts.
 func seedOf(id peer.ID) uint64 { return xxhash.Sum64String(id.String()) }
+
+// knowsReports reports whether a load report of every engine has come. A host of
+// a large fleet follows some engines only; it opens after reportsWait.
+func (d *duties) knowsReports() bool {
+	for name, t := range d.store.Snapshot().Targets {
+		if t.Kind != config.TargetEngine || t.Leaving {
+			continue
+		}
+		if _, _, ok := d.reports.Latest(name); !ok {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -46,6 +46,7 @@
 	opts     Options
 	routes   http.Handler
 	inFlight chan struct{} // one element for each request in progress
+	opened   chan struct{} // closed once the host can serve
 	stopping chan struct{} // closed once new requests are refused
 }
 
@@ -54,6 +55,7 @@
 	h := &Handler{
 		opts:     opts,
 		inFlight: make(chan struct{}, opts.MaxConcurrent),
+		opened:   make(chan struct{}),
 		stopping: make(chan struct{}),
 	}
 	r := mux.NewRouter()
@@ -82,6 +84,9 @@
 	return float64(len(h.inFlight)) / float64(cap(h.inFlight))
 }
 
+// Open lets requests in. Those that came to a starting host before wait for it.
+func (h *Handler) Open() { close(h.opened) }
+
 // Stop makes the handler refuse new requests. Those in progress go on.
 func (h *Handler) Stop() {
 	close(h.stopping)
@@ -134,6 +139,10 @@
 			h.refuse(w, r, refusal.New(http.StatusServiceUnavailable, refusal.CodeOverloaded, "This host has too many requests in progress.").WithRetry(retryWhenStopping))
 			return
 		}
+		if err := h.awaitOpen(r); err != nil {
+			h.refuse(w, r, err)
+			return
+		}
 		if h.isStopping() {
 			h.refuse(w, r, refusal.New(http.StatusServiceUnavailable, refusal.CodeStopping, "This host is stopping; use another.").WithRetry(retryWhenStopping))
 			return
@@ -144,6 +153,27 @@
 	}
 }
 
+// startWait is how long a request waits for a starting host. A host that takes
+// longer is cut off from its configuration.
+const startWait = 5 * time.Second
+
+// awaitOpen holds a request back until the host knows its configuration: it
+// would refuse keys, paths and models that it has not heard of yet.
+func (h *Handler) awaitOpen(r *http.Request) error {
+	select {
+	case <-h.opened:
+		return nil
+	default:
+	}
+	select {
+	case <-h.opened:
+		return nil
+	case <-r.Context().Done():
+	case <-time.After(startWait):
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeStale, "This host is starting; use another.").WithRetry(retryWhenStopping)
+}
+
 func (h *Handler) isStopping() bool {
 	select {
 	case <-h.stopping:
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -147,11 +147,13 @@
 func (f *fakes) handler() *Handler {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return New(Options{
+	h := New(Options{
 		Config: f, Auth: f, Limits: f, Queue: f, Placer: f, Router: f, Journal: f, Quarantine: f, Retries: f, Sender: f,
 		Running: NewRunning(), EntryHosts: http.NotFoundHandler(), Log: log, Metrics: tally.NoopScope,
 		BodyBytes: 1 << 16, Deadline: 5 * time.Second, TokenGap: time.Second, MaxConcurrent: 10,
 	})
+	h.Open()
+	return h
 }
 
 func (f *fakes) post(path, body string, header map[string]string) *httptest.ResponseRecorder {
