--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -127,19 +127,37 @@
 // Parse checks settings in JSON. File is named in errors.
 func Parse(file string, data []byte) (Settings, error) {
 	s := Defaults()
-	faults := shapeFaults(data, s)
-	if len(faults) > 0 {
+	faults, rest := shapeFaults(data, s)
+	if rest == nil {
 		return Settings{}, &InvalidError{File: file, Faults: faults}
 	}
-	if err := json.Unmarshal(data, &s); err != nil {
-		return Settings{}, &InvalidError{File: file, Faults: []Fault{{Path: ".", Reason: err.Error()}}}
+	if err := json.Unmarshal(rest, &s); err != nil {
+		return Settings{}, &InvalidError{File: file, Faults: append(faults, Fault{Path: ".", Reason: err.Error()})}
 	}
-	if faults := s.Check(); len(faults) > 0 {
+	faults = append(faults, without(s.Check(), faults)...)
+	if len(faults) > 0 {
 		return Settings{}, &InvalidError{File: file, Faults: faults}
 	}
 	return s, nil
 }
 
+// without returns the faults of fields that are not named already, by
+// themselves or by the section that holds them.
+func without(faults, named []Fault) []Fault {
+	paths := map[string]bool{}
+	for _, f := range named {
+		paths[f.Path] = true
+	}
+	var out []Fault
+	for _, f := range faults {
+		section, _, _ := strings.Cut(f.Path, ".")
+		if !paths[f.Path] && !paths[section] {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // minSecretBytes is the least length of the peers' shared secret.
 const minSecretBytes = 16
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,7 +37,9 @@
 	}{
 		{"not JSON", `{`, []string{"."}},
 		{"shape", `{"host": {"name": 1, "nam": "x"}, "hosts": {}, "requests": {"body_bytes": 1.5}, "log": "info"}`,
-			[]string{"host.nam", "host.name", "hosts", "log", "requests.body_bytes"}},
+			[]string{"host.nam", "host.name", "hosts", "log", "requests.body_bytes",
+				"host.zone", "callers.listen", "callers.advertise", "peers.listen", "peers.advertise", "peers.secret",
+				"admin.listen", "admin.token_hash", "platform.url"}},
 		{"values", `{"peers": {"secret": "short"}, "callers": {"listen": "localhost"}, "log": {"level": "loud"}}`,
 			[]string{"host.name", "host.zone", "callers.listen", "callers.advertise", "peers.listen", "peers.advertise",
 				"peers.secret", "admin.listen", "admin.token_hash", "platform.url", "log.level"}},
--- a/internal/settings/shape.go
+++ b/internal/settings/shape.go
@@ -8,16 +8,23 @@
 )
 
 // shapeFaults returns the unknown fields and wrong types of a JSON document,
-// compared with the shape of want.
-func shapeFaults(data []byte, want any) []Fault {
+// compared with the shape of want, and the document without them, so that the
+// values of the others can be checked as well. Rest is nil if nothing is left.
+func shapeFaults(data []byte, want any) (faults []Fault, rest []byte) {
 	var doc any
 	if err := json.Unmarshal(data, &doc); err != nil {
-		return []Fault{{Path: ".", Reason: "not a JSON document: " + err.Error()}}
+		return []Fault{{Path: ".", Reason: "not a JSON document: " + err.Error()}}, nil
 	}
-	var faults []Fault
 	walkShape(doc, reflect.TypeOf(want), "", &faults)
 	sort.Slice(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
-	return faults
+	if _, ok := doc.(map[string]any); !ok {
+		return faults, nil
+	}
+	rest, err := json.Marshal(doc)
+	if err != nil {
+		return faults, nil
+	}
+	return faults, rest
 }
 
 func walkShape(node any, t reflect.Type, path string, faults *[]Fault) {
@@ -56,10 +63,15 @@
 	}
 	for name, value := range obj {
 		child := path + "." + name
-		if ft, known := fields[name]; known {
+		before := len(*faults)
+		ft, known := fields[name]
+		if known {
 			walkShape(value, ft, child, faults)
-			continue
+		} else {
+			*faults = append(*faults, Fault{Path: strings.TrimPrefix(child, "."), Reason: "unknown field"})
+		}
+		if _, object := value.(map[string]any); len(*faults) > before && (!object || !known) {
+			delete(obj, name)
 		}
-		*faults = append(*faults, Fault{Path: strings.TrimPrefix(child, "."), Reason: "unknown field"})
 	}
 }
