--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -65,19 +66,12 @@
 )
 
 func (l *Limits) setDefaults() {
-	setDefault(&l.Targets, DefaultTargets)
-	setDefault(&l.Life, DefaultLife)
-	setDefault(&l.SuspectLife, DefaultSuspectLife)
-	setDefault(&l.Hold, DefaultHold)
-	setDefault(&l.Entries, DefaultEntries)
-	setDefault(&l.Suspects, DefaultSuspects)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	l.Targets = cmp.Or(l.Targets, DefaultTargets)
+	l.Life = cmp.Or(l.Life, DefaultLife)
+	l.SuspectLife = cmp.Or(l.SuspectLife, DefaultSuspectLife)
+	l.Hold = cmp.Or(l.Hold, DefaultHold)
+	l.Entries = cmp.Or(l.Entries, DefaultEntries)
+	l.Suspects = cmp.Or(l.Suspects, DefaultSuspects)
 }
 
 func newTable(l Limits) (*table, error) {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -5,6 +5,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -87,20 +88,13 @@
 		o.Metrics = tally.NoopScope
 	}
 	o.Metrics = o.Metrics.SubScope("retry")
-	setDefault(&o.Share, DefaultShare)
-	setDefault(&o.Start, DefaultStart)
-	setDefault(&o.Cap, DefaultCap)
-	setDefault(&o.Refill, DefaultRefill)
-	setDefault(&o.Backoff, DefaultBackoff)
-	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&o.MaxBudgets, DefaultMaxBudgets)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	o.Share = cmp.Or(o.Share, DefaultShare)
+	o.Start = cmp.Or(o.Start, DefaultStart)
+	o.Cap = cmp.Or(o.Cap, DefaultCap)
+	o.Refill = cmp.Or(o.Refill, DefaultRefill)
+	o.Backoff = cmp.Or(o.Backoff, DefaultBackoff)
+	o.MaxBackoff = cmp.Or(o.MaxBackoff, DefaultMaxBackoff)
+	o.MaxBudgets = cmp.Or(o.MaxBudgets, DefaultMaxBudgets)
 }
 
 // Sent implements serve.RetryBudget. It counts every attempt, first or not; a
