Serve the users' platform through an adapter: first whole path

Cause: the product speaks only its own protocols. platform/ decodes the users' settings, store, engines and headers; internal/hosted wires a host on it; internal/gateway passes requests on, internal/steer shares what hosts know and orders engines by leased owners, coord/swap plans swaps without I/O. Ruled out for now: the product's own queue, placement and limits behind their wire, whose messages assume engines that the platform does not have.

--- a/cmd/seamd/main.go
+++ b/cmd/seamd/main.go
@@ -13,7 +13,9 @@
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/seam/internal/app"
+	"buckthornseam.dev/seam/internal/hosted"
 	"buckthornseam.dev/seam/internal/settings"
+	"buckthornseam.dev/seam/platform"
 )
 
 // Exit statuses.
@@ -24,7 +26,7 @@
 )
 
 type options struct {
-	Config string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings in JSON"`
+	Config string `short:"c" long:"config" value-name:"FILE" description:"settings in JSON; not needed where the platform names its own"`
 	Check  bool   `long:"check-config" description:"check the settings and exit"`
 }
 
@@ -41,6 +43,9 @@
 		}
 		return exitSettings
 	}
+	if file, ok := platform.SettingsFile(); ok && opts.Config == "" {
+		return runHosted(file, opts.Check)
+	}
 	s, err := settings.Read(opts.Config)
 	if err != nil {
 		printFaults(err)
@@ -57,6 +62,39 @@
 	return exitOK
 }
 
+// runHosted runs a host with the platform's settings.
+func runHosted(file string, checkOnly bool) int {
+	site, err := platform.ReadSettings(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if checkOnly {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(os.Stdout)
+	host := hosted.New(site, platform.Adapter(site.Store), log)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				host.Reload()
+				continue
+			}
+			host.Stop()
+		}
+	}()
+	if err := host.Run(context.Background()); err != nil {
+		log.WithField("event", "host_failed").Error(err.Error())
+		return exitFailed
+	}
+	return exitOK
+}
+
 // printFaults writes a line for each fault.
 func printFaults(err error) {
 	var invalid *settings.InvalidError
--- /dev/null
+++ b/coord/swap/swap_test.go
@@ -0,0 +1,107 @@
+package swap
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func disk(models ...string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range models {
+		out[m] = true
+	}
+	return out
+}
+
+func models(names ...string) map[string]Model {
+	out := map[string]Model{}
+	for _, n := range names {
+		out[n] = Model{SizeMB: 70, Load: [3]time.Duration{400 * time.Millisecond, 500 * time.Millisecond, 6 * time.Second}}
+	}
+	return out
+}
+
+func engine(id string, onDisk map[string]bool, copies map[string]Copy) Engine {
+	return Engine{ID: id, CapacityMB: 220, Slots: 64, Serves: true, Copies: copies, OnDisk: onDisk}
+}
+
+const now = 10 * time.Second
+
+func TestWaitingModelReplacesTheLeastMissed(t *testing.T) {
+	s := State{
+		Now: now, Models: models("hot", "cool", "cold", "new"),
+		Engines: []Engine{engine("e1", disk("hot", "cool", "cold", "new"), map[string]Copy{"hot": {}, "cool": {}, "cold": {}})},
+		Demands: map[string]Demand{"hot": {Rate: 20}, "cool": {Rate: 0.5}, "cold": {Rate: 0.1}, "new": {Waiting: 1, Due: now + time.Second}},
+	}
+	want := []Move{{Engine: "e1", Unload: []string{"cold"}, Load: "new", Source: FromDisk}}
+	if got := Plan(s, DefaultOptions()); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestLastCopyOfAHotModelStays(t *testing.T) {
+	s := State{
+		Now: now, Models: models("h1", "h2", "h3", "new"),
+		Engines: []Engine{engine("e1", disk("new"), map[string]Copy{"h1": {}, "h2": {}, "h3": {}})},
+		Demands: map[string]Demand{"h1": {Rate: 20}, "h2": {Rate: 9}, "h3": {Rate: 3}, "new": {Waiting: 3, Due: now}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 0 {
+		t.Errorf("a hot model lost its last copy: %+v", got)
+	}
+}
+
+func TestStoreLoadOnlyWithoutAnyDiskCopy(t *testing.T) {
+	s := State{
+		Now: now, Models: models("a", "new"),
+		Engines: []Engine{
+			engine("e1", disk("a"), map[string]Copy{}),
+			{ID: "e2", CapacityMB: 220, Slots: 64, Serves: true, Busy: true, Copies: map[string]Copy{}, OnDisk: disk("new")},
+		},
+		Demands: map[string]Demand{"new": {Waiting: 1, Due: now + time.Second}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 0 {
+		t.Errorf("loads from the store although a busy engine has the model on disk: %+v", got)
+	}
+	s.Engines[1].OnDisk = nil
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Source != FromStore {
+		t.Errorf("got %+v, want one load from the store", got)
+	}
+	s.StoreLoads = 1
+	if got := Plan(s, DefaultOptions()); len(got) != 0 {
+		t.Errorf("too many loads from the store: %+v", got)
+	}
+}
+
+func TestRequestsInTimeGoBeforeLateOnes(t *testing.T) {
+	s := State{
+		Now: now, Models: models("late", "soon"),
+		Engines: []Engine{engine("e1", disk("late", "soon"), map[string]Copy{})},
+		Demands: map[string]Demand{"late": {Waiting: 1, Due: now - time.Second}, "soon": {Waiting: 1, Due: now + time.Second}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Load != "soon" {
+		t.Errorf("got %+v, want the request that can be in time", got)
+	}
+}
+
+func TestHotModelGetsASecondCopy(t *testing.T) {
+	s := State{
+		Now: now, Models: models("hot"),
+		Engines: []Engine{engine("e1", disk("hot"), map[string]Copy{"hot": {}}), engine("e2", disk("hot"), map[string]Copy{})},
+		Demands: map[string]Demand{"hot": {Rate: 10}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Engine != "e2" {
+		t.Errorf("got %+v, want a copy on e2", got)
+	}
+}
+
+func TestCopyIsKeptForThoseWhoWaitedForIt(t *testing.T) {
+	s := State{
+		Now: now, Models: models("a", "b", "c", "new"),
+		Engines: []Engine{engine("e1", disk("new"), map[string]Copy{"a": {ReadyAt: now}, "b": {ReadyAt: now}, "c": {ReadyAt: now}})},
+		Demands: map[string]Demand{"new": {Waiting: 1, Due: now + time.Second}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 0 {
+		t.Errorf("a copy went before its requests came: %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,221 @@
+// Package mirror keeps a copy of one kind of the platform's objects and says
+// how old the copy may be.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// Source is the part of the store that a mirror reads.
+type Source interface {
+	List(ctx context.Context, kind platform.Kind, stale bool) (platform.List, error)
+	Poll(ctx context.Context, kind platform.Kind, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error)
+}
+
+// Options configure a mirror.
+type Options struct {
+	Source   Source
+	Kind     platform.Kind
+	Wait     time.Duration        // longest wait of one poll
+	Spacing  time.Duration        // least time between the starts of two polls
+	Linger   time.Duration        // for which objects stay that went missing while the store was away
+	Now      func() time.Duration // counts suspended time
+	Log      logrus.FieldLogger
+	OnChange func(map[string]platform.Object) // called with the whole copy, which must not be changed
+}
+
+// Pauses after a failed call.
+const (
+	firstPause = 60 * time.Millisecond  // doubled after each failure; the store's own clients retry so
+	maxPause   = 400 * time.Millisecond // bounds the delay after an outage
+)
+
+// Mirror is the copy. Run keeps it.
+type Mirror struct {
+	opts Options
+
+	mu        sync.Mutex
+	objects   map[string]platform.Object
+	leaving   map[string]time.Duration // objects kept although gone, by end
+	version   platform.Version
+	listed    bool
+	confirmed time.Duration // the copy was complete at this time
+	down      bool
+	backAt    time.Duration // end of the last outage
+}
+
+// New returns an empty mirror.
+func New(opts Options) *Mirror {
+	return &Mirror{opts: opts, objects: map[string]platform.Object{}, leaving: map[string]time.Duration{}}
+}
+
+// Confirmed returns the latest time at which the copy was known to be complete,
+// and whether there is one.
+func (m *Mirror) Confirmed() (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmed, m.listed
+}
+
+// Run keeps the copy until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		began := m.opts.Now()
+		if err := m.step(ctx, began); err != nil {
+			m.failed(ctx, err)
+			sleep(ctx, pause)
+			pause = min(2*pause, maxPause)
+			continue
+		}
+		pause = firstPause
+		sleep(ctx, m.opts.Spacing-(m.opts.Now()-began))
+	}
+	return nil
+}
+
+func (m *Mirror) step(ctx context.Context, began time.Duration) error {
+	m.mu.Lock()
+	listed, after := m.listed && m.version > 0, m.version
+	m.mu.Unlock()
+	if !listed {
+		list, err := m.opts.Source.List(ctx, m.opts.Kind, false)
+		if err != nil {
+			return err
+		}
+		m.relist(list, began)
+		return nil
+	}
+	wait := m.opts.Wait
+	if m.lingers() {
+		wait = min(wait, m.opts.Linger/4)
+	}
+	events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, wait)
+	if err != nil {
+		return err
+	}
+	m.apply(events, version, began+min(m.opts.Now()-began, wait))
+	return nil
+}
+
+func (m *Mirror) lingers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.leaving) > 0
+}
+
+func (m *Mirror) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var expired *platform.ExpiredError
+	if errors.As(err, &expired) {
+		m.opts.Log.WithFields(logrus.Fields{"event": "watch_expired", "kind": m.opts.Kind, "version": m.version}).Info("history is gone, listing again")
+		m.version = 0
+		return
+	}
+	if !m.down {
+		m.opts.Log.WithFields(logrus.Fields{"event": "store_lost", "kind": m.opts.Kind, "version": m.version}).Warn(err.Error())
+	}
+	m.down = true
+}
+
+// regained notes the end of an outage.
+func (m *Mirror) regained() {
+	if !m.down {
+		return
+	}
+	m.down = false
+	m.backAt = m.opts.Now()
+	m.opts.Log.WithFields(logrus.Fields{"event": "store_regained", "kind": m.opts.Kind, "version": m.version}).Info("store answers again")
+}
+
+func (m *Mirror) relist(list platform.List, began time.Duration) {
+	m.mu.Lock()
+	m.regained()
+	found := make(map[string]platform.Object, len(list.Items))
+	for _, obj := range list.Items {
+		found[obj.Name] = obj
+		delete(m.leaving, obj.Name)
+	}
+	for name, obj := range m.objects {
+		if _, ok := found[name]; !ok && m.keepMissing(name) {
+			found[name] = obj
+		}
+	}
+	m.objects, m.version, m.listed, m.confirmed = found, list.Version, true, began
+	snapshot := maps.Clone(m.objects)
+	m.mu.Unlock()
+	m.opts.OnChange(snapshot)
+}
+
+// keepMissing decides whether an object that is missing stays for a while: it
+// may have lapsed while the store was away, and come back.
+func (m *Mirror) keepMissing(name string) bool {
+	if m.opts.Linger <= 0 || m.backAt == 0 {
+		return false
+	}
+	if until, ok := m.leaving[name]; ok {
+		return m.opts.Now() < until
+	}
+	until := m.backAt + m.opts.Linger
+	if m.opts.Now() >= until {
+		return false
+	}
+	m.leaving[name] = until
+	return true
+}
+
+func (m *Mirror) apply(events []platform.Event, version platform.Version, confirmed time.Duration) {
+	m.mu.Lock()
+	m.regained()
+	changed := len(events) > 0
+	next := m.objects
+	if changed {
+		next = maps.Clone(m.objects)
+	}
+	for _, e := range events {
+		if e.Type != platform.EventDelete {
+			next[e.Object.Name] = e.Object
+			delete(m.leaving, e.Object.Name)
+		} else if !m.keepMissing(e.Object.Name) {
+			delete(next, e.Object.Name)
+		}
+	}
+	for name, until := range m.leaving {
+		if m.opts.Now() >= until {
+			if !changed {
+				next, changed = maps.Clone(m.objects), true
+			}
+			delete(m.leaving, name)
+			delete(next, name)
+		}
+	}
+	m.objects, m.version, m.confirmed = next, max(version, m.version), max(confirmed, m.confirmed)
+	m.mu.Unlock()
+	if changed {
+		m.opts.OnChange(next)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/steer/board.go
@@ -0,0 +1,350 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"buckthornseam.dev/coord/swap"
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// Board is what this host believes of targets, models and requests under way.
+type Board struct {
+	zone string
+	now  func() time.Duration
+
+	mu       sync.Mutex
+	config   *fleet.Config
+	targets  *fleet.Targets
+	views    map[string]EngineView // by engine, as told by the coordinator or the own owner
+	running  map[runKey]int        // own requests
+	load     map[string]int        // own requests by target
+	remote   map[string]int        // requests of other hosts by target, as last told
+	health   map[string]*health
+	arrivals map[modelKey]int
+	wants    map[modelKey]*want
+	dirty    map[runKey]bool
+	changed  chan struct{}
+	kick     func()
+	hosts    map[string]fleet.Host
+}
+
+type runKey struct{ engine, model string }
+
+type modelKey struct{ service, model string }
+
+// want gathers the requests of this host that wait for a model.
+type want struct {
+	dues []time.Duration
+}
+
+// NewBoard returns a board that knows nothing. Now counts suspended time.
+func NewBoard(zone string, now func() time.Duration) *Board {
+	return &Board{
+		zone: zone, now: now, config: &fleet.Config{}, targets: fleet.NewTargets(nil),
+		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remote: map[string]int{},
+		health: map[string]*health{}, arrivals: map[modelKey]int{}, wants: map[modelKey]*want{}, dirty: map[runKey]bool{},
+		changed: make(chan struct{}), kick: func() {}, hosts: map[string]fleet.Host{},
+	}
+}
+
+// Changed returns a channel that is closed at the next change of the board.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+func (b *Board) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// SetConfig takes in a configuration.
+func (b *Board) SetConfig(c *fleet.Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config = c
+	b.wake()
+}
+
+// Config returns the configuration in force.
+func (b *Board) Config() *fleet.Config {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config
+}
+
+// SetTargets takes in the registered targets.
+func (b *Board) SetTargets(t *fleet.Targets) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.targets = t
+	for id := range b.views {
+		if _, ok := t.ByID[id]; !ok {
+			delete(b.views, id)
+		}
+	}
+	for id := range b.health {
+		if _, ok := t.ByID[id]; !ok {
+			delete(b.health, id)
+		}
+	}
+	b.wake()
+}
+
+// SetHosts takes in the other hosts.
+func (b *Board) SetHosts(hosts map[string]fleet.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts = hosts
+}
+
+// Hosts returns the known hosts by name.
+func (b *Board) Hosts() map[string]fleet.Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hosts
+}
+
+// Host returns a known host.
+func (b *Board) Host(name string) (fleet.Host, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, ok := b.hosts[name]
+	return h, ok
+}
+
+// PeerAddress implements peer.AddressBook.
+func (b *Board) PeerAddress(name string) (string, bool) {
+	h, ok := b.Host(name)
+	return h.PeerAddress, ok
+}
+
+// Target returns a registered target.
+func (b *Board) Target(id string) (fleet.Target, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, ok := b.targets.ByID[id]
+	return t, ok
+}
+
+// Targets returns the registered targets.
+func (b *Board) Targets() *fleet.Targets {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.targets
+}
+
+// Publish takes in views of engines.
+func (b *Board) Publish(views ...EngineView) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, v := range views {
+		b.views[v.ID] = v
+	}
+	b.wake()
+}
+
+// view returns the best view of an engine: the told one, unless a check-in is
+// newer.
+func (b *Board) view(t fleet.Target) EngineView {
+	if v, ok := b.views[t.ID]; ok && v.Orders >= t.Orders {
+		return v
+	}
+	return viewOf(t)
+}
+
+// viewOf makes a view from a check-in.
+func viewOf(t fleet.Target) EngineView {
+	v := EngineView{ID: t.ID, Orders: t.Orders, Models: make(map[string]ModelView, len(t.Models))}
+	for model, adapters := range t.Models {
+		v.Models[model] = ModelView{Adapters: adapters}
+	}
+	return v
+}
+
+// Ask says what a target has to offer.
+type Ask struct {
+	Service string
+	Model   string // empty: a plain service
+	Adapter string
+	Avoid   map[string]bool // targets tried before
+}
+
+// Choice is the target chosen.
+type Choice struct {
+	Target       fleet.Target
+	NeedsAdapter bool // it must be loaded first
+	Load         int  // requests of all hosts there, as known
+	Reason       string
+}
+
+// zonePenalty is the share of a target's slots that its being in another
+// availability zone counts for: bytes between zones cost more than a few
+// requests more at once.
+const zonePenalty = 0.15
+
+// adapterPenalty is the share of slots that a missing adapter counts for.
+const adapterPenalty = 0.5
+
+// Pick chooses a target, or none if no target can take the request now.
+func (b *Board) Pick(ask Ask) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, bestScore, found := Choice{}, 0.0, false
+	for _, id := range b.targets.ByService[ask.Service] {
+		t := b.targets.ByID[id]
+		if t.Draining || ask.Avoid[id] {
+			continue
+		}
+		needsAdapter := false
+		if ask.Model != "" {
+			m, ok := b.view(t).Models[ask.Model]
+			if !ok || m.State != swap.Ready {
+				continue
+			}
+			needsAdapter = ask.Adapter != "" && !slices.Contains(m.Adapters, ask.Adapter)
+		}
+		score := b.score(t) + rand.Float64()*0.02
+		if needsAdapter {
+			score += adapterPenalty
+		}
+		if !found || score < bestScore {
+			found, bestScore = true, score
+			best = Choice{Target: t, NeedsAdapter: needsAdapter, Load: b.load[id] + b.remote[id]}
+		}
+	}
+	return best, found
+}
+
+func (b *Board) score(t fleet.Target) float64 {
+	slots := float64(max(t.Slots, 1))
+	score := float64(b.load[t.ID]+b.remote[t.ID]) / slots
+	if t.Zone != b.zone {
+		score += zonePenalty
+	}
+	if h := b.health[t.ID]; h != nil {
+		score += h.penalty(b.now())
+	}
+	return score
+}
+
+// Reachable reports whether a model could be loaded by some engine that has it
+// on its disk or in its memory, or is there already.
+func (b *Board) Reachable(service, model string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range b.targets.ByService[service] {
+		t := b.targets.ByID[id]
+		if t.Draining {
+			continue
+		}
+		if _, there := b.view(t).Models[model]; there || slices.Contains(t.OnDisk, model) || slices.Contains(t.InMemory, model) {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin counts a request as under way. The returned function ends it.
+func (b *Board) Begin(target, model string) func() {
+	key := runKey{target, model}
+	b.count(key, 1)
+	return sync.OnceFunc(func() { b.count(key, -1) })
+}
+
+func (b *Board) count(key runKey, n int) {
+	b.mu.Lock()
+	b.running[key] += n
+	b.load[key.engine] += n
+	if b.running[key] == 0 {
+		delete(b.running, key)
+	}
+	if b.load[key.engine] == 0 {
+		delete(b.load, key.engine)
+	}
+	if key.model != "" {
+		b.dirty[key] = true
+	}
+	b.mu.Unlock()
+}
+
+// Arrived counts a request for a model.
+func (b *Board) Arrived(service, model string) {
+	b.mu.Lock()
+	b.arrivals[modelKey{service, model}]++
+	b.mu.Unlock()
+}
+
+// Await counts a request as waiting for a model until the returned function is
+// called. Due is when it should have begun.
+func (b *Board) Await(service, model string, due time.Duration) func() {
+	key := modelKey{service, model}
+	b.mu.Lock()
+	w := b.wants[key]
+	if w == nil {
+		w = &want{}
+		b.wants[key] = w
+	}
+	w.dues = append(w.dues, due)
+	b.mu.Unlock()
+	b.kick()
+	return sync.OnceFunc(func() {
+		b.mu.Lock()
+		if i := slices.Index(w.dues, due); i >= 0 {
+			w.dues = slices.Delete(w.dues, i, i+1)
+		}
+		if len(w.dues) == 0 && b.wants[key] == w {
+			delete(b.wants, key)
+		}
+		b.mu.Unlock()
+		b.kick()
+	})
+}
+
+// report fills in what changed since the last report.
+func (b *Board) report(r *Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for key, w := range b.wants {
+		r.Wants = append(r.Wants, Want{Service: key.service, Model: key.model, Waiting: len(w.dues), DueMS: (slices.Min(w.dues) - now).Milliseconds()})
+	}
+	if r.Full {
+		for key, n := range b.running {
+			if key.model != "" {
+				r.Running = append(r.Running, RunCount{key.engine, key.model, n})
+			}
+		}
+	} else {
+		for key := range b.dirty {
+			r.Running = append(r.Running, RunCount{key.engine, key.model, b.running[key]})
+		}
+	}
+	clear(b.dirty)
+	for key, n := range b.arrivals {
+		r.Arrivals = append(r.Arrivals, Arrivals{key.service, key.model, n})
+	}
+	clear(b.arrivals)
+}
+
+// SetRemote takes in how many requests of other hosts run at each target.
+func (b *Board) SetRemote(byTarget map[string]int) {
+	b.mu.Lock()
+	b.remote = byTarget
+	b.mu.Unlock()
+}
+
+// sameView reports whether two views say the same.
+func sameView(a, b EngineView) bool { return reflect.DeepEqual(a, b) }
+
+// OwnerOf returns the host that orders an engine; empty if unknown.
+func (b *Board) OwnerOf(engine string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.views[engine].Owner
+}
--- /dev/null
+++ b/internal/steer/link.go
@@ -0,0 +1,272 @@
+package steer
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/peer"
+)
+
+// LinkOptions configure a link.
+type LinkOptions struct {
+	Self        fleet.Host
+	Board       *Board
+	Owner       *Owner
+	Coordinator *Coordinator // this host's, which works if others report to it
+	Calls       peer.Caller
+	Use         func() map[string]float64 // of this host by team since its start
+	OnUse       func(map[string]float64)  // use of all other hosts, where it changed
+	Now         func() time.Duration
+	Log         logrus.FieldLogger
+}
+
+// Link reports to the coordinator and takes in its news.
+type Link struct {
+	opts LinkOptions
+	kick chan struct{}
+
+	mu        sync.Mutex
+	avoid     map[string]time.Duration // hosts that did not answer, until when
+	current   string                   // coordinator of the last report
+	full      bool
+	sentUse   map[string]float64
+	sentOwned map[string]EngineView
+	live      []string
+	liveAt    time.Duration // last answer of a coordinator
+	strikes   map[string]time.Duration
+	count     map[string]int
+	pending   []string // strikes to report
+	leaving   bool
+}
+
+// NewLink returns a link that does nothing before Run.
+func NewLink(opts LinkOptions) *Link {
+	l := &Link{
+		opts: opts, kick: make(chan struct{}, 1), avoid: map[string]time.Duration{}, full: true,
+		sentUse: map[string]float64{}, sentOwned: map[string]EngineView{}, strikes: map[string]time.Duration{}, count: map[string]int{},
+	}
+	opts.Board.kick = l.wake
+	opts.Owner.changed = l.wake
+	return l
+}
+
+// Register registers the method by which news come.
+func (l *Link) Register(r peer.Registrar) {
+	r.Handle(methodNews, func(_ context.Context, _ peer.ID, params json.RawMessage) (any, error) {
+		var n News
+		if err := json.Unmarshal(params, &n); err != nil {
+			return nil, err
+		}
+		l.take(n)
+		return struct{}{}, nil
+	})
+}
+
+func (l *Link) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the coordinator that this host takes no more callers.
+func (l *Link) Leave() {
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	l.wake()
+}
+
+// Live returns the hosts that report to the coordinator, as last told, and
+// whether that is recent.
+func (l *Link) Live() ([]string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.live, l.opts.Now()-l.liveAt < hostSilent && len(l.live) > 0
+}
+
+// Strike reports a request that was under way when its engine broke off.
+func (l *Link) Strike(print string) {
+	l.mu.Lock()
+	l.pending = append(l.pending, print)
+	l.mu.Unlock()
+	l.wake()
+}
+
+// Struck returns how many engines broke off under requests like this one, as
+// far as known here.
+func (l *Link) Struck(print string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count[print]
+}
+
+// Run reports until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.kick:
+			time.Sleep(reportSoon)
+		case <-timer.C:
+		}
+		l.report(ctx)
+		timer.Reset(reportInterval)
+	}
+}
+
+// coordinator returns the host to report to: the one that joined first of those
+// that answer.
+func (l *Link) coordinator() string {
+	hosts := l.opts.Board.Hosts()
+	names := make([]string, 0, len(hosts))
+	for name := range hosts {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hosts[a].Joined, hosts[b].Joined), cmp.Compare(a, b))
+	})
+	now := l.opts.Now()
+	for _, name := range names {
+		if name == l.opts.Self.Name || now >= l.avoid[name] {
+			return name
+		}
+	}
+	return l.opts.Self.Name
+}
+
+func (l *Link) report(ctx context.Context) {
+	l.mu.Lock()
+	to := l.coordinator()
+	if to != l.current {
+		l.opts.Log.WithFields(logrus.Fields{"event": "coordinator_changed", "from": l.current, "to": to}).Info("reports go to another host")
+		l.current, l.full = to, true
+	}
+	r := l.fill()
+	l.mu.Unlock()
+
+	var n News
+	var err error
+	if to == l.opts.Self.Name {
+		n = l.opts.Coordinator.Report(to, r)
+	} else {
+		call, cancel := context.WithTimeout(ctx, reportTimeout)
+		err = l.opts.Calls.Call(call, to, methodReport, r, &n)
+		cancel()
+	}
+	if err != nil {
+		l.mu.Lock()
+		l.avoid[to] = l.opts.Now() + avoidFor
+		l.full = true
+		l.pending = append(l.pending, r.Strikes...)
+		l.mu.Unlock()
+		l.opts.Log.WithFields(logrus.Fields{"event": "coordinator_lost", "peer": to}).Warn(err.Error())
+		l.wake()
+		return
+	}
+	l.take(n)
+	l.mu.Lock()
+	l.full = n.Unknown
+	l.liveAt = l.opts.Now()
+	l.mu.Unlock()
+	if n.Unknown {
+		l.wake()
+	}
+}
+
+// fill makes the next report. Call with l.mu held.
+func (l *Link) fill() Report {
+	r := Report{Incarnation: l.opts.Self.Incarnation, Full: l.full, Strikes: l.pending, Leaving: l.leaving}
+	l.pending = nil
+	if l.full {
+		clear(l.sentUse)
+		clear(l.sentOwned)
+	}
+	l.opts.Board.report(&r)
+	for team, n := range l.opts.Use() {
+		if l.sentUse[team] != n {
+			if r.Use == nil {
+				r.Use = map[string]float64{}
+			}
+			r.Use[team], l.sentUse[team] = n, n
+		}
+	}
+	owned := l.opts.Owner.Owned()
+	seen := map[string]bool{}
+	for _, v := range owned {
+		seen[v.ID] = true
+		if old, ok := l.sentOwned[v.ID]; !ok || !sameView(old, v) {
+			r.Owned = append(r.Owned, v)
+			l.sentOwned[v.ID] = v
+		}
+	}
+	for id := range l.sentOwned {
+		if !seen[id] {
+			r.Owned = append(r.Owned, EngineView{ID: id}) // not owned any more
+			delete(l.sentOwned, id)
+		}
+	}
+	return r
+}
+
+// take takes in news.
+func (l *Link) take(n News) {
+	if len(n.Engines) > 0 {
+		l.opts.Board.Publish(n.Engines...)
+	}
+	if len(n.Use) > 0 {
+		l.opts.OnUse(n.Use)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n.Live != nil {
+		l.live = n.Live
+	}
+	for _, s := range n.Strikes {
+		if _, known := l.strikes[s]; !known {
+			l.strikes[s] = l.opts.Now()
+			l.count[printOf(s)]++
+		}
+	}
+	for s, at := range l.strikes {
+		if l.opts.Now()-at > strikeMemory {
+			delete(l.strikes, s)
+			if l.count[printOf(s)]--; l.count[printOf(s)] <= 0 {
+				delete(l.count, printOf(s))
+			}
+		}
+	}
+}
+
+// A strike is written PRINT@ATTEMPT, so that the same one reported twice
+// counts once.
+const strikeSeparator = '@'
+
+func printOf(strike string) string {
+	for i := range strike {
+		if strike[i] == strikeSeparator {
+			return strike[:i]
+		}
+	}
+	return strike
+}
+
+// StrikeOf returns the strike of an attempt with a request's fingerprint.
+func StrikeOf(print, attempt string) string { return print + string(strikeSeparator) + attempt }
+
+// Coordinator returns the host that the last report went to.
+func (l *Link) Coordinator() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
--- /dev/null
+++ b/internal/steer/messages.go
@@ -0,0 +1,118 @@
+// Package steer lets hosts act together: one host at a time coordinates, which
+// rests on nothing but its being reachable, and each engine has one owner
+// among the hosts, which alone orders it and rests on a lease in the store.
+//
+// Every host reports its waiting and running requests to the coordinator and
+// gets back what the others know. The coordinator plans swaps of models and
+// tells the owners; losing it costs the time to notice, and no safety.
+package steer
+
+import (
+	"time"
+
+	"buckthornseam.dev/coord/swap"
+)
+
+// Methods between hosts.
+const (
+	methodReport  = "steer.report"
+	methodNews    = "steer.news"
+	methodOwn     = "steer.own"
+	methodSwap    = "steer.swap"
+	MethodAdapter = "steer.adapter"
+)
+
+// ModelView is a model at an engine.
+type ModelView struct {
+	State    swap.CopyState `json:"s,omitempty"`
+	Adapters []string       `json:"a,omitempty"`
+}
+
+// EngineView is what the hosts believe of an engine.
+type EngineView struct {
+	ID     string               `json:"id"`
+	Orders int64                `json:"o"` // orders it has accepted
+	Models map[string]ModelView `json:"m,omitempty"`
+	Busy   bool                 `json:"b,omitempty"` // an order is under way
+	Done   uint64               `json:"d,omitempty"` // the last move that ended
+	// Fresh is set while an owner stands behind the view; others rest on
+	// check-ins.
+	Fresh bool `json:"f,omitempty"`
+	// Owner is the host that orders the engine; empty: unknown.
+	Owner string `json:"w,omitempty"`
+}
+
+// Want is a model whose requests wait at a host.
+type Want struct {
+	Service string `json:"s"`
+	Model   string `json:"m"`
+	Waiting int    `json:"n"`
+	DueMS   int64  `json:"d"` // from now until the earliest should have begun; negative: late
+}
+
+// RunCount is the number of requests that run at an engine for a host.
+type RunCount struct {
+	Engine string `json:"e"`
+	Model  string `json:"m"`
+	N      int    `json:"n"`
+}
+
+// Arrivals counts requests for a model since the last report.
+type Arrivals struct {
+	Service string `json:"s"`
+	Model   string `json:"m"`
+	N       int    `json:"n"`
+}
+
+// Report is what a host tells the coordinator: all of it if Full, else what
+// changed since its last report.
+type Report struct {
+	Incarnation string             `json:"i"`
+	Full        bool               `json:"f,omitempty"`
+	Wants       []Want             `json:"w,omitempty"` // all, each time
+	Running     []RunCount         `json:"r,omitempty"`
+	Arrivals    []Arrivals         `json:"a,omitempty"`
+	Use         map[string]float64 `json:"u,omitempty"` // by team since the host started
+	Owned       []EngineView       `json:"o,omitempty"`
+	Strikes     []string           `json:"x,omitempty"` // requests that were under way when their engine broke off
+	Leaving     bool               `json:"l,omitempty"`
+}
+
+// News is what the coordinator tells a host: what changed since the last.
+type News struct {
+	Engines []EngineView       `json:"e,omitempty"`
+	Use     map[string]float64 `json:"u,omitempty"` // by team, of all other hosts together
+	Live    []string           `json:"l,omitempty"` // hosts that report; always all
+	Strikes []string           `json:"x,omitempty"`
+	Unknown bool               `json:"q,omitempty"` // the host is not known: report in full
+}
+
+// SwapCommand tells an owner to carry out a move.
+type SwapCommand struct {
+	Move   uint64      `json:"i"`
+	Engine string      `json:"e"`
+	Unload []string    `json:"u,omitempty"`
+	Load   string      `json:"l,omitempty"`
+	Source swap.Source `json:"s"`
+}
+
+// OwnCommand asks a host to become the owner of an engine.
+type OwnCommand struct {
+	Engine string `json:"e"`
+}
+
+// AdapterCommand asks an owner to load an adapter.
+type AdapterCommand struct {
+	Engine  string `json:"e"`
+	Model   string `json:"m"`
+	Adapter string `json:"a"`
+}
+
+// Timing of the reports.
+const (
+	reportSoon     = 4 * time.Millisecond    // gathers what changes together; a few requests arrive meanwhile
+	reportInterval = 400 * time.Millisecond  // so that a silent host is noticed within contact times
+	reportTimeout  = 350 * time.Millisecond  // a few hundred times the way between zones
+	avoidFor       = 2 * time.Second         // a coordinator that did not answer
+	hostSilent     = 1200 * time.Millisecond // three reports missed
+)
--- /dev/null
+++ b/internal/target/forward.go
@@ -0,0 +1,87 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+)
+
+// DialContext opens a connection that finds out by itself when its path is
+// lost.
+func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, network, address)
+}
+
+// Forwarding is a request passed on as it came.
+type Forwarding struct {
+	ID     string // of the attempt, which the answer must repeat
+	Method string
+	URI    string // path and query as the caller sent them
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Forwarded is the head of an answer with its body still to be read. A body
+// without stated length is whole once its connection ended cleanly.
+type Forwarded struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body; -1: not stated
+	Body   io.ReadCloser
+}
+
+// IDOf reads the id of the request that an answer belongs to; empty if the
+// answer says none.
+type IDOf func(status int, h http.Header) string
+
+// Forward sends a request once, on a connection of its own: nothing of an
+// earlier exchange can then be taken for its answer, and no lost connection
+// for a lost target. It fails like Send.
+func (c *Client) Forward(ctx context.Context, address string, f Forwarding, idOf IDOf) (*Forwarded, error) {
+	e := &exchange{address: address, id: f.ID}
+	ctx, e.cancel = context.WithCancelCause(ctx)
+	req, err := f.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}), address)
+	if err != nil {
+		e.cancel(nil)
+		return nil, &UnreachableError{Address: address, Cause: err}
+	}
+	resp, err := c.fresh.RoundTrip(req)
+	if err != nil {
+		return nil, e.failed(ctx, err)
+	}
+	if got := idOf(resp.StatusCode, resp.Header); got != "" && got != f.ID {
+		e.conn.abort()
+		e.cancel(nil)
+		return nil, &UnknownOutcomeError{Address: address, Cause: &CrossedAnswerError{Want: f.ID, Got: got}}
+	}
+	b := newBody(ctx, e, resp)
+	b.undelimited = false
+	return &Forwarded{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b}, nil
+}
+
+// request makes the HTTP form of f without touching path or query.
+func (f Forwarding) request(ctx context.Context, address string) (*http.Request, error) {
+	target := &url.URL{Scheme: "http", Host: address, Opaque: f.URI}
+	if strings.HasPrefix(f.URI, "//") {
+		// An opaque part that begins so would be sent with the scheme.
+		parsed, err := url.ParseRequestURI("http://" + address + f.URI)
+		if err != nil || parsed.RequestURI() != f.URI {
+			return nil, &InvalidRequestError{Field: "path"}
+		}
+		target = parsed
+	}
+	req := &http.Request{
+		Method: f.Method, URL: target, Host: f.Host, Header: f.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(f.Body)),
+	}
+	if len(f.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(f.Body))
+	}
+	return req.WithContext(ctx), nil
+}
