Keep news that were not sent; leave a missing copy alone for a while

Cause: push() counted live hosts and use as sent and then dropped the message when no engine had changed, so the coordinator took all others for gone and removed their entries; every host coordinated for itself, and 421 answers were tried again at the same engine. Ruled out: lost peer connections (none).

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -16,7 +16,6 @@
 	Cold     time.Duration       // how much longer it stays slow after its start
 	Leaves   time.Duration       // until it is taken away; 0: unknown
 	Born     int64               // start in Unix milliseconds; 0: unknown
-	Orders   int64               // orders accepted since its start
 	Models   map[string][]string // resident models with their adapters
 	OnDisk   []string
 	InMemory []string
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -246,6 +246,9 @@
 	if answer.NotRun {
 		x.log["shed_by"] = c.Target.ID
 		g.opts.Board.Outcome(c.Target.ID, resp.Status == http.StatusMisdirectedRequest || x.call.Model != "")
+		if x.call.Model != "" {
+			g.opts.Board.Refute(c.Target.ID, x.call.Model)
+		}
 		return notRun
 	}
 	if resp.Status/100 == 5 {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -119,7 +119,7 @@
 	h.peers = peer.NewClient(id, "", h.board, h.metrics.Scope)
 	holder := h.self.Name + "@" + h.site.IP // a machine: whoever starts again on it goes on with its engines
 	h.lease = steer.NewLease(holder, h.store, bootclock.Now, h.log)
-	h.owner = steer.NewOwner(holder, h.lease, h.board, h.adapter.Engines, h.site.Bounds, bootclock.Now, h.log)
+	h.owner = steer.NewOwner(h.self.Name, holder, h.lease, h.board, h.adapter.Engines, h.site.Bounds, bootclock.Now, h.log)
 	h.coord = steer.NewCoordinator(h.self.Name, h.board, h.peers, bootclock.Now, h.log)
 }
 
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -100,11 +100,27 @@
 	missing := map[string]time.Time{}
 	for ctx.Err() == nil {
 		pause(ctx, pruneEvery)
+		h.rejoin(ctx)
 		h.prune(ctx, missing)
 	}
 	return nil
 }
 
+// rejoin writes this host's entry again if another host took it for gone.
+func (h *Host) rejoin(ctx context.Context) {
+	self, _ := h.board.Host(h.self.Name)
+	select {
+	case <-h.ended:
+		return
+	default:
+	}
+	if self.Joined > 0 && self.Incarnation == h.self.Incarnation {
+		return
+	}
+	err := h.putSelf(ctx)
+	h.log.WithFields(logrus.Fields{"event": "host_rejoined", "failed": err != nil}).Warn("this host's entry was missing")
+}
+
 func (h *Host) putSelf(ctx context.Context) error {
 	obj, err := h.store.Get(ctx, kindHosts, h.self.Name)
 	var notFound *platform.NotFoundError
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -30,6 +30,7 @@
 	changed  chan struct{}
 	kick     func()
 	hosts    map[string]fleet.Host
+	refuted  map[runKey]time.Duration // copies that turned out to be missing, until when to believe so
 }
 
 type runKey struct{ engine, model string }
@@ -48,6 +49,7 @@
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remote: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, wants: map[modelKey]*want{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), kick: func() {}, hosts: map[string]fleet.Host{},
+		refuted: map[runKey]time.Duration{},
 	}
 }
 
@@ -149,10 +151,10 @@
 	b.wake()
 }
 
-// view returns the best view of an engine: the told one, unless a check-in is
-// newer.
+// view returns the best view of an engine: the told one if it is of the same
+// start, as check-ins lag, else what the check-in says.
 func (b *Board) view(t fleet.Target) EngineView {
-	if v, ok := b.views[t.ID]; ok && v.Orders >= t.Orders {
+	if v, ok := b.views[t.ID]; ok && v.Born == t.Born {
 		return v
 	}
 	return viewOf(t)
@@ -160,7 +162,7 @@
 
 // viewOf makes a view from a check-in.
 func viewOf(t fleet.Target) EngineView {
-	v := EngineView{ID: t.ID, Orders: t.Orders, Models: make(map[string]ModelView, len(t.Models))}
+	v := EngineView{ID: t.ID, Born: t.Born, Models: make(map[string]ModelView, len(t.Models))}
 	for model, adapters := range t.Models {
 		v.Models[model] = ModelView{Adapters: adapters}
 	}
@@ -204,7 +206,7 @@
 		needsAdapter := false
 		if ask.Model != "" {
 			m, ok := b.view(t).Models[ask.Model]
-			if !ok || m.State != swap.Ready {
+			if !ok || m.State != swap.Ready || b.now() < b.refuted[runKey{id, ask.Model}] {
 				continue
 			}
 			needsAdapter = ask.Adapter != "" && !slices.Contains(m.Adapters, ask.Adapter)
@@ -280,6 +282,17 @@
 	b.mu.Unlock()
 }
 
+// refuteFor is how long a copy that turned out to be missing is left alone:
+// news of it come within a few tenths of a second.
+const refuteFor = 500 * time.Millisecond
+
+// Refute notes that an engine did not have a model that it should have.
+func (b *Board) Refute(engine, model string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refuted[runKey{engine, model}] = b.now() + refuteFor
+}
+
 // Await counts a request as waiting for a model until the returned function is
 // called. Due is when it should have begun.
 func (b *Board) Await(service, model string, due time.Duration) func() {
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -22,12 +22,12 @@
 const (
 	planSoon      = 3 * time.Millisecond   // gathers what is reported together
 	planInterval  = 100 * time.Millisecond // for what only the clock changes
-	newsInterval  = 250 * time.Millisecond // for counts that need no hurry
 	newsTimeout   = 500 * time.Millisecond
 	rateMemory    = 2 * time.Second  // of arrivals; the hot models change every ten seconds
 	moveForgotten = 12 * time.Second // a move whose owner tells nothing any more
 	storeMoveMost = 45 * time.Second
 	ownRetry      = 700 * time.Millisecond
+	ownPause      = time.Second // more, while another owner's lease may hold; each try costs calls to the store
 	ownTimeout    = 2 * time.Second
 )
 
@@ -66,7 +66,6 @@
 
 	sent    map[string]EngineView // news it has
 	sentUse map[string]float64
-	sentAt  time.Duration
 	live    []string
 	struck  map[string]bool
 	pushing bool
@@ -207,7 +206,7 @@
 			c.planService(ctx, service, spec, now)
 		}
 	}
-	c.push(ctx, now)
+	c.push(ctx)
 }
 
 // strikeMemory is how long a request that broke off an engine is remembered.
@@ -251,7 +250,7 @@
 func (c *Coordinator) view(t fleet.Target, owners map[string]string) EngineView {
 	v := viewOf(t)
 	if host, ok := owners[t.ID]; ok {
-		if owned := c.hosts[host].owned[t.ID]; owned.Orders >= t.Orders {
+		if owned := c.hosts[host].owned[t.ID]; owned.Born == t.Born {
 			v = owned
 		}
 	}
@@ -327,6 +326,12 @@
 	err := c.calls.Call(ctx, host, methodOwn, OwnCommand{Engine: engine}, nil)
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"event": "owner_not_found", "engine": engine, "asked": host}).Info(err.Error())
+		var remote *peer.RemoteError
+		if errors.As(err, &remote) {
+			c.mu.Lock()
+			c.owning[engine] = c.now() + ownPause
+			c.mu.Unlock()
+		}
 		return
 	}
 	c.wake()
@@ -472,12 +477,12 @@
 }
 
 // push sends news to the hosts that lack some.
-func (c *Coordinator) push(ctx context.Context, now time.Duration) {
+func (c *Coordinator) push(ctx context.Context) {
 	for name, h := range c.hosts {
 		if h.pushing {
 			continue
 		}
-		news := c.news(name, h, now-h.sentAt > newsInterval)
+		news := c.news(name, h, false)
 		if len(news.Engines) == 0 && len(news.Strikes) == 0 {
 			continue
 		}
@@ -498,7 +503,7 @@
 }
 
 // news returns what a host lacks, and counts it as sent. Counts change with
-// every request and go out only now and then.
+// every request and go out only in answer to its reports.
 func (c *Coordinator) news(name string, h *reporter, counts bool) News {
 	var n News
 	owners := c.owners()
@@ -508,10 +513,11 @@
 			continue
 		}
 		v := c.view(t, owners)
-		if _, owned := owners[id]; !owned && c.moves[id] == nil {
+		old, sent := h.sent[id]
+		if _, owned := owners[id]; !owned && !sent {
 			continue // its check-in says as much
 		}
-		if old, ok := h.sent[id]; ok && reflect.DeepEqual(old, v) {
+		if sent && reflect.DeepEqual(old, v) {
 			continue
 		}
 		h.sent[id] = v
@@ -531,7 +537,6 @@
 	if !counts {
 		return n
 	}
-	h.sentAt = c.now()
 	n.Use = c.useOfOthers(name, h)
 	if live := c.live(); !slices.Equal(live, h.live) {
 		n.Live, h.live = live, live
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -31,7 +31,8 @@
 // EngineView is what the hosts believe of an engine.
 type EngineView struct {
 	ID     string               `json:"id"`
-	Orders int64                `json:"o"` // orders it has accepted
+	Born   int64                `json:"t,omitempty"` // start of the engine that the view is of
+	Orders int64                `json:"o"`           // orders it has accepted
 	Models map[string]ModelView `json:"m,omitempty"`
 	Busy   bool                 `json:"b,omitempty"` // an order is under way
 	Done   uint64               `json:"d,omitempty"` // the last move that ended
--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -31,11 +31,13 @@
 	reportLag     = 450 * time.Millisecond  // reports are some hundred ms old
 	storeLoadMost = 40 * time.Second        // several loads at once take longer in proportion
 	moveBound     = 60 * time.Second
+	checkInLag    = 3 * time.Second // two check-ins and the delay of the list
 )
 
 // Owner carries out orders at the engines that this host owns.
 type Owner struct {
-	holder  string
+	self    string // name of this host
+	holder  string // the machine
 	lease   *Lease
 	board   *Board
 	engines Engines
@@ -55,17 +57,18 @@
 	id        string
 	fence     uint64
 	notBefore time.Duration // the owner before may have ordered until its lease bound earlier
-	born      int64
 	turn      chan struct{}
 	adapters  sync.Mutex // held while an adapter is exchanged
 
-	view EngineView // guarded by Owner.mu
+	view      EngineView    // guarded by Owner.mu, as are the following
+	edited    time.Duration // last change of view
+	rereading bool
 }
 
 // NewOwner returns an owner of nothing.
-func NewOwner(holder string, lease *Lease, board *Board, engines Engines, bounds fleet.Bounds, now func() time.Duration, log logrus.FieldLogger) *Owner {
+func NewOwner(self, holder string, lease *Lease, board *Board, engines Engines, bounds fleet.Bounds, now func() time.Duration, log logrus.FieldLogger) *Owner {
 	return &Owner{
-		holder: holder, lease: lease, board: board, engines: engines, bounds: bounds, now: now, log: log,
+		self: self, holder: holder, lease: lease, board: board, engines: engines, bounds: bounds, now: now, log: log,
 		owned: map[string]*ownedEngine{}, changed: func() {},
 	}
 }
@@ -142,14 +145,13 @@
 			delete(o.owned, id)
 			continue
 		}
-		if e.view.Busy {
+		if t.Born != e.view.Born {
+			delete(o.owned, id) // it started again and knows nothing of before
 			continue
 		}
-		if t.Born != e.born || t.Orders > e.view.Orders {
-			done := e.view.Done
-			e.view = viewOf(t)
-			e.view.Done, e.view.Fresh = done, true
-			e.born = t.Born
+		if !e.view.Busy && !e.rereading && o.now()-e.edited > checkInLag && !sameModels(e.view, t) {
+			e.rereading = true
+			go o.resync(e)
 		}
 	}
 }
@@ -174,8 +176,12 @@
 	if err != nil {
 		return err
 	}
-	e := &ownedEngine{id: id, fence: fence, born: t.Born, turn: make(chan struct{}, 1), view: viewOf(t)}
-	e.view.Fresh = true
+	report, err := o.engines.Report(ctx, t.Address, id)
+	if err != nil {
+		return err
+	}
+	e := &ownedEngine{id: id, fence: fence, turn: make(chan struct{}, 1), edited: o.now()}
+	e.view = EngineView{ID: id, Born: t.Born, Owner: o.self, Orders: report.Orders, Models: modelsIn(report), Fresh: true}
 	if taken {
 		e.notBefore = o.now() + o.bounds.OrderLease + leaseGuard
 	}
@@ -282,6 +288,7 @@
 	o.mu.Lock()
 	e.view.Models = cloneModels(e.view.Models)
 	change(&e.view)
+	e.edited = o.now()
 	v := e.copyView()
 	o.mu.Unlock()
 	o.board.Publish(v)
@@ -404,10 +411,7 @@
 		if err == nil && !report.Busy {
 			o.edit(e, func(v *EngineView) {
 				v.Orders = report.Orders
-				v.Models = map[string]ModelView{}
-				for model, adapters := range report.Models {
-					v.Models[model] = ModelView{Adapters: adapters}
-				}
+				v.Models = modelsIn(report)
 			})
 			return
 		}
@@ -417,6 +421,41 @@
 	}
 }
 
+func modelsIn(report fleet.EngineReport) map[string]ModelView {
+	out := make(map[string]ModelView, len(report.Models))
+	for model, adapters := range report.Models {
+		out[model] = ModelView{Adapters: adapters}
+	}
+	return out
+}
+
+// sameModels reports whether a check-in names the models of a view.
+func sameModels(v EngineView, t fleet.Target) bool {
+	if len(v.Models) != len(t.Models) {
+		return false
+	}
+	for model := range t.Models {
+		if _, ok := v.Models[model]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// resync reads what an engine holds, when its check-ins disagree with this
+// host's belief.
+func (o *Owner) resync(e *ownedEngine) {
+	e.turn <- struct{}{}
+	defer func() { <-e.turn }()
+	ctx, cancel := context.WithTimeout(context.Background(), moveBound)
+	defer cancel()
+	o.log.WithFields(logrus.Fields{"event": "engine_differs", "engine": e.id}).Warn("check-ins disagree with the orders given; reading the engine's report")
+	o.reread(ctx, e)
+	o.mu.Lock()
+	e.rereading = false
+	o.mu.Unlock()
+}
+
 // awaitLoad waits until a load is done. The engine is asked by giving the load
 // again: its reports lag by more than a load takes.
 func (o *Owner) awaitLoad(ctx context.Context, e *ownedEngine, c SwapCommand) error {
