Do not count repeated loads; adopt engines from settled reports

Cause of LIMIT: a load given again while it runs is answered 202 and not counted, so the believed count ran ahead and a real load went unnoticed; an engine whose entry went and came back was adopted from a report older than its last order.

--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -141,6 +141,9 @@
 	}
 	for id, e := range o.owned {
 		t, ok := o.board.Target(id)
+		if e.view.Busy && (!ok || t.Born == e.view.Born) {
+			continue // the move ends by itself; its engine may be listed again meanwhile
+		}
 		if !ok || t.Draining {
 			delete(o.owned, id)
 			continue
@@ -176,26 +179,38 @@
 	if err != nil {
 		return err
 	}
-	report, err := o.engines.Report(ctx, t.Address, id)
-	if err != nil {
-		return err
-	}
 	e := &ownedEngine{id: id, fence: fence, turn: make(chan struct{}, 1), edited: o.now()}
-	e.view = EngineView{ID: id, Born: t.Born, Owner: o.self, Orders: report.Orders, Models: modelsIn(report), Fresh: true}
+	e.view = EngineView{ID: id, Born: t.Born, Owner: o.self, Models: viewOf(t).Models, Fresh: true, Busy: true}
 	if taken {
 		e.notBefore = o.now() + o.bounds.OrderLease + leaseGuard
 	}
 	o.mu.Lock()
-	if term == o.term || len(o.owned) == 0 {
-		o.term = term
-		o.owned[id] = e
+	if term != o.term && len(o.owned) > 0 {
+		o.mu.Unlock()
+		return &NoLeaseError{}
 	}
+	o.term = term
+	o.owned[id] = e
 	o.mu.Unlock()
 	o.log.WithFields(logrus.Fields{"event": "engine_owned", "engine": id, "fence": fence, "taken_over": taken}).Info("this host orders the engine")
+	go o.adopt(e)
 	o.changed()
 	return nil
 }
 
+// adopt reads what an engine holds before its first order. This host, or the
+// owner before, may have ordered it until just now, so the first report counts
+// only after the time by which reports lag.
+func (o *Owner) adopt(e *ownedEngine) {
+	e.turn <- struct{}{}
+	defer func() { <-e.turn }()
+	ctx, cancel := context.WithTimeout(context.Background(), moveBound)
+	defer cancel()
+	time.Sleep(max(0, e.notBefore-o.now()))
+	o.reread(ctx, e)
+	o.edit(e, func(v *EngineView) { v.Busy = false })
+}
+
 // UnknownEngineError reports an engine that this host does not know or own.
 type UnknownEngineError struct {
 	Engine string
@@ -348,7 +363,7 @@
 // is given again with the same count of orders expected: only one of the two
 // can be carried out.
 func (o *Owner) give(ctx context.Context, e *ownedEngine, ord fleet.Order, bound time.Duration) error {
-	began, doubt := o.now(), o.now()+doubtAfter
+	began, doubt, unanswered := o.now(), o.now()+doubtAfter, false
 	for {
 		ord.After = o.orders(e)
 		outcome, err := o.order(ctx, e, ord)
@@ -361,7 +376,9 @@
 			return nil
 		case fleet.OrderHolds:
 			return nil
-		case fleet.OrderBusy, fleet.OrderUnknown, fleet.OrderNotSent:
+		case fleet.OrderUnknown:
+			unanswered = true
+		case fleet.OrderBusy, fleet.OrderNotSent:
 		default:
 			return &OrderError{Engine: e.id, Outcome: outcome}
 		}
@@ -370,7 +387,16 @@
 		}
 		if outcome == fleet.OrderUnknown || o.now() > doubt {
 			doubt = o.now() + doubtAfter
-			o.recount(ctx, e)
+			switch o.recount(ctx, e) {
+			case 0:
+			case 1:
+				if unanswered {
+					return nil // the order without an answer was accepted
+				}
+				return &OrderError{Engine: e.id, Outcome: outcome}
+			default:
+				return &OrderError{Engine: e.id, Outcome: outcome}
+			}
 		}
 		time.Sleep(orderRetry)
 	}
@@ -382,25 +408,34 @@
 	return e.view.Orders
 }
 
-// recount takes in the engine's own count of orders, after an order without an
-// answer or one refused for long.
-func (o *Owner) recount(ctx context.Context, e *ownedEngine) {
+// recount takes in the engine's own count of orders and returns by how much it
+// differs from this host's. No adapter is exchanged meanwhile: the count would
+// be older than theirs.
+func (o *Owner) recount(ctx context.Context, e *ownedEngine) (more int64) {
+	e.adapters.Lock()
+	defer e.adapters.Unlock()
 	time.Sleep(reportLag)
 	t, ok := o.board.Target(e.id)
 	if !ok {
-		return
+		return 0
 	}
 	report, err := o.engines.Report(ctx, t.Address, e.id)
 	if err != nil {
 		o.log.WithFields(logrus.Fields{"event": "report_failed", "engine": e.id}).Warn(err.Error())
-		return
+		return 0
+	}
+	o.edit(e, func(v *EngineView) { more, v.Orders = report.Orders-v.Orders, report.Orders })
+	if more != 0 {
+		o.log.WithFields(logrus.Fields{"event": "orders_recounted", "engine": e.id, "orders": report.Orders, "more": more}).Warn("engine counts other orders than this host")
 	}
-	o.edit(e, func(v *EngineView) { v.Orders = report.Orders })
+	return more
 }
 
 // reread takes in what the engine says that it holds, after an order that did
 // not end as expected.
 func (o *Owner) reread(ctx context.Context, e *ownedEngine) {
+	e.adapters.Lock()
+	defer e.adapters.Unlock()
 	for range 20 {
 		time.Sleep(reportLag)
 		t, ok := o.board.Target(e.id)
@@ -470,17 +505,16 @@
 	began := o.now()
 	time.Sleep(expected)
 	for {
-		outcome, err := o.order(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Load, After: -1})
+		outcome, err := o.order(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Load, After: o.orders(e)})
 		if err != nil {
 			return err
 		}
 		switch outcome {
 		case fleet.OrderHolds:
 			return nil
-		case fleet.OrderAccepted:
-			// The load had not been taken after all; it is now.
-			o.edit(e, func(v *EngineView) { v.Orders++ })
-		case fleet.OrderBusy, fleet.OrderUnknown, fleet.OrderNotSent:
+		case fleet.OrderAccepted, fleet.OrderBusy, fleet.OrderUnknown, fleet.OrderNotSent:
+			// Still loading. An engine answers the load under way as accepted,
+			// and does not count it again.
 		default:
 			return &OrderError{Engine: e.id, Outcome: outcome}
 		}
@@ -573,39 +607,31 @@
 	v.Models[model] = m
 }
 
-// adapterTries bounds the orders for one adapter.
-const adapterTries = 6
-
 // giveAdapter gives an order for an adapter. Such orders do not make the engine
-// busy, but raise its count of orders.
+// busy, but raise its count of orders, an unload also when it is done at once.
 func (o *Owner) giveAdapter(ctx context.Context, e *ownedEngine, ord fleet.Order) error {
-	last := fleet.OrderNotSent
-	for range adapterTries {
+	for {
 		ord.After = o.orders(e)
 		outcome, err := o.order(ctx, e, ord)
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
-		}
-		last = outcome
-		switch outcome {
-		case fleet.OrderAccepted:
+		case outcome == fleet.OrderAccepted, outcome == fleet.OrderHolds && ord.Kind == fleet.UnloadModel:
 			o.edit(e, func(v *EngineView) { v.Orders++ })
 			return nil
-		case fleet.OrderHolds:
-			if ord.Kind == fleet.UnloadModel {
-				o.edit(e, func(v *EngineView) { v.Orders++ }) // done at once, and counted
-			}
+		case outcome == fleet.OrderHolds:
 			return nil
-		case fleet.OrderBusy:
-			time.Sleep(orderRetry)
-			if ctx.Err() != nil {
-				return &OrderError{Engine: e.id, Outcome: outcome}
-			}
-		default:
+		case outcome == fleet.OrderUnknown:
+			// It may be carried out late. Given again with the same count, one
+			// of the two at most is.
+		case outcome != fleet.OrderBusy:
 			return &OrderError{Engine: e.id, Outcome: outcome}
 		}
+		if ctx.Err() != nil {
+			return &OrderError{Engine: e.id, Outcome: outcome}
+		}
+		time.Sleep(orderRetry)
 	}
-	return &OrderError{Engine: e.id, Outcome: last}
 }
 
 // isOwnedElsewhere reports whether an engine's owner may still order it.
