Probe lost coordinators beside the reports; tests of ownership

Cause: a coordinator gone for good was asked again by every host each 2 s, each time holding a report up for 350 ms; adapters were asked for at engines without a known owner; moves of a dead owner blocked its engine for 12 s.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -18,7 +18,8 @@
 	plainRunTime  = 80 * time.Millisecond  // a plain service's usual work
 	streamRunTime = 600 * time.Millisecond // a stream's usual run: what must be left to begin one
 	adapterWait   = 800 * time.Millisecond
-	shedPause     = 25 * time.Millisecond // before the same target is tried again
+	lookAgain     = 100 * time.Millisecond // beside changes: what was refuted counts again after a while
+	shedPause     = 25 * time.Millisecond  // before the same target is tried again
 )
 
 // result says how one try ended.
@@ -151,7 +152,7 @@
 				stopAwaiting = board.Await(x.service, x.call.Model, x.arrived+x.route.Objective)
 			}
 		}
-		g.sleepUntil(ctx, changed, min(until, g.opts.Now()+adapterWait))
+		g.sleepUntil(ctx, changed, min(until, g.opts.Now()+lookAgain))
 	}
 }
 
@@ -207,6 +208,7 @@
 	x.log["adapter_ms"] = (g.opts.Now() - began).Milliseconds()
 	if err != nil {
 		g.opts.Log.WithFields(logrus.Fields{"event": "adapter_not_loaded", "id": x.call.ID, "engine": c.Target.ID, "adapter": x.call.ModelKey()}).Warn(err.Error())
+		g.opts.Board.Refute(c.Target.ID, x.call.ModelKey())
 		return false
 	}
 	return true
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -222,6 +222,7 @@
 		func() error { return h.lease.Run(ctx) },
 		func() error { return h.coord.Run(ctx) },
 		func() error { return h.link.Run(ctx) },
+		func() error { return h.link.RunProbes(ctx) },
 		func() error { return h.serve.Serve(ctx, peers) },
 	}
 }
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -210,6 +210,9 @@
 				continue
 			}
 			needsAdapter = ask.Adapter != "" && !slices.Contains(m.Adapters, ask.Adapter)
+			if needsAdapter && (b.views[id].Owner == "" || b.now() < b.refuted[runKey{id, ask.Model + "/" + ask.Adapter}]) {
+				continue
+			}
 		}
 		score := b.score(t) + rand.Float64()*0.02
 		if needsAdapter {
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -73,8 +73,8 @@
 
 type move struct {
 	id      uint64
+	owner   string
 	command SwapCommand
-	at      time.Duration
 	until   time.Duration
 }
 
@@ -217,6 +217,7 @@
 	for name, h := range c.hosts {
 		if now-h.at > hostSilent {
 			delete(c.hosts, name)
+			maps.DeleteFunc(c.moves, func(_ string, m *move) bool { return m.owner == name })
 			c.log.WithFields(logrus.Fields{"event": "host_silent", "peer": name, "silent_ms": (now - h.at).Milliseconds()}).Warn("host reports no more")
 		}
 	}
@@ -453,7 +454,7 @@
 		bound = storeMoveMost
 	}
 	cmd := SwapCommand{Move: id, Engine: m.Engine, Unload: m.Unload, Load: m.Load, Source: m.Source}
-	c.moves[m.Engine] = &move{id: id, command: cmd, at: now, until: now + bound}
+	c.moves[m.Engine] = &move{id: id, owner: owner, command: cmd, until: now + bound}
 	c.log.WithFields(logrus.Fields{"event": "move_planned", "move": id, "engine": m.Engine, "owner": owner, "unload": m.Unload, "load": m.Load,
 		"source": m.Source, "waiting": d.Waiting, "due_ms": (d.Due - now).Milliseconds(), "rate": d.Rate}).Info("swap decided")
 	go func() {
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -33,7 +33,7 @@
 	kick chan struct{}
 
 	mu        sync.Mutex
-	avoid     map[string]time.Duration // hosts that did not answer, until when
+	avoid     map[string]time.Duration // hosts that did not answer, since when
 	current   string                   // coordinator of the last report
 	full      bool
 	sentUse   map[string]float64
@@ -67,6 +67,7 @@
 		l.take(n)
 		return struct{}{}, nil
 	})
+	r.Handle(methodPing, func(context.Context, peer.ID, json.RawMessage) (any, error) { return struct{}{}, nil })
 }
 
 func (l *Link) wake() {
@@ -136,15 +137,59 @@
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(hosts[a].Joined, hosts[b].Joined), cmp.Compare(a, b))
 	})
-	now := l.opts.Now()
 	for _, name := range names {
-		if name == l.opts.Self.Name || now >= l.avoid[name] {
+		if _, avoided := l.avoid[name]; name == l.opts.Self.Name || !avoided {
 			return name
 		}
 	}
 	return l.opts.Self.Name
 }
 
+// RunProbes asks the hosts that did not answer whether they do again, so that
+// no report has to wait for one that does not. It returns when ctx ends.
+func (l *Link) RunProbes(ctx context.Context) error {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		for _, name := range l.avoided() {
+			go l.probe(ctx, name)
+		}
+	}
+}
+
+// avoided returns the hosts to probe, and forgets those that are no members.
+func (l *Link) avoided() []string {
+	hosts := l.opts.Board.Hosts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for name, since := range l.avoid {
+		if _, member := hosts[name]; !member {
+			delete(l.avoid, name)
+		} else if l.opts.Now()-since >= avoidFor {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (l *Link) probe(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if l.opts.Calls.Call(ctx, name, methodPing, struct{}{}, nil) != nil {
+		return // still lost, as was logged when it was
+	}
+	l.mu.Lock()
+	delete(l.avoid, name)
+	l.mu.Unlock()
+	l.opts.Log.WithFields(logrus.Fields{"event": "peer_regained", "peer": name}).Info("host answers again")
+}
+
 func (l *Link) report(ctx context.Context) {
 	l.mu.Lock()
 	to := l.coordinator()
@@ -166,7 +211,7 @@
 	}
 	if err != nil {
 		l.mu.Lock()
-		l.avoid[to] = l.opts.Now() + avoidFor
+		l.avoid[to] = l.opts.Now()
 		l.full = true
 		l.pending = append(l.pending, r.Strikes...)
 		l.mu.Unlock()
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -18,6 +18,7 @@
 	methodReport  = "steer.report"
 	methodNews    = "steer.news"
 	methodOwn     = "steer.own"
+	methodPing    = "steer.ping"
 	methodSwap    = "steer.swap"
 	MethodAdapter = "steer.adapter"
 )
@@ -114,6 +115,7 @@
 	reportSoon     = 4 * time.Millisecond    // gathers what changes together; a few requests arrive meanwhile
 	reportInterval = 400 * time.Millisecond  // so that a silent host is noticed within contact times
 	reportTimeout  = 350 * time.Millisecond  // a few hundred times the way between zones
-	avoidFor       = 2 * time.Second         // a coordinator that did not answer
+	avoidFor       = 2 * time.Second         // a coordinator that did not answer, at least
+	probeInterval  = 700 * time.Millisecond  // a third of avoidFor
 	hostSilent     = 1200 * time.Millisecond // three reports missed
 )
