Take a target's head only with its first event; refuse waiters before a stop ends

Cause of MIXED: the head of a stream was copied to the answer before its first event; where the stream broke off before that, the 502 bore the target's stamp. Cause of LOST: a request that waited for its model when SIGTERM came was cut when the process ended, 7.1 s later. Tests of both failed before. Ruled out for LOST: runs under way (the engine had not been sent anything).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -64,10 +64,6 @@
 // not look complete.
 func (g *Gateway) passStream(ctx context.Context, x *exchange, c steer.Choice, resp *target.Forwarded, silence *time.Timer) result {
 	flusher := http.NewResponseController(x.w)
-	if !x.begun {
-		g.head(x, resp)
-		x.w.Header().Del("Content-Length")
-	}
 	x.events.reset()
 	piece := make([]byte, copyBytes)
 	for {
@@ -76,7 +72,7 @@
 			x.events.add(piece[:n])
 			if whole := x.events.take(); len(whole) > 0 {
 				silence.Stop()
-				if !g.write(x, flusher, whole, resp.Status) {
+				if !g.write(x, flusher, whole, resp) {
 					return callerLeft
 				}
 				silence.Reset(g.patience(x))
@@ -89,19 +85,22 @@
 			return g.streamBroke(ctx, x, c, err)
 		}
 		g.opts.Board.Outcome(c.Target.ID, true)
-		if !g.write(x, flusher, x.events.rest(), resp.Status) {
+		if !g.write(x, flusher, x.events.rest(), resp) {
 			return callerLeft
 		}
 		return answered
 	}
 }
 
-// write passes on events, after the head if they are the first.
-func (g *Gateway) write(x *exchange, flusher *http.ResponseController, events []byte, status int) bool {
+// write passes on events, after the head if they are the first. Until then
+// nothing of the target's head is taken: another target may answer, or none.
+func (g *Gateway) write(x *exchange, flusher *http.ResponseController, events []byte, resp *target.Forwarded) bool {
 	if !x.begun {
-		x.begun, x.status = true, status
+		x.begun, x.status = true, resp.Status
 		x.log["first_ms"] = (g.opts.Now() - x.arrived).Milliseconds()
-		x.w.WriteHeader(status)
+		g.head(x, resp)
+		x.w.Header().Del("Content-Length")
+		x.w.WriteHeader(resp.Status)
 	}
 	if len(events) > 0 {
 		if _, err := x.w.Write(events); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	opts     Options
 	running  atomic.Int64
 	stopping atomic.Bool
+	waitEnd  atomic.Int64 // time.Duration on the clock of Options.Now; 0: none
 }
 
 // New returns a gateway.
@@ -59,8 +60,13 @@
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
-// Stop makes further answers ask callers to close their connections.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes further answers ask callers to close their connections. Requests
+// that no target has taken when left has passed are refused, so that none is
+// cut when the process ends.
+func (g *Gateway) Stop(left time.Duration) {
+	g.waitEnd.Store(int64(g.opts.Now() + left))
+	g.stopping.Store(true)
+}
 
 // Shares of the revocation bound.
 const (
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -126,8 +126,8 @@
 			stopAwaiting()
 		}
 	}()
-	until := g.waitUntil(x)
 	for {
+		until := g.waitUntil(x)
 		changed := board.Changed()
 		if choice, ok := board.Pick(ask); ok {
 			if !choice.NeedsAdapter || g.adapter(ctx, x, choice) {
@@ -178,7 +178,11 @@
 	if x.route.Kind == fleet.Streaming {
 		runTime = streamRunTime
 	}
-	return x.deadline - min(runTime, (x.deadline-x.arrived)/3)
+	until := x.deadline - min(runTime, (x.deadline-x.arrived)/3)
+	if end := time.Duration(g.waitEnd.Load()); end > 0 {
+		until = min(until, end)
+	}
+	return until
 }
 
 // hopeless returns why no engine can have the model in time; empty if one can.
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -167,7 +167,8 @@
 // Times of a planned stop.
 const (
 	quietFor    = 1500 * time.Millisecond // callers have moved to other hosts
-	stopMargin  = 900 * time.Millisecond  // before the platform kills the process
+	stopMargin  = 500 * time.Millisecond  // before the platform kills the process
+	lastRuns    = 1600 * time.Millisecond // for what targets have taken: two usual streams
 	leastServed = 4 * time.Second         // entry answers are kept for twice their life
 )
 
@@ -178,7 +179,7 @@
 	close(h.ended)
 	h.entry.Leave()
 	h.link.Leave()
-	h.gateway.Stop()
+	h.gateway.Stop(h.site.Bounds.Grace - stopMargin - lastRuns)
 	h.log.WithFields(logrus.Fields{"event": "host_stopping", "running": h.gateway.Running()}).Info("host leaves the entry answers")
 	h.leave(ctx)
 	var idle time.Time
