--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -25,7 +25,7 @@
 		}
 		ran <- r.RequestURI + " " + string(body)
 	})}
-	go s.Serve(Listener{Listener: l, MaxHead: 1 << 14})
+	go func() { _ = s.Serve(Listener{Listener: l, MaxHead: 1 << 14}) }() // ends with Close
 	t.Cleanup(func() { s.Close() })
 	return l.Addr().String(), ran
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -177,7 +177,9 @@
 		t.Errorf("status %d after %d sends", w.Code, len(s.sent))
 	}
 	s = &script{answers: []func(target.Forwarding) (*target.Forwarded, error){
-		func(target.Forwarding) (*target.Forwarded, error) { return nil, &target.UnknownOutcomeError{Cause: reset{}} }, whole(200, "ok"),
+		func(target.Forwarding) (*target.Forwarded, error) {
+			return nil, &target.UnknownOutcomeError{Cause: reset{}}
+		}, whole(200, "ok"),
 	}}
 	if w := ask(testGateway(s), "/pay/x", ""); w.Code != http.StatusBadGateway || len(s.sent) != 1 {
 		t.Errorf("status %d after %d sends", w.Code, len(s.sent))
