Let the coordinator vouch for copies of the store

Now the coordinator polls so, tells in each answer how fresh its copies are and which targets leave, and the others poll slowly; without its word they poll as before. Leases are renewed by owners only, two engines each. News of engines name what is ready, at once only to hosts that wait for it.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -59,14 +59,20 @@
 // kindHosts holds an object a host.
 const kindHosts platform.Kind = "seam-hosts"
 
-// Times of the copies of the store's objects.
+// Paces of the copies of the store's objects. The strict ones are those of the
+// coordinator and of hosts that hear nothing of it.
+var (
+	configPace    = mirror.Pace{Wait: 1200 * time.Millisecond} // a third of the trust in a configuration, so that two polls may fail
+	configRelaxed = mirror.Pace{Wait: 12 * time.Second, Spacing: time.Second}
+	targetPace    = mirror.Pace{Wait: 900 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
+	targetRelaxed = mirror.Pace{Wait: 8 * time.Second, Spacing: 2500 * time.Millisecond, Stale: true}
+	hostPace      = mirror.Pace{Wait: 20 * time.Second, Spacing: 2 * time.Second}
+)
+
+// Bounds of what the coordinator vouches for.
 const (
-	configWait    = 1200 * time.Millisecond // a third of the trust in a configuration, so that two polls may fail
-	targetWait    = 8 * time.Second
-	targetSpacing = 500 * time.Millisecond // a quarter of the time until a leaving target must get nothing new
-	hostWait      = 15 * time.Second
-	hostSpacing   = time.Second
-	targetLinger  = 2 * time.Second // entries that lapsed with the store away are back by then
+	vouchFresh   = 1300 * time.Millisecond // three reports, or a strict poll
+	targetLinger = 2 * time.Second         // entries that lapsed with the store away are back by then
 )
 
 // Host is an entry host.
@@ -88,6 +94,7 @@
 	gateway *gateway.Gateway
 	entry   *gateway.Entry
 	config  *mirror.Mirror
+	targets *mirror.Mirror
 	stop    chan struct{}
 	ended   chan struct{} // closed once stopping has begun
 }
@@ -108,7 +115,12 @@
 	h.wireSteering()
 	h.wireGateway()
 	h.config = mirror.New(mirror.Options{
-		Source: h.store, Kind: adapter.ConfigKind, Wait: configWait, Now: bootclock.Now, Log: h.log, OnChange: h.configChanged,
+		Source: h.store, Kind: adapter.ConfigKind, Pace: configPace, Relaxed: configRelaxed, Vouched: h.configVouched,
+		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged,
+	})
+	h.targets = mirror.New(mirror.Options{
+		Source: h.store, Kind: adapter.TargetKind, Pace: targetPace, Relaxed: targetRelaxed, Vouched: h.targetsVouched,
+		Linger: targetLinger, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
 	})
 	return h
 }
@@ -120,7 +132,7 @@
 	holder := h.self.Name + "@" + h.site.IP // a machine: whoever starts again on it goes on with its engines
 	h.lease = steer.NewLease(holder, h.store, bootclock.Now, h.log)
 	h.owner = steer.NewOwner(h.self.Name, holder, h.lease, h.board, h.adapter.Engines, h.site.Bounds, bootclock.Now, h.log)
-	h.coord = steer.NewCoordinator(h.self.Name, h.board, h.peers, bootclock.Now, h.log)
+	h.coord = steer.NewCoordinator(h.self.Name, h.board, h.peers, h.confirmedCopies, bootclock.Now, h.log)
 }
 
 func (h *Host) wireGateway() {
@@ -137,7 +149,7 @@
 		Codec: h.adapter.Codec, Board: h.board, Sender: target.NewClient(), Allotments: allotments,
 		Budget:  gateway.NewRetryBudget(h.site.Bounds, h.hostCount, bootclock.Now),
 		Adapter: h.loadAdapter, Strike: h.link.Strike, Struck: h.link.Struck,
-		Confirmed: func() (time.Duration, bool) { return h.config.Confirmed() },
+		Confirmed: h.configConfirmed,
 		Now:       bootclock.Now, Bounds: h.site.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
 }
@@ -207,16 +219,12 @@
 }
 
 func (h *Host) duties(ctx context.Context, peers net.Listener) []func() error {
-	targets := mirror.New(mirror.Options{
-		Source: h.store, Kind: h.adapter.TargetKind, Wait: targetWait, Spacing: targetSpacing, Linger: targetLinger,
-		Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
-	})
 	hosts := mirror.New(mirror.Options{
-		Source: h.store, Kind: kindHosts, Wait: hostWait, Spacing: hostSpacing, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
+		Source: h.store, Kind: kindHosts, Pace: hostPace, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
 	})
 	return []func() error{
 		func() error { return h.config.Run(ctx) },
-		func() error { return targets.Run(ctx) },
+		func() error { return h.targets.Run(ctx) },
 		func() error { return hosts.Run(ctx) },
 		func() error { return h.join(ctx) },
 		func() error { return h.lease.Run(ctx) },
@@ -301,7 +309,7 @@
 		return false
 	default:
 	}
-	confirmed, ok := h.config.Confirmed()
+	confirmed, ok := h.configConfirmed()
 	return ok && h.board.Config().Version > 0 && len(h.board.Targets().ByID) > 0 && bootclock.Now()-confirmed < h.site.Bounds.Revoke
 }
 
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -8,10 +8,42 @@
 
 	"github.com/sirupsen/logrus"
 
+	"buckthornseam.dev/seam/internal/bootclock"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/platform"
 )
 
+// confirmedCopies tells how far this host's own copies are known to be complete.
+func (h *Host) confirmedCopies() (config uint64, configAt, targetsAt time.Duration) {
+	configAt, _ = h.config.Confirmed()
+	targetsAt, _ = h.targets.Confirmed()
+	return h.board.Config().Revision, configAt, targetsAt
+}
+
+// configConfirmed returns the latest time at which the configuration was known
+// to be in force, by this host's own copy or by the coordinator's word for the
+// same version.
+func (h *Host) configConfirmed() (time.Duration, bool) {
+	at, ok := h.config.Confirmed()
+	if v := h.link.Vouched(); ok && v.Config == h.board.Config().Revision {
+		at = max(at, v.ConfigAt)
+	}
+	return at, ok
+}
+
+// configVouched reports whether the coordinator vouches for this host's version
+// of the configuration.
+func (h *Host) configVouched() bool {
+	v := h.link.Vouched()
+	return v.Config == h.board.Config().Revision && bootclock.Now()-v.ConfigAt < vouchFresh+configPace.Wait
+}
+
+// targetsVouched reports whether the coordinator tells this host which targets
+// leave.
+func (h *Host) targetsVouched() bool {
+	return bootclock.Now()-h.link.Vouched().TargetsAt < vouchFresh
+}
+
 // configChanged takes in the stored configuration, if it is newer.
 func (h *Host) configChanged(objects map[string]platform.Object) {
 	obj, ok := objects[h.adapter.ConfigName]
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -17,15 +17,25 @@
 // Source is the part of the store that a mirror reads.
 type Source interface {
 	List(ctx context.Context, kind platform.Kind, stale bool) (platform.List, error)
-	Poll(ctx context.Context, kind platform.Kind, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error)
+	Poll(ctx context.Context, kind platform.Kind, after platform.Version, wait time.Duration, stale bool) ([]platform.Event, platform.Version, error)
+}
+
+// Pace says how a copy is kept.
+type Pace struct {
+	Wait    time.Duration // longest wait of one poll
+	Spacing time.Duration // least time between the starts of two polls
+	Stale   bool          // data seconds old will do; such calls cost less
 }
 
 // Options configure a mirror.
 type Options struct {
-	Source   Source
-	Kind     platform.Kind
-	Wait     time.Duration        // longest wait of one poll
-	Spacing  time.Duration        // least time between the starts of two polls
+	Source Source
+	Kind   platform.Kind
+	Pace   Pace
+	// Relaxed is the pace while another host vouches for the copy, as Vouched
+	// tells; nil: never.
+	Relaxed  Pace
+	Vouched  func() bool
 	Linger   time.Duration        // for which objects stay that went missing while the store was away
 	Now      func() time.Duration // counts suspended time
 	Log      logrus.FieldLogger
@@ -77,11 +87,54 @@
 			continue
 		}
 		pause = firstPause
-		sleep(ctx, m.opts.Spacing-(m.opts.Now()-began))
+		for m.opts.Now()-began < m.pace().Spacing && ctx.Err() == nil {
+			sleep(ctx, min(vouchCheck, m.pace().Spacing-(m.opts.Now()-began)))
+		}
 	}
 	return nil
 }
 
+// vouchCheck is how often a relaxed copy asks whether it may stay so.
+const vouchCheck = 200 * time.Millisecond
+
+func (m *Mirror) pace() Pace {
+	if m.opts.Vouched != nil && m.opts.Vouched() {
+		return m.opts.Relaxed
+	}
+	return m.opts.Pace
+}
+
+// poll makes one poll. A relaxed one ends early when nobody vouches for the
+// copy any more.
+func (m *Mirror) poll(ctx context.Context, after platform.Version, pace Pace) ([]platform.Event, platform.Version, bool, error) {
+	relaxed := m.opts.Vouched != nil && pace == m.opts.Relaxed
+	if !relaxed || pace.Wait <= vouchCheck {
+		events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, pace.Wait, pace.Stale)
+		return events, version, true, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	interrupted := false
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			sleep(ctx, vouchCheck)
+			if ctx.Err() == nil && !m.opts.Vouched() {
+				interrupted = true
+				cancel()
+			}
+		}
+	}()
+	events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, pace.Wait, pace.Stale)
+	cancel()
+	<-done
+	if err != nil && interrupted {
+		return nil, 0, false, nil
+	}
+	return events, version, true, err
+}
+
 func (m *Mirror) step(ctx context.Context, began time.Duration) error {
 	m.mu.Lock()
 	listed, after := m.listed && m.version > 0, m.version
@@ -94,15 +147,19 @@
 		m.relist(list, began)
 		return nil
 	}
-	wait := m.opts.Wait
+	pace := m.pace()
 	if m.lingers() {
-		wait = min(wait, m.opts.Linger/4)
+		pace.Wait = min(pace.Wait, m.opts.Linger/4)
 	}
-	events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, wait)
-	if err != nil {
+	events, version, whole, err := m.poll(ctx, after, pace)
+	if err != nil || !whole {
 		return err
 	}
-	m.apply(events, version, began+min(m.opts.Now()-began, wait))
+	confirmed := began + min(m.opts.Now()-began, pace.Wait)
+	if pace.Stale {
+		confirmed = 0
+	}
+	m.apply(events, version, confirmed)
 	return nil
 }
 
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -30,6 +30,7 @@
 	changed  chan struct{}
 	kick     func()
 	hosts    map[string]fleet.Host
+	unusable map[string]bool
 	refuted  map[runKey]time.Duration // copies that turned out to be missing, until when to believe so
 }
 
@@ -151,6 +152,35 @@
 	b.wake()
 }
 
+// Tell takes in the coordinator's news of engines. The own engines are known
+// better.
+func (b *Board) Tell(self string, news ...EngineNews) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range news {
+		if n.Owner == self && b.views[n.ID].Owner == self && b.views[n.ID].Born == n.Born {
+			continue
+		}
+		v := EngineView{ID: n.ID, Born: n.Born, Owner: n.Owner, Models: make(map[string]ModelView, len(n.Ready))}
+		for _, model := range n.Ready {
+			v.Models[model] = ModelView{Adapters: n.Adapters[model]}
+		}
+		b.views[n.ID] = v
+	}
+	b.wake()
+}
+
+// SetUnusable takes in the targets that the coordinator knows to leave.
+func (b *Board) SetUnusable(ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(ids) == 0 && len(b.unusable) == 0 {
+		return
+	}
+	b.unusable = set(ids)
+	b.wake()
+}
+
 // view returns the best view of an engine: the told one if it is of the same
 // start, as check-ins lag, else what the check-in says.
 func (b *Board) view(t fleet.Target) EngineView {
@@ -200,7 +230,7 @@
 	best, bestScore, found := Choice{}, 0.0, false
 	for _, id := range b.targets.ByService[ask.Service] {
 		t := b.targets.ByID[id]
-		if t.Draining || ask.Avoid[id] {
+		if t.Draining || ask.Avoid[id] || b.unusable[id] {
 			continue
 		}
 		needsAdapter := false
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -34,13 +34,14 @@
 // Coordinator plans swaps from the reports of hosts. Every host runs one; it
 // works for those that report to it.
 type Coordinator struct {
-	self  string
-	board *Board
-	calls peer.Caller
-	now   func() time.Duration
-	log   logrus.FieldLogger
-	kick  chan struct{}
-	began time.Duration
+	self      string
+	confirmed Confirmed
+	board     *Board
+	calls     peer.Caller
+	now       func() time.Duration
+	log       logrus.FieldLogger
+	kick      chan struct{}
+	began     time.Duration
 
 	mu      sync.Mutex
 	hosts   map[string]*reporter
@@ -50,6 +51,9 @@
 	strikes map[string]time.Duration
 	move    uint64
 
+	went  map[string]time.Duration // targets that left the list, by when
+	known map[string]bool          // targets on the list
+
 	readySince map[runKey]time.Duration // copies, by when they became ready
 }
 
@@ -64,7 +68,7 @@
 	owned       map[string]EngineView
 	leaving     bool
 
-	sent    map[string]EngineView // news it has
+	sent    map[string]EngineNews // news it has
 	sentUse map[string]float64
 	live    []string
 	struck  map[string]bool
@@ -93,10 +97,14 @@
 	return r.perSecond * math.Exp(-(now-r.at).Seconds()/rateMemory.Seconds())
 }
 
+// Confirmed says how far a host's own copies of the store are known to be
+// complete.
+type Confirmed func() (config uint64, configAt, targetsAt time.Duration)
+
 // NewCoordinator returns a coordinator that nobody reports to.
-func NewCoordinator(self string, board *Board, calls peer.Caller, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
+func NewCoordinator(self string, board *Board, calls peer.Caller, confirmed Confirmed, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
-		self: self, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
+		self: self, confirmed: confirmed, went: map[string]time.Duration{}, known: map[string]bool{}, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
 		hosts: map[string]*reporter{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		owning: map[string]time.Duration{}, strikes: map[string]time.Duration{},
 		readySince: map[runKey]time.Duration{},
@@ -156,7 +164,7 @@
 func newReporter(incarnation string) *reporter {
 	return &reporter{
 		incarnation: incarnation, running: map[runKey]int{}, use: map[string]float64{}, owned: map[string]EngineView{},
-		sent: map[string]EngineView{}, sentUse: map[string]float64{}, struck: map[string]bool{},
+		sent: map[string]EngineNews{}, sentUse: map[string]float64{}, struck: map[string]bool{},
 	}
 }
 
@@ -197,6 +205,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.forget(now)
+	c.noteGone(now)
 	if len(c.hosts) == 0 {
 		return
 	}
@@ -301,8 +310,13 @@
 	}
 }
 
+// enginesPerOwner is how many engines a host owns before another one begins:
+// each owner renews a lease in the store, whose calls are priced.
+const enginesPerOwner = 2
+
 // leastOwner returns the host with the fewest engines, one of the zone if that
-// does not make it own more than others.
+// does not make it own more than others. A host that owns none yet is chosen
+// only if the owners have their share.
 func (c *Coordinator) leastOwner(zone string, count map[string]int) string {
 	best, bestScore := "", math.Inf(1)
 	for name, h := range c.hosts {
@@ -310,6 +324,9 @@
 			continue
 		}
 		score := float64(count[name])
+		if count[name] == 0 {
+			score = enginesPerOwner - 0.75
+		}
 		host, ok := c.board.Host(name)
 		if ok && host.Zone != zone {
 			score += 0.5
@@ -477,14 +494,56 @@
 	}()
 }
 
-// push sends news to the hosts that lack some.
+// goneMemory is how long a target that left the list is told of: the other
+// hosts read the list every few seconds.
+const goneMemory = 12 * time.Second
+
+// noteGone remembers the targets that left the list.
+func (c *Coordinator) noteGone(now time.Duration) {
+	byID := c.board.Targets().ByID
+	for id := range c.known {
+		if _, ok := byID[id]; !ok {
+			c.went[id] = now
+			delete(c.known, id)
+		}
+	}
+	for id := range byID {
+		c.known[id] = true
+		delete(c.went, id)
+	}
+	for id, at := range c.went {
+		if now-at > goneMemory {
+			delete(c.went, id)
+		}
+	}
+}
+
+func (c *Coordinator) vouch() *Vouch {
+	config, configAt, targetsAt := c.confirmed()
+	now := c.now()
+	v := &Vouch{Config: config, ConfigAgeMS: (now - configAt).Milliseconds() + 1, TargetAgeMS: (now - targetsAt).Milliseconds() + 1}
+	for id := range c.went {
+		v.Unusable = append(v.Unusable, id)
+	}
+	for id, t := range c.board.Targets().ByID {
+		if t.Draining {
+			v.Unusable = append(v.Unusable, id)
+		}
+	}
+	slices.Sort(v.Unusable)
+	return v
+}
+
+// push sends news at once to the hosts whose requests wait for it. The others
+// get it in answer to their next report; what they send in vain meanwhile is
+// for models that hardly anybody asks for.
 func (c *Coordinator) push(ctx context.Context) {
 	for name, h := range c.hosts {
-		if h.pushing {
+		if h.pushing || len(h.wants) == 0 || !c.served(h) {
 			continue
 		}
 		news := c.news(name, h, false)
-		if len(news.Engines) == 0 && len(news.Strikes) == 0 {
+		if len(news.Engines) == 0 {
 			continue
 		}
 		h.pushing = true
@@ -503,6 +562,40 @@
 	}
 }
 
+// served reports whether an engine has a model that a host waits for, and the
+// host does not know.
+func (c *Coordinator) served(h *reporter) bool {
+	owners := c.owners()
+	for _, w := range h.wants {
+		for _, id := range c.board.Targets().ByService[w.Service] {
+			v := c.view(c.board.Targets().ByID[id], owners)
+			if m, ok := v.Models[w.Model]; ok && m.State == swap.Ready && !slices.Contains(h.sent[id].Ready, w.Model) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// newsOf returns what hosts are told of an engine.
+func newsOf(v EngineView) EngineNews {
+	n := EngineNews{ID: v.ID, Owner: v.Owner, Born: v.Born}
+	for model, m := range v.Models {
+		if m.State != swap.Ready {
+			continue
+		}
+		n.Ready = append(n.Ready, model)
+		if len(m.Adapters) > 0 {
+			if n.Adapters == nil {
+				n.Adapters = map[string][]string{}
+			}
+			n.Adapters[model] = m.Adapters
+		}
+	}
+	slices.Sort(n.Ready)
+	return n
+}
+
 // news returns what a host lacks, and counts it as sent. Counts change with
 // every request and go out only in answer to its reports.
 func (c *Coordinator) news(name string, h *reporter, counts bool) News {
@@ -513,16 +606,16 @@
 		if config.Services[t.Service].Engine == nil {
 			continue
 		}
-		v := c.view(t, owners)
 		old, sent := h.sent[id]
 		if _, owned := owners[id]; !owned && !sent {
 			continue // its check-in says as much
 		}
-		if sent && reflect.DeepEqual(old, v) {
+		told := newsOf(c.view(t, owners))
+		if sent && reflect.DeepEqual(old, told) {
 			continue
 		}
-		h.sent[id] = v
-		n.Engines = append(n.Engines, v)
+		h.sent[id] = told
+		n.Engines = append(n.Engines, told)
 	}
 	for id := range h.sent {
 		if _, ok := targets.ByID[id]; !ok {
@@ -539,6 +632,7 @@
 		return n
 	}
 	n.Use = c.useOfOthers(name, h)
+	n.Vouch = c.vouch()
 	if live := c.live(); !slices.Equal(live, h.live) {
 		n.Live, h.live = live, live
 	}
--- a/internal/steer/lease.go
+++ b/internal/steer/lease.go
@@ -51,7 +51,9 @@
 	now    func() time.Duration
 	log    logrus.FieldLogger
 
+	turn    sync.Mutex // held during a renewal
 	mu      sync.Mutex
+	needed  bool
 	version platform.Version // of the own lease object; 0: not known
 	renewal uint64
 	until   time.Duration       // orders are allowed until then
@@ -87,11 +89,27 @@
 	return l.term
 }
 
-// Run renews the lease until ctx ends.
+// Need makes sure that the lease is held and renewed from now on.
+func (l *Lease) Need(ctx context.Context) error {
+	l.mu.Lock()
+	l.needed = true
+	l.mu.Unlock()
+	if l.Held() {
+		return nil
+	}
+	return l.renew(ctx)
+}
+
+// Run renews the lease, once it is needed, until ctx ends.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause := leaseRenew
-		if err := l.renew(ctx); err != nil {
+		l.mu.Lock()
+		needed := l.needed
+		l.mu.Unlock()
+		if !needed {
+			pause = leaseRenew / 5
+		} else if err := l.renew(ctx); err != nil {
 			l.log.WithFields(logrus.Fields{"event": "lease_not_renewed"}).Warn(err.Error())
 			pause = leaseRenew / 5
 		}
@@ -106,6 +124,8 @@
 }
 
 func (l *Lease) renew(ctx context.Context) error {
+	l.turn.Lock()
+	defer l.turn.Unlock()
 	l.mu.Lock()
 	version, renewal := l.version, l.renewal
 	l.mu.Unlock()
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -44,6 +44,25 @@
 	count     map[string]int
 	pending   []string // strikes to report
 	leaving   bool
+	vouched   Vouched
+}
+
+// Vouched is what the coordinator vouches for, on this host's clock.
+type Vouched struct {
+	Config    uint64        // store revision of the configuration
+	ConfigAt  time.Duration // it was known to be in force then
+	TargetsAt time.Duration // the list of targets was known to be complete then
+}
+
+// Vouched returns what the coordinator vouches for. A host that coordinates
+// gets nothing: it has to see for itself.
+func (l *Link) Vouched() Vouched {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == l.opts.Self.Name {
+		return Vouched{}
+	}
+	return l.vouched
 }
 
 // NewLink returns a link that does nothing before Run.
@@ -202,6 +221,7 @@
 
 	var n News
 	var err error
+	began := l.opts.Now()
 	if to == l.opts.Self.Name {
 		n = l.opts.Coordinator.Report(to, r)
 	} else {
@@ -220,6 +240,9 @@
 		return
 	}
 	l.take(n)
+	if n.Vouch != nil {
+		l.takeVouch(*n.Vouch, began)
+	}
 	l.mu.Lock()
 	l.full = n.Unknown
 	l.liveAt = l.opts.Now()
@@ -229,6 +252,18 @@
 	}
 }
 
+// takeVouch takes in what the coordinator vouches for in answer to a report
+// begun then: at that time it was no older than it says.
+func (l *Link) takeVouch(v Vouch, began time.Duration) {
+	l.opts.Board.SetUnusable(v.Unusable)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vouched = Vouched{
+		Config: v.Config, ConfigAt: began - time.Duration(v.ConfigAgeMS)*time.Millisecond,
+		TargetsAt: began - time.Duration(v.TargetAgeMS)*time.Millisecond,
+	}
+}
+
 // fill makes the next report. Call with l.mu held.
 func (l *Link) fill() Report {
 	r := Report{Incarnation: l.opts.Self.Incarnation, Full: l.full, Strikes: l.pending, Leaving: l.leaving}
@@ -267,7 +302,7 @@
 // take takes in news.
 func (l *Link) take(n News) {
 	if len(n.Engines) > 0 {
-		l.opts.Board.Publish(n.Engines...)
+		l.opts.Board.Tell(l.opts.Self.Name, n.Engines...)
 	}
 	if len(n.Use) > 0 {
 		l.opts.OnUse(n.Use)
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -80,12 +80,31 @@
 	Leaving     bool               `json:"l,omitempty"`
 }
 
+// EngineNews is what a host needs to know of an engine to send requests there.
+type EngineNews struct {
+	ID       string              `json:"i"`
+	Ready    []string            `json:"m,omitempty"` // models
+	Adapters map[string][]string `json:"a,omitempty"` // by model
+	Owner    string              `json:"w,omitempty"`
+	Born     int64               `json:"t,omitempty"`
+}
+
+// Vouch is how fresh the coordinator's own copies of the store are. It spares
+// the other hosts calls to the store.
+type Vouch struct {
+	Config      uint64   `json:"c"`           // store revision of the configuration
+	ConfigAgeMS int64    `json:"a"`           // since it was known to be in force
+	TargetAgeMS int64    `json:"t"`           // since the list of targets was known to be complete
+	Unusable    []string `json:"u,omitempty"` // targets that leave or went lately
+}
+
 // News is what the coordinator tells a host: what changed since the last.
 type News struct {
-	Engines []EngineView       `json:"e,omitempty"`
+	Engines []EngineNews       `json:"e,omitempty"`
 	Use     map[string]float64 `json:"u,omitempty"` // by team, of all other hosts together
-	Live    []string           `json:"l,omitempty"` // hosts that report; always all
+	Live    []string           `json:"l,omitempty"` // hosts that report; all, if it changed
 	Strikes []string           `json:"x,omitempty"`
+	Vouch   *Vouch             `json:"v,omitempty"` // only in answer to a report
 	Unknown bool               `json:"q,omitempty"` // the host is not known: report in full
 }
 
--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -171,8 +171,8 @@
 	if !ok {
 		return &UnknownEngineError{Engine: id}
 	}
-	if !o.lease.Held() {
-		return &NoLeaseError{}
+	if err := o.lease.Need(ctx); err != nil {
+		return err
 	}
 	term := o.lease.Term()
 	fence, taken, err := o.lease.Claim(ctx, id)
