Plan copies by requests at once; store loads for hot models; choose by the load of all hosts

Cause: hot models lie on the disk of two to four engines, so at Vanua one copy served 34 requests a second with a first event after 1 s; hosts chose by their own requests only; a slow engine was taken for a silent one after 1.2 s.

--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -103,7 +103,7 @@
 // second.
 func DefaultOptions() Options {
 	return Options{
-		MaxStoreLoads: 1,
+		MaxStoreLoads: 2, // half of what the weight store serves at full speed
 		RunTime:       400 * time.Millisecond,
 		Settle:        300 * time.Millisecond,
 		HotRate:       1.5, // above it, two requests a run time are usual: an engine lost is felt at once
@@ -118,9 +118,17 @@
 	runningWeight   = 0.25 // an unload waits for the runs of its model
 )
 
-// loadShare is the share of an engine's slots that one hot model may fill
-// before it gets another copy.
-const loadShare = 0.25
+// A model gets another copy for so many requests at once, or for a share of an
+// engine's slots if that is more: beyond it first events wait for the prompts
+// of others.
+const (
+	runsPerCopy  = 5
+	slotsPerCopy = 0.16
+)
+
+// enginesPerStoreLoad is the number of engines for each load from the weight
+// store at once: such a load keeps its engine from all other orders for seconds.
+const enginesPerStoreLoad = 9
 
 type need struct {
 	model  string
@@ -144,15 +152,15 @@
 
 type planner struct {
 	State
-	opts   Options
-	copies map[string]int // ready or loading copies by model
-	ready  map[string]int
-	onDisk map[string]bool // on the disk of an engine that serves
-	taken  map[string]bool // engines with a move in this plan
+	opts    Options
+	copies  map[string]int // ready or loading copies by model
+	ready   map[string]int
+	running map[string]int
+	taken   map[string]bool // engines with a move in this plan
 }
 
 func newPlanner(s State, opts Options) *planner {
-	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, onDisk: map[string]bool{}, taken: map[string]bool{}}
+	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, running: map[string]int{}, taken: map[string]bool{}}
 	for i := range s.Engines {
 		e := &s.Engines[i]
 		if !e.Serves {
@@ -165,28 +173,21 @@
 			if c.State == Ready {
 				p.ready[model]++
 			}
-		}
-		for model := range e.OnDisk {
-			p.onDisk[model] = true
-		}
-		for model := range e.InMemory {
-			p.onDisk[model] = true
+			p.running[model] += c.Running
 		}
 	}
 	return p
 }
 
-// wanted returns the number of copies that the rate of a model asks for.
-func (p *planner) wanted(d Demand) int {
+// wanted returns the number of copies that a model should have.
+func (p *planner) wanted(model string) int {
+	d := p.Demands[model]
 	if d.Rate < p.opts.HotRate {
 		return 1
 	}
-	slots := 1
-	if len(p.Engines) > 0 {
-		slots = p.Engines[0].Slots
-	}
-	running := d.Rate * p.opts.RunTime.Seconds()
-	return max(2, int(math.Ceil(running/max(1, loadShare*float64(slots)))))
+	atOnce := max(d.Rate*p.opts.RunTime.Seconds(), float64(p.running[model]+d.Waiting))
+	perCopy := max(runsPerCopy, slotsPerCopy*float64(p.Engines[0].Slots))
+	return max(2, int(math.Ceil(atOnce/perCopy)))
 }
 
 // needs returns what should be loaded, the most urgent first: waiting requests
@@ -204,7 +205,7 @@
 		case d.Waiting > 0 && have == 0:
 			late := d.Due < p.Now+m.Load[FromMemory]
 			out = append(out, need{model: model, due: d.Due, urgent: true, late: late, count: d.Waiting})
-		case d.Rate >= p.opts.HotRate && have < p.wanted(d):
+		case d.Rate >= p.opts.HotRate && have < p.wanted(model):
 			out = append(out, need{model: model, due: p.Now, count: int(d.Rate)})
 		}
 	}
@@ -227,6 +228,7 @@
 // meet chooses the engine that loads a model.
 func (p *planner) meet(n need) (Move, bool) {
 	best, bestCost := Move{}, math.Inf(1)
+	store := p.mayUseStore(n)
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		if e.Busy || !e.Serves || p.taken[e.ID] {
@@ -236,7 +238,7 @@
 			continue
 		}
 		source := e.source(n.model)
-		if source == FromStore && !p.mayUseStore(n) {
+		if source == FromStore && !store {
 			continue
 		}
 		unload, cost, ok := p.makeRoom(e, n)
@@ -255,10 +257,23 @@
 	return best, true
 }
 
-// mayUseStore reports whether a load from the weight store is in order: only
-// for a model on no disk, whose requests wait, and a few at once.
+// mayUseStore reports whether a load from the weight store is in order: a few at
+// once, and only for a model that no engine can take from its disk or memory,
+// now or once its present order is done.
 func (p *planner) mayUseStore(n need) bool {
-	return n.urgent && !p.onDisk[n.model] && p.StoreLoads < p.opts.MaxStoreLoads
+	if p.StoreLoads >= min(p.opts.MaxStoreLoads, max(1, len(p.Engines)/enginesPerStoreLoad)) {
+		return false
+	}
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if _, there := e.Copies[n.model]; there || !e.Serves || e.source(n.model) == FromStore {
+			continue
+		}
+		if _, _, ok := p.makeRoom(e, n); ok || e.Busy {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *Engine) source(model string) Source {
@@ -332,11 +347,11 @@
 	}
 	d := p.Demands[model]
 	others := p.ready[model] - 1
-	if others <= 0 && (d.Waiting > 0 || d.Rate >= p.opts.HotRate) {
+	if others <= 0 && d.Waiting > 0 {
 		return 0, false
 	}
-	if !n.urgent && (d.Rate >= p.opts.HotRate && others < 2) {
-		return 0, false // one hot model does not push out another's second copy
+	if d.Rate >= p.opts.HotRate && others < p.wanted(model) && !(n.urgent && others >= 2) {
+		return 0, false
 	}
 	weight := lastCopyWeight
 	if others > 0 {
--- a/coord/swap/swap_test.go
+++ b/coord/swap/swap_test.go
@@ -67,7 +67,7 @@
 	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Source != FromStore {
 		t.Errorf("got %+v, want one load from the store", got)
 	}
-	s.StoreLoads = 1
+	s.StoreLoads = DefaultOptions().MaxStoreLoads
 	if got := Plan(s, DefaultOptions()); len(got) != 0 {
 		t.Errorf("too many loads from the store: %+v", got)
 	}
@@ -105,3 +105,28 @@
 		t.Errorf("a copy went before its requests came: %+v", got)
 	}
 }
+
+func TestHotModelOnOneDiskGetsItsCopiesFromTheStore(t *testing.T) {
+	s := State{
+		Now: now, Models: models("hot", "cool"),
+		Engines: []Engine{engine("e1", disk("hot"), map[string]Copy{"hot": {Running: 16}}), engine("e2", disk("cool"), map[string]Copy{"cool": {}})},
+		Demands: map[string]Demand{"hot": {Rate: 34}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Engine != "e2" || got[0].Source != FromStore {
+		t.Errorf("got %+v, want a copy from the store on e2", got)
+	}
+}
+
+func TestRareModelDoesNotTakeACopyThatTheHotOneNeeds(t *testing.T) {
+	s := State{
+		Now: now, Models: models("hot", "h2", "h3", "rare"),
+		Engines: []Engine{
+			engine("e1", disk("hot", "rare"), map[string]Copy{"hot": {Running: 9}, "h2": {}, "h3": {}}),
+			engine("e2", disk("hot"), map[string]Copy{"hot": {Running: 9}, "h2": {}, "h3": {}}),
+		},
+		Demands: map[string]Demand{"hot": {Rate: 34}, "h2": {Rate: 9}, "h3": {Rate: 9}, "rare": {Waiting: 1, Due: now + time.Second}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -18,9 +18,9 @@
 const copyBytes = 16 << 10
 
 // passOn passes an answer on to the caller.
-func (g *Gateway) passOn(ctx context.Context, x *exchange, c steer.Choice, resp *target.Forwarded, silence *time.Timer, patience time.Duration) result {
+func (g *Gateway) passOn(ctx context.Context, x *exchange, c steer.Choice, resp *target.Forwarded, silence *time.Timer, sent time.Duration) result {
 	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
-		return g.passStream(ctx, x, c, resp, silence)
+		return g.passStream(ctx, x, c, resp, silence, sent)
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
@@ -62,7 +62,7 @@
 // passStream passes events on as they come. A stream that breaks is gone on
 // with at another target if the route allows it, and else cut so that it does
 // not look complete.
-func (g *Gateway) passStream(ctx context.Context, x *exchange, c steer.Choice, resp *target.Forwarded, silence *time.Timer) result {
+func (g *Gateway) passStream(ctx context.Context, x *exchange, c steer.Choice, resp *target.Forwarded, silence *time.Timer, sent time.Duration) result {
 	flusher := http.NewResponseController(x.w)
 	x.events.reset()
 	piece := make([]byte, copyBytes)
@@ -72,10 +72,14 @@
 			x.events.add(piece[:n])
 			if whole := x.events.take(); len(whole) > 0 {
 				silence.Stop()
+				if sent > 0 {
+					g.opts.Board.First(c.Target.ID, g.opts.Now()-sent)
+					sent = 0
+				}
 				if !g.write(x, flusher, whole, resp) {
 					return callerLeft
 				}
-				silence.Reset(g.patience(x))
+				silence.Reset(g.patience(x, c.Target.ID))
 			}
 		}
 		if err == nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -239,7 +239,8 @@
 	defer end()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	patience := g.patience(x)
+	patience := g.patience(x, c.Target.ID)
+	sent := g.opts.Now()
 	silence := time.AfterFunc(patience, cancel)
 	defer silence.Stop()
 
@@ -272,7 +273,7 @@
 		x.log["reason"] = "answer is not the target's own"
 		return mayHaveRun
 	}
-	return g.passOn(ctx, x, c, resp, silence, patience)
+	return g.passOn(ctx, x, c, resp, silence, sent)
 }
 
 func (g *Gateway) idOf(status int, h http.Header) string {
@@ -302,11 +303,12 @@
 	patienceObjectives = 3 // times the objective until the first byte
 	patienceLeast      = 1200 * time.Millisecond
 	patienceGaps       = 3 // times the objective between events
+	patienceUsual      = 4 // times what the target took of late: a slow one is not a silent one
 )
 
 // patience returns how long a target may stay silent. A request that may not
 // run again waits for as long as its caller does.
-func (g *Gateway) patience(x *exchange) time.Duration {
+func (g *Gateway) patience(x *exchange, id string) time.Duration {
 	left := x.deadline - g.opts.Now()
 	if !x.route.Repeatable() || x.sends+1 >= x.route.Attempts {
 		return left
@@ -314,7 +316,7 @@
 	if x.begun {
 		return min(left, max(patienceLeast, patienceGaps*x.route.GapObjective))
 	}
-	return min(left, max(patienceLeast, patienceObjectives*x.route.Objective))
+	return min(left, max(patienceLeast, patienceObjectives*x.route.Objective, patienceUsual*g.opts.Board.FirstOf(id)))
 }
 
 // sendFailed judges a request to which no answer came.
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -215,13 +215,13 @@
 	Reason       string
 }
 
-// zonePenalty is the share of a target's slots that its being in another
-// availability zone counts for: bytes between zones cost more than a few
-// requests more at once.
-const zonePenalty = 0.15
-
-// adapterPenalty is the share of slots that a missing adapter counts for.
-const adapterPenalty = 0.5
+// Weights of a choice, in requests at once.
+const (
+	zonePenalty    = 1.5 // another availability zone: bytes between zones cost more than a request more at once
+	adapterPenalty = 4   // an adapter that must be loaded first
+	firstPenalty   = 8   // each second that first events took lately
+	jitter         = 0.5 // so that hosts with the same counts do not all choose the same target
+)
 
 // Pick chooses a target, or none if no target can take the request now.
 func (b *Board) Pick(ask Ask) (Choice, bool) {
@@ -244,7 +244,7 @@
 				continue
 			}
 		}
-		score := b.score(t) + rand.Float64()*0.02
+		score := b.score(t) + rand.Float64()*jitter
 		if needsAdapter {
 			score += adapterPenalty
 		}
@@ -256,9 +256,9 @@
 	return best, found
 }
 
+// score is what speaks against a target, in requests at once.
 func (b *Board) score(t fleet.Target) float64 {
-	slots := float64(max(t.Slots, 1))
-	score := float64(b.load[t.ID]+b.remote[t.ID]) / slots
+	score := float64(b.load[t.ID] + b.remote[t.ID])
 	if t.Zone != b.zone {
 		score += zonePenalty
 	}
@@ -302,9 +302,7 @@
 	if b.load[key.engine] == 0 {
 		delete(b.load, key.engine)
 	}
-	if key.model != "" {
-		b.dirty[key] = true
-	}
+	b.dirty[key] = true
 	b.mu.Unlock()
 }
 
@@ -362,9 +360,7 @@
 	}
 	if r.Full {
 		for key, n := range b.running {
-			if key.model != "" {
-				r.Running = append(r.Running, RunCount{key.engine, key.model, n})
-			}
+			r.Running = append(r.Running, RunCount{key.engine, key.model, n})
 		}
 	} else {
 		for key := range b.dirty {
@@ -378,10 +374,12 @@
 	clear(b.arrivals)
 }
 
-// SetRemote takes in how many requests of other hosts run at each target.
+// SetRemote takes in how many requests of other hosts run at targets.
 func (b *Board) SetRemote(byTarget map[string]int) {
 	b.mu.Lock()
-	b.remote = byTarget
+	for id, n := range byTarget {
+		b.remote[id] = n
+	}
 	b.mu.Unlock()
 }
 
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -68,11 +68,12 @@
 	owned       map[string]EngineView
 	leaving     bool
 
-	sent    map[string]EngineNews // news it has
-	sentUse map[string]float64
-	live    []string
-	struck  map[string]bool
-	pushing bool
+	sent     map[string]EngineNews // news it has
+	sentUse  map[string]float64
+	sentLoad map[string]int
+	live     []string
+	struck   map[string]bool
+	pushing  bool
 }
 
 type move struct {
@@ -164,7 +165,7 @@
 func newReporter(incarnation string) *reporter {
 	return &reporter{
 		incarnation: incarnation, running: map[runKey]int{}, use: map[string]float64{}, owned: map[string]EngineView{},
-		sent: map[string]EngineNews{}, sentUse: map[string]float64{}, struck: map[string]bool{},
+		sent: map[string]EngineNews{}, sentUse: map[string]float64{}, sentLoad: map[string]int{}, struck: map[string]bool{},
 	}
 }
 
@@ -633,6 +634,7 @@
 	}
 	n.Use = c.useOfOthers(name, h)
 	n.Vouch = c.vouch()
+	n.Load = c.loadOfOthers(name, h)
 	if live := c.live(); !slices.Equal(live, h.live) {
 		n.Live, h.live = live, live
 	}
@@ -650,6 +652,41 @@
 	return live
 }
 
+// loadStep is the least change of a target's load that hosts are told of.
+const loadStep = 2
+
+// loadOfOthers returns the requests of the other hosts at each target, where
+// they changed.
+func (c *Coordinator) loadOfOthers(name string, h *reporter) map[string]int {
+	total := map[string]int{}
+	for other, o := range c.hosts {
+		if other == name {
+			continue
+		}
+		for key, n := range o.running {
+			total[key.engine] += n
+		}
+	}
+	var out map[string]int
+	tell := func(id string, n int) {
+		if out == nil {
+			out = map[string]int{}
+		}
+		out[id], h.sentLoad[id] = n, n
+	}
+	for id, n := range total {
+		if d := n - h.sentLoad[id]; d >= loadStep || d <= -loadStep {
+			tell(id, n)
+		}
+	}
+	for id, n := range h.sentLoad {
+		if n > 0 && total[id] == 0 {
+			tell(id, 0)
+		}
+	}
+	return out
+}
+
 // useOfOthers returns the use of the other hosts, where it changed.
 func (c *Coordinator) useOfOthers(name string, h *reporter) map[string]float64 {
 	total := map[string]float64{}
--- a/internal/steer/health.go
+++ b/internal/steer/health.go
@@ -5,42 +5,72 @@
 // health remembers how a target fared with this host's requests.
 type health struct {
 	failures float64       // recent share of failures, 0 to 1
+	first    time.Duration // recent time until the first event
 	at       time.Duration // of the last outcome
 }
 
 // Weights of outcomes.
 const (
 	outcomeWeight  = 0.3             // of one outcome in the share; three failures in a row say more than chance
-	failurePenalty = 2.0             // share of slots that a share of failures of 1 counts for
+	failurePenalty = 20              // requests at once that a share of failures of 1 counts for
 	healthHalfLife = 3 * time.Second // engines are back after some seconds
 )
 
-// penalty returns the share of slots that the target's failures count for.
-func (h *health) penalty(now time.Duration) float64 {
-	age := now - h.at
-	f := h.failures
-	for age > healthHalfLife && f > 0.01 {
-		f, age = f/2, age-healthHalfLife
+// fade returns what is left of an observation after its age.
+func (h *health) fade(now time.Duration) float64 {
+	f := 1.0
+	for age := now - h.at; age > healthHalfLife && f > 0.01; age -= healthHalfLife {
+		f /= 2
 	}
-	return f * failurePenalty
+	return f
 }
 
-// Outcome takes in how a request at a target ended.
-func (b *Board) Outcome(target string, ok bool) {
+// penalty returns what speaks against the target, in requests at once.
+func (h *health) penalty(now time.Duration) float64 {
+	return h.fade(now) * (h.failures*failurePenalty + h.first.Seconds()*firstPenalty)
+}
+
+// note takes in an observation.
+func (b *Board) note(target string, change func(h *health)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.health[target]
 	if h == nil {
-		if ok {
-			return
-		}
 		h = &health{}
 		b.health[target] = h
 	}
-	value := 0.0
-	if !ok {
-		value = 1
+	now := b.now()
+	fade := h.fade(now)
+	h.failures, h.first = h.failures*fade, time.Duration(float64(h.first)*fade)
+	change(h)
+	h.at = now
+}
+
+// Outcome takes in how a request at a target ended.
+func (b *Board) Outcome(target string, ok bool) {
+	b.note(target, func(h *health) {
+		value := 0.0
+		if !ok {
+			value = 1
+		}
+		h.failures += (value - h.failures) * outcomeWeight
+	})
+}
+
+// First takes in how long a target took until the first event of a stream.
+func (b *Board) First(target string, took time.Duration) {
+	b.note(target, func(h *health) {
+		h.first += time.Duration(float64(took-h.first) * outcomeWeight)
+	})
+}
+
+// FirstOf returns how long a target took of late until first events.
+func (b *Board) FirstOf(target string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.health[target]
+	if h == nil {
+		return 0
 	}
-	h.failures = h.penalty(b.now())/failurePenalty*(1-outcomeWeight) + value*outcomeWeight
-	h.at = b.now()
+	return time.Duration(float64(h.first) * h.fade(b.now()))
 }
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -304,6 +304,9 @@
 	if len(n.Engines) > 0 {
 		l.opts.Board.Tell(l.opts.Self.Name, n.Engines...)
 	}
+	if len(n.Load) > 0 {
+		l.opts.Board.SetRemote(n.Load)
+	}
 	if len(n.Use) > 0 {
 		l.opts.OnUse(n.Use)
 	}
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -103,6 +103,7 @@
 	Engines []EngineNews       `json:"e,omitempty"`
 	Use     map[string]float64 `json:"u,omitempty"` // by team, of all other hosts together
 	Live    []string           `json:"l,omitempty"` // hosts that report; all, if it changed
+	Load    map[string]int     `json:"r,omitempty"` // requests of other hosts by target, where it changed by more than one
 	Strikes []string           `json:"x,omitempty"`
 	Vouch   *Vouch             `json:"v,omitempty"` // only in answer to a report
 	Unknown bool               `json:"q,omitempty"` // the host is not known: report in full
