Wait until an unloaded adapter is gone before the next one is loaded

Cause found by reading: an adapter in use is unloaded once its requests end, and the next one was loaded at once. The test failed before.

--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -555,12 +555,12 @@
 		return nil
 	}
 	if evict != "" {
-		if err := o.giveAdapter(ctx, e, fleet.Order{Kind: fleet.UnloadModel, Model: evictModel, Adapter: evict}); err != nil {
+		if err := o.unloadAdapter(ctx, e, evictModel, evict); err != nil {
 			return err
 		}
 		o.edit(e, func(v *EngineView) { removeAdapter(v, evictModel, evict) })
 	}
-	if err := o.giveAdapter(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Model, Adapter: c.Adapter}); err != nil {
+	if _, err := o.giveAdapter(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Model, Adapter: c.Adapter}); err != nil {
 		return err
 	}
 	time.Sleep(adapterLoad)
@@ -607,28 +607,47 @@
 	v.Models[model] = m
 }
 
-// giveAdapter gives an order for an adapter. Such orders do not make the engine
-// busy, but raise its count of orders, an unload also when it is done at once.
-func (o *Owner) giveAdapter(ctx context.Context, e *ownedEngine, ord fleet.Order) error {
+// unloadAdapter has an adapter unloaded and waits until it is gone: requests
+// that use it keep its place until they end.
+func (o *Owner) unloadAdapter(ctx context.Context, e *ownedEngine, model, adapter string) error {
+	ord := fleet.Order{Kind: fleet.UnloadModel, Model: model, Adapter: adapter}
+	gone, err := o.giveAdapter(ctx, e, ord)
+	for err == nil && !gone {
+		time.Sleep(orderRetry)
+		ord.After = o.orders(e)
+		var outcome fleet.OrderOutcome
+		outcome, err = o.order(ctx, e, ord)
+		gone = outcome == fleet.OrderHolds
+		if err == nil && ctx.Err() != nil {
+			return &OrderError{Engine: e.id, Outcome: outcome}
+		}
+	}
+	return err
+}
+
+// giveAdapter gives an order for an adapter until the engine took it, and
+// reports whether it is done. Such orders do not make the engine busy, but raise
+// its count of orders, an unload also when it is done at once.
+func (o *Owner) giveAdapter(ctx context.Context, e *ownedEngine, ord fleet.Order) (done bool, err error) {
 	for {
 		ord.After = o.orders(e)
 		outcome, err := o.order(ctx, e, ord)
 		switch {
 		case err != nil:
-			return err
+			return false, err
 		case outcome == fleet.OrderAccepted, outcome == fleet.OrderHolds && ord.Kind == fleet.UnloadModel:
 			o.edit(e, func(v *EngineView) { v.Orders++ })
-			return nil
+			return outcome == fleet.OrderHolds, nil
 		case outcome == fleet.OrderHolds:
-			return nil
+			return true, nil
 		case outcome == fleet.OrderUnknown:
 			// It may be carried out late. Given again with the same count, one
 			// of the two at most is.
 		case outcome != fleet.OrderBusy:
-			return &OrderError{Engine: e.id, Outcome: outcome}
+			return false, &OrderError{Engine: e.id, Outcome: outcome}
 		}
 		if ctx.Err() != nil {
-			return &OrderError{Engine: e.id, Outcome: outcome}
+			return false, &OrderError{Engine: e.id, Outcome: outcome}
 		}
 		time.Sleep(orderRetry)
 	}
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -27,6 +27,8 @@
 	overfull bool
 	lose     int // answers to lose, the order being carried out late
 	late     time.Duration
+	adapters map[string]time.Time // until when requests use each
+	leaving  map[string]bool      // adapters that go once unused
 }
 
 func (f *fakeEngine) settle() {
@@ -53,6 +55,9 @@
 
 func (f *fakeEngine) carryOut(o fleet.Order) fleet.OrderOutcome {
 	f.settle()
+	if o.Adapter != "" {
+		return f.adapterOrder(o)
+	}
 	if o.Kind == fleet.LoadModel && o.Model == f.loading {
 		return fleet.OrderAccepted
 	}
@@ -74,6 +79,42 @@
 	return fleet.OrderAccepted
 }
 
+// adapterPlaces is the number of adapters that a fakeEngine has room for.
+const adapterPlaces = 4
+
+func (f *fakeEngine) adapterOrder(o fleet.Order) fleet.OrderOutcome {
+	if o.After >= 0 && o.After != f.orders {
+		return fleet.OrderBusy
+	}
+	until, there := f.adapters[o.Adapter]
+	if f.leaving[o.Adapter] && !time.Now().Before(until) {
+		delete(f.adapters, o.Adapter)
+		there = false
+	}
+	if o.Kind == fleet.LoadModel {
+		if there {
+			return fleet.OrderHolds
+		}
+		f.orders++
+		f.adapters[o.Adapter] = time.Time{}
+		f.overfull = f.overfull || len(f.adapters) > adapterPlaces
+		return fleet.OrderAccepted
+	}
+	if !there {
+		return fleet.OrderHolds
+	}
+	if f.leaving[o.Adapter] {
+		return fleet.OrderAccepted
+	}
+	f.orders++
+	if time.Now().Before(until) {
+		f.leaving[o.Adapter] = true
+		return fleet.OrderAccepted
+	}
+	delete(f.adapters, o.Adapter)
+	return fleet.OrderHolds
+}
+
 func (f *fakeEngine) Report(context.Context, string, string) (fleet.EngineReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,6 +123,9 @@
 	for m := range f.models {
 		r.Models[m] = nil
 	}
+	for a := range f.adapters {
+		r.Models["a"] = append(r.Models["a"], a)
+	}
 	return r, nil
 }
 
@@ -154,7 +198,7 @@
 }
 
 func newFakeEngine() *fakeEngine {
-	return &fakeEngine{orders: 7, models: map[string]bool{"a": true, "b": true}, places: 2}
+	return &fakeEngine{orders: 7, models: map[string]bool{"a": true, "b": true}, places: 2, adapters: map[string]time.Time{}, leaving: map[string]bool{}}
 }
 
 func TestSwapKeepsCountWhenLoadIsGivenAgain(t *testing.T) {
@@ -263,3 +307,21 @@
 		t.Error("the engine was never taken over")
 	})
 }
+
+func TestAdapterInUseKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine()
+		for _, a := range []string{"a1", "a2", "a3", "a4"} {
+			engine.adapters[a] = time.Now().Add(1300 * time.Millisecond)
+		}
+		o, _ := newTestOwner(t, engine)
+		ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
+		defer cancel()
+		if err := o.Adapter(ctx, AdapterCommand{Engine: "e1", Model: "a", Adapter: "a5"}); err != nil {
+			t.Fatal(err)
+		}
+		if engine.overfull {
+			t.Error("an adapter was loaded before the one that makes room was gone")
+		}
+	})
+}
