--- a/internal/gateway/allotment.go
+++ b/internal/gateway/allotment.go
@@ -17,6 +17,7 @@
 	now    func() time.Duration
 	hosts  func() (n int, heard bool)
 	bounds fleet.Bounds
+	began  time.Duration // start of this process
 
 	mu    sync.Mutex
 	teams map[string]*allotment
@@ -33,7 +34,7 @@
 // NewAllotments returns allotments nobody has spent of. Hosts returns how many
 // hosts there are, and whether this one hears of the others.
 func NewAllotments(bounds fleet.Bounds, hosts func() (int, bool), now func() time.Duration) *Allotments {
-	return &Allotments{now: now, hosts: hosts, bounds: bounds, teams: map[string]*allotment{}}
+	return &Allotments{now: now, hosts: hosts, bounds: bounds, began: now(), teams: map[string]*allotment{}}
 }
 
 // slackShare is the part of the deployment's slack that a team may go below
@@ -55,9 +56,7 @@
 	if !heard {
 		rate /= float64(max(1, hosts))
 	}
-	now := a.now()
-	t.level = math.Min(team.Burst, t.level+rate*(now-t.at).Seconds())
-	t.at = now
+	t.accrue(rate, team.Burst, a.now())
 	floor := -slackShare * a.bounds.QuotaSlack
 	if !heard {
 		floor /= float64(max(1, hosts))
@@ -85,7 +84,9 @@
 func (a *Allotments) team(team *fleet.Team) *allotment {
 	t := a.teams[team.Name]
 	if t == nil {
-		t = &allotment{level: team.Burst, at: a.now()}
+		// What was spent before this process started is not known: it begins
+		// with nothing of the burst.
+		t = &allotment{at: a.began}
 		a.teams[team.Name] = t
 	}
 	return t
@@ -102,16 +103,24 @@
 	return out
 }
 
+// accrue adds what the rate gave since the last time.
+func (t *allotment) accrue(rate, burst float64, now time.Duration) {
+	t.level = math.Min(burst, t.level+rate*(now-t.at).Seconds())
+	t.at = now
+}
+
 // SetOthers takes in what all other hosts have spent, by team. A total that
 // fell belongs to another set of hosts and only sets the mark.
-func (a *Allotments) SetOthers(use map[string]float64) {
+func (a *Allotments) SetOthers(teams []fleet.Team, use map[string]float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for name, total := range use {
-		t := a.teams[name]
-		if t == nil {
-			continue // its first request here begins with a full burst, within the slack
+	for i := range teams {
+		total, told := use[teams[i].Name]
+		if !told {
+			continue
 		}
+		t := a.team(&teams[i])
+		t.accrue(teams[i].Rate, teams[i].Burst, a.now())
 		if t.known && total > t.others {
 			t.level -= total - t.others
 		}
--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -346,6 +346,12 @@
 		return fleet.OrderNotSent, &UnknownEngineError{Engine: e.id}
 	}
 	ord.TargetID, ord.Holder, ord.Fence = e.id, o.holder, e.fence
+	o.mu.Lock()
+	current := o.owned[e.id] == e && o.term == o.lease.Term()
+	o.mu.Unlock()
+	if !current {
+		return fleet.OrderNotSent, &UnknownEngineError{Engine: e.id} // it started again, or was lost meanwhile
+	}
 	if !o.lease.Held() {
 		return fleet.OrderNotSent, &NoLeaseError{}
 	}
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -325,3 +325,19 @@
 		}
 	})
 }
+
+func TestMoveEndsWhenItsEngineStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine()
+		o, board := newTestOwner(t, engine)
+		if err := o.Swap(SwapCommand{Move: 1, Engine: "e1", Unload: []string{"a"}, Load: "c", Source: swap.FromDisk}); err != nil {
+			t.Fatal(err)
+		}
+		board.SetTargets(fleet.NewTargets(map[string]fleet.Target{"e1": {ID: "e1", Service: "s", Address: "x", Born: 2}}))
+		o.Owned()
+		time.Sleep(moveBound)
+		if engine.orders != 7 {
+			t.Errorf("%d orders of the move before came to the engine's new start", engine.orders-7)
+		}
+	})
+}
