Bounded log sink, seamctl explain; ask the stored holder of an engine first

Cause: after a restart of all hosts the coordinator asked hosts at random to own engines that the store still gives to others, several calls to the store each.

--- a/cmd/seamd/main.go
+++ b/cmd/seamd/main.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -14,6 +16,7 @@
 
 	"buckthornseam.dev/seam/internal/app"
 	"buckthornseam.dev/seam/internal/hosted"
+	"buckthornseam.dev/seam/internal/logsink"
 	"buckthornseam.dev/seam/internal/settings"
 	"buckthornseam.dev/seam/platform"
 )
@@ -62,6 +65,18 @@
 	return exitOK
 }
 
+// timestampFormat has the milliseconds that ordering the lines of hosts needs.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// libraryLog takes in what libraries log by themselves.
+type libraryLog struct{ log *logrus.Logger }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(p []byte) (int, error) {
+	l.log.WithField("event", "library").Info(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 // runHosted runs a host with the platform's settings.
 func runHosted(file string, checkOnly bool) int {
 	site, err := platform.ReadSettings(file)
@@ -73,9 +88,13 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
 	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
-	log.SetOutput(os.Stdout)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
+	log.SetOutput(sink)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{log})
 	host := hosted.New(site, platform.Adapter(site.Store), log)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -106,6 +106,7 @@
 		{"replay", "send a recorded trace and compare the outcomes with those it states", &replayCommand{command: base}},
 		{"trace", "print a sample trace", &traceCommand{command: base}},
 		{"stand-ins", "run stand-ins for all outside systems on loopback", &standInsCommand{command: base}},
+		{"explain", "tell the story of one request from the logs of all hosts on standard input", &explainCommand{command: base}},
 		{"demo", "run hosts and stand-ins in one process and send them requests", &demoCommand{command: base}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -129,7 +129,7 @@
 	id := peer.ID{Name: h.self.Name, Incarnation: h.self.Incarnation}
 	h.serve = peer.NewServer(id, "", h.log, h.metrics.Scope)
 	h.peers = peer.NewClient(id, "", h.board, h.metrics.Scope)
-	holder := h.self.Name + "@" + h.site.IP // a machine: whoever starts again on it goes on with its engines
+	holder := steer.HolderOf(h.self.Name, h.site.IP)
 	h.lease = steer.NewLease(holder, h.store, bootclock.Now, h.log)
 	h.owner = steer.NewOwner(h.self.Name, holder, h.lease, h.board, h.adapter.Engines, h.site.Bounds, bootclock.Now, h.log)
 	h.coord = steer.NewCoordinator(h.self.Name, h.board, h.peers, h.confirmedCopies, bootclock.Now, h.log)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -45,7 +45,7 @@
 // Pauses after a failed call.
 const (
 	firstPause = 60 * time.Millisecond  // doubled after each failure; the store's own clients retry so
-	maxPause   = 400 * time.Millisecond // bounds the delay after an outage
+	maxPause   = 600 * time.Millisecond // bounds the delay after an outage, and the calls during it
 )
 
 // Mirror is the copy. Run keeps it.
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -47,6 +47,7 @@
 	hosts   map[string]*reporter
 	moves   map[string]*move // by engine
 	rates   map[modelKey]*rate
+	holders map[string]string        // hosts that hold an engine by the store, to be asked next
 	owning  map[string]time.Duration // engines whose ownership is being asked for, by last try
 	strikes map[string]time.Duration
 	move    uint64
@@ -107,7 +108,7 @@
 	return &Coordinator{
 		self: self, confirmed: confirmed, went: map[string]time.Duration{}, known: map[string]bool{}, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
 		hosts: map[string]*reporter{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
-		owning: map[string]time.Duration{}, strikes: map[string]time.Duration{},
+		holders: map[string]string{}, owning: map[string]time.Duration{}, strikes: map[string]time.Duration{},
 		readySince: map[runKey]time.Duration{},
 	}
 }
@@ -296,7 +297,11 @@
 		if config.Services[t.Service].Engine == nil || t.Draining || owners[id] != "" || now-c.owning[id] < ownRetry {
 			continue
 		}
-		host := c.leastOwner(t.Zone, count)
+		host := c.holders[id]
+		delete(c.holders, id) // asked once; a host of that name on another machine is not the holder
+		if c.hosts[host] == nil {
+			host = c.leastOwner(t.Zone, count)
+		}
 		if host == "" {
 			continue
 		}
@@ -345,17 +350,33 @@
 	err := c.calls.Call(ctx, host, methodOwn, OwnCommand{Engine: engine}, nil)
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"event": "owner_not_found", "engine": engine, "asked": host}).Info(err.Error())
-		var remote *peer.RemoteError
-		if errors.As(err, &remote) {
-			c.mu.Lock()
-			c.owning[engine] = c.now() + ownPause
-			c.mu.Unlock()
-		}
+		c.notOwned(engine, host, err)
 		return
 	}
 	c.wake()
 }
 
+// notOwned takes in why a host did not become an engine's owner. If another one
+// holds it and reports here, that one is asked next, at once.
+func (c *Coordinator) notOwned(engine, asked string, err error) {
+	var remote *peer.RemoteError
+	if !errors.As(err, &remote) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owning[engine] = c.now() + ownPause
+	if remote.Code != codeOwnedElsewhere {
+		return
+	}
+	holder := hostOfHolder(remote.Message)
+	if _, live := c.hosts[holder]; live && holder != asked {
+		c.holders[engine] = holder
+		c.owning[engine] = 0
+		c.wake()
+	}
+}
+
 // planService plans and begins the moves of one service's engines.
 func (c *Coordinator) planService(ctx context.Context, service string, spec fleet.Service, now time.Duration) {
 	owners := c.owners()
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -8,6 +8,7 @@
 package steer
 
 import (
+	"strings"
 	"time"
 
 	"buckthornseam.dev/coord/swap"
@@ -23,6 +24,22 @@
 	MethodAdapter = "steer.adapter"
 )
 
+// codeOwnedElsewhere is the class of a failed methodOwn whose message is the
+// holder that may still order the engine.
+const codeOwnedElsewhere = "owned_elsewhere"
+
+// HolderOf names a machine as the holder of leases: a process that starts again
+// there goes on with its engines.
+func HolderOf(host, ip string) string { return host + holderSeparator + ip }
+
+const holderSeparator = "@"
+
+// hostOfHolder returns the host part of a holder.
+func hostOfHolder(holder string) string {
+	host, _, _ := strings.Cut(holder, holderSeparator)
+	return host
+}
+
 // ModelView is a model at an engine.
 type ModelView struct {
 	State    swap.CopyState `json:"s,omitempty"`
--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -80,7 +80,12 @@
 		if err := json.Unmarshal(params, &c); err != nil {
 			return nil, err
 		}
-		return struct{}{}, o.Own(ctx, c.Engine)
+		err := o.Own(ctx, c.Engine)
+		var elsewhere *OwnedElsewhereError
+		if errors.As(err, &elsewhere) {
+			return nil, &peer.Failure{Code: codeOwnedElsewhere, Message: elsewhere.Holder}
+		}
+		return struct{}{}, err
 	})
 	r.Handle(methodSwap, func(_ context.Context, _ peer.ID, params json.RawMessage) (any, error) {
 		var c SwapCommand
@@ -658,9 +663,3 @@
 		time.Sleep(orderRetry)
 	}
 }
-
-// isOwnedElsewhere reports whether an engine's owner may still order it.
-func isOwnedElsewhere(err error) bool {
-	var elsewhere *OwnedElsewhereError
-	return errors.As(err, &elsewhere)
-}
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"testing"
@@ -299,7 +300,9 @@
 					t.Error("the holder does not know that it lost its engines")
 				}
 				return
-			} else if !isOwnedElsewhere(err) {
+			}
+			var elsewhere *OwnedElsewhereError
+			if !errors.As(err, &elsewhere) {
 				t.Fatal(err)
 			}
 			time.Sleep(500 * time.Millisecond)
