--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -64,7 +64,7 @@
 var (
 	configPace    = mirror.Pace{Wait: 1200 * time.Millisecond} // a third of the trust in a configuration, so that two polls may fail
 	configRelaxed = mirror.Pace{Wait: 12 * time.Second, Spacing: time.Second}
-	targetPace    = mirror.Pace{Wait: 900 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
+	targetPace    = mirror.Pace{Wait: 500 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
 	targetRelaxed = mirror.Pace{Wait: 8 * time.Second, Spacing: 2500 * time.Millisecond, Stale: true}
 	hostPace      = mirror.Pace{Wait: 20 * time.Second, Spacing: 2 * time.Second}
 )
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"reflect"
 	"slices"
 	"sync"
@@ -27,7 +28,8 @@
 	moveForgotten = 12 * time.Second // a move whose owner tells nothing any more
 	storeMoveMost = 45 * time.Second
 	ownRetry      = 700 * time.Millisecond
-	ownPause      = time.Second // more, while another owner's lease may hold; each try costs calls to the store
+	ownSettle     = 600 * time.Millisecond // after the first report: all hosts tell what they own
+	ownPause      = time.Second            // more, while another owner's lease may hold; each try costs calls to the store
 	ownTimeout    = 2 * time.Second
 )
 
@@ -50,6 +52,7 @@
 	holders map[string]string        // hosts that hold an engine by the store, to be asked next
 	owning  map[string]time.Duration // engines whose ownership is being asked for, by last try
 	strikes map[string]time.Duration
+	series  uint64 // makes the ids of moves differ between coordinators
 	move    uint64
 
 	went  map[string]time.Duration // targets that left the list, by when
@@ -108,7 +111,7 @@
 	return &Coordinator{
 		self: self, confirmed: confirmed, went: map[string]time.Duration{}, known: map[string]bool{}, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
 		hosts: map[string]*reporter{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
-		holders: map[string]string{}, owning: map[string]time.Duration{}, strikes: map[string]time.Duration{},
+		holders: map[string]string{}, owning: map[string]time.Duration{}, strikes: map[string]time.Duration{}, series: rand.Uint64() &^ (1<<24 - 1),
 		readySince: map[runKey]time.Duration{},
 	}
 }
@@ -209,9 +212,12 @@
 	c.forget(now)
 	c.noteGone(now)
 	if len(c.hosts) == 0 {
+		c.began = now
 		return
 	}
-	c.assignOwners(ctx, now)
+	if now-c.began > ownSettle {
+		c.assignOwners(ctx, now)
+	}
 	for service, spec := range c.board.Config().Services {
 		if spec.Engine != nil {
 			c.planService(ctx, service, spec, now)
@@ -487,7 +493,7 @@
 
 func (c *Coordinator) begin(ctx context.Context, m swap.Move, owner string, now time.Duration, d swap.Demand) {
 	c.move++
-	id := uint64(c.began)&^0xffff + c.move // differs between coordinators
+	id := c.series + c.move
 	bound := moveForgotten
 	if m.Source == swap.FromStore {
 		bound = storeMoveMost
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -45,6 +45,7 @@
 	pending   []string // strikes to report
 	leaving   bool
 	vouched   Vouched
+	began     time.Duration
 }
 
 // Vouched is what the coordinator vouches for, on this host's clock.
@@ -68,7 +69,7 @@
 // NewLink returns a link that does nothing before Run.
 func NewLink(opts LinkOptions) *Link {
 	l := &Link{
-		opts: opts, kick: make(chan struct{}, 1), avoid: map[string]time.Duration{}, full: true,
+		opts: opts, began: opts.Now(), kick: make(chan struct{}, 1), avoid: map[string]time.Duration{}, full: true,
 		sentUse: map[string]float64{}, sentOwned: map[string]EngineView{}, strikes: map[string]time.Duration{}, count: map[string]int{},
 	}
 	opts.Board.kick = l.wake
@@ -145,10 +146,17 @@
 	}
 }
 
+// joinPatience is how long a host that started waits for its entry on the list of
+// hosts before it coordinates by itself.
+const joinPatience = 2500 * time.Millisecond // two calls to a slow store and a poll
+
 // coordinator returns the host to report to: the one that joined first of those
-// that answer.
+// that answer. A host that has just started and knows no other has none.
 func (l *Link) coordinator() string {
 	hosts := l.opts.Board.Hosts()
+	if hosts[l.opts.Self.Name].Joined == 0 && len(hosts) <= 1 && l.opts.Now()-l.began < joinPatience {
+		return ""
+	}
 	names := make([]string, 0, len(hosts))
 	for name := range hosts {
 		names = append(names, name)
@@ -212,6 +220,10 @@
 func (l *Link) report(ctx context.Context) {
 	l.mu.Lock()
 	to := l.coordinator()
+	if to == "" {
+		l.mu.Unlock()
+		return
+	}
 	if to != l.current {
 		l.opts.Log.WithFields(logrus.Fields{"event": "coordinator_changed", "from": l.current, "to": to}).Info("reports go to another host")
 		l.current, l.full = to, true
