Keep what was vouched for when the coordinator changes

The coordinator was stopped in turn; its successor, which had relied on its word, vouched with its own older confirmation, and the hosts took that in place of what they had been told. A host left without a word waited out a whole poll. Ruled out: the store (no store_lost line). Test of the copy failed before.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -62,7 +62,7 @@
 // Paces of the copies of the store's objects. The strict ones are those of the
 // coordinator and of hosts that hear nothing of it.
 var (
-	configPace    = mirror.Pace{Wait: 1200 * time.Millisecond} // a third of the trust in a configuration, so that two polls may fail
+	configPace    = mirror.Pace{Wait: 700 * time.Millisecond} // a fifth of the trust in a configuration, so that polls may fail
 	configRelaxed = mirror.Pace{Wait: 12 * time.Second, Spacing: time.Second}
 	targetPace    = mirror.Pace{Wait: 500 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
 	targetRelaxed = mirror.Pace{Wait: 8 * time.Second, Spacing: 2500 * time.Millisecond, Stale: true}
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -15,7 +15,7 @@
 
 // confirmedCopies tells how far this host's own copies are known to be complete.
 func (h *Host) confirmedCopies() (config uint64, configAt, targetsAt time.Duration) {
-	configAt, _ = h.config.Confirmed()
+	configAt, _ = h.configConfirmed()
 	targetsAt, _ = h.targets.Confirmed()
 	return h.board.Config().Revision, configAt, targetsAt
 }
@@ -35,13 +35,13 @@
 // of the configuration.
 func (h *Host) configVouched() bool {
 	v := h.link.Vouched()
-	return v.Config == h.board.Config().Revision && bootclock.Now()-v.ConfigAt < vouchFresh+configPace.Wait
+	return h.link.Follows() && v.Config == h.board.Config().Revision && bootclock.Now()-v.ConfigAt < vouchFresh+configPace.Wait
 }
 
 // targetsVouched reports whether the coordinator tells this host which targets
 // leave.
 func (h *Host) targetsVouched() bool {
-	return bootclock.Now()-h.link.Vouched().TargetsAt < vouchFresh
+	return h.link.Follows() && bootclock.Now()-h.link.Vouched().TargetsAt < vouchFresh
 }
 
 // configChanged takes in the stored configuration, if it is newer.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -152,7 +152,13 @@
 		pace.Wait = min(pace.Wait, m.opts.Linger/4)
 	}
 	events, version, whole, err := m.poll(ctx, after, pace)
-	if err != nil || !whole {
+	if err == nil && !whole {
+		// Nobody vouches for the copy any more: learn at once whether it is complete.
+		pace = Pace{Wait: vouchCheck / 4}
+		began = m.opts.Now()
+		events, version, err = m.opts.Source.Poll(ctx, m.opts.Kind, after, pace.Wait, false)
+	}
+	if err != nil {
 		return err
 	}
 	confirmed := began + min(m.opts.Now()-began, pace.Wait)
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,182 @@
+package mirror
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// fakeSource holds one kind and can be made to fail.
+type fakeSource struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	events  []platform.Event
+	version platform.Version
+	fails   bool
+	expired bool
+	polls   int
+}
+
+func (f *fakeSource) put(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	obj := platform.Object{Name: name, Version: f.version}
+	f.objects[name] = obj
+	f.events = append(f.events, platform.Event{Type: platform.EventPut, Object: obj})
+}
+
+func (f *fakeSource) remove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	delete(f.objects, name)
+	f.events = append(f.events, platform.Event{Type: platform.EventDelete, Object: platform.Object{Name: name, Version: f.version}})
+}
+
+func (f *fakeSource) set(change func(f *fakeSource)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fakeSource) List(context.Context, platform.Kind, bool) (platform.List, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fails {
+		return platform.List{}, &platform.UnavailableError{}
+	}
+	f.expired = false
+	out := platform.List{Version: f.version}
+	for _, obj := range f.objects {
+		out.Items = append(out.Items, obj)
+	}
+	return out, nil
+}
+
+func (f *fakeSource) Poll(ctx context.Context, _ platform.Kind, after platform.Version, wait time.Duration, _ bool) ([]platform.Event, platform.Version, error) {
+	f.set(func(f *fakeSource) { f.polls++ })
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		var found []platform.Event
+		for _, e := range f.events {
+			if e.Object.Version > after {
+				found = append(found, e)
+			}
+		}
+		version, fails, expired := f.version, f.fails, f.expired
+		f.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return nil, 0, ctx.Err()
+		case fails:
+			return nil, 0, &platform.UnavailableError{}
+		case expired:
+			return nil, 0, &platform.ExpiredError{}
+		case len(found) > 0 || !time.Now().Before(end):
+			return found, version, nil
+		}
+	}
+}
+
+// start runs a mirror of the source until the test ends.
+func start(t *testing.T, source *fakeSource, change func(*Options)) (m *Mirror, names func() int) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	began := time.Now()
+	var mu sync.Mutex
+	n := 0
+	opts := Options{
+		Source: source, Pace: Pace{Wait: 700 * time.Millisecond}, Now: func() time.Duration { return time.Since(began) + time.Hour }, Log: log,
+		OnChange: func(objects map[string]platform.Object) {
+			mu.Lock()
+			defer mu.Unlock()
+			n = len(objects)
+		},
+	}
+	change(&opts)
+	m = New(opts)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = m.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return m, func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return n
+	}
+}
+
+func newSource() *fakeSource {
+	f := &fakeSource{objects: map[string]platform.Object{}}
+	f.put("a")
+	f.put("b")
+	return f
+}
+
+func TestCopyIsConfirmedAtOnceWhenNobodyVouchesAnyMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		vouched := true
+		m, _ := start(t, newSource(), func(o *Options) {
+			o.Relaxed = Pace{Wait: 12 * time.Second}
+			o.Vouched = func() bool { mu.Lock(); defer mu.Unlock(); return vouched }
+		})
+		time.Sleep(6 * time.Second)
+		mu.Lock()
+		vouched = false
+		mu.Unlock()
+		lost := m.opts.Now()
+		time.Sleep(400 * time.Millisecond)
+		if at, ok := m.Confirmed(); !ok || at < lost {
+			t.Errorf("confirmed %v before the word was lost", lost-at)
+		}
+	})
+}
+
+func TestEntriesThatLapsedInAnOutageStayForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newSource()
+		_, names := start(t, source, func(o *Options) { o.Linger = 2 * time.Second })
+		time.Sleep(time.Second)
+		source.set(func(f *fakeSource) { f.fails = true })
+		time.Sleep(4 * time.Second)
+		source.remove("a")
+		source.remove("b")
+		source.set(func(f *fakeSource) { f.fails = false })
+		time.Sleep(1200 * time.Millisecond)
+		if names() != 2 {
+			t.Errorf("%d entries after the store came back, want both kept", names())
+		}
+		source.put("a")
+		time.Sleep(2 * time.Second)
+		if names() != 1 {
+			t.Errorf("%d entries 3 s later, want the one that came back", names())
+		}
+	})
+}
+
+func TestExpiredHistoryIsListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newSource()
+		_, names := start(t, source, func(*Options) {})
+		time.Sleep(time.Second)
+		source.set(func(f *fakeSource) {
+			f.expired = true
+			f.version += 10
+			f.objects["c"] = platform.Object{Name: "c", Version: f.version}
+		})
+		time.Sleep(time.Second)
+		if names() != 3 {
+			t.Errorf("%d entries, want 3", names())
+		}
+	})
+}
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -30,7 +30,7 @@
 	changed  chan struct{}
 	kick     func()
 	hosts    map[string]fleet.Host
-	unusable map[string]bool
+	unusable map[string]time.Duration // targets that leave or went, until when to believe so
 	refuted  map[runKey]time.Duration // copies that turned out to be missing, until when to believe so
 }
 
@@ -50,7 +50,7 @@
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remote: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, wants: map[modelKey]*want{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), kick: func() {}, hosts: map[string]fleet.Host{},
-		refuted: map[runKey]time.Duration{},
+		refuted: map[runKey]time.Duration{}, unusable: map[string]time.Duration{},
 	}
 }
 
@@ -170,15 +170,23 @@
 	b.wake()
 }
 
+// unusableFor is how long a target is left alone after a coordinator named it:
+// the next one may learn of its leaving a little later.
+const unusableFor = 1500 * time.Millisecond
+
 // SetUnusable takes in the targets that the coordinator knows to leave.
 func (b *Board) SetUnusable(ids []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(ids) == 0 && len(b.unusable) == 0 {
-		return
+	now := b.now()
+	for id, until := range b.unusable {
+		if now >= until {
+			delete(b.unusable, id)
+		}
+	}
+	for _, id := range ids {
+		b.unusable[id] = now + unusableFor
 	}
-	b.unusable = set(ids)
-	b.wake()
 }
 
 // view returns the best view of an engine: the told one if it is of the same
@@ -230,7 +238,7 @@
 	best, bestScore, found := Choice{}, 0.0, false
 	for _, id := range b.targets.ByService[ask.Service] {
 		t := b.targets.ByID[id]
-		if t.Draining || ask.Avoid[id] || b.unusable[id] {
+		if t.Draining || ask.Avoid[id] || b.now() < b.unusable[id] {
 			continue
 		}
 		needsAdapter := false
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -55,17 +55,22 @@
 	TargetsAt time.Duration // the list of targets was known to be complete then
 }
 
-// Vouched returns what the coordinator vouches for. A host that coordinates
-// gets nothing: it has to see for itself.
+// Vouched returns what coordinators vouched for. It stays true when another host
+// coordinates.
 func (l *Link) Vouched() Vouched {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.current == l.opts.Self.Name {
-		return Vouched{}
-	}
 	return l.vouched
 }
 
+// Follows reports whether another host coordinates, so that this one need not
+// see for itself.
+func (l *Link) Follows() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current != "" && l.current != l.opts.Self.Name
+}
+
 // NewLink returns a link that does nothing before Run.
 func NewLink(opts LinkOptions) *Link {
 	l := &Link{
@@ -270,10 +275,15 @@
 	l.opts.Board.SetUnusable(v.Unusable)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.vouched = Vouched{
-		Config: v.Config, ConfigAt: began - time.Duration(v.ConfigAgeMS)*time.Millisecond,
-		TargetsAt: began - time.Duration(v.TargetAgeMS)*time.Millisecond,
+	configAt := began - time.Duration(v.ConfigAgeMS)*time.Millisecond
+	targetsAt := began - time.Duration(v.TargetAgeMS)*time.Millisecond
+	if v.Config > l.vouched.Config {
+		l.vouched.Config, l.vouched.ConfigAt = v.Config, configAt
+	}
+	if v.Config == l.vouched.Config {
+		l.vouched.ConfigAt = max(l.vouched.ConfigAt, configAt) // a coordinator that has just become one knows less
 	}
+	l.vouched.TargetsAt = max(l.vouched.TargetsAt, targetsAt)
 }
 
 // fill makes the next report. Call with l.mu held.
