--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,26 +83,27 @@
 
 // exchange is one request in progress.
 type exchange struct {
-	call     fleet.Call
-	config   *fleet.Config
-	route    *fleet.Route
-	team     *fleet.Team // nil on a public route
-	service  string
-	body     []byte
-	r        *http.Request
-	w        http.ResponseWriter
-	arrived  time.Duration
-	deadline time.Duration // on the clock of Options.Now
-	spent    float64       // of the team's allotment
-	sends    int           // targets that may have run it
-	tries    int           // targets it was sent to
-	print    string        // fingerprint, made when first needed
-	log      logrus.Fields
-	begun    bool // the head of the answer was written
-	refused  bool
-	status   int
-	events   eventBuffer
-	noBudget bool
+	call      fleet.Call
+	config    *fleet.Config
+	route     *fleet.Route
+	team      *fleet.Team // nil on a public route
+	service   string
+	body      []byte
+	r         *http.Request
+	w         http.ResponseWriter
+	arrived   time.Duration
+	deadline  time.Duration // on the clock of Options.Now
+	spent     float64       // of the team's allotment
+	sends     int           // targets that may have run it
+	tries     int           // sends that may have arrived
+	unreached int           // connections that failed
+	print     string        // fingerprint, made when first needed
+	log       logrus.Fields
+	begun     bool // the head of the answer was written
+	refused   bool
+	status    int
+	events    eventBuffer
+	noBudget  bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -19,7 +19,8 @@
 	streamRunTime = 600 * time.Millisecond // a stream's usual run: what must be left to begin one
 	adapterWait   = 800 * time.Millisecond
 	lookAgain     = 100 * time.Millisecond // beside changes: what was refuted counts again after a while
-	shedPause     = 25 * time.Millisecond  // before the same target is tried again
+	shedPause     = 25 * time.Millisecond  // before the same target is tried again; longer with each connection that failed
+	maxShedPauses = 7
 )
 
 // result says how one try ended.
@@ -168,7 +169,7 @@
 		return steer.Choice{}, false
 	}
 	clear(avoid)
-	time.Sleep(shedPause)
+	time.Sleep(shedPause * time.Duration(1+min(x.unreached, maxShedPauses)))
 	return choice, true
 }
 
@@ -330,6 +331,9 @@
 	x.log["reason"] = err.Error()
 	var unreachable *target.UnreachableError
 	if errors.As(err, &unreachable) {
+		g.opts.Board.Unreachable(c.Target.ID)
+		x.tries-- // nothing arrived: the next send is no repeat
+		x.unreached++
 		return notRun
 	}
 	g.strike(x, err)
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -225,10 +225,11 @@
 
 // Weights of a choice, in requests at once.
 const (
-	zonePenalty    = 1.5 // another availability zone: bytes between zones cost more than a request more at once
-	adapterPenalty = 4   // an adapter that must be loaded first
-	firstPenalty   = 8   // each second that first events took lately
-	jitter         = 0.5 // so that hosts with the same counts do not all choose the same target
+	zonePenalty    = 1.5  // another availability zone: bytes between zones cost more than a request more at once
+	adapterPenalty = 4    // an adapter that must be loaded first
+	firstPenalty   = 8    // each second that first events took lately
+	darkPenalty    = 1000 // only where all targets of a plain service are dark
+	jitter         = 0.5  // so that hosts with the same counts do not all choose the same target
 )
 
 // Pick chooses a target, or none if no target can take the request now.
@@ -241,8 +242,12 @@
 		if t.Draining || ask.Avoid[id] || b.now() < b.unusable[id] {
 			continue
 		}
+		dark := b.dark(id)
 		needsAdapter := false
 		if ask.Model != "" {
+			if dark {
+				continue
+			}
 			m, ok := b.view(t).Models[ask.Model]
 			if !ok || m.State != swap.Ready || b.now() < b.refuted[runKey{id, ask.Model}] {
 				continue
@@ -256,6 +261,9 @@
 		if needsAdapter {
 			score += adapterPenalty
 		}
+		if dark {
+			score += darkPenalty
+		}
 		if !found || score < bestScore {
 			found, bestScore = true, score
 			best = Choice{Target: t, NeedsAdapter: needsAdapter, Load: b.load[id] + b.remote[id]}
@@ -376,6 +384,11 @@
 		}
 	}
 	clear(b.dirty)
+	for id := range b.health {
+		if b.dark(id) {
+			r.Dark = append(r.Dark, id)
+		}
+	}
 	for key, n := range b.arrivals {
 		r.Arrivals = append(r.Arrivals, Arrivals{key.service, key.model, n})
 	}
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -70,6 +70,7 @@
 	running     map[runKey]int
 	use         map[string]float64
 	owned       map[string]EngineView
+	dark        []string
 	leaving     bool
 
 	sent     map[string]EngineNews // news it has
@@ -140,7 +141,7 @@
 		h = newReporter(r.Incarnation)
 		c.hosts[host] = h
 	}
-	h.at, h.wantsAt, h.wants, h.leaving = now, now, r.Wants, r.Leaving
+	h.at, h.wantsAt, h.wants, h.dark, h.leaving = now, now, r.Wants, r.Dark, r.Leaving
 	for _, rc := range r.Running {
 		key := runKey{rc.Engine, rc.Model}
 		if rc.N == 0 {
@@ -387,7 +388,7 @@
 func (c *Coordinator) planService(ctx context.Context, service string, spec fleet.Service, now time.Duration) {
 	owners := c.owners()
 	state := swap.State{Now: now, Models: modelsOf(spec.Engine), Demands: c.demands(service, now)}
-	running := c.running()
+	running, dark := c.running(), c.dark()
 	for _, id := range c.board.Targets().ByService[service] {
 		t := c.board.Targets().ByID[id]
 		if t.Draining {
@@ -395,7 +396,7 @@
 		}
 		v := c.view(t, owners)
 		e := swap.Engine{
-			ID: id, CapacityMB: spec.Engine.CapacityMB - adapterRoom(spec.Engine), Slots: spec.Engine.Slots, Serves: true,
+			ID: id, CapacityMB: spec.Engine.CapacityMB - adapterRoom(spec.Engine), Slots: spec.Engine.Slots, Serves: !dark[id],
 			Copies: map[string]swap.Copy{}, OnDisk: set(t.OnDisk), InMemory: set(t.InMemory),
 			Busy: v.Busy || owners[id] == "",
 		}
@@ -466,6 +467,25 @@
 	return out
 }
 
+// darkShare is the share of hosts that must miss a target before it counts as
+// gone: a host may have lost its own way.
+const darkShare = 0.25
+
+// dark returns the targets that several hosts can't reach.
+func (c *Coordinator) dark() map[string]bool {
+	count := map[string]int{}
+	for _, h := range c.hosts {
+		for _, id := range h.dark {
+			count[id]++
+		}
+	}
+	out := map[string]bool{}
+	for id, n := range count {
+		out[id] = n >= max(2, int(darkShare*float64(len(c.hosts))))
+	}
+	return out
+}
+
 func (c *Coordinator) running() map[runKey]int {
 	out := map[runKey]int{}
 	for _, h := range c.hosts {
--- a/internal/steer/health.go
+++ b/internal/steer/health.go
@@ -7,6 +7,7 @@
 	failures float64       // recent share of failures, 0 to 1
 	first    time.Duration // recent time until the first event
 	at       time.Duration // of the last outcome
+	dark     time.Duration // it could not be reached: left alone until then
 }
 
 // Weights of outcomes.
@@ -57,9 +58,25 @@
 	})
 }
 
+// darkFor is how long a target that could not be reached is left alone.
+const darkFor = 800 * time.Millisecond // two reports: the coordinator has a copy loaded elsewhere meanwhile
+
+// Unreachable takes in that a target could not be connected to.
+func (b *Board) Unreachable(target string) {
+	b.note(target, func(h *health) { h.dark = b.now() + darkFor })
+	b.kick()
+}
+
+// dark reports whether a target was not reachable lately. Call with b.mu held.
+func (b *Board) dark(target string) bool {
+	h := b.health[target]
+	return h != nil && b.now() < h.dark
+}
+
 // First takes in how long a target took until the first event of a stream.
 func (b *Board) First(target string, took time.Duration) {
 	b.note(target, func(h *health) {
+		h.dark = 0
 		h.first += time.Duration(float64(took-h.first) * outcomeWeight)
 	})
 }
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -94,6 +94,7 @@
 	Use         map[string]float64 `json:"u,omitempty"` // by team since the host started
 	Owned       []EngineView       `json:"o,omitempty"`
 	Strikes     []string           `json:"x,omitempty"` // requests that were under way when their engine broke off
+	Dark        []string           `json:"d,omitempty"` // targets not reachable; all, each time
 	Leaving     bool               `json:"l,omitempty"`
 }
 
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -42,6 +42,15 @@
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// within returns dial with a bound on its time.
+func (dial Dial) within(bound time.Duration) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, bound)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // counted returns dial with the bytes of its connections counted.
 func (dial Dial) counted(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := dial(ctx, network, address)
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -9,8 +9,13 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"time"
 )
 
+// forwardDialTimeout bounds connecting where another target can take the
+// request: a hundred times the way between zones.
+const forwardDialTimeout = 300 * time.Millisecond
+
 // DialContext opens a connection that finds out by itself when its path is
 // lost.
 func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
@@ -51,7 +56,7 @@
 		e.cancel(nil)
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	resp, err := c.fresh.RoundTrip(req)
+	resp, err := c.quick.RoundTrip(req)
 	if err != nil {
 		return nil, e.failed(ctx, err)
 	}
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -49,6 +49,7 @@
 type Client struct {
 	kept  *http.Transport // reuses connections
 	fresh *http.Transport // one connection for each request
+	quick *http.Transport // like fresh, for Forward, which gives a target up sooner
 }
 
 // NewClient returns a client over TCP, without connections.
@@ -57,7 +58,7 @@
 // NewClientOver returns a client whose connections are made by dial. Such
 // connections must find lost paths themselves, as those over TCP do.
 func NewClientOver(dial Dial) *Client {
-	return &Client{kept: newTransport(dial, false), fresh: newTransport(dial, true)}
+	return &Client{kept: newTransport(dial, false), fresh: newTransport(dial, true), quick: newTransport(dial.within(forwardDialTimeout), true)}
 }
 
 func newTransport(dial Dial, fresh bool) *http.Transport {
@@ -76,6 +77,7 @@
 func (c *Client) Close() {
 	c.kept.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
+	c.quick.CloseIdleConnections()
 }
 
 // InvalidRequestError reports a request that cannot be sent.
