One coordinator from the start; read an engine again when an unload finds nothing

Cause: at the first start of 73 hosts each saw a list of itself only and asked for every engine: 2000 failed claims of three calls each.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -46,4 +46,5 @@
 	PeerAddress string  `json:"peer_address"` // IP:port for other hosts
 	Weight      float64 `json:"weight"`       // processor share, for spreading callers
 	Joined      uint64  `json:"-"`            // store revision of the entry
+	Created     uint64  `json:"-"`            // store revision of its first version
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -66,7 +66,7 @@
 	configRelaxed = mirror.Pace{Wait: 12 * time.Second, Spacing: time.Second}
 	targetPace    = mirror.Pace{Wait: 500 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
 	targetRelaxed = mirror.Pace{Wait: 8 * time.Second, Spacing: 2500 * time.Millisecond, Stale: true}
-	hostPace      = mirror.Pace{Wait: 20 * time.Second, Spacing: 2 * time.Second}
+	hostPace      = mirror.Pace{Wait: 20 * time.Second, Spacing: 1500 * time.Millisecond}
 )
 
 // Bounds of what the coordinator vouches for.
@@ -132,7 +132,7 @@
 	holder := steer.HolderOf(h.self.Name, h.site.IP)
 	h.lease = steer.NewLease(holder, h.store, bootclock.Now, h.log)
 	h.owner = steer.NewOwner(h.self.Name, holder, h.lease, h.board, h.adapter.Engines, h.site.Bounds, bootclock.Now, h.log)
-	h.coord = steer.NewCoordinator(h.self.Name, h.board, h.peers, h.confirmedCopies, bootclock.Now, h.log)
+	h.coord = steer.NewCoordinator(h.self.Name, h.board, h.peers, h.confirmedCopies, h.site.FirstBoot, bootclock.Now, h.log)
 }
 
 func (h *Host) wireGateway() {
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -102,7 +102,7 @@
 			h.log.WithFields(logrus.Fields{"event": "host_unreadable", "peer": name}).Warn(err.Error())
 			continue
 		}
-		host.Joined = uint64(obj.Version)
+		host.Joined, host.Created = uint64(obj.Version), uint64(obj.Created)
 		hosts[name] = host
 	}
 	if _, ok := hosts[h.self.Name]; !ok {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -38,6 +38,7 @@
 	Kind    Kind            // collection
 	Name    string          // unique within Kind
 	Version Version         // version of the last change; precondition of an update
+	Created Version         // version of its creation, where the API tells; 0: not told
 	OpID    string          // unique id of the write that produced this version
 	Data    json.RawMessage // value, at most MaxObjectBytes
 }
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -38,6 +38,7 @@
 type Coordinator struct {
 	self      string
 	confirmed Confirmed
+	firstBoot bool // the whole system starts for the first time
 	board     *Board
 	calls     peer.Caller
 	now       func() time.Duration
@@ -108,9 +109,9 @@
 type Confirmed func() (config uint64, configAt, targetsAt time.Duration)
 
 // NewCoordinator returns a coordinator that nobody reports to.
-func NewCoordinator(self string, board *Board, calls peer.Caller, confirmed Confirmed, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
+func NewCoordinator(self string, board *Board, calls peer.Caller, confirmed Confirmed, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
-		self: self, confirmed: confirmed, went: map[string]time.Duration{}, known: map[string]bool{}, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
+		self: self, confirmed: confirmed, firstBoot: firstBoot, went: map[string]time.Duration{}, known: map[string]bool{}, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
 		hosts: map[string]*reporter{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, owning: map[string]time.Duration{}, strikes: map[string]time.Duration{}, series: rand.Uint64() &^ (1<<24 - 1),
 		readySince: map[runKey]time.Duration{},
@@ -216,7 +217,7 @@
 		c.began = now
 		return
 	}
-	if now-c.began > ownSettle {
+	if now-c.began > c.settle() {
 		c.assignOwners(ctx, now)
 	}
 	for service, spec := range c.board.Config().Services {
@@ -227,6 +228,16 @@
 	c.push(ctx)
 }
 
+// settle returns how long hosts have to report before engines are given to them.
+// Where the whole system starts for the first time, lists of hosts are short at
+// first, and several hosts may take themselves for the coordinator.
+func (c *Coordinator) settle() time.Duration {
+	if c.firstBoot && len(c.owners()) == 0 {
+		return ownSettle + joinPatience
+	}
+	return ownSettle
+}
+
 // strikeMemory is how long a request that broke off an engine is remembered.
 const strikeMemory = 60 * time.Second
 
--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -320,7 +320,12 @@
 		time.Sleep(closeDelay)
 	}
 	for _, model := range c.Unload {
-		if err := o.give(ctx, e, fleet.Order{Kind: fleet.UnloadModel, Model: model}, unloadBound); err != nil {
+		outcome, err := o.give(ctx, e, fleet.Order{Kind: fleet.UnloadModel, Model: model}, unloadBound)
+		if err == nil && outcome == fleet.OrderHolds {
+			// It did not hold the model: what takes the room is something else.
+			err = &OrderError{Engine: e.id, Outcome: outcome}
+		}
+		if err != nil {
 			o.reread(ctx, e)
 			return err
 		}
@@ -331,7 +336,7 @@
 	}
 	// The engine takes the load only after its unloads are done, and only if
 	// they were its last orders: it never holds more than it has room for.
-	if err := o.give(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Load}, unloadBound); err != nil {
+	if _, err := o.give(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Load}, unloadBound); err != nil {
 		o.reread(ctx, e)
 		return err
 	}
@@ -373,40 +378,33 @@
 // give gives an order until the engine accepted it. An order without an answer
 // is given again with the same count of orders expected: only one of the two
 // can be carried out.
-func (o *Owner) give(ctx context.Context, e *ownedEngine, ord fleet.Order, bound time.Duration) error {
-	began, doubt, unanswered := o.now(), o.now()+doubtAfter, false
+func (o *Owner) give(ctx context.Context, e *ownedEngine, ord fleet.Order, bound time.Duration) (fleet.OrderOutcome, error) {
+	began, doubt := o.now(), o.now()+doubtAfter
 	for {
 		ord.After = o.orders(e)
 		outcome, err := o.order(ctx, e, ord)
 		if err != nil {
-			return err
+			return outcome, err
 		}
 		switch outcome {
 		case fleet.OrderAccepted:
 			o.edit(e, func(v *EngineView) { v.Orders++ })
-			return nil
+			return outcome, nil
 		case fleet.OrderHolds:
-			return nil
-		case fleet.OrderUnknown:
-			unanswered = true
-		case fleet.OrderBusy, fleet.OrderNotSent:
+			return outcome, nil
+		case fleet.OrderBusy, fleet.OrderUnknown, fleet.OrderNotSent:
 		default:
-			return &OrderError{Engine: e.id, Outcome: outcome}
+			return outcome, &OrderError{Engine: e.id, Outcome: outcome}
 		}
 		if o.now() > began+bound || ctx.Err() != nil {
-			return &OrderError{Engine: e.id, Outcome: outcome}
+			return outcome, &OrderError{Engine: e.id, Outcome: outcome}
 		}
 		if outcome == fleet.OrderUnknown || o.now() > doubt {
 			doubt = o.now() + doubtAfter
-			switch o.recount(ctx, e) {
-			case 0:
-			case 1:
-				if unanswered {
-					return nil // the order without an answer was accepted
-				}
-				return &OrderError{Engine: e.id, Outcome: outcome}
-			default:
-				return &OrderError{Engine: e.id, Outcome: outcome}
+			if o.recount(ctx, e) != 0 {
+				// This order was accepted without an answer, or an older one was
+				// carried out late: what the engine holds has to be read again.
+				return outcome, &OrderError{Engine: e.id, Outcome: outcome}
 			}
 		}
 		time.Sleep(orderRetry)
@@ -465,6 +463,19 @@
 			o.log.WithFields(logrus.Fields{"event": "report_failed", "engine": e.id}).Warn(err.Error())
 		}
 	}
+	o.disown(e)
+}
+
+// disown gives an engine up whose content could not be read: whoever owns it
+// next reads it first.
+func (o *Owner) disown(e *ownedEngine) {
+	o.mu.Lock()
+	if o.owned[e.id] == e {
+		delete(o.owned, e.id)
+	}
+	o.mu.Unlock()
+	o.log.WithFields(logrus.Fields{"event": "engine_given_up", "engine": e.id}).Warn("its content could not be read")
+	o.changed()
 }
 
 func modelsIn(report fleet.EngineReport) map[string]ModelView {
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,6 +29,7 @@
 	overfull bool
 	lose     int // answers to lose, the order being carried out late
 	late     time.Duration
+	random   *rand.Rand           // if set, half of the orders get no answer and are carried out 2 to 12 s later
 	adapters map[string]time.Time // until when requests use each
 	leaving  map[string]bool      // adapters that go once unused
 }
@@ -41,10 +43,14 @@
 func (f *fakeEngine) Order(_ context.Context, _ string, o fleet.Order) (fleet.OrderOutcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	late := f.late
+	if f.random != nil && f.random.IntN(2) == 0 {
+		f.lose, late = 1, 2*time.Second+time.Duration(f.random.Int64N(int64(10*time.Second)))
+	}
 	if f.lose > 0 {
 		f.lose--
 		go func() {
-			time.Sleep(f.late)
+			time.Sleep(late)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.carryOut(o)
@@ -70,6 +76,10 @@
 	}
 	f.orders++
 	if o.Kind == fleet.UnloadModel {
+		if !f.models[o.Model] {
+			f.orders--
+			return fleet.OrderHolds
+		}
 		delete(f.models, o.Model)
 		return fleet.OrderAccepted
 	}
@@ -344,3 +354,61 @@
 		}
 	})
 }
+
+// TestHalfOfTheOrdersCarriedOutLate: half of the orders get no answer and come
+// seconds later, after newer ones, for a long time.
+func TestHalfOfTheOrdersCarriedOutLate(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			engine := newFakeEngine()
+			o, _ := newTestOwner(t, engine)
+			engine.mu.Lock()
+			engine.random = rand.New(rand.NewPCG(seed, 1))
+			engine.mu.Unlock()
+			names, moves := []string{"a", "b", "c"}, uint64(10)
+			for range 200 {
+				time.Sleep(300 * time.Millisecond)
+				owned := o.Owned()
+				if len(owned) == 0 || owned[0].Busy {
+					continue
+				}
+				var unload []string
+				load := ""
+				for _, m := range names {
+					if _, there := owned[0].Models[m]; there && len(unload) == 0 && len(owned[0].Models) == 2 {
+						unload = []string{m}
+					} else if !there {
+						load = m
+					}
+				}
+				moves++
+				_ = o.Swap(SwapCommand{Move: moves, Engine: "e1", Unload: unload, Load: load, Source: swap.FromDisk})
+			}
+			time.Sleep(moveBound)
+			if engine.overfull {
+				t.Errorf("seed %d: engine was ordered to hold more than it has room for", seed)
+			}
+		})
+	}
+}
+
+func TestUnloadOfAModelThatIsNotThereMakesNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine()
+		o, board := newTestOwner(t, engine)
+		engine.mu.Lock()
+		engine.models = map[string]bool{"b": true, "c": true} // changed behind the owner's back
+		engine.mu.Unlock()
+		board.SetTargets(fleet.NewTargets(map[string]fleet.Target{"e1": {ID: "e1", Service: "s", Address: "x", Born: 1, Models: map[string][]string{"b": nil, "c": nil}}}))
+		if err := o.Swap(SwapCommand{Move: 1, Engine: "e1", Unload: []string{"a"}, Load: "d", Source: swap.FromDisk}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(moveBound)
+		if engine.overfull {
+			t.Error("engine was ordered to hold more than it has room for")
+		}
+		if _, has := o.Owned()[0].Models["c"]; !has {
+			t.Error("what the engine holds was not read again")
+		}
+	})
+}
