Take in count and content of an engine together

Also a command for an adapter went on for 10 s after its asker had left. Ruled out: model loads (none accepted before the crash). A randomised test with late orders is in, it did not fail before: the fake engine has to be made worse.

--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -58,11 +58,12 @@
 	fence     uint64
 	notBefore time.Duration // the owner before may have ordered until its lease bound earlier
 	turn      chan struct{}
-	adapters  sync.Mutex // held while an adapter is exchanged
+	adapters  chan struct{} // of one place, taken while an adapter is exchanged
 
-	view      EngineView    // guarded by Owner.mu, as are the following
-	edited    time.Duration // last change of view
-	rereading bool
+	view       EngineView    // guarded by Owner.mu, as are the following
+	edited     time.Duration // last change of view
+	rereading  bool
+	doubtUntil time.Duration // an order without an answer may be carried out until then
 }
 
 // NewOwner returns an owner of nothing.
@@ -184,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	e := &ownedEngine{id: id, fence: fence, turn: make(chan struct{}, 1), edited: o.now()}
+	e := &ownedEngine{id: id, fence: fence, turn: make(chan struct{}, 1), adapters: make(chan struct{}, 1), edited: o.now()}
 	e.view = EngineView{ID: id, Born: t.Born, Owner: o.self, Models: viewOf(t).Models, Fresh: true, Busy: true}
 	if taken {
 		e.notBefore = o.now() + o.bounds.OrderLease + leaseGuard
@@ -366,6 +367,11 @@
 		return fleet.OrderNotSent, &NoLeaseError{}
 	}
 	outcome, err := o.engines.Order(ctx, t.Address, ord)
+	if outcome == fleet.OrderUnknown {
+		o.mu.Lock()
+		e.doubtUntil = o.now() + lateOrders
+		o.mu.Unlock()
+	}
 	fields := logrus.Fields{"event": "order", "engine": e.id, "kind": ord.Kind, "model": ord.Model, "adapter": ord.Adapter,
 		"after": ord.After, "outcome": outcome.String()}
 	if err != nil {
@@ -401,7 +407,7 @@
 		}
 		if outcome == fleet.OrderUnknown || o.now() > doubt {
 			doubt = o.now() + doubtAfter
-			if o.recount(ctx, e) != 0 {
+			if o.differs(ctx, e) {
 				// This order was accepted without an answer, or an older one was
 				// carried out late: what the engine holds has to be read again.
 				return outcome, &OrderError{Engine: e.id, Outcome: outcome}
@@ -411,61 +417,78 @@
 	}
 }
 
+func (o *Owner) busy(e *ownedEngine) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return e.view.Busy
+}
+
 func (o *Owner) orders(e *ownedEngine) int64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return e.view.Orders
 }
 
-// recount takes in the engine's own count of orders and returns by how much it
-// differs from this host's. No adapter is exchanged meanwhile: the count would
-// be older than theirs.
-func (o *Owner) recount(ctx context.Context, e *ownedEngine) (more int64) {
-	e.adapters.Lock()
-	defer e.adapters.Unlock()
+// differs reports whether the engine counts other orders than this host. The
+// count is not taken in without what the engine holds: orders that expect it
+// would rest on an older belief.
+func (o *Owner) differs(ctx context.Context, e *ownedEngine) bool {
+	e.adapters <- struct{}{} // no adapter is exchanged meanwhile: the report would be older
+	defer func() { <-e.adapters }()
 	time.Sleep(reportLag)
 	t, ok := o.board.Target(e.id)
 	if !ok {
-		return 0
+		return false
 	}
 	report, err := o.engines.Report(ctx, t.Address, e.id)
 	if err != nil {
 		o.log.WithFields(logrus.Fields{"event": "report_failed", "engine": e.id}).Warn(err.Error())
-		return 0
+		return false
 	}
-	o.edit(e, func(v *EngineView) { more, v.Orders = report.Orders-v.Orders, report.Orders })
-	if more != 0 {
-		o.log.WithFields(logrus.Fields{"event": "orders_recounted", "engine": e.id, "orders": report.Orders, "more": more}).Warn("engine counts other orders than this host")
+	believed := o.orders(e)
+	if report.Orders != believed {
+		o.log.WithFields(logrus.Fields{"event": "orders_differ", "engine": e.id, "orders": report.Orders, "believed": believed}).Warn("engine counts other orders than this host")
 	}
-	return more
+	return report.Orders != believed
 }
 
 // reread takes in what the engine says that it holds, after an order that did
 // not end as expected.
 func (o *Owner) reread(ctx context.Context, e *ownedEngine) {
-	e.adapters.Lock()
-	defer e.adapters.Unlock()
-	for range 20 {
-		time.Sleep(reportLag)
-		t, ok := o.board.Target(e.id)
-		if !ok {
-			return
-		}
-		report, err := o.engines.Report(ctx, t.Address, e.id)
-		if err == nil && !report.Busy {
-			o.edit(e, func(v *EngineView) {
-				v.Orders = report.Orders
-				v.Models = modelsIn(report)
-			})
+	e.adapters <- struct{}{}
+	defer func() { <-e.adapters }()
+	for range rereadTries {
+		if o.snapshot(ctx, e) {
 			return
 		}
-		if err != nil {
-			o.log.WithFields(logrus.Fields{"event": "report_failed", "engine": e.id}).Warn(err.Error())
-		}
 	}
 	o.disown(e)
 }
 
+// rereadTries bounds the reports that are waited for while an engine is busy or
+// out of reach.
+const rereadTries = 20
+
+// snapshot takes in count and content from one report, unless the engine is
+// busy. Call with e.adapters taken.
+func (o *Owner) snapshot(ctx context.Context, e *ownedEngine) bool {
+	time.Sleep(reportLag)
+	t, ok := o.board.Target(e.id)
+	if !ok {
+		return false
+	}
+	report, err := o.engines.Report(ctx, t.Address, e.id)
+	if err != nil {
+		o.log.WithFields(logrus.Fields{"event": "report_failed", "engine": e.id}).Warn(err.Error())
+		return false
+	}
+	if report.Busy {
+		return false
+	}
+	o.edit(e, func(v *EngineView) { v.Orders, v.Models = report.Orders, modelsIn(report) })
+	return true
+}
+
 // disown gives an engine up whose content could not be read: whoever owns it
 // next reads it first.
 func (o *Owner) disown(e *ownedEngine) {
@@ -563,8 +586,14 @@
 	if err != nil {
 		return err
 	}
-	e.adapters.Lock()
-	defer e.adapters.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, adapterBound)
+	defer cancel()
+	select {
+	case e.adapters <- struct{}{}:
+	case <-ctx.Done():
+		return &BusyEngineError{Engine: c.Engine}
+	}
+	defer func() { <-e.adapters }()
 	o.mu.Lock()
 	m, there := e.view.Models[c.Model]
 	present := slices.Contains(m.Adapters, c.Adapter)
@@ -596,6 +625,10 @@
 	return nil
 }
 
+// adapterBound bounds the work for one request for an adapter; who asks waits no
+// longer.
+const adapterBound = 800 * time.Millisecond
+
 // adapterLoad is the usual time of an adapter's load.
 const adapterLoad = 12 * time.Millisecond // 5 to 10 ms by the pages
 
@@ -649,7 +682,9 @@
 
 // giveAdapter gives an order for an adapter until the engine took it, and
 // reports whether it is done. Such orders do not make the engine busy, but raise
-// its count of orders, an unload also when it is done at once.
+// its count of orders, an unload also when it is done at once. Where an order
+// went without an answer the next refusal means that it was carried out, so count
+// and content are read anew before anything else is ordered.
 func (o *Owner) giveAdapter(ctx context.Context, e *ownedEngine, ord fleet.Order) (done bool, err error) {
 	for {
 		ord.After = o.orders(e)
@@ -657,20 +692,37 @@
 		switch {
 		case err != nil:
 			return false, err
-		case outcome == fleet.OrderAccepted, outcome == fleet.OrderHolds && ord.Kind == fleet.UnloadModel:
+		case outcome == fleet.OrderAccepted:
+			o.edit(e, func(v *EngineView) { v.Orders++ })
+			return false, nil
+		case outcome == fleet.OrderHolds && ord.Kind == fleet.UnloadModel && !o.doubtful(e):
 			o.edit(e, func(v *EngineView) { v.Orders++ })
-			return outcome == fleet.OrderHolds, nil
-		case outcome == fleet.OrderHolds:
 			return true, nil
-		case outcome == fleet.OrderUnknown:
-			// It may be carried out late. Given again with the same count, one
-			// of the two at most is.
-		case outcome != fleet.OrderBusy:
+		case outcome == fleet.OrderHolds && ord.Kind == fleet.LoadModel:
+			return true, nil
+		case outcome == fleet.OrderBusy, outcome == fleet.OrderUnknown:
+		default:
 			return false, &OrderError{Engine: e.id, Outcome: outcome}
 		}
+		if o.doubtful(e) && !o.busy(e) {
+			if o.snapshot(ctx, e) {
+				return false, &OrderError{Engine: e.id, Outcome: outcome} // the caller decides anew
+			}
+		}
 		if ctx.Err() != nil {
 			return false, &OrderError{Engine: e.id, Outcome: outcome}
 		}
 		time.Sleep(orderRetry)
 	}
 }
+
+// lateOrders is how long after it was sent an order without an answer may be
+// carried out.
+const lateOrders = 13 * time.Second // 12 s by the pages
+
+// doubtful reports whether an order without an answer may still be carried out.
+func (o *Owner) doubtful(e *ownedEngine) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.now() < e.doubtUntil
+}
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -135,7 +136,7 @@
 		r.Models[m] = nil
 	}
 	for a := range f.adapters {
-		r.Models["a"] = append(r.Models["a"], a)
+		r.Models["b"] = append(r.Models["b"], a)
 	}
 	return r, nil
 }
@@ -330,7 +331,7 @@
 		o, _ := newTestOwner(t, engine)
 		ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
 		defer cancel()
-		if err := o.Adapter(ctx, AdapterCommand{Engine: "e1", Model: "a", Adapter: "a5"}); err != nil {
+		if err := o.Adapter(ctx, AdapterCommand{Engine: "e1", Model: "b", Adapter: "a5"}); err != nil {
 			t.Fatal(err)
 		}
 		if engine.overfull {
@@ -366,8 +367,13 @@
 			engine.random = rand.New(rand.NewPCG(seed, 1))
 			engine.mu.Unlock()
 			names, moves := []string{"a", "b", "c"}, uint64(10)
-			for range 200 {
+			for i := range 200 {
 				time.Sleep(300 * time.Millisecond)
+				go func() {
+					ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
+					defer cancel()
+					_ = o.Adapter(ctx, AdapterCommand{Engine: "e1", Model: "b", Adapter: fmt.Sprintf("a%d", i%7)})
+				}()
 				owned := o.Owned()
 				if len(owned) == 0 || owned[0].Busy {
 					continue
@@ -375,7 +381,7 @@
 				var unload []string
 				load := ""
 				for _, m := range names {
-					if _, there := owned[0].Models[m]; there && len(unload) == 0 && len(owned[0].Models) == 2 {
+					if _, there := owned[0].Models[m]; there && m != "b" && len(unload) == 0 && len(owned[0].Models) == 2 {
 						unload = []string{m}
 					} else if !there {
 						load = m
