--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -76,7 +76,9 @@
 		return record{}, false
 	}
 	r := record{fields: map[string]any{}}
-	if json.Unmarshal(line[start:], &r.fields) != nil {
+	decoder := json.NewDecoder(bytes.NewReader(line[start:]))
+	decoder.UseNumber() // ids of moves are larger than a float can hold
+	if decoder.Decode(&r.fields) != nil {
 		return record{}, false // another program's line
 	}
 	r.event, r.host = r.text("event"), r.text("host")
@@ -107,8 +109,9 @@
 			s = &span{id: id, targets: map[string]bool{}, from: r.at, to: r.at}
 		}
 		s.to = r.at
-		if took, ok := r.fields["took_ms"].(float64); ok {
-			if began := r.at.Add(-time.Duration(took) * time.Millisecond); began.Before(s.from) {
+		if took, ok := r.fields["took_ms"].(json.Number); ok {
+			ms, _ := took.Int64() // a fraction counts as none
+			if began := r.at.Add(-time.Duration(ms) * time.Millisecond); began.Before(s.from) {
 				s.from = began
 			}
 		}
