--- a/coord/swap/swap_test.go
+++ b/coord/swap/swap_test.go
@@ -1,6 +1,7 @@
 package swap
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -130,3 +131,42 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// fleetState returns a fleet of engines with two places each; a tenth of the
+// models waits, each model lies on the disk of one engine in thirty or so.
+func fleetState(engines, modelCount int) State {
+	names := make([]string, modelCount)
+	for i := range names {
+		names[i] = fmt.Sprintf("m%d", i)
+	}
+	s := State{Now: now, Models: models(names...), Demands: map[string]Demand{}}
+	for i := range engines {
+		onDisk := map[string]bool{}
+		for j := range 20 {
+			onDisk[names[(i*7+j*13)%modelCount]] = true
+		}
+		e := engine(fmt.Sprintf("e%d", i), onDisk, map[string]Copy{names[i%modelCount]: {}, names[(i*3+1)%modelCount]: {}})
+		e.CapacityMB, e.Busy = 150, i%3 == 0
+		s.Engines = append(s.Engines, e)
+	}
+	for i, n := range names {
+		d := Demand{Rate: 0.2}
+		if i%10 == 0 {
+			d.Waiting, d.Due = 1, now+time.Second
+		}
+		s.Demands[n] = d
+	}
+	return s
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ engines, models int }{{9, 51}, {90, 274}, {4900, 5000}} {
+		s := fleetState(size.engines, size.models)
+		b.Run(fmt.Sprintf("engines=%d/models=%d", size.engines, size.models), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(s, DefaultOptions())
+			}
+		})
+	}
+}
