--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -155,9 +155,10 @@
 // hosts before it coordinates by itself.
 const joinPatience = 2500 * time.Millisecond // two calls to a slow store and a poll
 
-// coordinator returns the host to report to: of those that answer the one whose
-// entry is the oldest, so that a restart of all leads to the same one again. A
-// host that has just started and knows no other has none.
+// coordinator returns the host to report to: of those that answer the one with
+// the most processor time, and of these the one whose entry is the oldest, so
+// that a restart of all leads to the same one again. A host that has just
+// started and knows no other has none.
 func (l *Link) coordinator() string {
 	hosts := l.opts.Board.Hosts()
 	if len(hosts) <= 1 && l.opts.Now()-l.began < joinPatience {
@@ -168,7 +169,7 @@
 		names = append(names, name)
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hosts[a].Created, hosts[b].Created), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(hosts[b].Weight, hosts[a].Weight), cmp.Compare(hosts[a].Created, hosts[b].Created), cmp.Compare(a, b))
 	})
 	for _, name := range names {
 		if _, avoided := l.avoid[name]; name == l.opts.Self.Name || !avoided {
