--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 	status    int
 	events    eventBuffer
 	noBudget  bool
+	retry     time.Duration // when to come back, if refused; 0: soon
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -189,10 +189,18 @@
 func TestModelOnNoDiskIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		w := ask(testGateway(&script{}), "/once/x", "nowhere")
+		g := testGateway(&script{})
+		w := ask(g, "/once/x", "nowhere")
 		if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || time.Since(began) > 0 {
 			t.Errorf("status %d after %v", w.Code, time.Since(began))
 		}
+		if n := g.opts.Board.Waiting("llm", "nowhere"); n != 1 {
+			t.Errorf("%d requests count as waiting for the model, want 1: it should be loaded for those that come later", n)
+		}
+		time.Sleep(3 * time.Second)
+		if n := g.opts.Board.Waiting("llm", "nowhere"); n != 0 {
+			t.Errorf("%d requests still count as waiting", n)
+		}
 	})
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -102,7 +102,7 @@
 		x.log["reason"] = orReason(reason, "outcome unknown")
 		g.fail(x, http.StatusBadGateway)
 	default:
-		retry := shortRetry
+		retry := max(shortRetry, x.retry)
 		if x.noBudget {
 			reason = "no budget to repeat"
 		}
@@ -198,6 +198,8 @@
 	}
 	left := x.deadline - g.opts.Now()
 	if !g.opts.Board.Reachable(x.service, x.call.Model) && left < m.StoreLoad+streamRunTime {
+		x.retry = maxRetry
+		g.opts.Board.Miss(x.service, x.call.Model, g.opts.Now()+m.StoreLoad)
 		return "model is on no disk, and its load takes longer than the caller waits"
 	}
 	return ""
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -30,8 +30,9 @@
 	changed  chan struct{}
 	kick     func()
 	hosts    map[string]fleet.Host
-	unusable map[string]time.Duration // targets that leave or went, until when to believe so
-	refuted  map[runKey]time.Duration // copies that turned out to be missing, until when to believe so
+	unusable map[string]time.Duration   // targets that leave or went, until when to believe so
+	missed   map[modelKey]time.Duration // models refused as out of reach, until when they count as asked for
+	refuted  map[runKey]time.Duration   // copies that turned out to be missing, until when to believe so
 }
 
 type runKey struct{ engine, model string }
@@ -50,7 +51,7 @@
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remote: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, wants: map[modelKey]*want{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), kick: func() {}, hosts: map[string]fleet.Host{},
-		refuted: map[runKey]time.Duration{}, unusable: map[string]time.Duration{},
+		refuted: map[runKey]time.Duration{}, unusable: map[string]time.Duration{}, missed: map[modelKey]time.Duration{},
 	}
 }
 
@@ -366,6 +367,33 @@
 	})
 }
 
+// Waiting returns how many requests of this host wait for a model.
+func (b *Board) Waiting(service, model string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w := b.wants[modelKey{service, model}]; w != nil {
+		return len(w.dues)
+	}
+	return 0
+}
+
+// missFor is how long a model counts as asked for after a request for it was
+// refused: until the coordinator has begun its load.
+const missFor = 2 * time.Second
+
+// Miss notes that a request was refused since no engine can have its model in
+// time. The model is loaded all the same, for those that come later.
+func (b *Board) Miss(service, model string, due time.Duration) {
+	key := modelKey{service, model}
+	b.mu.Lock()
+	known := b.now() < b.missed[key]
+	b.missed[key] = b.now() + missFor
+	b.mu.Unlock()
+	if !known {
+		time.AfterFunc(missFor, b.Await(service, model, due))
+	}
+}
+
 // report fills in what changed since the last report.
 func (b *Board) report(r *Report) {
 	b.mu.Lock()
