--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -203,7 +203,8 @@
 		have := p.copies[model]
 		switch {
 		case d.Waiting > 0 && have == 0:
-			late := d.Due < p.Now+m.Load[FromMemory]
+			// A hot model has requests that can be in time all the while.
+			late := d.Due < p.Now+m.Load[FromMemory] && d.Rate < p.opts.HotRate
 			out = append(out, need{model: model, due: d.Due, urgent: true, late: late, count: d.Waiting})
 		case d.Rate >= p.opts.HotRate && have < p.wanted(model):
 			out = append(out, need{model: model, due: p.Now, count: int(d.Rate)})
--- a/coord/swap/swap_test.go
+++ b/coord/swap/swap_test.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// TestHotSetMovesOnAFullFleet: the hot set moves to a model without a copy, while
+// rare ones go on arriving.
+func TestHotSetMovesOnAFullFleet(t *testing.T) {
+	s := State{
+		Now: now, Models: models("hot", "rare"),
+		Engines: []Engine{engine("e1", disk("hot", "rare"), map[string]Copy{})},
+		Demands: map[string]Demand{"hot": {Rate: 20, Waiting: 12, Due: now - time.Second}, "rare": {Waiting: 1, Due: now + time.Second}},
+	}
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Load != "hot" {
+		t.Errorf("got %+v, want the hot model", got)
+	}
+}
+
 func TestHotModelGetsASecondCopy(t *testing.T) {
 	s := State{
 		Now: now, Models: models("hot"),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -223,3 +223,14 @@
 		}
 	})
 }
+
+func TestWaitingRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := testGateway(&script{})
+		began := time.Now()
+		w := ask(g, "/once/x", "ondisk") // objective and pause 400 ms: the caller leaves after 3.2 s
+		if took := time.Since(began); w.Code != http.StatusServiceUnavailable || took >= 3200*time.Millisecond || took < 2*time.Second {
+			t.Errorf("status %d after %v", w.Code, took)
+		}
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -180,12 +180,31 @@
 		runTime = streamRunTime
 	}
 	until := x.deadline - min(runTime, (x.deadline-x.arrived)/3)
+	if x.route.Kind == fleet.Streaming {
+		until = min(until, x.arrived+callerPatience(x.route)-firstEventTime)
+	}
 	if end := time.Duration(g.waitEnd.Load()); end > 0 {
 		until = min(until, end)
 	}
 	return until
 }
 
+// Callers of a stream leave when no event has come for the longest of these
+// times, also before the first (by the pages of the platform).
+const (
+	callerGapLeast      = 2 * time.Second
+	callerGapObjectives = 4 // times the objective
+	callerGapPauses     = 8 // times the longest pause in time
+)
+
+// firstEventTime is what a target usually needs until the first event.
+const firstEventTime = 100 * time.Millisecond
+
+// callerPatience returns how long a caller waits for the first event.
+func callerPatience(r *fleet.Route) time.Duration {
+	return max(callerGapLeast, callerGapObjectives*r.Objective, callerGapPauses*r.GapObjective)
+}
+
 // hopeless returns why no engine can have the model in time; empty if one can.
 func (g *Gateway) hopeless(x *exchange) string {
 	spec := x.config.Services[x.service].Engine
