--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -59,12 +59,14 @@
 // kindHosts holds an object a host.
 const kindHosts platform.Kind = "seam-hosts"
 
-// Paces of the copies of the store's objects. The strict ones are those of the
-// coordinator and of hosts that hear nothing of it.
+// Paces of the copies of the store's objects: strict for the coordinator, lone
+// for a host that hears too little of it, relaxed for one that relies on its word.
 var (
-	configPace    = mirror.Pace{Wait: 700 * time.Millisecond} // a fifth of the trust in a configuration, so that polls may fail
+	configStrict  = mirror.Pace{Wait: 700 * time.Millisecond}  // a fifth of the trust in a configuration, so that polls may fail
+	configLone    = mirror.Pace{Wait: 1300 * time.Millisecond} // a third of it: many hosts may be alone at once
 	configRelaxed = mirror.Pace{Wait: 12 * time.Second, Spacing: time.Second}
-	targetPace    = mirror.Pace{Wait: 500 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
+	targetStrict  = mirror.Pace{Wait: 500 * time.Millisecond, Spacing: 450 * time.Millisecond} // a quarter of the time until a leaving target must get nothing new
+	targetLone    = mirror.Pace{Wait: time.Second, Spacing: 900 * time.Millisecond}            // half of it
 	targetRelaxed = mirror.Pace{Wait: 8 * time.Second, Spacing: 2500 * time.Millisecond, Stale: true}
 	hostPace      = mirror.Pace{Wait: 20 * time.Second, Spacing: 1500 * time.Millisecond}
 )
@@ -115,11 +117,11 @@
 	h.wireSteering()
 	h.wireGateway()
 	h.config = mirror.New(mirror.Options{
-		Source: h.store, Kind: adapter.ConfigKind, Pace: configPace, Relaxed: configRelaxed, Vouched: h.configVouched,
+		Source: h.store, Kind: adapter.ConfigKind, Pace: h.configPace,
 		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged,
 	})
 	h.targets = mirror.New(mirror.Options{
-		Source: h.store, Kind: adapter.TargetKind, Pace: targetPace, Relaxed: targetRelaxed, Vouched: h.targetsVouched,
+		Source: h.store, Kind: adapter.TargetKind, Pace: h.targetPace,
 		Linger: targetLinger, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
 	})
 	return h
@@ -220,7 +222,7 @@
 
 func (h *Host) duties(ctx context.Context, peers net.Listener) []func() error {
 	hosts := mirror.New(mirror.Options{
-		Source: h.store, Kind: kindHosts, Pace: hostPace, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
+		Source: h.store, Kind: kindHosts, Pace: func() mirror.Pace { return hostPace }, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
 	})
 	return []func() error{
 		func() error { return h.config.Run(ctx) },
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -10,6 +10,7 @@
 
 	"buckthornseam.dev/seam/internal/bootclock"
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/mirror"
 	"buckthornseam.dev/seam/internal/platform"
 )
 
@@ -31,17 +32,29 @@
 	return at, ok
 }
 
-// configVouched reports whether the coordinator vouches for this host's version
+// configPace relies on the coordinator while it vouches for this host's version
 // of the configuration.
-func (h *Host) configVouched() bool {
+func (h *Host) configPace() mirror.Pace {
 	v := h.link.Vouched()
-	return h.link.Follows() && v.Config == h.board.Config().Revision && bootclock.Now()-v.ConfigAt < vouchFresh+configPace.Wait
+	switch {
+	case !h.link.Follows():
+		return configStrict
+	case v.Config == h.board.Config().Revision && bootclock.Now()-v.ConfigAt < vouchFresh+configStrict.Wait:
+		return configRelaxed
+	}
+	return configLone
 }
 
-// targetsVouched reports whether the coordinator tells this host which targets
+// targetPace relies on the coordinator while it tells this host which targets
 // leave.
-func (h *Host) targetsVouched() bool {
-	return h.link.Follows() && bootclock.Now()-h.link.Vouched().TargetsAt < vouchFresh
+func (h *Host) targetPace() mirror.Pace {
+	switch {
+	case !h.link.Follows():
+		return targetStrict
+	case bootclock.Now()-h.link.Vouched().TargetsAt < vouchFresh:
+		return targetRelaxed
+	}
+	return targetLone
 }
 
 // configChanged takes in the stored configuration, if it is newer.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -31,11 +31,9 @@
 type Options struct {
 	Source Source
 	Kind   platform.Kind
-	Pace   Pace
-	// Relaxed is the pace while another host vouches for the copy, as Vouched
-	// tells; nil: never.
-	Relaxed  Pace
-	Vouched  func() bool
+	// Pace says how to keep the copy now. A poll under way ends early when the
+	// pace comes to wait less: nobody else vouches for the copy any more.
+	Pace     func() Pace
 	Linger   time.Duration        // for which objects stay that went missing while the store was away
 	Now      func() time.Duration // counts suspended time
 	Log      logrus.FieldLogger
@@ -45,7 +43,7 @@
 // Pauses after a failed call.
 const (
 	firstPause = 60 * time.Millisecond  // doubled after each failure; the store's own clients retry so
-	maxPause   = 600 * time.Millisecond // bounds the delay after an outage, and the calls during it
+	maxPause   = 600 * time.Millisecond // bounds the delay after an outage, and the calls during it; half of the pace's wait if that is longer
 )
 
 // Mirror is the copy. Run keeps it.
@@ -83,32 +81,27 @@
 		if err := m.step(ctx, began); err != nil {
 			m.failed(ctx, err)
 			sleep(ctx, pause)
-			pause = min(2*pause, maxPause)
+			pause = min(2*pause, max(maxPause, m.opts.Pace().Wait/2))
 			continue
 		}
 		pause = firstPause
-		for m.opts.Now()-began < m.pace().Spacing && ctx.Err() == nil {
-			sleep(ctx, min(vouchCheck, m.pace().Spacing-(m.opts.Now()-began)))
+		for m.opts.Now()-began < m.opts.Pace().Spacing && ctx.Err() == nil {
+			sleep(ctx, min(paceCheck, m.opts.Pace().Spacing-(m.opts.Now()-began)))
 		}
 	}
 	return nil
 }
 
-// vouchCheck is how often a relaxed copy asks whether it may stay so.
-const vouchCheck = 200 * time.Millisecond
+// shortWait is a wait that need not be ended early.
+const shortWait = 1500 * time.Millisecond
 
-func (m *Mirror) pace() Pace {
-	if m.opts.Vouched != nil && m.opts.Vouched() {
-		return m.opts.Relaxed
-	}
-	return m.opts.Pace
-}
+// paceCheck is how often a poll under way asks whether it may go on waiting.
+const paceCheck = 200 * time.Millisecond
 
-// poll makes one poll. A relaxed one ends early when nobody vouches for the
-// copy any more.
+// poll makes one poll, and reports whether it was whole: it ends early when the
+// pace comes to wait less.
 func (m *Mirror) poll(ctx context.Context, after platform.Version, pace Pace) ([]platform.Event, platform.Version, bool, error) {
-	relaxed := m.opts.Vouched != nil && pace == m.opts.Relaxed
-	if !relaxed || pace.Wait <= vouchCheck {
+	if pace.Wait <= shortWait {
 		events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, pace.Wait, pace.Stale)
 		return events, version, true, err
 	}
@@ -119,8 +112,8 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			sleep(ctx, vouchCheck)
-			if ctx.Err() == nil && !m.opts.Vouched() {
+			sleep(ctx, paceCheck)
+			if ctx.Err() == nil && m.opts.Pace().Wait < pace.Wait {
 				interrupted = true
 				cancel()
 			}
@@ -147,14 +140,14 @@
 		m.relist(list, began)
 		return nil
 	}
-	pace := m.pace()
+	pace := m.opts.Pace()
 	if m.lingers() {
 		pace.Wait = min(pace.Wait, m.opts.Linger/4)
 	}
 	events, version, whole, err := m.poll(ctx, after, pace)
 	if err == nil && !whole {
 		// Nobody vouches for the copy any more: learn at once whether it is complete.
-		pace = Pace{Wait: vouchCheck / 4}
+		pace = Pace{Wait: paceCheck / 4}
 		began = m.opts.Now()
 		events, version, err = m.opts.Source.Poll(ctx, m.opts.Kind, after, pace.Wait, false)
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -95,7 +95,7 @@
 	var mu sync.Mutex
 	n := 0
 	opts := Options{
-		Source: source, Pace: Pace{Wait: 700 * time.Millisecond}, Now: func() time.Duration { return time.Since(began) + time.Hour }, Log: log,
+		Source: source, Pace: func() Pace { return Pace{Wait: 700 * time.Millisecond} }, Now: func() time.Duration { return time.Since(began) + time.Hour }, Log: log,
 		OnChange: func(objects map[string]platform.Object) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -127,8 +127,15 @@
 		var mu sync.Mutex
 		vouched := true
 		m, _ := start(t, newSource(), func(o *Options) {
-			o.Relaxed = Pace{Wait: 12 * time.Second}
-			o.Vouched = func() bool { mu.Lock(); defer mu.Unlock(); return vouched }
+			strict := o.Pace
+			o.Pace = func() Pace {
+				mu.Lock()
+				defer mu.Unlock()
+				if vouched {
+					return Pace{Wait: 12 * time.Second}
+				}
+				return strict()
+			}
 		})
 		time.Sleep(6 * time.Second)
 		mu.Lock()
