Spread the choice of targets; totals of spending count from an arbitrary start

After a change of coordinator the totals of what others had spent grew as hosts reported one after the other, and each host took that for spending: 429 within allotments.

--- a/internal/gateway/allotment.go
+++ b/internal/gateway/allotment.go
@@ -18,6 +18,7 @@
 	hosts  func() (n int, heard bool)
 	bounds fleet.Bounds
 	began  time.Duration // start of this process
+	epoch  uint64        // of the totals of others
 
 	mu    sync.Mutex
 	teams map[string]*allotment
@@ -109,11 +110,18 @@
 	t.at = now
 }
 
-// SetOthers takes in what all other hosts have spent, by team. A total that
-// fell belongs to another set of hosts and only sets the mark.
-func (a *Allotments) SetOthers(teams []fleet.Team, use map[string]float64) {
+// SetOthers takes in what all other hosts have spent, by team. Totals count
+// from an arbitrary start in each epoch, so the first of an epoch only sets the
+// mark.
+func (a *Allotments) SetOthers(teams []fleet.Team, epoch uint64, use map[string]float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if epoch != a.epoch {
+		a.epoch = epoch
+		for _, t := range a.teams {
+			t.known = false
+		}
+	}
 	for i := range teams {
 		total, told := use[teams[i].Name]
 		if !told {
--- a/internal/gateway/allotment_test.go
+++ b/internal/gateway/allotment_test.go
@@ -66,8 +66,8 @@
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
 	a := NewAllotments(testBounds(), func() (int, bool) { return 2, true }, c.Now)
 	c.now += 10 * time.Second
-	a.SetOthers([]fleet.Team{*team}, map[string]float64{"t": 0})
-	a.SetOthers([]fleet.Team{*team}, map[string]float64{"t": 200_000})
+	a.SetOthers([]fleet.Team{*team}, 1, map[string]float64{"t": 0})
+	a.SetOthers([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000})
 	if wait, ok := a.Spend(team, 700); ok || wait <= 0 {
 		t.Error("spent although the others have used up the allotment")
 	}
@@ -89,3 +89,15 @@
 		t.Errorf("%.0f repeats of %.0f requests, at most %.0f", repeats, requests, most)
 	}
 }
+
+func TestNewCoordinatorsTotalsAreNoSpending(t *testing.T) {
+	c := &clock{now: time.Hour}
+	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
+	a := NewAllotments(testBounds(), func() (int, bool) { return 8, true }, c.Now)
+	c.now += 10 * time.Second
+	a.SetOthers([]fleet.Team{*team}, 1, map[string]float64{"t": 100_000})
+	a.SetOthers([]fleet.Team{*team}, 2, map[string]float64{"t": 900_000})
+	if _, ok := a.Spend(team, 700); !ok {
+		t.Error("a request inside the allotment was refused")
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -322,10 +322,10 @@
 
 // Patience with a silent target, where the request may go on at another.
 const (
-	patienceObjectives = 3 // times the objective until the first byte
-	patienceLeast      = 1200 * time.Millisecond
-	patienceGaps       = 3 // times the objective between events
-	patienceUsual      = 4 // times what the target took of late: a slow one is not a silent one
+	patienceObjectives = 3                       // times the objective until the first byte
+	patienceLeast      = 1800 * time.Millisecond // leaves a caller of 3.2 s time for another target
+	patienceGaps       = 3                       // times the objective between events
+	patienceUsual      = 4                       // times what the target took of late: a slow one is not a silent one
 )
 
 // patience returns how long a target may stay silent. A request that may not
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -141,7 +141,7 @@
 	allotments := gateway.NewAllotments(h.site.Bounds, h.hostCount, bootclock.Now)
 	h.link = steer.NewLink(steer.LinkOptions{
 		Self: h.self, Board: h.board, Owner: h.owner, Coordinator: h.coord, Calls: h.peers,
-		Use: allotments.Use, OnUse: func(use map[string]float64) { allotments.SetOthers(h.board.Config().Teams, use) }, Now: bootclock.Now, Log: h.log,
+		Use: allotments.Use, OnUse: func(epoch uint64, use map[string]float64) { allotments.SetOthers(h.board.Config().Teams, epoch, use) }, Now: bootclock.Now, Log: h.log,
 	})
 	h.owner.Register(h.serve)
 	h.coord.Register(h.serve)
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -226,13 +227,21 @@
 
 // Weights of a choice, in requests at once.
 const (
-	zonePenalty    = 1.5  // another availability zone: bytes between zones cost more than a request more at once
-	adapterPenalty = 4    // an adapter that must be loaded first
+	zonePenalty    = 4    // another availability zone: bytes between zones cost more than a few requests more at once
+	adapterPenalty = 6    // an adapter that must be loaded first
 	firstPenalty   = 8    // each second that first events took lately
 	darkPenalty    = 1000 // only where all targets of a plain service are dark
-	jitter         = 0.5  // so that hosts with the same counts do not all choose the same target
+	// spread is the temperature of the choice. Counts of other hosts are up to
+	// 0.4 s old: if all took the least, one target would get the requests of
+	// all hosts for that long.
+	spread = 1.5
 )
 
+// noise returns a random number by which the least of scores less noise is
+// chosen with a probability that falls by e for each spread of difference
+// (Gumbel's distribution).
+func noise() float64 { return -spread * math.Log(rand.ExpFloat64()) }
+
 // Pick chooses a target, or none if no target can take the request now.
 func (b *Board) Pick(ask Ask) (Choice, bool) {
 	b.mu.Lock()
@@ -246,8 +255,8 @@
 		dark := b.dark(id)
 		needsAdapter := false
 		if ask.Model != "" {
-			if dark {
-				continue
+			if dark || (t.Slots > 0 && b.load[id]+b.remote[id] >= t.Slots) {
+				continue // waiting here shows that another copy is needed
 			}
 			m, ok := b.view(t).Models[ask.Model]
 			if !ok || m.State != swap.Ready || b.now() < b.refuted[runKey{id, ask.Model}] {
@@ -258,7 +267,7 @@
 				continue
 			}
 		}
-		score := b.score(t) + rand.Float64()*jitter
+		score := b.score(t) - noise()
 		if needsAdapter {
 			score += adapterPenalty
 		}
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -123,10 +123,7 @@
 		if !r.Full {
 			return News{Unknown: true}
 		}
-		c.drop(host)
-		h = newReporter(r.Incarnation)
-		c.hosts[host] = h
-		c.stale = true
+		h = c.register(host, r)
 	}
 	h.at, h.wantsAt, h.wants, h.dark, h.leaving = now, now, r.Wants, r.Dark, r.Leaving
 	for _, rc := range r.Running {
@@ -136,8 +133,7 @@
 		c.rate(modelKey{a.Service, a.Model}).add(a.N, now)
 	}
 	for team, n := range r.Use {
-		c.totals.use[team] += n - h.use[team]
-		h.use[team] = n
+		c.totals.spend(h, team, n)
 	}
 	c.stale = c.stale || len(r.Owned) > 0
 	for _, v := range r.Owned {
@@ -242,6 +238,22 @@
 	}
 }
 
+// register takes in the first report of a host, or one that tells all anew. What
+// a host had spent before this coordinator heard of it is no news to anybody: it
+// is not counted as spent now.
+func (c *Coordinator) register(host string, r Report) *reporter {
+	h := newReporter(r.Incarnation)
+	if old := c.hosts[host]; old != nil && old.incarnation == r.Incarnation {
+		h.use, h.spent, h.epoch = old.use, old.spent, old.epoch
+	} else {
+		maps.Copy(h.use, r.Use)
+	}
+	c.drop(host)
+	c.hosts[host] = h
+	c.stale = true
+	return h
+}
+
 // drop forgets a host and what it reported.
 func (c *Coordinator) drop(name string) {
 	h := c.hosts[name]
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -21,8 +21,8 @@
 	Owner       *Owner
 	Coordinator *Coordinator // this host's, which works if others report to it
 	Calls       peer.Caller
-	Use         func() map[string]float64 // of this host by team since its start
-	OnUse       func(map[string]float64)  // use of all other hosts, where it changed
+	Use         func() map[string]float64                  // of this host by team since its start
+	OnUse       func(epoch uint64, use map[string]float64) // use of all other hosts, where it changed
 	Now         func() time.Duration
 	Log         logrus.FieldLogger
 }
@@ -332,7 +332,7 @@
 		l.opts.Board.SetRemote(n.Load)
 	}
 	if len(n.Use) > 0 {
-		l.opts.OnUse(n.Use)
+		l.opts.OnUse(n.UseEpoch, n.Use)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -118,13 +118,14 @@
 
 // News is what the coordinator tells a host: what changed since the last.
 type News struct {
-	Engines []EngineNews       `json:"e,omitempty"`
-	Use     map[string]float64 `json:"u,omitempty"` // by team, of all other hosts together
-	Live    []string           `json:"l,omitempty"` // hosts that report; all, if it changed
-	Load    map[string]int     `json:"r,omitempty"` // requests of other hosts by target, where it changed by more than one
-	Strikes []string           `json:"x,omitempty"`
-	Vouch   *Vouch             `json:"v,omitempty"` // only in answer to a report
-	Unknown bool               `json:"q,omitempty"` // the host is not known: report in full
+	Engines  []EngineNews       `json:"e,omitempty"`
+	Use      map[string]float64 `json:"u,omitempty"` // by team, of all other hosts together; only differences within an epoch mean anything
+	UseEpoch uint64             `json:"ue,omitempty"`
+	Live     []string           `json:"l,omitempty"` // hosts that report; all, if it changed
+	Load     map[string]int     `json:"r,omitempty"` // requests of other hosts by target, where it changed by more than one
+	Strikes  []string           `json:"x,omitempty"`
+	Vouch    *Vouch             `json:"v,omitempty"` // only in answer to a report
+	Unknown  bool               `json:"q,omitempty"` // the host is not known: report in full
 }
 
 // SwapCommand tells an owner to carry out a move.
--- a/internal/steer/news.go
+++ b/internal/steer/news.go
@@ -174,7 +174,7 @@
 	if !counts {
 		return n
 	}
-	n.Use = c.useOfOthers(h)
+	n.Use, n.UseEpoch = c.useOfOthers(h), h.epoch
 	n.Vouch = c.vouch()
 	n.Load = c.loadOfOthers(h)
 	if live := c.live(); !slices.Equal(live, h.live) {
@@ -219,7 +219,7 @@
 func (c *Coordinator) useOfOthers(h *reporter) map[string]float64 {
 	out := map[string]float64{}
 	for team, n := range c.totals.use {
-		n -= h.use[team]
+		n -= h.spent[team]
 		if h.sentUse[team] != n {
 			h.sentUse[team] = n
 			out[team] = n
--- a/internal/steer/reporter.go
+++ b/internal/steer/reporter.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -11,8 +12,10 @@
 	wants       []Want
 	wantsAt     time.Duration
 	running     map[runKey]int
-	load        map[string]int // of running, by target
-	use         map[string]float64
+	load        map[string]int     // of running, by target
+	use         map[string]float64 // by team since the host started
+	spent       map[string]float64 // its part of totals.use
+	epoch       uint64             // of what it is told of the others' use
 	owned       map[string]EngineView
 	dark        []string
 	leaving     bool
@@ -28,7 +31,7 @@
 
 func newReporter(incarnation string) *reporter {
 	return &reporter{
-		incarnation: incarnation, running: map[runKey]int{}, load: map[string]int{}, use: map[string]float64{}, owned: map[string]EngineView{},
+		incarnation: incarnation, running: map[runKey]int{}, load: map[string]int{}, use: map[string]float64{}, spent: map[string]float64{}, epoch: rand.Uint64(), owned: map[string]EngineView{},
 		sent: map[string]uint64{}, sentUse: map[string]float64{}, sentLoad: map[string]int{}, struck: map[string]bool{},
 	}
 }
@@ -36,8 +39,8 @@
 // totals are sums over all hosts that report.
 type totals struct {
 	running map[runKey]int
-	load    map[string]int // by target
-	use     map[string]float64
+	load    map[string]int     // by target
+	use     map[string]float64 // by team, since this coordinator first heard of each host
 }
 
 func newTotals() totals {
@@ -58,9 +61,14 @@
 	for key := range h.running {
 		t.setRunning(h, key, 0)
 	}
-	for team, n := range h.use {
-		t.use[team] -= n
-	}
+}
+
+// spend takes in what a host has spent since its start.
+func (t *totals) spend(h *reporter, team string, n float64) {
+	d := n - h.use[team]
+	h.use[team] = n
+	h.spent[team] += d
+	t.use[team] += d
 }
 
 // add changes a count and keeps only those above 0.
