--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -94,9 +94,9 @@
 
 // span is what a request touched, and when.
 type span struct {
-	id, model, service string
-	targets            map[string]bool
-	from, to           time.Time
+	id, model string
+	targets   map[string]bool
+	from, to  time.Time
 }
 
 func spanOf(all []record, id string) *span {
