--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -15,7 +15,6 @@
 	TokensIn    int    // prompt
 	TokensOut   int    // most that will be generated
 	HasTokens   bool
-	Prefix      string // last shared part of the prompt
 	LastEventID string // stream position to go on after; empty: from the start
 }
 
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -39,8 +39,7 @@
 	fleet.Codec
 	Config(obj platform.Object) (*fleet.Config, error)
 	Target(obj platform.Object) (fleet.Target, error)
-	EntryAnswer(addresses []string) []byte
-	EntryQuery(query map[string][]string) (zone string)
+	EntryAnswer(addresses []string, life time.Duration) []byte
 }
 
 // Adapter is what the platform looks like.
@@ -315,8 +314,16 @@
 	return ok && h.board.Config().Version > 0 && len(h.board.Targets().ByID) > 0 && bootclock.Now()-confirmed < h.site.Bounds.Revoke
 }
 
-func (h *Host) answerEntry(w http.ResponseWriter, r *http.Request) {
-	_ = h.adapter.Codec.EntryQuery(r.URL.Query())
+// entryLife is the life of an entry answer: short, so that a stopped host leaves
+// the answers that callers keep, some for three times their life, before its
+// grace ends.
+const entryLife = 2 * time.Second
+
+func (h *Host) answerEntry(w http.ResponseWriter, _ *http.Request) {
+	life := entryLife
+	if most := h.site.Bounds.EntryLifeMax; most > 0 {
+		life = min(life, most)
+	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(h.adapter.Codec.EntryAnswer(h.entry.Addresses()))
+	w.Write(h.adapter.Codec.EntryAnswer(h.entry.Addresses(), life))
 }
