Assert in the daemon what must hold when a request is sent or refused

Not run is true, at most once, leaving targets unused, no request without a team, no key to a target: counted, and logged as JSON like all else.

--- a/cmd/seamd/main.go
+++ b/cmd/seamd/main.go
@@ -93,6 +93,8 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	log.SetOutput(sink)
+	logrus.SetFormatter(log.Formatter) // violated invariants are logged by the package's own logger
+	logrus.SetOutput(sink)
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log})
 	host := hosted.New(site, platform.Adapter(site.Store), log)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/invariant"
 	"buckthornseam.dev/seam/internal/steer"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -253,6 +254,7 @@
 func (g *Gateway) refuse(x *exchange, status int, reason string, retry time.Duration) bool {
 	x.refused = true
 	x.log["reason"] = reason
+	invariant.Check(x.sends == 0, invariant.NotRunIsTrue, "request %s is refused as not run after %d sends", x.call.ID, x.sends)
 	if x.spent > 0 && x.sends == 0 {
 		g.opts.Allotments.Return(x.team, x.spent)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/invariant"
 	"buckthornseam.dev/seam/internal/steer"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -257,6 +258,7 @@
 			return notRun
 		}
 	}
+	g.assert(x, c)
 	end := g.opts.Board.Begin(c.Target.ID, x.call.Model)
 	defer end()
 	sendCtx, cancel := context.WithCancel(ctx)
@@ -298,6 +300,13 @@
 	return g.passOn(ctx, x, c, resp, silence, sent)
 }
 
+// assert checks what must hold whenever a request is sent.
+func (g *Gateway) assert(x *exchange, c steer.Choice) {
+	invariant.Check(x.sends == 0 || x.route.Repeatable(), invariant.AtMostOnce, "request %s is sent again after it may have run", x.call.ID)
+	invariant.Check(!c.Target.Draining, invariant.LeavingUnused, "request %s is sent to %s, which leaves", x.call.ID, c.Target.ID)
+	invariant.Check(x.team != nil || x.route.Public || !x.config.HasTeams(), invariant.TeamOfKey, "request %s is sent without a team", x.call.ID)
+}
+
 func (g *Gateway) idOf(status int, h http.Header) string {
 	return g.opts.Codec.ReadAnswer(status, h).ID
 }
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"buckthornseam.dev/seam/internal/invariant"
 )
 
 // forwardDialTimeout bounds connecting where another target can take the
@@ -70,6 +72,9 @@
 	return &Forwarded{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b}, nil
 }
 
+// keyHeader carries callers' keys. Other headers of a caller are its own affair.
+const keyHeader = "Authorization"
+
 // request makes the HTTP form of f without touching path or query.
 func (f Forwarding) request(ctx context.Context, address string) (*http.Request, error) {
 	target := &url.URL{Scheme: "http", Host: address, Opaque: f.URI}
@@ -81,6 +86,7 @@
 		}
 		target = parsed
 	}
+	invariant.Check(f.Header.Get(keyHeader) == "", invariant.KeyHidden, "the key of request %s was to be sent to target %s", f.ID, address)
 	req := &http.Request{
 		Method: f.Method, URL: target, Host: f.Host, Header: f.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(f.Body)),
