--- /dev/null
+++ b/internal/steer/fake_test.go
@@ -0,0 +1,223 @@
+package steer
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// fakeEngine takes orders as the platform's engines do: one at a time, counted
+// once, with a load under way answered as accepted when given again.
+type fakeEngine struct {
+	mu       sync.Mutex
+	orders   int64
+	models   map[string]bool
+	loading  string
+	until    time.Time
+	places   int
+	overfull bool
+	lose     int // answers to lose, the order being carried out late
+	late     time.Duration
+	random   *rand.Rand           // if set, half of the orders get no answer and are carried out 2 to 12 s later
+	adapters map[string]time.Time // until when requests use each
+	leaving  map[string]bool      // adapters that go once unused
+}
+
+func (f *fakeEngine) settle() {
+	if f.loading != "" && !time.Now().Before(f.until) {
+		f.models[f.loading], f.loading = true, ""
+	}
+}
+
+func (f *fakeEngine) Order(_ context.Context, _ string, o fleet.Order) (fleet.OrderOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late := f.late
+	if f.random != nil && f.random.IntN(2) == 0 {
+		f.lose, late = 1, 2*time.Second+time.Duration(f.random.Int64N(int64(10*time.Second)))
+	}
+	if f.lose > 0 {
+		f.lose--
+		go func() {
+			time.Sleep(late)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.carryOut(o)
+		}()
+		return fleet.OrderUnknown, nil
+	}
+	return f.carryOut(o), nil
+}
+
+func (f *fakeEngine) carryOut(o fleet.Order) fleet.OrderOutcome {
+	f.settle()
+	if o.Adapter != "" {
+		return f.adapterOrder(o)
+	}
+	if o.Kind == fleet.LoadModel && o.Model == f.loading {
+		return fleet.OrderAccepted
+	}
+	if o.Kind == fleet.LoadModel && f.models[o.Model] {
+		return fleet.OrderHolds
+	}
+	if f.loading != "" || (o.After >= 0 && o.After != f.orders) {
+		return fleet.OrderBusy
+	}
+	f.orders++
+	if o.Kind == fleet.UnloadModel {
+		if !f.models[o.Model] {
+			f.orders--
+			return fleet.OrderHolds
+		}
+		delete(f.models, o.Model)
+		return fleet.OrderAccepted
+	}
+	f.loading, f.until = o.Model, time.Now().Add(500*time.Millisecond)
+	if len(f.models)+1 > f.places {
+		f.overfull = true
+	}
+	return fleet.OrderAccepted
+}
+
+// adapterPlaces is the number of adapters that a fakeEngine has room for.
+const adapterPlaces = 4
+
+func (f *fakeEngine) adapterOrder(o fleet.Order) fleet.OrderOutcome {
+	if o.After >= 0 && o.After != f.orders {
+		return fleet.OrderBusy
+	}
+	until, there := f.adapters[o.Adapter]
+	if f.leaving[o.Adapter] && !time.Now().Before(until) {
+		delete(f.adapters, o.Adapter)
+		there = false
+	}
+	if o.Kind == fleet.LoadModel {
+		if there {
+			return fleet.OrderHolds
+		}
+		f.orders++
+		f.adapters[o.Adapter] = time.Time{}
+		f.overfull = f.overfull || len(f.adapters) > adapterPlaces
+		return fleet.OrderAccepted
+	}
+	if !there {
+		return fleet.OrderHolds
+	}
+	if f.leaving[o.Adapter] {
+		return fleet.OrderAccepted
+	}
+	f.orders++
+	if time.Now().Before(until) {
+		f.leaving[o.Adapter] = true
+		return fleet.OrderAccepted
+	}
+	delete(f.adapters, o.Adapter)
+	return fleet.OrderHolds
+}
+
+func (f *fakeEngine) Report(context.Context, string, string) (fleet.EngineReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	r := fleet.EngineReport{Orders: f.orders, Busy: f.loading != "", Models: map[string][]string{}}
+	for m := range f.models {
+		r.Models[m] = nil
+	}
+	for a := range f.adapters {
+		r.Models["b"] = append(r.Models["b"], a)
+	}
+	return r, nil
+}
+
+// memStore is a store of the objects that ownership needs.
+type memStore struct {
+	mu       sync.Mutex
+	revision platform.Version
+	objects  map[string]platform.Object
+}
+
+func (s *memStore) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[string(kind)+"/"+name]
+	if !ok {
+		return platform.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
+	}
+	return obj, nil
+}
+
+func (s *memStore) Put(_ context.Context, obj platform.Object) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := string(obj.Kind) + "/" + obj.Name
+	if s.objects[key].Version != obj.Version {
+		return platform.Object{}, &platform.ConflictError{Kind: obj.Kind, Name: obj.Name, Expected: obj.Version, Found: s.objects[key].Version}
+	}
+	s.revision++
+	obj.Version = s.revision
+	s.objects[key] = obj
+	return obj, nil
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// newTestOwner returns an owner of engine e1, which holds a and b in two
+// places and has c on its disk.
+func newTestOwner(t *testing.T, engine *fakeEngine) (*Owner, *Board) {
+	t.Helper()
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) + time.Hour }
+	board := NewBoard("z", now)
+	config := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Engine: &fleet.EngineSpec{AdapterSlots: 4, Models: map[string]fleet.Model{
+		"a": {DiskLoad: 500 * time.Millisecond}, "b": {DiskLoad: 500 * time.Millisecond}, "c": {DiskLoad: 500 * time.Millisecond},
+	}}}}}
+	board.SetConfig(config)
+	list(board, true)
+	lease := NewLease("h1@ip", &memStore{objects: map[string]platform.Object{}}, now, quietLog())
+	if err := lease.renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		for {
+			select {
+			case <-time.After(time.Second):
+				_ = lease.renew(context.Background())
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { <-renewed })
+	o := NewOwner("h1", "h1@ip", lease, board, engine, fleet.Bounds{OrderLease: 3 * time.Second}, now, quietLog())
+	if err := o.Own(t.Context(), "e1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	return o, board
+}
+
+func list(b *Board, there bool) {
+	targets := map[string]fleet.Target{}
+	if there {
+		targets["e1"] = fleet.Target{ID: "e1", Service: "s", Address: "x", Born: 1, Models: map[string][]string{"a": nil, "b": nil}}
+	}
+	b.SetTargets(fleet.NewTargets(targets))
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{orders: 7, models: map[string]bool{"a": true, "b": true}, places: 2, adapters: map[string]time.Time{}, leaving: map[string]bool{}}
+}
