Hot models go first at the weight store; loads of the coordinator before count

Ruled out: copies lost (three all the time), disks (no other engine has the model). A hot model short of copies is planned first and always finds one of the store's loads; rare models leave it one; loads that a coordinator did not order itself count; none is ordered in a new coordinator's first 2 s.

--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -89,6 +89,8 @@
 type Options struct {
 	// MaxStoreLoads is the number of loads from the weight store at once.
 	MaxStoreLoads int
+	// NoStoreLoads forbids loads from the weight store for now.
+	NoStoreLoads bool
 	// RunTime is the usual time of one request.
 	RunTime time.Duration
 	// Settle is how long a copy that became ready is kept for the requests
@@ -130,11 +132,16 @@
 // store at once: such a load keeps its engine from all other orders for seconds.
 const enginesPerStoreLoad = 9
 
+// minHotStoreLoads is the number of loads from the weight store at once up to
+// which a hot model may begin one beside those of rare ones.
+const minHotStoreLoads = 2 // what the weight store serves at full speed on the largest sites
+
 type need struct {
 	model  string
 	due    time.Duration
 	urgent bool // requests wait
 	late   bool
+	full   bool // hot, and its copies are too few for those that wait
 	count  int
 }
 
@@ -205,9 +212,9 @@
 		case d.Waiting > 0 && have == 0:
 			// A hot model has requests that can be in time all the while.
 			late := d.Due < p.Now+m.Load[FromMemory] && d.Rate < p.opts.HotRate
-			out = append(out, need{model: model, due: d.Due, urgent: true, late: late, count: d.Waiting})
+			out = append(out, need{model: model, due: d.Due, urgent: true, late: late, full: d.Rate >= p.opts.HotRate, count: d.Waiting})
 		case d.Rate >= p.opts.HotRate && have < p.wanted(model):
-			out = append(out, need{model: model, due: p.Now, count: int(d.Rate)})
+			out = append(out, need{model: model, due: p.Now, full: d.Waiting > 0, count: int(d.Rate)})
 		}
 	}
 	slices.SortFunc(out, func(a, b need) int {
@@ -218,6 +225,8 @@
 
 func (n need) rank() int {
 	switch {
+	case n.full:
+		return 0
 	case n.urgent && !n.late:
 		return 0
 	case !n.urgent:
@@ -262,7 +271,13 @@
 // once, and only for a model that no engine can take from its disk or memory,
 // now or once its present order is done.
 func (p *planner) mayUseStore(n need) bool {
-	if p.StoreLoads >= min(p.opts.MaxStoreLoads, max(1, len(p.Engines)/enginesPerStoreLoad)) {
+	most := min(p.opts.MaxStoreLoads, max(1, len(p.Engines)/enginesPerStoreLoad))
+	if n.full {
+		most = max(most, minHotStoreLoads)
+	} else {
+		most = max(1, most-1) // a rare model's load serves a request or two, a hot one's dozens a second
+	}
+	if p.opts.NoStoreLoads || p.StoreLoads >= most {
 		return false
 	}
 	for i := range p.Engines {
--- a/coord/swap/swap_test.go
+++ b/coord/swap/swap_test.go
@@ -183,3 +183,49 @@
 		})
 	}
 }
+
+// rareBurstOnAFullFleet returns a fleet whose hot model is full on its three
+// copies while rare ones without a disk copy wait too.
+func rareBurstOnAFullFleet() State {
+	s := State{Now: now, Models: models("hot", "r1", "r2", "cool"), Demands: map[string]Demand{
+		"hot": {Rate: 70, Waiting: 9, Due: now - time.Second},
+		"r1":  {Rate: 0.5, Waiting: 1, Due: now + time.Second},
+		"r2":  {Rate: 0.5, Waiting: 1, Due: now + time.Second},
+	}}
+	for i := range 18 {
+		copies := map[string]Copy{"cool": {}}
+		if i < 3 {
+			copies["hot"] = Copy{Running: 12}
+		}
+		s.Engines = append(s.Engines, engine(fmt.Sprintf("e%d", i), nil, copies))
+	}
+	return s
+}
+
+// TestFullHotModelGoesToTheStoreFirst: rare burst on a full fleet, hot set moved.
+func TestFullHotModelGoesToTheStoreFirst(t *testing.T) {
+	got := Plan(rareBurstOnAFullFleet(), DefaultOptions())
+	if len(got) == 0 || got[0].Load != "hot" || got[0].Source != FromStore {
+		t.Errorf("got %+v, want the hot model from the store first", got)
+	}
+}
+
+// TestStoreLoadsOfRareModelsDoNotHoldUpAHotOne: the same while rare models load
+// from the store: one load at once is left to hot ones, and none goes beyond
+// what the store serves at full speed, since all would take longer.
+func TestStoreLoadsOfRareModelsDoNotHoldUpAHotOne(t *testing.T) {
+	s := rareBurstOnAFullFleet()
+	delete(s.Demands, "hot")
+	if got := Plan(s, DefaultOptions()); len(got) != 1 {
+		t.Errorf("got %+v, want one load for the rare models", got)
+	}
+	s = rareBurstOnAFullFleet()
+	s.StoreLoads = DefaultOptions().MaxStoreLoads - 1
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Load != "hot" {
+		t.Errorf("got %+v, want one load, of the hot model", got)
+	}
+	s.StoreLoads++
+	if got := Plan(s, DefaultOptions()); len(got) != 0 {
+		t.Errorf("got %+v, want no more loads than at full speed", got)
+	}
+}
--- a/internal/steer/coordinator_test.go
+++ b/internal/steer/coordinator_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"buckthornseam.dev/coord/swap"
+	"buckthornseam.dev/seam/internal/fleet"
 )
 
 func testCoordinator() (*Coordinator, *time.Duration) {
@@ -41,3 +44,28 @@
 		t.Errorf("host a is told of use %v and load %v, want 2000 and 3", n.Use, n.Load)
 	}
 }
+
+// TestLoadsOfTheCoordinatorBeforeCount: coordinators change during herd kills;
+// the next one must not order as many loads from the store again.
+func TestLoadsOfTheCoordinatorBeforeCount(t *testing.T) {
+	c, _ := testCoordinator()
+	target := fleet.Target{ID: "e", OnDisk: []string{"a"}}
+	for _, each := range []struct {
+		name string
+		view EngineView
+		want bool
+	}{
+		{"idle", EngineView{Models: map[string]ModelView{"a": {}}}, false},
+		{"from its disk", EngineView{Busy: true, Models: map[string]ModelView{"a": {State: swap.Loading}}}, false},
+		{"from the store", EngineView{Busy: true, Models: map[string]ModelView{"b": {State: swap.Loading}}}, true},
+		{"of an owner that is gone", EngineView{Busy: true, Unasked: true}, true},
+	} {
+		if got := c.loadsFromStore(target, each.view); got != each.want {
+			t.Errorf("%s: got %v", each.name, got)
+		}
+	}
+	c.moves["e"] = &move{command: SwapCommand{Load: "b", Source: swap.FromStore}}
+	if !c.loadsFromStore(target, EngineView{Models: map[string]ModelView{}}) {
+		t.Error("the own move does not count")
+	}
+}
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -54,6 +54,9 @@
 	Models map[string]ModelView `json:"m,omitempty"`
 	Busy   bool                 `json:"b,omitempty"` // an order is under way
 	Done   uint64               `json:"d,omitempty"` // the last move that ended
+	// Unasked is set while the engine carries out an order that its owner did
+	// not give: one of the owner before.
+	Unasked bool `json:"u,omitempty"`
 	// Fresh is set while an owner stands behind the view; others rest on
 	// check-ins.
 	Fresh bool `json:"f,omitempty"`
--- a/internal/steer/moves.go
+++ b/internal/steer/moves.go
@@ -177,9 +177,10 @@
 		return false
 	}
 	if report.Busy {
+		o.edit(e, func(v *EngineView) { v.Unasked = true })
 		return false
 	}
-	o.edit(e, func(v *EngineView) { v.Orders, v.Models = report.Orders, modelsIn(report) })
+	o.edit(e, func(v *EngineView) { v.Orders, v.Models, v.Unasked = report.Orders, modelsIn(report), false })
 	return true
 }
 
--- a/internal/steer/planning.go
+++ b/internal/steer/planning.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -125,17 +126,38 @@
 			e.Copies[model] = swap.Copy{State: mv.State, Running: c.totals.running[runKey{id, model}], ReadyAt: c.readyAt(id, model, mv.State, now)}
 		}
 		state.Engines = append(state.Engines, e)
-	}
-	for _, m := range c.moves {
-		if m.command.Source == swap.FromStore {
+		if c.loadsFromStore(t, v) {
 			state.StoreLoads++
 		}
 	}
-	for _, m := range swap.Plan(state, swap.DefaultOptions()) {
+	options := swap.DefaultOptions()
+	options.NoStoreLoads = now-c.began < storeSettle
+	for _, m := range swap.Plan(state, options) {
 		c.begin(ctx, m, owners[m.Engine], now, state.Demands[m.Load])
 	}
 }
 
+// storeSettle is how long a new coordinator orders no load from the weight
+// store: until it has heard of those under way, and others that took themselves
+// for the coordinator have found it.
+const storeSettle = 2 * time.Second
+
+// loadsFromStore reports whether an engine loads from the weight store: by a
+// move of this coordinator, by the order of an owner that is gone, or by a move
+// of the coordinator before, which shows as a load of a model that is not on the
+// engine's disk.
+func (c *Coordinator) loadsFromStore(t fleet.Target, v EngineView) bool {
+	if m := c.moves[t.ID]; m != nil {
+		return m.command.Source == swap.FromStore
+	}
+	for model, mv := range v.Models {
+		if mv.State == swap.Loading && !slices.Contains(t.OnDisk, model) && !slices.Contains(t.InMemory, model) {
+			return true
+		}
+	}
+	return v.Unasked
+}
+
 // adapterRoom returns the memory kept free for adapters at an engine.
 func adapterRoom(spec *fleet.EngineSpec) float64 {
 	most := 0.0
