Requests wait for the first configuration of a host that has just started

Ruled out: paces of the copies (targets are there 20 ms after the start). They now wait for up to a second after the host's start.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,13 +50,14 @@
 // Gateway is the handler of requests.
 type Gateway struct {
 	opts     Options
+	began    time.Duration
 	running  atomic.Int64
 	stopping atomic.Bool
 	waitEnd  atomic.Int64 // time.Duration on the clock of Options.Now; 0: none
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+func New(opts Options) *Gateway { return &Gateway{opts: opts, began: opts.Now()} }
 
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
@@ -141,14 +142,13 @@
 
 // admit checks a request and reads it whole. It answers it if it cannot run.
 func (g *Gateway) admit(x *exchange) bool {
-	x.config = g.opts.Board.Config()
 	var err error
 	x.call, err = g.opts.Codec.ReadCall(x.r)
 	if err != nil {
 		return g.refuse(x, http.StatusBadRequest, err.Error(), 0)
 	}
-	confirmed, ok := g.opts.Confirmed()
-	if !ok || x.config.Version == 0 {
+	confirmed, ok := g.awaitConfig(x)
+	if !ok {
 		return g.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", shortRetry)
 	}
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
@@ -169,6 +169,26 @@
 	return g.readBody(x) && g.spend(x)
 }
 
+// startPatience is how long after its start a host lets requests wait for its
+// first configuration: several times what the store needs for it.
+const startPatience = time.Second
+
+// awaitConfig takes the configuration in force, and returns when it was known to
+// be so. Only a host that has just started waits for it.
+func (g *Gateway) awaitConfig(x *exchange) (confirmed time.Duration, ok bool) {
+	for {
+		changed := g.opts.Board.Changed()
+		x.config = g.opts.Board.Config()
+		confirmed, ok = g.opts.Confirmed()
+		until := g.began + startPatience
+		if ok = ok && x.config.Version > 0; ok || g.opts.Now() >= until || x.r.Context().Err() != nil {
+			return confirmed, ok
+		}
+		x.log["awaited_config"] = true
+		g.sleepUntil(x.r.Context(), changed, until)
+	}
+}
+
 // trusts reports whether a configuration confirmed then may still be acted on.
 func (g *Gateway) trusts(confirmed time.Duration) bool {
 	return g.opts.Now()-confirmed < time.Duration(trustShare*float64(g.opts.Bounds.Revoke))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,9 +120,13 @@
 }
 
 func ask(g *Gateway, path, model string) *httptest.ResponseRecorder {
+	return askAs(g, path, model, "a1")
+}
+
+func askAs(g *Gateway, path, model, id string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
 	r.Host = "h"
-	r.Header.Set("Id", "a1")
+	r.Header.Set("Id", id)
 	r.Header.Set("Key", "k")
 	r.Header.Set("Model", model)
 	w := httptest.NewRecorder()
@@ -234,3 +238,31 @@
 		}
 	})
 }
+
+// TestRequestWaitsForAStartingHost: all hosts were killed and start again; the
+// store answers some tenths of a second later.
+func TestRequestWaitsForAStartingHost(t *testing.T) {
+	for _, each := range []struct {
+		name   string
+		known  time.Duration // the configuration is known this long after the start
+		asked  time.Duration
+		status int
+		most   time.Duration
+	}{
+		{"soon known", 300 * time.Millisecond, 100 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
+		{"not known for long", time.Hour, 100 * time.Millisecond, http.StatusServiceUnavailable, startPatience},
+		{"asked late", time.Hour, 5 * time.Second, http.StatusServiceUnavailable, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := testGateway(&script{answers: []func(target.Forwarding) (*target.Forwarded, error){whole(200, "ok")}})
+			began := time.Now()
+			g.opts.Confirmed = func() (time.Duration, bool) { return g.opts.Now(), time.Since(began) >= each.known }
+			time.AfterFunc(each.known, func() { g.opts.Board.SetConfig(g.opts.Board.Config()) })
+			time.Sleep(each.asked)
+			w := ask(g, "/once/x", "m")
+			if took := time.Since(began) - each.asked; w.Code != each.status || took > each.most {
+				t.Errorf("%s: status %d after %v, want %d within %v", each.name, w.Code, took, each.status, each.most)
+			}
+		})
+	}
+}
