Crowds of waiting requests draw lots for new room

Ruled out: stale views (the model was there), crashes (the engines of that model were up). The coordinator tells a host how many requests of all hosts wait for its models, in time and late; each takes its part of the room by lot, once a pause.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -132,14 +132,15 @@
 		until := g.waitUntil(x)
 		ask.Late = stopAwaiting != nil && g.opts.Now() > x.arrived+x.route.Objective
 		changed := board.Changed()
-		if choice, ok := board.Pick(ask); ok {
+		choice, ok := board.Pick(ask)
+		if ok {
 			if !choice.NeedsAdapter || g.adapter(ctx, x, choice) {
 				g.logChoice(x, choice)
 				return choice, true
 			}
 		} else if len(avoid) > 0 {
-			if choice, ok := g.again(ask, avoid, x); ok {
-				return choice, true
+			if other, ok := g.again(ask, avoid, x); ok {
+				return other, true
 			}
 		}
 		if ctx.Err() != nil || g.opts.Now() >= until {
@@ -155,6 +156,9 @@
 				stopAwaiting = board.Await(x.service, x.call.Model, x.arrived+x.route.Objective)
 			}
 		}
+		if choice.Crowded {
+			changed = nil // the next lot is drawn after a pause, whatever becomes known
+		}
 		g.sleepUntil(ctx, changed, min(until, g.opts.Now()+lookAgain))
 	}
 }
--- a/internal/steer/board.go
+++ b/internal/steer/board.go
@@ -29,6 +29,7 @@
 	hosts    map[string]fleet.Host
 	unusable map[string]time.Duration   // targets that leave or went, until when to believe so
 	missed   map[modelKey]time.Duration // models refused as out of reach, until when they count as asked for
+	crowds   map[modelKey]seenCrowd     // as last told
 	refuted  map[runKey]time.Duration   // copies that turned out to be missing, until when to believe so
 }
 
@@ -49,6 +50,7 @@
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, wants: map[modelKey]*want{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), kick: func() {}, hosts: map[string]fleet.Host{},
 		refuted: map[runKey]time.Duration{}, unusable: map[string]time.Duration{}, missed: map[modelKey]time.Duration{},
+		crowds: map[modelKey]seenCrowd{},
 	}
 }
 
--- a/internal/steer/choice.go
+++ b/internal/steer/choice.go
@@ -24,6 +24,7 @@
 	NeedsAdapter bool // it must be loaded first
 	Load         int  // requests of all hosts there, as known
 	Reason       string
+	Crowded      bool // none was chosen: others that wait take the room first
 }
 
 // Weights of a choice, in requests at once.
@@ -47,7 +48,7 @@
 func (b *Board) Pick(ask Ask) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, bestScore, found := Choice{}, 0.0, false
+	best, bestScore, found, room := Choice{}, 0.0, false, 0
 	for _, id := range b.targets.ByService[ask.Service] {
 		t := b.targets.ByID[id]
 		if t.Draining || ask.Avoid[id] || b.now() < b.unusable[id] {
@@ -56,7 +57,7 @@
 		dark := b.dark(id)
 		needsAdapter := false
 		if ask.Model != "" {
-			if dark || b.full(t, ask.Late) {
+			if dark || b.room(t, ask.Late) <= 0 {
 				continue // waiting here shows that another copy is needed
 			}
 			m, ok := b.view(t).Models[ask.Model]
@@ -68,6 +69,7 @@
 				continue
 			}
 		}
+		room += b.room(t, ask.Late)
 		score := b.score(t) - noise()
 		if needsAdapter {
 			score += adapterPenalty
@@ -80,6 +82,9 @@
 			best = Choice{Target: t, NeedsAdapter: needsAdapter, Load: b.load[id] + b.remote[id]}
 		}
 	}
+	if found && ask.Model != "" && !b.goesNow(ask, room) {
+		return Choice{Crowded: true}, false
+	}
 	return best, found
 }
 
@@ -88,16 +93,19 @@
 // soon as more come than its copies run.
 const lateShare = 0.25
 
-// full reports whether an engine has no room for a request.
-func (b *Board) full(t fleet.Target, late bool) bool {
+// unbounded is the room of a target that names no slots.
+const unbounded = 1 << 20
+
+// room returns how many more requests an engine has room for.
+func (b *Board) room(t fleet.Target, late bool) int {
 	if t.Slots <= 0 {
-		return false
+		return unbounded
 	}
 	slots := t.Slots
 	if late {
 		slots -= max(1, int(lateShare*float64(slots)))
 	}
-	return b.load[t.ID]+b.remote[t.ID] >= slots
+	return slots - b.load[t.ID] - b.remote[t.ID]
 }
 
 // score is what speaks against a target, in requests at once.
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -125,7 +125,8 @@
 		}
 		h = c.register(host, r)
 	}
-	h.at, h.wantsAt, h.wants, h.dark, h.leaving = now, now, r.Wants, r.Dark, r.Leaving
+	h.at, h.wantsAt, h.dark, h.leaving = now, now, r.Dark, r.Leaving
+	c.totals.setWants(h, r.Wants)
 	for _, rc := range r.Running {
 		c.totals.setRunning(h, runKey{rc.Engine, rc.Model}, rc.N)
 	}
--- a/internal/steer/demand.go
+++ b/internal/steer/demand.go
@@ -98,13 +98,24 @@
 	}
 }
 
+// late returns how many requests should have begun by now.
+func (w *want) late(now time.Duration) int {
+	n := 0
+	for _, due := range w.dues {
+		if due < now {
+			n++
+		}
+	}
+	return n
+}
+
 // report fills in what changed since the last report.
 func (b *Board) report(r *Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	for key, w := range b.wants {
-		r.Wants = append(r.Wants, Want{Service: key.service, Model: key.model, Waiting: len(w.dues), DueMS: (slices.Min(w.dues) - now).Milliseconds()})
+		r.Wants = append(r.Wants, Want{Service: key.service, Model: key.model, Waiting: len(w.dues), Late: w.late(now), DueMS: (slices.Min(w.dues) - now).Milliseconds()})
 	}
 	if r.Full {
 		for key, n := range b.running {
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -325,6 +325,7 @@
 
 // take takes in news.
 func (l *Link) take(n News) {
+	l.opts.Board.SetCrowds(n.Crowds) // before what they wait for
 	if len(n.Engines) > 0 {
 		l.opts.Board.Tell(l.opts.Self.Name, n.Engines...)
 	}
--- a/internal/steer/messages.go
+++ b/internal/steer/messages.go
@@ -69,7 +69,8 @@
 	Service string `json:"s"`
 	Model   string `json:"m"`
 	Waiting int    `json:"n"`
-	DueMS   int64  `json:"d"` // from now until the earliest should have begun; negative: late
+	Late    int    `json:"l,omitempty"` // of them past their objective
+	DueMS   int64  `json:"d"`           // from now until the earliest should have begun; negative: late
 }
 
 // RunCount is the number of requests that run at an engine for a host.
@@ -126,6 +127,7 @@
 	UseEpoch uint64             `json:"ue,omitempty"`
 	Live     []string           `json:"l,omitempty"` // hosts that report; all, if it changed
 	Load     map[string]int     `json:"r,omitempty"` // requests of other hosts by target, where it changed by more than one
+	Crowds   []Crowd            `json:"k,omitempty"` // for the models that the host waits for
 	Strikes  []string           `json:"x,omitempty"`
 	Vouch    *Vouch             `json:"v,omitempty"` // only in answer to a report
 	Unknown  bool               `json:"q,omitempty"` // the host is not known: report in full
--- a/internal/steer/news.go
+++ b/internal/steer/news.go
@@ -171,6 +171,7 @@
 			n.Strikes = append(n.Strikes, s)
 		}
 	}
+	n.Crowds = c.totals.crowdsOf(h)
 	if !counts {
 		return n
 	}
--- a/internal/steer/reporter.go
+++ b/internal/steer/reporter.go
@@ -41,10 +41,11 @@
 	running map[runKey]int
 	load    map[string]int     // by target
 	use     map[string]float64 // by team, since this coordinator first heard of each host
+	crowds  map[modelKey]Crowd // waiting requests by model
 }
 
 func newTotals() totals {
-	return totals{running: map[runKey]int{}, load: map[string]int{}, use: map[string]float64{}}
+	return totals{running: map[runKey]int{}, load: map[string]int{}, use: map[string]float64{}, crowds: map[modelKey]Crowd{}}
 }
 
 // setRunning takes in a host's count of requests.
@@ -61,6 +62,7 @@
 	for key := range h.running {
 		t.setRunning(h, key, 0)
 	}
+	t.setWants(h, nil)
 }
 
 // spend takes in what a host has spent since its start.
