Load nearly full hot models from the store before their requests wait

Ruled out: the limit of loads (one was free for hot models). Test: TestNearlyFullHotModelGoesToTheStoreBeforeItsRequestsWait failed before.

--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -197,6 +197,14 @@
 	return max(2, int(math.Ceil(atOnce/perCopy)))
 }
 
+// nearlyFullShare is the share of the slots of a model's copies from which on
+// another copy is urgent: it takes seconds, in which the last slots fill.
+const nearlyFullShare = 0.75
+
+func (p *planner) nearlyFull(model string) bool {
+	return float64(p.running[model]) >= nearlyFullShare*float64(p.ready[model]*p.Engines[0].Slots)
+}
+
 // needs returns what should be loaded, the most urgent first: waiting requests
 // that can still be in time by their due time, then hot models with too few
 // copies, then waiting requests that are late.
@@ -214,7 +222,7 @@
 			late := d.Due < p.Now+m.Load[FromMemory] && d.Rate < p.opts.HotRate
 			out = append(out, need{model: model, due: d.Due, urgent: true, late: late, full: d.Rate >= p.opts.HotRate, count: d.Waiting})
 		case d.Rate >= p.opts.HotRate && have < p.wanted(model):
-			out = append(out, need{model: model, due: p.Now, full: d.Waiting > 0, count: int(d.Rate)})
+			out = append(out, need{model: model, due: p.Now, full: d.Waiting > 0 || p.nearlyFull(model), count: int(d.Rate)})
 		}
 	}
 	slices.SortFunc(out, func(a, b need) int {
--- a/coord/swap/swap_test.go
+++ b/coord/swap/swap_test.go
@@ -210,6 +210,22 @@
 	}
 }
 
+// TestNearlyFullHotModelGoesToTheStoreBeforeItsRequestsWait: a load from the
+// store takes many seconds, so it begins while the copies are nearly full.
+func TestNearlyFullHotModelGoesToTheStoreBeforeItsRequestsWait(t *testing.T) {
+	s := rareBurstOnAFullFleet()
+	s.Demands["hot"] = Demand{Rate: 70}
+	for i := range 3 {
+		s.Engines[i].Slots, s.Engines[i].Copies["hot"] = 12, Copy{Running: 10}
+	}
+	for i := range s.Engines {
+		s.Engines[i].Slots = 12
+	}
+	if got := Plan(s, DefaultOptions()); len(got) == 0 || got[0].Load != "hot" {
+		t.Errorf("got %+v, want the hot model first", got)
+	}
+}
+
 // TestStoreLoadsOfRareModelsDoNotHoldUpAHotOne: the same while rare models load
 // from the store: one load at once is left to hot ones, and none goes beyond
 // what the store serves at full speed, since all would take longer.
