Requests wait for news of the others' spending at a host that has just started

Ruled out: allotments used up (the same teams were served at once after the first news). Test: TestRequestWaitsForNewsOfTheOthersSpending failed before.

--- a/internal/gateway/allotment.go
+++ b/internal/gateway/allotment.go
@@ -70,6 +70,12 @@
 	return 0, true
 }
 
+// Alone reports whether this host hears nothing of what the others spend.
+func (a *Allotments) Alone() bool {
+	_, heard := a.hosts()
+	return !heard
+}
+
 // Return gives back what a request that did not run had taken.
 func (a *Allotments) Return(team *fleet.Team, n float64) {
 	if team.Rate <= 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,9 +169,17 @@
 	return g.readBody(x) && g.spend(x)
 }
 
-// startPatience is how long after its start a host lets requests wait for its
-// first configuration: several times what the store needs for it.
-const startPatience = time.Second
+// Times of a start.
+const (
+	// startPatience is how long after its start a host lets requests wait for
+	// its first configuration, and for news of what other hosts have spent:
+	// several times what both take.
+	startPatience = time.Second
+	startCheck    = 50 * time.Millisecond // a tenth of what the news take
+)
+
+// starting reports whether the host started just now.
+func (g *Gateway) starting() bool { return g.opts.Now() < g.began+startPatience }
 
 // awaitConfig takes the configuration in force, and returns when it was known to
 // be so. Only a host that has just started waits for it.
@@ -180,12 +188,11 @@
 		changed := g.opts.Board.Changed()
 		x.config = g.opts.Board.Config()
 		confirmed, ok = g.opts.Confirmed()
-		until := g.began + startPatience
-		if ok = ok && x.config.Version > 0; ok || g.opts.Now() >= until || x.r.Context().Err() != nil {
+		if ok = ok && x.config.Version > 0; ok || !g.starting() || x.r.Context().Err() != nil {
 			return confirmed, ok
 		}
 		x.log["awaited_config"] = true
-		g.sleepUntil(x.r.Context(), changed, until)
+		g.sleepUntil(x.r.Context(), changed, g.began+startPatience)
 	}
 }
 
@@ -257,6 +264,11 @@
 		}
 	}
 	wait, ok := g.opts.Allotments.Spend(x.team, n)
+	for !ok && g.starting() && g.opts.Allotments.Alone() && x.r.Context().Err() == nil {
+		x.log["awaited_allotment"] = true
+		g.sleepUntil(x.r.Context(), nil, g.opts.Now()+startCheck)
+		wait, ok = g.opts.Allotments.Spend(x.team, n)
+	}
 	if !ok {
 		return g.refuse(x, http.StatusTooManyRequests, "team is over its allotment", wait)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -266,3 +266,24 @@
 		})
 	}
 }
+
+// TestRequestWaitsForNewsOfTheOthersSpending: a host that just started may spend
+// only its share of a team's rate until it hears of the other sixty.
+func TestRequestWaitsForNewsOfTheOthersSpending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const heardAfter = 400 * time.Millisecond
+		served := whole(200, "ok")
+		g := testGateway(&script{answers: []func(target.Forwarding) (*target.Forwarded, error){served, served, served}})
+		began := time.Now()
+		g.opts.Board.Config().Teams[0].Rate = 60
+		g.opts.Allotments = NewAllotments(fleet.Bounds{QuotaSlack: 100}, func() (int, bool) { return 60, time.Since(began) >= heardAfter }, g.opts.Now)
+		for i := range 3 {
+			if w := ask(g, "/once/x", "m"); w.Code != http.StatusOK {
+				t.Errorf("request %d: status %d", i, w.Code)
+			}
+		}
+		if took := time.Since(began); took > heardAfter+startCheck {
+			t.Errorf("served after %v", took)
+		}
+	})
+}
