Fewer calls to the store: stale lists of hosts, owners by share of engines, joins without a read

The list is read stale once the coordinator is found; a host owns up to a twentieth of the engines, 2 to 4.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -68,6 +68,7 @@
 	targetLone    = mirror.Pace{Wait: time.Second, Spacing: 900 * time.Millisecond}            // half of it
 	targetRelaxed = mirror.Pace{Wait: 8 * time.Second, Spacing: 2500 * time.Millisecond, Stale: true}
 	hostPace      = mirror.Pace{Wait: 20 * time.Second, Spacing: 1500 * time.Millisecond}
+	hostKnown     = mirror.Pace{Wait: 20 * time.Second, Spacing: 1500 * time.Millisecond, Stale: true} // a host that reports makes itself known to the coordinator
 )
 
 // Bounds of what the coordinator vouches for.
@@ -221,7 +222,7 @@
 
 func (h *Host) duties(ctx context.Context, peers net.Listener) []func() error {
 	hosts := mirror.New(mirror.Options{
-		Source: h.store, Kind: kindHosts, Pace: func() mirror.Pace { return hostPace }, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
+		Source: h.store, Kind: kindHosts, Pace: h.hostPace, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
 	})
 	return []func() error{
 		func() error { return h.config.Run(ctx) },
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -57,6 +57,15 @@
 	return targetLone
 }
 
+// hostPace needs the list of hosts fresh until this one has found the
+// coordinator.
+func (h *Host) hostPace() mirror.Pace {
+	if h.link.Follows() {
+		return hostKnown
+	}
+	return hostPace
+}
+
 // configChanged takes in the stored configuration, if it is newer.
 func (h *Host) configChanged(objects map[string]platform.Object) {
 	obj, ok := objects[h.adapter.ConfigName]
@@ -167,16 +176,17 @@
 }
 
 func (h *Host) putSelf(ctx context.Context) error {
-	obj, err := h.store.Get(ctx, kindHosts, h.self.Name)
-	var notFound *platform.NotFoundError
-	if err != nil && !errors.As(err, &notFound) {
-		return err
-	}
 	data, err := json.Marshal(h.self)
 	if err != nil {
 		return err
 	}
-	_, err = h.store.Put(ctx, platform.Object{Kind: kindHosts, Name: h.self.Name, Version: obj.Version, Data: data})
+	obj := platform.Object{Kind: kindHosts, Name: h.self.Name, Data: data}
+	_, err = h.store.Put(ctx, obj)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) && conflict.Found > 0 {
+		obj.Version = conflict.Found
+		_, err = h.store.Put(ctx, obj)
+	}
 	return err
 }
 
--- a/internal/steer/planning.go
+++ b/internal/steer/planning.go
@@ -22,6 +22,7 @@
 		count[host]++
 	}
 	config, targets := c.board.Config(), c.board.Targets()
+	share := enginesPerOwner(c.engines())
 	for id, t := range targets.ByID {
 		if config.Services[t.Service].Engine == nil || t.Draining || owners[id] != "" || now-c.owning[id] < ownRetry {
 			continue
@@ -29,7 +30,7 @@
 		host := c.holders[id]
 		delete(c.holders, id) // asked once; a host of that name on another machine is not the holder
 		if c.hosts[host] == nil {
-			host = c.leastOwner(t.Zone, count)
+			host = c.leastOwner(t.Zone, count, share)
 		}
 		if host == "" {
 			continue
@@ -45,14 +46,34 @@
 	}
 }
 
-// enginesPerOwner is how many engines a host owns before another one begins:
-// each owner renews a lease in the store, whose calls are priced.
-const enginesPerOwner = 2
+// Bounds of how many engines a host owns before another one begins. Each owner
+// renews a lease in the store, whose calls are priced; the loss of one owner stops
+// the swaps of its engines for the life of its lease.
+const (
+	leastPerOwner = 2
+	mostPerOwner  = 4    // more would keep small hosts busy with orders
+	ownerShare    = 0.05 // of all engines
+)
+
+func enginesPerOwner(engines int) int {
+	return min(mostPerOwner, max(leastPerOwner, int(ownerShare*float64(engines))))
+}
+
+// engines returns the number of registered engines.
+func (c *Coordinator) engines() int {
+	n, config := 0, c.board.Config()
+	for service, ids := range c.board.Targets().ByService {
+		if config.Services[service].Engine != nil {
+			n += len(ids)
+		}
+	}
+	return n
+}
 
 // leastOwner returns the host with the fewest engines, one of the zone if that
 // does not make it own more than others. A host that owns none yet is chosen
 // only if the owners have their share.
-func (c *Coordinator) leastOwner(zone string, count map[string]int) string {
+func (c *Coordinator) leastOwner(zone string, count map[string]int, share int) string {
 	best, bestScore := "", math.Inf(1)
 	for name, h := range c.hosts {
 		if h.leaving {
@@ -60,7 +81,7 @@
 		}
 		score := float64(count[name])
 		if count[name] == 0 {
-			score = enginesPerOwner - 0.75
+			score = float64(share) - 0.75
 		}
 		host, ok := c.board.Host(name)
 		if ok && host.Zone != zone {
