Claims of a gone host's engines remember what they read

What was read answers for 2 s. Ruled out: fewer claims (a host that comes back goes on with its engines at once).

--- a/internal/steer/fake_test.go
+++ b/internal/steer/fake_test.go
@@ -142,11 +142,13 @@
 	mu       sync.Mutex
 	revision platform.Version
 	objects  map[string]platform.Object
+	reads    int
 }
 
 func (s *memStore) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	obj, ok := s.objects[string(kind)+"/"+name]
 	if !ok {
 		return platform.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
--- a/internal/steer/lease.go
+++ b/internal/steer/lease.go
@@ -59,18 +59,30 @@
 	until   time.Duration       // orders are allowed until then
 	term    uint64              // rises when the lease was lost
 	seen    map[string]sighting // leases of other hosts
+	owners  map[string]reading  // of engines that other hosts own
 }
 
 // sighting is the first time that a version of another host's lease was read.
 type sighting struct {
 	version platform.Version
 	at      time.Duration
+	readAt  time.Duration // when it was last read
 }
 
+// reading is the holder of an engine as last read.
+type reading struct {
+	holder string
+	at     time.Duration
+}
+
+// claimMemory is how long what was read for a claim answers the next ones: claims
+// come every second for each engine of a host that is gone.
+const claimMemory = 2 * time.Second
+
 // NewLease returns a lease that is not held. Holder identifies the machine: a
 // process that starts again on it goes on with its engines.
 func NewLease(holder string, store Store, now func() time.Duration, log logrus.FieldLogger) *Lease {
-	return &Lease{holder: holder, store: store, now: now, log: log, seen: map[string]sighting{}}
+	return &Lease{holder: holder, store: store, now: now, log: log, seen: map[string]sighting{}, owners: map[string]reading{}}
 }
 
 // Held reports whether this host may order engines now. Ask right before each
@@ -201,6 +213,9 @@
 // *OwnedElsewhereError while another owner's lease has not ended; call again
 // later.
 func (l *Lease) Claim(ctx context.Context, engine string) (fence uint64, taken bool, err error) {
+	if holder, ok := l.elsewhere(engine); ok {
+		return 0, false, &OwnedElsewhereError{Engine: engine, Holder: holder}
+	}
 	obj, err := l.store.Get(ctx, kindOwners, engine)
 	var missing *platform.NotFoundError
 	var rec ownerRecord
@@ -217,6 +232,9 @@
 		return uint64(obj.Version), false, nil
 	}
 	if rec.Holder != "" {
+		l.mu.Lock()
+		l.owners[engine] = reading{rec.Holder, l.now()}
+		l.mu.Unlock()
 		if err := l.end(ctx, rec.Holder); err != nil {
 			return 0, false, err
 		}
@@ -228,10 +246,33 @@
 	return uint64(stored.Version), rec.Holder != "", nil
 }
 
+// elsewhere returns the holder of an engine whose lease can't have ended yet, as
+// far as was read a moment ago.
+func (l *Lease) elsewhere(engine string) (holder string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, known := l.owners[engine]
+	return r.holder, known && l.now() < r.at+claimMemory && l.holdsOn(r.holder)
+}
+
+// holdsOn reports whether a host's lease can't have ended yet, as far as was
+// read a moment ago. Call with l.mu held.
+func (l *Lease) holdsOn(holder string) bool {
+	s, seen := l.seen[holder]
+	now := l.now()
+	return seen && now < s.readAt+claimMemory && now < s.at+leaseTTL+leaseGuard
+}
+
 // end makes sure that another host's lease has ended for good. It writes the
 // end into the lease at the version that went without renewal: the holder's
 // next renewal then fails, so that it can't come back to what is taken.
 func (l *Lease) end(ctx context.Context, holder string) error {
+	l.mu.Lock()
+	holdsOn := l.holdsOn(holder)
+	l.mu.Unlock()
+	if holdsOn {
+		return &OwnedElsewhereError{Holder: holder}
+	}
 	obj, err := l.store.Get(ctx, kindLeases, holder)
 	if err != nil {
 		var missing *platform.NotFoundError
@@ -251,9 +292,10 @@
 	l.mu.Lock()
 	s, ok := l.seen[holder]
 	if !ok || s.version != obj.Version {
-		s = sighting{obj.Version, now}
-		l.seen[holder] = s
+		s = sighting{version: obj.Version, at: now}
 	}
+	s.readAt = now
+	l.seen[holder] = s
 	l.mu.Unlock()
 	if now < s.at+leaseTTL+leaseGuard {
 		return &OwnedElsewhereError{Holder: holder}
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -222,3 +222,41 @@
 		}
 	})
 }
+
+// TestClaimsOfAGoneHostsEnginesReadLittle: hosts were killed in a herd; the next
+// owner claims four engines of one of them every second until its lease ended.
+func TestClaimsOfAGoneHostsEnginesReadLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memStore{objects: map[string]platform.Object{}}
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) }
+		gone, next := NewLease("a", store, now, quietLog()), NewLease("b", store, now, quietLog())
+		for _, l := range []*Lease{gone, next} {
+			if err := l.renew(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		engines := []string{"e1", "e2", "e3", "e4"}
+		for _, e := range engines {
+			if _, _, err := gone.Claim(t.Context(), e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		store.reads = 0
+		taken := 0
+		for now() < 9*time.Second {
+			for _, e := range engines {
+				if _, _, err := next.Claim(t.Context(), e); err == nil {
+					taken++
+				}
+			}
+			if taken > 0 {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		if most := 2 * len(engines) * 4; taken != len(engines) || store.reads > most {
+			t.Errorf("%d engines taken after %v and %d reads, want all after %d", taken, now(), store.reads, most)
+		}
+	})
+}
