Fill engines with empty disks from the store, as many loads at once as run at full speed

An engine that can swap nothing loses nothing by a load of seconds. How many run at full speed is not told: the coordinator learns it from the times of its loads, 2 to 4.

--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -118,6 +118,7 @@
 	lastCopyWeight  = 3.0 // a demand that follows waits for a swap of its own
 	spareCopyWeight = 0.3
 	runningWeight   = 0.25 // an unload waits for the runs of its model
+	busyWeight      = 6.0  // an engine that loads from the store swaps nothing for so long
 )
 
 // A model gets another copy for so many requests at once, or for a share of an
@@ -246,7 +247,7 @@
 // meet chooses the engine that loads a model.
 func (p *planner) meet(n need) (Move, bool) {
 	best, bestCost := Move{}, math.Inf(1)
-	store := p.mayUseStore(n)
+	store := p.needsStore(n)
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		if e.Busy || !e.Serves || p.taken[e.ID] {
@@ -256,7 +257,7 @@
 			continue
 		}
 		source := e.source(n.model)
-		if source == FromStore && !store {
+		if source == FromStore && (!store || p.StoreLoads >= p.storeLoads(n, e)) {
 			continue
 		}
 		unload, cost, ok := p.makeRoom(e, n)
@@ -264,6 +265,9 @@
 			continue
 		}
 		cost += p.Models[n.model].Load[source].Seconds()
+		if source == FromStore && len(e.OnDisk) > blankDisk {
+			cost += busyWeight
+		}
 		if cost < bestCost {
 			best, bestCost = Move{Engine: e.ID, Unload: unload, Load: n.model, Source: source}, cost
 		}
@@ -275,17 +279,28 @@
 	return best, true
 }
 
-// mayUseStore reports whether a load from the weight store is in order: a few at
-// once, and only for a model that no engine can take from its disk or memory,
-// now or once its present order is done.
-func (p *planner) mayUseStore(n need) bool {
+// blankDisk is the number of models on an engine's disk up to which it can do
+// little by swaps, so that a load of seconds costs it nothing.
+const blankDisk = 6 // twice the places of an engine
+
+// storeLoads returns how many loads from the weight store may run once that of a
+// model at an engine has begun.
+func (p *planner) storeLoads(n need, e *Engine) int {
+	if len(e.OnDisk) <= blankDisk {
+		return p.opts.MaxStoreLoads
+	}
 	most := min(p.opts.MaxStoreLoads, max(1, len(p.Engines)/enginesPerStoreLoad))
 	if n.full {
-		most = max(most, minHotStoreLoads)
-	} else {
-		most = max(1, most-1) // a rare model's load serves a request or two, a hot one's dozens a second
+		return max(most, minHotStoreLoads)
 	}
-	if p.opts.NoStoreLoads || p.StoreLoads >= most {
+	return max(1, most-1) // a rare model's load serves a request or two, a hot one's dozens a second
+}
+
+// needsStore reports whether a load from the weight store is in order: for a
+// model that no engine can take from its disk or memory, now or once its present
+// order is done.
+func (p *planner) needsStore(n need) bool {
+	if p.opts.NoStoreLoads {
 		return false
 	}
 	for i := range p.Engines {
--- a/coord/swap/swap_test.go
+++ b/coord/swap/swap_test.go
@@ -197,7 +197,7 @@
 		if i < 3 {
 			copies["hot"] = Copy{Running: 12}
 		}
-		s.Engines = append(s.Engines, engine(fmt.Sprintf("e%d", i), nil, copies))
+		s.Engines = append(s.Engines, engine(fmt.Sprintf("e%d", i), disk("d1", "d2", "d3", "d4", "d5", "d6", "d7"), copies))
 	}
 	return s
 }
@@ -210,6 +210,31 @@
 	}
 }
 
+// TestEnginesWithEmptyDisksAreFilled: five of nine engines were replaced by empty
+// ones, and many rare models lie on no disk any more. Swaps lose nothing there, so
+// as many loads run as the weight store serves at full speed.
+func TestEnginesWithEmptyDisksAreFilled(t *testing.T) {
+	s := State{Now: now, Models: models("r1", "r2", "r3", "r4", "r5", "cool"), Demands: map[string]Demand{}}
+	for i := range 5 {
+		s.Demands[fmt.Sprintf("r%d", i+1)] = Demand{Rate: 0.2, Waiting: 1, Due: now + time.Second}
+		s.Engines = append(s.Engines, engine(fmt.Sprintf("new%d", i), nil, nil))
+	}
+	for i := range 4 {
+		s.Engines = append(s.Engines, engine(fmt.Sprintf("old%d", i), disk("a", "b", "c", "d", "e", "f", "g", "h"), map[string]Copy{"cool": {}}))
+	}
+	opts := DefaultOptions()
+	opts.MaxStoreLoads = 4
+	got := Plan(s, opts)
+	if len(got) != 4 {
+		t.Errorf("%d loads, want 4: %+v", len(got), got)
+	}
+	for _, m := range got {
+		if m.Engine[:3] != "new" {
+			t.Errorf("an engine that can swap is kept busy: %+v", m)
+		}
+	}
+}
+
 // TestNearlyFullHotModelGoesToTheStoreBeforeItsRequestsWait: a load from the
 // store takes many seconds, so it begins while the copies are nearly full.
 func TestNearlyFullHotModelGoesToTheStoreBeforeItsRequestsWait(t *testing.T) {
--- a/internal/steer/coordinator.go
+++ b/internal/steer/coordinator.go
@@ -64,6 +64,7 @@
 	config  *fleet.Config
 
 	readySince map[runKey]time.Duration // copies, by when they became ready
+	storePace  storePace
 }
 
 type move struct {
@@ -71,6 +72,11 @@
 	owner   string
 	command SwapCommand
 	until   time.Duration
+
+	// Of a load from the weight store:
+	began     time.Duration
+	storeTime time.Duration // that it takes at full speed
+	beside    int           // most such loads at once meanwhile
 }
 
 // rate is a moving average of arrivals.
@@ -98,7 +104,7 @@
 		self: self, confirmed: confirmed, firstBoot: firstBoot, went: map[string]time.Duration{}, known: map[string]bool{}, board: board, calls: calls, now: now, log: log, kick: make(chan struct{}, 1), began: now(),
 		hosts: map[string]*reporter{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, owning: map[string]time.Duration{}, strikes: map[string]time.Duration{}, series: rand.Uint64() &^ (1<<24 - 1),
-		readySince: map[runKey]time.Duration{}, totals: newTotals(), told: map[string]toldEngine{},
+		storePace: newStorePace(), readySince: map[runKey]time.Duration{}, totals: newTotals(), told: map[string]toldEngine{},
 	}
 }
 
@@ -140,6 +146,9 @@
 	for _, v := range r.Owned {
 		h.owned[v.ID] = v
 		if m := c.moves[v.ID]; m != nil && !v.Busy && v.Done == m.id {
+			if _, ready := v.Models[m.command.Load]; ready && m.storeTime > 0 {
+				c.storePace.learn(now-m.began, m.storeTime, m.beside)
+			}
 			delete(c.moves, v.ID)
 		}
 	}
--- a/internal/steer/planning.go
+++ b/internal/steer/planning.go
@@ -153,8 +153,16 @@
 	}
 	options := swap.DefaultOptions()
 	options.NoStoreLoads = now-c.began < storeSettle
+	options.MaxStoreLoads = c.storePace.most
 	for _, m := range swap.Plan(state, options) {
+		if m.Source == swap.FromStore {
+			state.StoreLoads++
+			c.noteStoreLoads(state.StoreLoads)
+		}
 		c.begin(ctx, m, owners[m.Engine], now, state.Demands[m.Load])
+		if m.Source == swap.FromStore {
+			c.moves[m.Engine].storeTime, c.moves[m.Engine].beside = state.Models[m.Load].Load[swap.FromStore], state.StoreLoads
+		}
 	}
 }
 
@@ -274,7 +282,7 @@
 	}
 	cmd := SwapCommand{Move: id, Engine: m.Engine, Unload: m.Unload, Load: m.Load, Source: m.Source}
 	c.stale = true
-	c.moves[m.Engine] = &move{id: id, owner: owner, command: cmd, until: now + bound}
+	c.moves[m.Engine] = &move{id: id, owner: owner, command: cmd, began: now, until: now + bound}
 	c.log.WithFields(logrus.Fields{"event": "move_planned", "move": id, "engine": m.Engine, "owner": owner, "unload": m.Unload, "load": m.Load,
 		"source": m.Source, "waiting": d.Waiting, "due_ms": (d.Due - now).Milliseconds(), "rate": d.Rate}).Info("swap decided")
 	go func() {
