Adapter orders leave no doubt behind and do not hold up moves

Ruled out: engine at fault (it answered all within 2 ms). Orders are no longer cut off by who asked; a doubt is cleared by reading the report or left to the move; askers are turned away meanwhile.

--- a/internal/steer/adapters.go
+++ b/internal/steer/adapters.go
@@ -23,6 +23,9 @@
 		return &BusyEngineError{Engine: c.Engine}
 	}
 	defer func() { <-e.adapters }()
+	if o.doubtful(e) && o.busy(e) {
+		return &BusyEngineError{Engine: c.Engine}
+	}
 	o.mu.Lock()
 	m, there := e.view.Models[c.Model]
 	present := slices.Contains(m.Adapters, c.Adapter)
@@ -129,13 +132,15 @@
 			return true, nil
 		case outcome == fleet.OrderHolds && ord.Kind == fleet.LoadModel:
 			return true, nil
-		case outcome == fleet.OrderBusy, outcome == fleet.OrderUnknown:
+		case outcome == fleet.OrderBusy, outcome == fleet.OrderUnknown, outcome == fleet.OrderHolds:
 		default:
 			return false, &OrderError{Engine: e.id, Outcome: outcome}
 		}
-		if o.doubtful(e) && !o.busy(e) {
-			if o.snapshot(ctx, e) {
-				return false, &OrderError{Engine: e.id, Outcome: outcome} // the caller decides anew
+		if o.doubtful(e) {
+			// The caller decides anew. A move under way reads the count itself, and
+			// is not held up by those who ask for adapters.
+			if o.busy(e) || o.snapshot(ctx, e) {
+				return false, &OrderError{Engine: e.id, Outcome: outcome}
 			}
 		}
 		if ctx.Err() != nil {
--- a/internal/steer/fake_test.go
+++ b/internal/steer/fake_test.go
@@ -26,6 +26,9 @@
 	overfull bool
 	lose     int // answers to lose, the order being carried out late
 	late     time.Duration
+	runs     time.Duration // that an unload of a model waits for
+	idleAt   time.Time
+	pause    time.Duration        // before each answer; an asker that leaves meanwhile gets none
 	random   *rand.Rand           // if set, half of the orders get no answer and are carried out 2 to 12 s later
 	adapters map[string]time.Time // until when requests use each
 	leaving  map[string]bool      // adapters that go once unused
@@ -37,9 +40,20 @@
 	}
 }
 
-func (f *fakeEngine) Order(_ context.Context, _ string, o fleet.Order) (fleet.OrderOutcome, error) {
+func (f *fakeEngine) Order(ctx context.Context, _ string, o fleet.Order) (fleet.OrderOutcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.pause > 0 {
+		outcome, pause := f.carryOut(o), f.pause
+		f.mu.Unlock()
+		defer f.mu.Lock()
+		select {
+		case <-time.After(pause):
+			return outcome, nil
+		case <-ctx.Done():
+			return fleet.OrderUnknown, ctx.Err()
+		}
+	}
 	late := f.late
 	if f.random != nil && f.random.IntN(2) == 0 {
 		f.lose, late = 1, 2*time.Second+time.Duration(f.random.Int64N(int64(10*time.Second)))
@@ -68,7 +82,7 @@
 	if o.Kind == fleet.LoadModel && f.models[o.Model] {
 		return fleet.OrderHolds
 	}
-	if f.loading != "" || (o.After >= 0 && o.After != f.orders) {
+	if f.loading != "" || time.Now().Before(f.idleAt) || (o.After >= 0 && o.After != f.orders) {
 		return fleet.OrderBusy
 	}
 	f.orders++
@@ -78,6 +92,7 @@
 			return fleet.OrderHolds
 		}
 		delete(f.models, o.Model)
+		f.idleAt = time.Now().Add(f.runs)
 		return fleet.OrderAccepted
 	}
 	f.loading, f.until = o.Model, time.Now().Add(500*time.Millisecond)
--- a/internal/steer/moves.go
+++ b/internal/steer/moves.go
@@ -60,7 +60,8 @@
 	if !o.lease.Held() {
 		return fleet.OrderNotSent, &NoLeaseError{}
 	}
-	outcome, err := o.engines.Order(ctx, t.Address, ord)
+	// Who asked may leave: an order cut off then would leave its outcome unknown.
+	outcome, err := o.engines.Order(context.WithoutCancel(ctx), t.Address, ord)
 	if outcome == fleet.OrderUnknown {
 		o.mu.Lock()
 		e.doubtUntil = o.now() + lateOrders
