A hot model's reserve copy makes way where no other engine could take a rare one

An urgent request may now take the place of a copy that guards against a loss only, if no engine, busy or not, could take its model otherwise. TestEngineFullOfHotModelsStillSwaps failed before.

--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -118,6 +118,7 @@
 	lastCopyWeight  = 3.0 // a demand that follows waits for a swap of its own
 	spareCopyWeight = 0.3
 	runningWeight   = 0.25 // an unload waits for the runs of its model
+	reserveWeight   = 6.0  // a hot model's copy beyond what its load needs guards against the loss of an engine
 	busyWeight      = 6.0  // an engine that loads from the store swaps nothing for so long
 )
 
@@ -142,8 +143,10 @@
 	due    time.Duration
 	urgent bool // requests wait
 	late   bool
-	full   bool // hot, and its copies are too few for those that wait
-	count  int
+	// reserves is set where only the place of a hot model's reserve copy is left.
+	reserves bool
+	full     bool // hot, and its copies are too few for those that wait
+	count    int
 }
 
 // Plan returns the moves to begin now. Each engine gets one at most.
@@ -189,13 +192,18 @@
 
 // wanted returns the number of copies that a model should have.
 func (p *planner) wanted(model string) int {
-	d := p.Demands[model]
-	if d.Rate < p.opts.HotRate {
+	if p.Demands[model].Rate < p.opts.HotRate {
 		return 1
 	}
+	return max(2, p.copiesForLoad(model))
+}
+
+// copiesForLoad returns the number of copies that a model's requests need.
+func (p *planner) copiesForLoad(model string) int {
+	d := p.Demands[model]
 	atOnce := max(d.Rate*p.opts.RunTime.Seconds(), float64(p.running[model]+d.Waiting))
 	perCopy := max(runsPerCopy, slotsPerCopy*float64(p.Engines[0].Slots))
-	return max(2, int(math.Ceil(atOnce/perCopy)))
+	return int(math.Ceil(atOnce / perCopy))
 }
 
 // nearlyFullShare is the share of the slots of a model's copies from which on
@@ -247,7 +255,9 @@
 // meet chooses the engine that loads a model.
 func (p *planner) meet(n need) (Move, bool) {
 	best, bestCost := Move{}, math.Inf(1)
-	store := p.needsStore(n)
+	reachable := p.reachable(n)
+	store := !reachable && !p.opts.NoStoreLoads
+	n.reserves = !reachable && n.urgent && !n.late
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		if e.Busy || !e.Serves || p.taken[e.ID] {
@@ -296,23 +306,19 @@
 	return max(1, most-1) // a rare model's load serves a request or two, a hot one's dozens a second
 }
 
-// needsStore reports whether a load from the weight store is in order: for a
-// model that no engine can take from its disk or memory, now or once its present
-// order is done.
-func (p *planner) needsStore(n need) bool {
-	if p.opts.NoStoreLoads {
-		return false
-	}
+// reachable reports whether some engine can take a model from its disk or memory,
+// now or once its present order is done.
+func (p *planner) reachable(n need) bool {
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		if _, there := e.Copies[n.model]; there || !e.Serves || e.source(n.model) == FromStore {
 			continue
 		}
 		if _, _, ok := p.makeRoom(e, n); ok || e.Busy {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (e *Engine) source(model string) Source {
@@ -389,12 +395,16 @@
 	if others <= 0 && d.Waiting > 0 {
 		return 0, false
 	}
+	reserve := 0.0
 	if d.Rate >= p.opts.HotRate && others < p.wanted(model) && !(n.urgent && others >= 2) {
-		return 0, false
+		if !n.reserves || others < max(1, p.copiesForLoad(model)) {
+			return 0, false
+		}
+		reserve = reserveWeight
 	}
 	weight := lastCopyWeight
 	if others > 0 {
 		weight = spareCopyWeight
 	}
-	return d.Rate*weight + float64(min(c.Running, 4))*runningWeight, true
+	return reserve + d.Rate*weight + float64(min(c.Running, 4))*runningWeight, true
 }
