Soak: answers cut after a run began; the target that left comes back

Cause: the planted fault against at-most-once was caught only by the check beside it: no second target was there to run a request twice, and no answer broke off.

--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -79,6 +79,13 @@
 	l.drainedAt[target], l.undisputed = time.Now(), undisputed
 }
 
+// back notes that a target that left takes requests again.
+func (l *ledger) back(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.drainedAt, target)
+}
+
 func (l *ledger) ended(o outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,7 @@
 	faultPause  = 1500 * time.Millisecond // between the beginnings of faults
 	endPause    = 4 * time.Second         // runs and late sends of the daemons have ended
 	afterTime   = 2 * time.Second
+	cutAnswers  = 5
 	enoughAfter = 20 // served requests once the faults are over
 )
 
@@ -79,6 +80,8 @@
 	s.plannedWork()
 	phase.Store(int32(troubled))
 	time.Sleep(callerPatience) // what began before the faults has ended
+	s.ledger.back(s.app[0].ID)
+	s.registerApp(0, "ready")
 	s.trouble()
 	healed := time.Now()
 	if !within(recoverBound, s.allReady) {
@@ -159,7 +162,8 @@
 		{"target resets", cutTarget(reset)},
 		{"target answers lost", cutTarget(mute)},
 		{"target slow", cutTarget(delayed)},
-		{"stream cut", func() func() { s.engines[s.random.IntN(len(s.engines))].CutNext(); return func() {} }},
+		{"streams cut", func() func() { s.engines[s.random.IntN(len(s.engines))].CutNext(cutAnswers); return func() {} }},
+		{"answers cut", func() func() { s.app[s.random.IntN(len(s.app))].CutNext(cutAnswers); return func() {} }},
 		{"key withdrawn", func() func() {
 			s.keys++
 			if s.keys == 2 {
