A model is not out of reach before any engine is known

Ruled out: engines lost. They wait now. Test: TestModelIsNotOutOfReachBeforeEnginesAreKnown failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -287,3 +287,17 @@
 		}
 	})
 }
+
+// TestModelIsNotOutOfReachBeforeEnginesAreKnown: a host that just started has the
+// configuration, and the list of targets comes a little later.
+func TestModelIsNotOutOfReachBeforeEnginesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := testGateway(&script{answers: []func(target.Forwarding) (*target.Forwarded, error){whole(200, "ok")}})
+		known := g.opts.Board.Targets()
+		g.opts.Board.SetTargets(fleet.NewTargets(nil))
+		time.AfterFunc(300*time.Millisecond, func() { g.opts.Board.SetTargets(known) })
+		if w := ask(g, "/once/x", "m"); w.Code != http.StatusOK {
+			t.Errorf("status %d", w.Code)
+		}
+	})
+}
--- a/internal/steer/choice.go
+++ b/internal/steer/choice.go
@@ -121,10 +121,14 @@
 }
 
 // Reachable reports whether a model could be loaded by some engine that has it
-// on its disk or in its memory, or is there already.
+// on its disk or in its memory, or is there already. Before any engine of the
+// service is known it may be.
 func (b *Board) Reachable(service, model string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.targets.ByService[service]) == 0 {
+		return true
+	}
 	for _, id := range b.targets.ByService[service] {
 		t := b.targets.ByID[id]
 		if t.Draining {
