--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -57,7 +57,7 @@
 	}
 	for c := range p.conns {
 		_ = c.SetLinger(0)
-		c.Close()
+		_ = c.Close()
 	}
 	clear(p.conns)
 }
@@ -78,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c)
-	c.Close()
+	_ = c.Close()
 }
 
 func (p *proxy) accept() {
@@ -90,12 +90,12 @@
 		in := c.(*net.TCPConn)
 		if p.now() == reset {
 			_ = in.SetLinger(0)
-			in.Close()
+			_ = in.Close()
 			continue
 		}
 		out, err := net.Dial("tcp", p.to)
 		if err != nil {
-			in.Close()
+			_ = in.Close()
 			continue
 		}
 		p.keep(in)
