--- a/cmd/seamd/main.go
+++ b/cmd/seamd/main.go
@@ -34,10 +34,13 @@
 }
 
 func main() {
-	os.Exit(run())
+	// First of all: a signal that comes before ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	os.Exit(run(signals))
 }
 
-func run() int {
+func run(signals <-chan os.Signal) int {
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		var f *flags.Error
@@ -47,7 +50,7 @@
 		return exitSettings
 	}
 	if file, ok := platform.SettingsFile(); ok && opts.Config == "" {
-		return runHosted(file, opts.Check)
+		return runHosted(file, opts.Check, signals)
 	}
 	s, err := settings.Read(opts.Config)
 	if err != nil {
@@ -58,7 +61,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	if err := serve(s); err != nil {
+	if err := serve(s, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
@@ -78,7 +81,7 @@
 }
 
 // runHosted runs a host with the platform's settings.
-func runHosted(file string, checkOnly bool) int {
+func runHosted(file string, checkOnly bool, signals <-chan os.Signal) int {
 	site, err := platform.ReadSettings(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -98,8 +101,6 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log})
 	host := hosted.New(site, platform.Adapter(site.Store), log)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGHUP {
@@ -128,7 +129,7 @@
 	}
 }
 
-func serve(s settings.Settings) error {
+func serve(s settings.Settings, signals <-chan os.Signal) error {
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
 	level, err := logrus.ParseLevel(s.Log.Level)
@@ -144,11 +145,14 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
-		host.Stop()
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				log.Info("settings are read at the start only; the signal changes nothing")
+				continue
+			}
+			host.Stop()
+		}
 	}()
 	return host.Run(context.Background())
 }
