The owner refuses a move that its engine has no room for

Ruled out: late orders (none came after newer ones), the count of orders (right each time). The owner now compares the move with what it ordered and refuses it with a typed error.

--- a/internal/steer/owner.go
+++ b/internal/steer/owner.go
@@ -267,6 +267,37 @@
 
 func (e *BusyEngineError) Error() string { return "engine " + e.Engine + " has an order under way" }
 
+// NoRoomError reports a move that rests on an old belief: what the engine holds
+// leaves no room for its load.
+type NoRoomError struct {
+	Engine string
+	Model  string
+}
+
+func (e *NoRoomError) Error() string {
+	return "engine " + e.Engine + " has no room for model " + e.Model
+}
+
+// fits reports whether an engine has room for the load of a move once its unloads
+// are done. Coordinators may be two for a moment, and each knows only what it was
+// told; this host knows what it ordered.
+func (o *Owner) fits(e *ownedEngine, c SwapCommand) bool {
+	t, ok := o.board.Target(e.id)
+	spec := o.board.Config().Services[t.Service].Engine
+	if !ok || spec == nil || c.Load == "" {
+		return true // nothing to compare, or nothing is loaded
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	size := spec.Models[c.Load].SizeMB
+	for model := range e.view.Models {
+		if model != c.Load && !slices.Contains(c.Unload, model) {
+			size += spec.Models[model].SizeMB
+		}
+	}
+	return size <= spec.CapacityMB-adapterRoom(spec)
+}
+
 // OrderError reports an order that did not end well.
 type OrderError struct {
 	Engine  string
@@ -305,6 +336,10 @@
 	default:
 		return &BusyEngineError{Engine: c.Engine}
 	}
+	if !o.fits(e, c) {
+		<-e.turn
+		return &NoRoomError{Engine: c.Engine, Model: c.Load}
+	}
 	o.edit(e, func(v *EngineView) {
 		v.Busy = true
 		for _, model := range c.Unload {
--- a/internal/steer/owner_test.go
+++ b/internal/steer/owner_test.go
@@ -292,3 +292,28 @@
 		}
 	})
 }
+
+// TestMoveThatRestsOnAnOldBeliefIsRefused: two hosts coordinate for a moment, and
+// one of them does not know that the other filled the engine.
+func TestMoveThatRestsOnAnOldBeliefIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine()
+		o, board := newTestOwner(t, engine)
+		board.SetConfig(&fleet.Config{Version: 2, Services: map[string]fleet.Service{"s": {Engine: &fleet.EngineSpec{CapacityMB: 150, Models: map[string]fleet.Model{
+			"a": {SizeMB: 70}, "b": {SizeMB: 70}, "c": {SizeMB: 70},
+		}}}}})
+		err := o.Swap(SwapCommand{Move: 1, Engine: "e1", Load: "c", Source: swap.FromDisk})
+		var full *NoRoomError
+		if !errors.As(err, &full) {
+			t.Errorf("got %v, want a refusal: a and b fill the engine", err)
+		}
+		time.Sleep(moveBound)
+		if err := o.Swap(SwapCommand{Move: 2, Engine: "e1", Unload: []string{"a"}, Load: "c", Source: swap.FromDisk}); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(moveBound)
+		if engine.overfull {
+			t.Error("engine was ordered to hold more than it has room for")
+		}
+	})
+}
