--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -85,6 +85,7 @@
 		if err == nil {
 			continue
 		}
+		logStreamEnd(x, resp)
 		if err != io.EOF {
 			return g.streamFailed(ctx, x, c, err)
 		}
@@ -96,6 +97,16 @@
 	}
 }
 
+// logStreamEnd adds how a stream ended to the request's log line.
+func logStreamEnd(x *exchange, resp *target.ForwardResponse) {
+	x.log["framing"], x.log["last_event"] = resp.Framing, x.events.lastID
+	if n := len(x.events.remainder()); n > 0 {
+		x.log["partial_event_bytes"] = n
+	} else {
+		delete(x.log, "partial_event_bytes")
+	}
+}
+
 // writeEvents sends events to the caller, preceded by the response head if they
 // are the first. No header of the target is used before that, as another target
 // may still serve the request, or none.
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -33,13 +33,24 @@
 	Body   []byte
 }
 
-// ForwardResponse is a response whose body is still to be read. A body of unknown length
+// Framing tells how the end of a response's body is marked.
+type Framing string
+
+// The kinds of framing.
+const (
+	FramingLength  Framing = "length"  // Content-Length
+	FramingChunked Framing = "chunked" // chunked transfer encoding
+	FramingClose   Framing = "close"   // the target closes the connection
+)
+
+// ForwardResponse is a response whose body is still to be read. With FramingClose, a body
 // is complete if the connection is closed cleanly.
 type ForwardResponse struct {
-	Status int
-	Header http.Header
-	Length int64 // of the body, -1 if unknown
-	Body   io.ReadCloser
+	Status  int
+	Header  http.Header
+	Length  int64 // of the body, -1 if unknown
+	Framing Framing
+	Body    io.ReadCloser
 }
 
 // ResponseIDFunc returns the ID of the request that a response belongs to, or an empty
@@ -68,7 +79,17 @@
 	}
 	b := newBody(ctx, e, resp)
 	b.undelimited = false
-	return &ForwardResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: b}, nil
+	return &ForwardResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Body: b}, nil
+}
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramingLength
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	}
+	return FramingClose
 }
 
 // keyHeader is the header with the caller's key, which must have been removed. All other
