--- /dev/null
+++ b/internal/gateway/brokenstream_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// endAfter returns a response whose body ends without an error after the given data.
+func endAfter(framing target.Framing, body string) func(target.ForwardRequest) (*target.ForwardResponse, error) {
+	return func(f target.ForwardRequest) (*target.ForwardResponse, error) {
+		resp, err := respond(http.StatusOK, body)(f)
+		resp.Framing = framing
+		return resp, err
+	}
+}
+
+// TestStreamThatEndsInsideEventIsBrokenOff guards against a target's stream that ends inside an
+// event being relayed to the caller as complete (incident inc1).
+func TestStreamThatEndsInsideEventIsBrokenOff(t *testing.T) {
+	const whole, cut = "id: 1\ndata: a\n\n", "id: 2\nda"
+	for _, framing := range []target.Framing{target.FramingClose, target.FramingChunked, target.FramingLength} {
+		t.Run(string(framing), func(t *testing.T) {
+			s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){endAfter(framing, whole+cut)}}
+			w := post(testGateway(s), "/once/x", "m")
+			if w.Header().Get("Aborted") == "" || w.Body.String() != whole {
+				t.Errorf("not resumable: aborted %q, body %q, want it aborted after the whole event", w.Header().Get("Aborted"), w.Body.String())
+			}
+			s = &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
+				endAfter(framing, whole+cut), endAfter(framing, "id: 2\ndata: b\n\n"),
+			}}
+			w = post(testGateway(s), "/stream/x", "m")
+			if want := whole + "id: 2\ndata: b\n\n"; w.Body.String() != want || w.Header().Get("Aborted") != "" {
+				t.Errorf("resumable: body %q, want %q", w.Body.String(), want)
+			}
+			if len(s.sent) != 2 || s.sent[1].Header.Get("From") != "1" {
+				t.Errorf("%d sends, want a second one that resumes after event 1", len(s.sent))
+			}
+		})
+	}
+}
+
+// TestUndelimitedStreamWithoutEventIsBrokenOff guards against a target that closes the connection
+// before the first event being taken for an empty stream: nothing shows that it is complete.
+func TestUndelimitedStreamWithoutEventIsBrokenOff(t *testing.T) {
+	s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){endAfter(target.FramingClose, "")}}
+	if w := post(testGateway(s), "/once/x", "m"); w.Code != http.StatusBadGateway {
+		t.Errorf("not resumable: status %d, want 502", w.Code)
+	}
+	s = &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
+		endAfter(target.FramingClose, ""), endAfter(target.FramingChunked, "id: 1\ndata: a\n\n"),
+	}}
+	if w := post(testGateway(s), "/stream/x", "m"); w.Body.String() != "id: 1\ndata: a\n\n" {
+		t.Errorf("resumable: body %q, want the whole event of the second target", w.Body.String())
+	}
+}
