--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"buckthornseam.dev/seam/internal/target"
@@ -55,3 +57,20 @@
 		t.Errorf("resumable: body %q, want the whole event of the second target", w.Body.String())
 	}
 }
+
+// TestBlankLineAfterLastEventIsRelayed guards against a complete stream with an additional line break
+// being taken for a broken one.
+func TestBlankLineAfterLastEventIsRelayed(t *testing.T) {
+	const body = "id: 1\ndata: a\n\n"
+	s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
+		func(f target.ForwardRequest) (*target.ForwardResponse, error) {
+			resp, err := endAfter(target.FramingClose, "")(f)
+			resp.Body = io.NopCloser(io.MultiReader(strings.NewReader(body), strings.NewReader("\n")))
+			return resp, err
+		},
+	}}
+	w := post(testGateway(s), "/once/x", "m")
+	if w.Header().Get("Aborted") != "" || w.Body.String() != body+"\n" {
+		t.Errorf("aborted %q, body %q, want the whole body", w.Header().Get("Aborted"), w.Body.String())
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -31,6 +31,10 @@
 // remainder returns the bytes after the last complete event.
 func (b *eventBuffer) remainder() []byte { return b.buf }
 
+// partialBytes returns the length of the incomplete event at the end. Blank lines between events
+// belong to none.
+func (b *eventBuffer) partialBytes() int { return len(bytes.TrimLeft(b.buf, "\r\n")) }
+
 // reset discards an incomplete event.
 func (b *eventBuffer) reset() { b.buf = nil }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -269,7 +269,7 @@
 		{"request after startup", time.Hour, 5 * time.Second, http.StatusServiceUnavailable, 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "ok")}})
+			g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "data: ok\n\n")}})
 			start := time.Now()
 			g.opts.ConfigConfirmed = func() (time.Duration, bool) { return g.opts.Now(), time.Since(start) >= tc.known }
 			time.AfterFunc(tc.known, func() { g.opts.View.SetConfig(g.opts.View.Config()) })
@@ -288,7 +288,7 @@
 func TestRequestWaitsForRemoteUseAtStartup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const reportedAfter = 400 * time.Millisecond
-		served := respond(200, "ok")
+		served := respond(200, "data: ok\n\n")
 		g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){served, served, served}})
 		start := time.Now()
 		g.opts.View.Config().Teams[0].Rate = 60
@@ -330,7 +330,7 @@
 // configuration but not yet the list of targets.
 func TestModelIsNotUnavailableBeforeEnginesAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "ok")}})
+		g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "data: ok\n\n")}})
 		known := g.opts.View.Targets()
 		g.opts.View.SetTargets(fleet.NewTargets(nil))
 		time.AfterFunc(300*time.Millisecond, func() { g.opts.View.SetTargets(known) })
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -86,7 +87,10 @@
 			continue
 		}
 		logStreamEnd(x, resp)
-		if err != io.EOF {
+		if err == io.EOF {
+			err = checkStreamEnd(x, resp, sent > 0)
+		}
+		if err != nil {
 			return g.streamFailed(ctx, x, c, err)
 		}
 		g.opts.View.RecordOutcome(c.Target.ID, true)
@@ -97,10 +101,31 @@
 	}
 }
 
+// IncompleteStreamError reports a stream whose body ended without an error but is not complete.
+type IncompleteStreamError struct {
+	PartialBytes int // of an incomplete event; 0: the stream had no event
+}
+
+func (e *IncompleteStreamError) Error() string {
+	if e.PartialBytes == 0 {
+		return "stream closed before its first event"
+	}
+	return fmt.Sprintf("stream ended inside an event, after %d bytes of it", e.PartialBytes)
+}
+
+// checkStreamEnd checks a body that ended without an error. Whatever its framing, it must end with a
+// complete event; and a closed connection alone does not show that a stream without events is complete.
+func checkStreamEnd(x *exchange, resp *target.ForwardResponse, noEvents bool) error {
+	if n := x.events.partialBytes(); n > 0 || noEvents && resp.Framing == target.FramingClose {
+		return &IncompleteStreamError{PartialBytes: n}
+	}
+	return nil
+}
+
 // logStreamEnd adds how a stream ended to the request's log line.
 func logStreamEnd(x *exchange, resp *target.ForwardResponse) {
 	x.log["framing"], x.log["last_event"] = resp.Framing, x.events.lastID
-	if n := len(x.events.remainder()); n > 0 {
+	if n := x.events.partialBytes(); n > 0 {
 		x.log["partial_event_bytes"] = n
 	} else {
 		delete(x.log, "partial_event_bytes")
