--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -16,6 +16,7 @@
 	TokensOut   int    // limit of the generated tokens
 	HasTokens   bool
 	LastEventID string // event after which a stream resumes; empty: from the start
+	Resumes     string // ID of the attempt that brought the first event of the resumed stream; empty: not stated
 }
 
 // ModelKey returns the requested model, or MODEL/ADAPTER if an adapter is
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -15,6 +15,7 @@
 	Service    string
 	Address    string // IP:port
 	Zone       string
+	Version    string // of the target's software
 	Slots      int
 	Draining   bool
 	WarmupLeft time.Duration       // remaining time of slow operation after the start
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,9 @@
 	took := g.opts.Now() - x.arrived
 	x.log["event"], x.log["id"], x.log["status"] = "request", x.call.ID, x.status
 	x.log["took_ms"], x.log["tries"] = took.Milliseconds(), x.tries
+	if x.call.LastEventID != "" {
+		x.log["resumes"], x.log["resumes_after"] = x.call.Resumes, x.call.LastEventID
+	}
 	if x.route != nil {
 		x.log["route"], x.log["service"], x.log["model"] = x.route.Name, x.service, x.call.ModelKey()
 		if x.team != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -257,7 +257,8 @@
 }
 
 func (g *Gateway) logChoice(x *exchange, c coordinator.Choice) {
-	x.log["target"], x.log["target_load"], x.log["chosen_ms"] = c.Target.ID, c.Load, (g.opts.Now() - x.arrived).Milliseconds()
+	x.log["target"], x.log["target_version"], x.log["target_load"] = c.Target.ID, c.Target.Version, c.Load
+	x.log["chosen_ms"] = (g.opts.Now() - x.arrived).Milliseconds()
 }
 
 // try sends a request to one target and relays its response.
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -95,7 +95,7 @@
 func (h *Host) logTargetChanges(old, next map[string]fleet.Target) {
 	for name, t := range next {
 		if before, known := old[name]; !known || before.Draining != t.Draining {
-			h.log.WithFields(logrus.Fields{"event": "target_changed", "target": name, "address": t.Address, "draining": t.Draining,
+			h.log.WithFields(logrus.Fields{"event": "target_changed", "target": name, "address": t.Address, "version": t.Version, "draining": t.Draining,
 				"revision": t.Revision, "models": len(t.Models), "on_disk": len(t.OnDisk)}).Info("target was registered, or its draining state changed")
 		}
 	}
