--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -26,7 +26,7 @@
 	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
 	tokensOut, err := strconv.Atoi(r.Header.Get("Tokens-Out"))
 	return fleet.Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Key: r.Header.Get("Key"), Deadline: 10 * time.Second,
-		TokensOut: tokensOut, HasTokens: err == nil}, nil
+		TokensOut: tokensOut, HasTokens: err == nil, LastEventID: r.Header.Get("From"), Resumes: r.Header.Get("Resumes")}, nil
 }
 
 func (testCodec) AttemptHeader(a fleet.Attempt) http.Header {
