--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -14,6 +14,7 @@
 	Service string
 	Model   string // empty for a plain service
 	Adapter string
+	Version *string         // software version of the target; nil: any
 	Avoid   map[string]bool // targets that were tried before
 	Late    bool            // the request missed its objective and yields to requests that can still begin in time
 }
@@ -51,7 +52,7 @@
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
-		if t.Draining || req.Avoid[id] || f.now() < f.unusableUntil[id] {
+		if t.Draining || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
 			continue
 		}
 		unreachable := f.unreachable(id)
@@ -120,6 +121,16 @@
 	return score
 }
 
+// ServesVersion reports whether a target of the given software version is registered and does not leave.
+func (f *FleetView) ServesVersion(service, version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.targets.ByService[service], func(id string) bool {
+		t := f.targets.ByID[id]
+		return t.Version == version && !t.Draining
+	})
+}
+
 // HasLocalWeights reports whether some engine holds a model, or has its weights on its
 // disk or in its memory. It returns true while no engine of the service is known.
 func (f *FleetView) HasLocalWeights(service, model string) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,15 @@
 	Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error)
 }
 
+// StreamOrigins knows which software version of a service's targets began a stream. A stream is identified by
+// the ID of the attempt that brought its first event.
+type StreamOrigins interface {
+	Began(service, attempt, version string)
+	Completed(attempt string)
+	// Lookup fails if the version is not known. attempt may be empty.
+	Lookup(ctx context.Context, service, attempt string) (version string, err error)
+}
+
 // Options holds the dependencies and settings of a gateway.
 type Options struct {
 	Codec               fleet.Codec
@@ -35,6 +44,7 @@
 	Sender              Sender
 	Quotas              *Quotas
 	Budget              *RetryBudget
+	Origins             StreamOrigins
 	LoadAdapter         func(ctx context.Context, owner string, c coordinator.AdapterCommand) error
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
@@ -98,6 +108,7 @@
 	refused           bool
 	status            int
 	events            eventBuffer
+	version           *string // only version at which the stream may go on; nil: any, as it has not begun
 	noRetryBudget     bool
 	retryAfter        time.Duration // Retry-After of a refusal; 0: the shortest
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/streamorigin"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -117,8 +118,9 @@
 	log.SetOutput(io.Discard)
 	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
 	hosts := func() (int, bool) { return 1, true }
+	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: view.Targets, Now: now, Log: log})
 	return New(Options{
-		Codec: testCodec{}, View: view, Sender: sender, Quotas: NewQuotas(bounds, hosts, now, half), Budget: NewRetryBudget(bounds, hosts, now),
+		Codec: testCodec{}, View: view, Sender: sender, Origins: origins, Quotas: NewQuotas(bounds, hosts, now, half), Budget: NewRetryBudget(bounds, hosts, now),
 		ReportEngineFailure: func(string) {}, EngineFailures: func(string) int { return 0 }, ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
 		Now: now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -77,6 +77,7 @@
 					g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
 					sent = 0
 				}
+				g.recordOrigin(x, c)
 				if !g.writeEvents(x, flusher, events, resp) {
 					return callerLeft
 				}
@@ -97,10 +98,22 @@
 		if !g.writeEvents(x, flusher, x.events.remainder(), resp) {
 			return callerLeft
 		}
+		g.opts.Origins.Completed(x.call.ID)
 		return relayed
 	}
 }
 
+// recordOrigin records the version at which a stream begins, before its first event is sent to the caller.
+func (g *Gateway) recordOrigin(x *exchange, c coordinator.Choice) {
+	if x.version != nil {
+		return
+	}
+	x.version = &c.Target.Version
+	if x.route.Resumable {
+		g.opts.Origins.Began(x.service, x.call.ID, c.Target.Version)
+	}
+}
+
 // IncompleteStreamError reports a stream whose body ended without an error but is not complete.
 type IncompleteStreamError struct {
 	PartialBytes int // of an incomplete event; 0: the stream had no event
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,6 +48,9 @@
 		g.opts.View.RecordArrival(x.service, x.call.Model)
 	}
 	x.events.lastID = x.call.LastEventID
+	if !g.findVersion(ctx, x) {
+		return
+	}
 	avoid := map[string]bool{}
 	for {
 		choice, ok := g.awaitTarget(ctx, x, avoid)
@@ -83,6 +86,20 @@
 	}
 }
 
+// findVersion determines the version at which a stream that the caller resumes may go on. It refuses the
+// request and returns false if that is unknown.
+func (g *Gateway) findVersion(ctx context.Context, x *exchange) bool {
+	if x.route.Kind != fleet.Streaming || x.call.LastEventID == "" {
+		return true
+	}
+	version, err := g.opts.Origins.Lookup(ctx, x.service, x.call.Resumes)
+	if err != nil {
+		return g.refuse(x, http.StatusServiceUnavailable, err.Error(), shortRetryAfter)
+	}
+	x.version, x.log["stream_version"] = &version, version
+	return true
+}
+
 // requestFingerprint returns x.fingerprint.
 func (x *exchange) requestFingerprint(_ *Gateway) string { return x.fingerprint() }
 
@@ -127,7 +144,7 @@
 // awaitTarget waits until a target can run the request, and chooses it.
 func (g *Gateway) awaitTarget(ctx context.Context, x *exchange, avoid map[string]bool) (coordinator.Choice, bool) {
 	view := g.opts.View
-	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Avoid: avoid}
+	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Avoid: avoid}
 	var endWait func()
 	defer func() {
 		if endWait != nil {
@@ -155,6 +172,10 @@
 		if ctx.Err() != nil || g.opts.Now() >= until {
 			return coordinator.Choice{}, false
 		}
+		if x.version != nil && !view.ServesVersion(x.service, *x.version) {
+			x.log["reason"] = "no target of the stream's software version"
+			return coordinator.Choice{}, false
+		}
 		if x.call.Model != "" {
 			if reason := g.unavailableReason(x); reason != "" {
 				x.log["reason"] = reason
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -26,6 +26,7 @@
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/platform"
 	"buckthornseam.dev/seam/internal/storecache"
+	"buckthornseam.dev/seam/internal/streamorigin"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -82,6 +83,7 @@
 	owner       *coordinator.Owner
 	coordinator *coordinator.Coordinator
 	client      *coordinator.Client
+	origins     *streamorigin.Registry
 	peerClient  *peer.Client
 	peerServer  *peer.Server
 	gateway     *gateway.Gateway
@@ -144,10 +146,13 @@
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
+	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
+	h.origins.Register(h.peerServer)
 	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self}
 	h.gateway = gateway.New(gateway.Options{
 		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClient(), Quotas: quotas,
 		Budget:      gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now),
+		Origins:     h.origins,
 		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures,
 		ConfigConfirmed: h.configConfirmed,
 		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
@@ -161,6 +166,17 @@
 	return max(len(h.view.Hosts()), len(live)), reporting
 }
 
+// stayingHosts returns the names of the hosts that are not in a planned stop.
+func (h *Host) stayingHosts() []string {
+	var names []string
+	for name, host := range h.view.Hosts() {
+		if !host.Leaving {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (h *Host) loadAdapter(ctx context.Context, owner string, c coordinator.AdapterCommand) error {
 	if owner == h.self.Name {
 		return h.owner.LoadAdapter(ctx, c)
@@ -229,6 +245,7 @@
 		func() error { return h.coordinator.Run(ctx) },
 		func() error { return h.client.Run(ctx) },
 		func() error { return h.client.RunProbes(ctx) },
+		func() error { return h.origins.Run(ctx) },
 		func() error { return h.peerServer.Serve(ctx, peers) },
 	}
 }
--- /dev/null
+++ b/internal/streamorigin/streamorigin.go
@@ -0,0 +1,153 @@
+// Package streamorigin knows which software version of a service's targets began each recent stream. A
+// stream may be resumed only at that version, and its caller may resume it at any host.
+//
+// A host records the streams that it begins. While a service has several versions, it also sends each record
+// to a few hosts that follow from the stream's key, so that other hosts find it there, also after the loss
+// of the host that began the stream. While there is only one version, nothing is sent or asked.
+package streamorigin
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/peer"
+)
+
+// Methods of the peer protocol.
+const (
+	methodStore  = "streamorigin.store"  // parameter: []record
+	methodLookup = "streamorigin.lookup" // parameter: lookupRequest; result: lookupReply
+)
+
+// Options configure a Registry.
+type Options struct {
+	Self    string
+	Hosts   func() []string // names of the hosts, including this one
+	Targets func() *fleet.Targets
+	Calls   peer.Caller
+	Now     func() time.Duration // also advances while the machine is suspended
+	Log     logrus.FieldLogger
+}
+
+// Registry records the versions of streams and finds them.
+type Registry struct {
+	opts      Options
+	startedAt time.Duration
+	outbox    *outbox
+
+	mu      sync.Mutex
+	records *records
+	history versionHistory
+	unsent  map[streamKey]record // streams of this host that are not complete and that no other host knows of
+}
+
+// New returns a registry. Records are sent to other hosts only while Run runs.
+func New(opts Options) *Registry {
+	now := opts.Now()
+	return &Registry{opts: opts, startedAt: now, outbox: newOutbox(opts.Calls, opts.Log), records: newRecords(now), unsent: map[streamKey]record{}}
+}
+
+// Register registers the methods that other hosts call.
+func (r *Registry) Register(reg peer.Registrar) {
+	reg.Handle(methodStore, func(_ context.Context, _ peer.ID, params json.RawMessage) (any, error) {
+		var recs []record
+		if err := json.Unmarshal(params, &recs); err != nil {
+			return nil, err
+		}
+		r.store(recs)
+		return struct{}{}, nil
+	})
+	reg.Handle(methodLookup, func(_ context.Context, _ peer.ID, params json.RawMessage) (any, error) {
+		var req lookupRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, err
+		}
+		return r.localLookup(req), nil
+	})
+}
+
+func (r *Registry) store(recs []record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range recs {
+		r.records.put(rec, r.opts.Now())
+	}
+}
+
+// observeInterval is the time between two looks at the registered targets. A target stays registered for
+// several times as long.
+const observeInterval = 250 * time.Millisecond
+
+// Run sends records to other hosts until ctx ends.
+func (r *Registry) Run(ctx context.Context) error {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.sendUnsent()
+		case host := <-r.outbox.ready:
+			r.outbox.send(ctx, host)
+		}
+	}
+}
+
+// sendUnsent sends the records of streams that began before their service had several versions.
+func (r *Registry) sendUnsent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observe()
+	for key, rec := range r.unsent {
+		if r.severalVersions(rec.Service) {
+			delete(r.unsent, key)
+			r.send(rec)
+		} else if _, ok := r.records.get(key, r.opts.Now()); !ok {
+			delete(r.unsent, key)
+		}
+	}
+}
+
+// Began records that a target of the given version sent the first event of a stream. The stream is identified
+// by the ID of the attempt that brought the event.
+func (r *Registry) Began(service, attempt, version string) {
+	rec := record{Key: keyOf(attempt), Service: service, Version: version}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observe()
+	r.records.put(rec, r.opts.Now())
+	if r.severalVersions(service) {
+		r.send(rec)
+	} else {
+		r.unsent[rec.Key] = rec
+	}
+}
+
+// Completed records that the whole stream of an attempt was relayed, so that no caller will resume it.
+func (r *Registry) Completed(attempt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.unsent, keyOf(attempt))
+}
+
+// observe updates the version history. The caller must hold r.mu.
+func (r *Registry) observe() { r.history.observe(r.opts.Targets(), r.opts.Now()) }
+
+// severalVersions reports whether a service had several versions lately. The caller must hold r.mu.
+func (r *Registry) severalVersions(service string) bool {
+	return len(r.history.of(service, r.opts.Now())) > 1
+}
+
+func (r *Registry) send(rec record) {
+	hosts := slices.DeleteFunc(rank(rec.Key, r.opts.Hosts()), func(h string) bool { return h == r.opts.Self })
+	for _, host := range hosts[:min(copies, len(hosts))] {
+		r.outbox.add(host, rec)
+	}
+}
--- /dev/null
+++ b/internal/streamorigin/streamorigin_test.go
@@ -0,0 +1,191 @@
+package streamorigin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/peer/peertest"
+)
+
+// testFleet is some hosts on one network. Each has its own list of targets.
+type testFleet struct {
+	t       *testing.T
+	network *peertest.Network
+	hosts   []*testHost
+}
+
+type testHost struct {
+	*Registry
+	net     *peertest.Host
+	targets *fleet.Targets
+}
+
+func newFleet(t *testing.T, n int, versions ...string) *testFleet {
+	f := &testFleet{t: t, network: peertest.New(1), hosts: make([]*testHost, n)}
+	for i := range n {
+		f.start(i, versions...)
+	}
+	return f
+}
+
+// start starts or restarts a host.
+func (f *testFleet) start(i int, versions ...string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	names := make([]string, len(f.hosts))
+	for j := range names {
+		names[j] = fmt.Sprintf("h%d", j)
+	}
+	started := time.Now()
+	h := &testHost{net: f.network.Add(peer.Member{ID: peer.ID{Name: names[i]}}), targets: targetsOf(versions...)}
+	h.Registry = New(Options{
+		Self: names[i], Hosts: func() []string { return names }, Targets: func() *fleet.Targets { return h.targets },
+		Calls: h.net, Now: func() time.Duration { return time.Since(started) + time.Hour }, Log: log,
+	})
+	h.Register(h.net)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go func() { _ = h.Run(ctx) }()
+	f.hosts[i] = h
+}
+
+func targetsOf(versions ...string) *fleet.Targets {
+	targets := map[string]fleet.Target{}
+	for _, v := range versions {
+		targets[v] = fleet.Target{ID: v, Service: "llm", Version: v}
+	}
+	return fleet.NewTargets(targets)
+}
+
+func (f *testFleet) setVersions(versions ...string) {
+	for _, h := range f.hosts {
+		h.targets = targetsOf(versions...)
+	}
+}
+
+// lookup returns the version that a host finds for a stream, or "unknown".
+func (f *testFleet) lookup(host int, attempt string) string {
+	version, err := f.hosts[host].Lookup(context.Background(), "llm", attempt)
+	var unknown *UnknownVersionError
+	if errors.As(err, &unknown) {
+		return "unknown"
+	} else if err != nil {
+		f.t.Fatal(err)
+	}
+	return version
+}
+
+// run runs a test of a fleet in fake time.
+func run(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t); t.Cleanup(synctest.Wait) })
+}
+
+// TestAnyHostFindsTheVersion guards against a stream that began at one host being resumed at another without
+// its version (incident second1), also when the host that began it is gone.
+func TestAnyHostFindsTheVersion(t *testing.T) {
+	run(t, func(t *testing.T) {
+		const hosts, streams = 8, 40
+		f := newFleet(t, hosts, "v1", "v2")
+		for i := range streams {
+			f.hosts[i%hosts].Began("llm", fmt.Sprint("s", i), []string{"v1", "v2"}[i%2])
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.hosts[0].net.SetDown(true)
+		for i := range streams {
+			want := []string{"v1", "v2"}[i%2]
+			if got := f.lookup(1+i%(hosts-1), fmt.Sprint("s", i)); got != want {
+				t.Errorf("stream %d of host %d: found version %s, want %s", i, i%hosts, got, want)
+			}
+		}
+	})
+}
+
+// TestStreamsInProgressWhenVersionAppears guards against streams that began while a service had one version
+// being unknown after an engine of another version has started.
+func TestStreamsInProgressWhenVersionAppears(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 4, "v1")
+		f.hosts[0].Began("llm", "running", "v1")
+		f.hosts[0].Began("llm", "complete", "v1")
+		f.hosts[0].Completed("complete")
+		time.Sleep(time.Second)
+		f.setVersions("v1", "v2")
+		time.Sleep(2 * observeInterval)
+		f.hosts[0].net.SetDown(true)
+		for host := 1; host < 4; host++ {
+			if got := f.lookup(host, "running"); got != "v1" {
+				t.Errorf("host %d: version %s of a stream in progress, want v1", host, got)
+			}
+			if got := f.lookup(host, "complete"); got != "unknown" {
+				t.Errorf("host %d: version %s of a complete stream, want it unknown", host, got)
+			}
+		}
+	})
+}
+
+// TestSingleVersionNeedsNoRecord checks that a stream without a record is resumed while there is no doubt
+// about its version, and guards against a host that has just started taking the only version that is left
+// for the only one that there was.
+func TestSingleVersionNeedsNoRecord(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 3, "v1", "v2")
+		time.Sleep(time.Second)
+		f.setVersions("v2")
+		time.Sleep(time.Second)
+		f.start(0, "v2")
+		for host := range 3 {
+			if got := f.lookup(host, "lost"); got != "unknown" {
+				t.Errorf("host %d, a second after v1: version %s, want it unknown", host, got)
+			}
+		}
+		time.Sleep(retention)
+		for host := range 3 {
+			if got := f.lookup(host, "lost"); got != "v2" {
+				t.Errorf("host %d, long after v1: version %s, want v2", host, got)
+			}
+		}
+	})
+}
+
+// TestLookupIsBounded checks that hosts that don't reply delay a lookup by lookupTimeout at most.
+func TestLookupIsBounded(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 6, "v1", "v2")
+		f.network.SetFaults(peertest.Faults{LoseReply: 1})
+		began := time.Now()
+		if got := f.lookup(0, "s"); got != "unknown" {
+			t.Errorf("version %s, want it unknown", got)
+		}
+		if took := time.Since(began); took > lookupTimeout {
+			t.Errorf("took %v, want %v at most", took, lookupTimeout)
+		}
+	})
+}
+
+// TestRecordsAreBounded checks that records are kept for the retention, and not without limit.
+func TestRecordsAreBounded(t *testing.T) {
+	r := newRecords(0)
+	for i := range 4 * maxRecords {
+		r.put(record{Key: streamKey(i)}, 0)
+	}
+	if n := len(r.current) + len(r.previous); n > maxRecords {
+		t.Errorf("%d records kept, want %d at most", n, maxRecords)
+	}
+	last := streamKey(4*maxRecords - 1)
+	if _, ok := r.get(last, retention); !ok {
+		t.Error("record is lost within the retention")
+	}
+	if _, ok := r.get(last, 3*retention); ok {
+		t.Error("record is kept after the retention")
+	}
+}
