--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -121,13 +121,14 @@
 	return score
 }
 
-// ServesVersion reports whether a target of the given software version is registered and does not leave.
-func (f *FleetView) ServesVersion(service, version string) bool {
+// ServesVersion reports whether a target of the given software version is registered, does not leave and is
+// not one to avoid.
+func (f *FleetView) ServesVersion(service, version string, avoid map[string]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.targets.ByService[service], func(id string) bool {
 		t := f.targets.ByID[id]
-		return t.Version == version && !t.Draining
+		return t.Version == version && !t.Draining && !avoid[id]
 	})
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -172,7 +172,7 @@
 		if ctx.Err() != nil || g.opts.Now() >= until {
 			return coordinator.Choice{}, false
 		}
-		if x.version != nil && !view.ServesVersion(x.service, *x.version) {
+		if x.version != nil && !view.ServesVersion(x.service, *x.version, failedTargets(x, avoid)) {
 			x.log["reason"] = "no target of the stream's software version"
 			return coordinator.Choice{}, false
 		}
@@ -193,6 +193,15 @@
 	}
 }
 
+// failedTargets returns the targets that can't go on with the request's stream: those to avoid, unless they
+// only declined it.
+func failedTargets(x *exchange, avoid map[string]bool) map[string]bool {
+	if x.sends == 0 {
+		return nil
+	}
+	return avoid
+}
+
 // retryShed chooses a target, after a delay, among all targets including those
 // to avoid. It is used if no other target can take the request, and only while
 // no target may have run it.
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
@@ -100,6 +101,21 @@
 	})
 }
 
+// TestStreamIsAbortedAtOnceIfOnlyItsFailedTargetIsLeft guards against a caller being kept waiting for another
+// target of the version, instead of resuming the stream at the one that broke it off.
+func TestStreamIsAbortedAtOnceIfOnlyItsFailedTargetIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &addressSender{responses: map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){"old1": breakAfter(firstEvent)}}
+		g := testGateway(s)
+		setEngines(g, map[string]string{"old1": "v1", "new": "v2"})
+		s.responses["new"] = s.responses["old1"]
+		began := time.Now()
+		if w := post(g, "/stream/x", "m"); w.Header().Get("Aborted") == "" || time.Since(began) > 0 {
+			t.Errorf("aborted %q after %v, want it aborted at once", w.Header().Get("Aborted"), time.Since(began))
+		}
+	})
+}
+
 // TestCallerResumesAtVersionOfFirstEvent guards against a caller's attempt to resume a stream being sent to
 // an engine of another software version than the one that began it (incident second1).
 func TestCallerResumesAtVersionOfFirstEvent(t *testing.T) {
