--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -25,8 +25,9 @@
 	// no engine can load the model from its disk or memory without that, and the
 	// waiting requests can still begin in time.
 	mayTakeReserve bool
-	overloaded     bool // the model is hot, and requests wait for it or its copies are nearly full
-	requests       int  // waiting requests if waiting is set, otherwise arrivals per second
+	version        *string // only engines of this software version; nil: any
+	overloaded     bool    // the model is hot, and requests wait for it or its copies are nearly full
+	requests       int     // waiting requests if waiting is set, otherwise arrivals per second
 }
 
 // Plan returns the moves to begin now, at most one for each engine.
@@ -106,21 +107,44 @@
 			continue
 		}
 		have := p.copies[model]
+		// A hot model always has new requests that can still begin in time.
+		late := d.Due < p.Now+m.Load[FromMemory] && d.Rate < p.opts.HotRate
+		for version, n := range d.WaitingAt {
+			if n > 0 && !p.hasCopyAt(model, version) {
+				out = append(out, loadRequest{model: model, due: d.Due, waiting: true, late: late, requests: n, version: &version})
+			}
+		}
 		switch {
-		case d.Waiting > 0 && have == 0:
-			// A hot model always has new requests that can still begin in time.
-			late := d.Due < p.Now+m.Load[FromMemory] && d.Rate < p.opts.HotRate
+		case d.anyVersion() > 0 && have == 0:
 			out = append(out, loadRequest{model: model, due: d.Due, waiting: true, late: late, overloaded: d.Rate >= p.opts.HotRate, requests: d.Waiting})
 		case d.Rate >= p.opts.HotRate && have < p.wantedCopies(model):
 			out = append(out, loadRequest{model: model, due: p.Now, overloaded: d.Waiting > 0 || p.nearlyFull(model), requests: int(d.Rate)})
 		}
 	}
 	slices.SortFunc(out, func(a, b loadRequest) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.due, b.due), cmp.Compare(b.requests, a.requests), cmp.Compare(a.model, b.model))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.due, b.due), cmp.Compare(b.requests, a.requests), cmp.Compare(a.model, b.model), cmp.Compare(a.versionName(), b.versionName()))
 	})
 	return out
 }
 
+// hasCopyAt reports whether an engine of a software version holds or loads a model.
+func (p *planner) hasCopyAt(model, version string) bool {
+	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
+		c, there := e.Copies[model]
+		return there && e.Serves && e.Version == version && c.State != Draining
+	})
+}
+
+func (r loadRequest) versionName() string {
+	if r.version == nil {
+		return ""
+	}
+	return *r.version
+}
+
+// allows reports whether the requested copy may be at an engine.
+func (r loadRequest) allows(e *Engine) bool { return r.version == nil || *r.version == e.Version }
+
 func (r loadRequest) rank() int {
 	switch {
 	case r.overloaded:
@@ -141,7 +165,7 @@
 	r.mayTakeReserve = !local && r.waiting && !r.late
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		if e.Busy || !e.Serves || p.assigned[e.ID] {
+		if e.Busy || !e.Serves || p.assigned[e.ID] || !r.allows(e) {
 			continue
 		}
 		if _, there := e.Copies[r.model]; there {
--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -49,6 +49,7 @@
 // Engine is the state of one engine.
 type Engine struct {
 	ID         string
+	Version    string // of its software; see Demand.WaitingAt
 	CapacityMB float64
 	Slots      int // concurrent requests
 	Copies     map[string]Copy
@@ -60,9 +61,20 @@
 
 // Demand is the demand for one model.
 type Demand struct {
-	Waiting int           // requests that no copy has taken yet
-	Due     time.Duration // earliest time by which one of them should begin
-	Rate    float64       // recent arrivals per second
+	Waiting int // requests that no copy has taken yet
+	// WaitingAt counts those of Waiting that only engines of one software version may serve.
+	WaitingAt map[string]int
+	Due       time.Duration // earliest time by which one of them should begin
+	Rate      float64       // recent arrivals per second
+}
+
+// anyVersion returns the number of waiting requests that any engine may serve.
+func (d Demand) anyVersion() int {
+	n := d.Waiting
+	for _, bound := range d.WaitingAt {
+		n -= bound
+	}
+	return n
 }
 
 // State is the input of a plan.
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -132,9 +132,10 @@
 	})
 }
 
-// HasLocalWeights reports whether some engine holds a model, or has its weights on its
-// disk or in its memory. It returns true while no engine of the service is known.
-func (f *FleetView) HasLocalWeights(service, model string) bool {
+// HasLocalWeights reports whether some engine of the given software version holds a model, or
+// has its weights on its disk or in its memory. A nil version means any. It returns true while no
+// engine of the service is known.
+func (f *FleetView) HasLocalWeights(service, model string, version *string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.targets.ByService[service]) == 0 {
@@ -142,7 +143,7 @@
 	}
 	for _, id := range f.targets.ByService[service] {
 		t := f.targets.ByID[id]
-		if t.Draining {
+		if t.Draining || version != nil && t.Version != *version {
 			continue
 		}
 		if _, there := f.view(t).Models[model]; there || slices.Contains(t.OnDisk, model) || slices.Contains(t.InMemory, model) {
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -48,22 +49,25 @@
 }
 
 // BeginWait counts a request as waiting for a model until the returned function is
-// called. The request should begin by due.
-func (f *FleetView) BeginWait(service, model string, due time.Duration) func() {
+// called. The request should begin by due, at a target of the given software version; nil
+// means any.
+func (f *FleetView) BeginWait(service, model string, version *string, due time.Duration) func() {
 	key := modelKey{service, model}
 	f.mu.Lock()
 	w := f.waiting[key]
 	if w == nil {
-		w = &waitList{}
+		w = &waitList{countAt: map[string]int{}}
 		f.waiting[key] = w
 	}
 	w.dues = append(w.dues, due)
+	w.addAt(version, 1)
 	f.mu.Unlock()
 	f.requestReport()
 	return sync.OnceFunc(func() {
 		f.mu.Lock()
 		if i := slices.Index(w.dues, due); i >= 0 {
 			w.dues = slices.Delete(w.dues, i, i+1)
+			w.addAt(version, -1)
 		}
 		if len(w.dues) == 0 && f.waiting[key] == w {
 			delete(f.waiting, key)
@@ -97,7 +101,17 @@
 	f.refusedUntil[key] = f.now() + refusedTTL
 	f.mu.Unlock()
 	if !known {
-		time.AfterFunc(refusedTTL, f.BeginWait(service, model, due))
+		time.AfterFunc(refusedTTL, f.BeginWait(service, model, nil, due))
+	}
+}
+
+// addAt changes the number of requests for a software version.
+func (w *waitList) addAt(version *string, n int) {
+	if version == nil {
+		return
+	}
+	if w.countAt[*version] += n; w.countAt[*version] == 0 {
+		delete(w.countAt, *version)
 	}
 }
 
@@ -118,7 +132,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	for key, w := range f.waiting {
-		r.Waiting = append(r.Waiting, WaitingRequests{Service: key.service, Model: key.model, Count: len(w.dues), Late: w.late(now), DueMS: (slices.Min(w.dues) - now).Milliseconds()})
+		r.Waiting = append(r.Waiting, WaitingRequests{Service: key.service, Model: key.model, Count: len(w.dues), Late: w.late(now), DueMS: (slices.Min(w.dues) - now).Milliseconds(), CountAt: maps.Clone(w.countAt)})
 	}
 	if r.Full {
 		for key, n := range f.running {
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -40,7 +40,8 @@
 
 // waitList holds the due times of this host's requests that wait for a model.
 type waitList struct {
-	dues []time.Duration
+	dues    []time.Duration
+	countAt map[string]int // those that only targets of one software version may serve
 }
 
 // NewFleetView returns an empty view. The clock now must include time during which the
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -74,6 +74,8 @@
 	Count   int    `json:"n"`
 	Late    int    `json:"l,omitempty"` // number of them that are past their objective
 	DueMS   int64  `json:"d"`           // time until the earliest should begin; negative if it is late
+	// CountAt counts those of Count that only targets of one software version may serve.
+	CountAt map[string]int `json:"v,omitempty"`
 }
 
 // RunningCount is the number of requests of a host that run at an engine.
--- a/internal/coordinator/planning.go
+++ b/internal/coordinator/planning.go
@@ -183,7 +183,7 @@
 		}
 		v := c.view(t, owners)
 		e := swap.Engine{
-			ID: id, CapacityMB: spec.Engine.CapacityMB - adapterMemory(spec.Engine), Slots: spec.Engine.Slots, Serves: !unreachable[id],
+			ID: id, Version: t.Version, CapacityMB: spec.Engine.CapacityMB - adapterMemory(spec.Engine), Slots: spec.Engine.Slots, Serves: !unreachable[id],
 			Copies: map[string]swap.Copy{}, OnDisk: toSet(t.OnDisk), InMemory: toSet(t.InMemory),
 			Busy: v.Busy || owners[id] == "",
 		}
@@ -276,6 +276,12 @@
 				d.Due = due
 			}
 			d.Waiting += w.Count
+			for version, n := range w.CountAt {
+				if d.WaitingAt == nil {
+					d.WaitingAt = map[string]int{}
+				}
+				d.WaitingAt[version] += n
+			}
 			out[w.Model] = d
 		}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -183,7 +183,7 @@
 			}
 			if endWait == nil {
 				x.log["waited"] = true
-				endWait = view.BeginWait(x.service, x.call.Model, x.arrived+x.route.Objective)
+				endWait = view.BeginWait(x.service, x.call.Model, x.version, x.arrived+x.route.Objective)
 			}
 		}
 		if choice.Deferred {
@@ -261,7 +261,7 @@
 		return "model is not offered"
 	}
 	left := x.deadline - g.opts.Now()
-	if !g.opts.View.HasLocalWeights(x.service, x.call.Model) && left < m.StoreLoad+streamRunTime {
+	if !g.opts.View.HasLocalWeights(x.service, x.call.Model, x.version) && left < m.StoreLoad+streamRunTime {
 		x.retryAfter = maxRetryAfter
 		g.opts.View.RecordUnloadable(x.service, x.call.Model, g.opts.Now()+m.StoreLoad)
 		return "model is on no disk, and its load takes longer than the caller waits"
