--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -19,7 +19,7 @@
 // hosts together stay within the budget without coordination.
 type RetryBudget struct {
 	bounds fleet.Bounds
-	hosts  func() (int, bool)
+	hosts  func() HostCount
 	now    func() time.Duration
 
 	mu       sync.Mutex
@@ -32,9 +32,8 @@
 	retries  [budgetBuckets]float64
 }
 
-// NewRetryBudget returns a budget with empty windows. The function hosts returns
-// the number of hosts.
-func NewRetryBudget(bounds fleet.Bounds, hosts func() (int, bool), now func() time.Duration) *RetryBudget {
+// NewRetryBudget returns a budget with empty windows.
+func NewRetryBudget(bounds fleet.Bounds, hosts func() HostCount, now func() time.Duration) *RetryBudget {
 	return &RetryBudget{bounds: bounds, hosts: hosts, now: now, services: map[string]*window{}}
 }
 
@@ -49,7 +48,7 @@
 // AllowRetry reports whether the budget of a service allows a retry, and counts
 // the retry if so.
 func (b *RetryBudget) AllowRetry(service string) bool {
-	hosts, _ := b.hosts()
+	hosts := b.hosts().All
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -117,7 +117,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
-	hosts := func() (int, bool) { return 1, true }
+	hosts := together(1)
 	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: view.Targets, Now: now, Log: log})
 	return New(Options{
 		Codec: testCodec{}, View: view, Sender: sender, Origins: origins, Quotas: NewQuotas(bounds, hosts, now, half), Budget: NewRetryBudget(bounds, hosts, now),
@@ -294,7 +294,7 @@
 		g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){served, served, served}})
 		start := time.Now()
 		g.opts.View.Config().Teams[0].Rate = 60
-		g.opts.Quotas = NewQuotas(fleet.Bounds{QuotaSlack: 100}, func() (int, bool) { return 60, time.Since(start) >= reportedAfter }, g.opts.Now, half)
+		g.opts.Quotas = NewQuotas(fleet.Bounds{QuotaSlack: 100}, countIf(60, func() bool { return time.Since(start) >= reportedAfter }), g.opts.Now, half)
 		g.opts.Quotas.SetRemoteUse(nil, 1, nil) // the reply to the host's first report
 		for i := range 3 {
 			if w := post(g, "/once/x", "m"); w.Code != http.StatusOK {
@@ -320,7 +320,7 @@
 		for i := range config.Routes {
 			config.Routes[i].Timeout = deadline
 		}
-		g.opts.Quotas = NewQuotas(fleet.Bounds{QuotaSlack: 100}, func() (int, bool) { return 60, false }, g.opts.Now, half)
+		g.opts.Quotas = NewQuotas(fleet.Bounds{QuotaSlack: 100}, alone(60), g.opts.Now, half)
 		if w := post(g, "/once/x", "m"); w.Code != http.StatusTooManyRequests || time.Since(start) >= deadline {
 			t.Errorf("status %d after %v, want 429 within %v", w.Code, time.Since(start), deadline)
 		}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -14,11 +14,14 @@
 // others as reported by the coordinator, some tenths of a second late. In a small
 // fleet the slack that the deployment allows is several times what can be used
 // during that delay. In a large one a request at each host exceeds it; so while a
-// team asks for more than its credit, hosts grant requests at random. A host that
-// receives no reports falls back to an equal share of the rate.
+// team asks for more than its credit, hosts grant requests at random.
+//
+// Hosts that are cut off from each other do not hear of each other's use. The hosts that
+// report to the same coordinator therefore grant only their part of the rate, by their
+// number among all hosts; a host that receives no reports is alone.
 type Quotas struct {
 	now       func() time.Duration
-	hosts     func() (n int, reporting bool)
+	hosts     func() HostCount
 	random    func() float64 // in [0, 1)
 	bounds    fleet.Bounds
 	startedAt time.Duration // start of this process
@@ -31,6 +34,20 @@
 	syncGap  time.Duration      // time between the last two reports
 }
 
+// HostCount tells how many hosts there are, and how many count the use of teams together.
+type HostCount struct {
+	All      int // hosts that are known, whether they can be reached or not
+	Together int // hosts that report to this host's coordinator, including this one; 0: it receives no reports
+}
+
+// reporting reports whether this host receives reports on the use of others.
+func (c HostCount) reporting() bool { return c.Together > 0 }
+
+// share returns the part of each team's rate that the hosts that count together may grant.
+func (c HostCount) share() float64 {
+	return min(1, float64(max(1, c.Together))/float64(max(1, c.All)))
+}
+
 type teamQuota struct {
 	balance   float64 // available now; negative: overdrawn
 	updatedAt time.Duration
@@ -46,10 +63,8 @@
 	askedRate  float64 // asked of the others a second, smoothed
 }
 
-// NewQuotas returns unused quotas. The function hosts returns the number of
-// hosts and whether this host receives reports on the use of the others; random
-// returns a number in [0, 1).
-func NewQuotas(bounds fleet.Bounds, hosts func() (int, bool), now func() time.Duration, random func() float64) *Quotas {
+// NewQuotas returns unused quotas. The function random returns a number in [0, 1).
+func NewQuotas(bounds fleet.Bounds, hosts func() HostCount, now func() time.Duration, random func() float64) *Quotas {
 	return &Quotas{now: now, hosts: hosts, random: random, bounds: bounds, startedAt: now(), teams: map[string]*teamQuota{}}
 }
 
@@ -105,6 +120,11 @@
 	return max(q.syncGap, rateTime)
 }
 
+// overdue returns how long the next report on the use of the others has been overdue. Usually it is not.
+func (q *Quotas) overdue() time.Duration {
+	return max(0, q.now()-q.syncedAt-q.interval())
+}
+
 // unreported returns an estimate of what the others have taken that the last report did not
 // include: their counts were half a report interval old on average.
 func (q *Quotas) unreported(t *teamQuota) float64 {
@@ -118,6 +138,7 @@
 func (q *Quotas) mayTakeUnsynced(t *teamQuota, n, rate, floor float64, hosts int) bool {
 	credit := t.balance - floor
 	if t.tookRequest {
+		credit -= t.takenRate * q.overdue().Seconds()
 		return t.unsynced+n <= (credit+t.unsynced)*unsyncedShare(hosts)
 	}
 	gap := q.interval().Seconds()
@@ -158,20 +179,14 @@
 	if team.Rate <= 0 {
 		return 0, true
 	}
-	hosts, reporting := q.hosts()
+	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.quotaOf(team, hosts)
-	rate := team.Rate
-	if !reporting {
-		rate /= float64(max(1, hosts))
-	}
+	t := q.quotaOf(team, hosts.All)
+	rate := team.Rate * hosts.share()
 	t.accrue(rate, team.Burst, q.now())
-	floor := -slackShare(hosts) * q.bounds.QuotaSlack
-	if !reporting {
-		floor /= float64(max(1, hosts))
-	}
-	if reporting && t.balance < team.Burst && !q.mayTakeUnsynced(t, n, rate, floor, hosts) {
+	floor := -slackShare(hosts.All) * q.bounds.QuotaSlack * hosts.share()
+	if hosts.reporting() && t.balance < team.Burst && !q.mayTakeUnsynced(t, n, rate, floor, hosts.Together) {
 		return unsyncedRetry, false
 	}
 	if t.balance-n < floor {
@@ -189,23 +204,25 @@
 	Balance   float64 `json:"balance"`    // available; negative: overdrawn
 	LocalUse  float64 `json:"local_use"`  // taken by this host since its start
 	AskedRate float64 `json:"asked_rate"` // asked of the other hosts, per second
+	Share     float64 `json:"share"`      // part of the rate that the hosts that count together may grant
 	Reporting bool    `json:"reporting"`  // this host receives reports on the use of the others
 }
 
 // State returns the state of a team's quota.
 func (q *Quotas) State(team *fleet.Team) QuotaState {
-	hosts, reporting := q.hosts()
+	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.quotaOf(team, hosts)
-	return QuotaState{Rate: team.Rate, Balance: math.Round(t.balance), LocalUse: math.Round(t.localUse), AskedRate: math.Round(t.askedRate), Reporting: reporting}
+	t := q.quotaOf(team, hosts.All)
+	return QuotaState{Rate: team.Rate, Balance: math.Round(t.balance), LocalUse: math.Round(t.localUse), AskedRate: math.Round(t.askedRate),
+		Share: math.Round(hosts.share()*100) / 100, Reporting: hosts.reporting()}
 }
 
 // Isolated reports whether this host receives no reports on the use of the
-// other hosts.
+// other hosts. After its start a coordinator is alone until others report to it.
 func (q *Quotas) Isolated() bool {
-	_, reporting := q.hosts()
-	return !reporting
+	hosts := q.hosts()
+	return hosts.Together == 0 || hosts.Together == 1 && hosts.All > 1
 }
 
 // Refund returns what was taken for a request that did not run.
@@ -222,10 +239,10 @@
 	if team.Rate <= 0 {
 		return
 	}
-	hosts, _ := q.hosts()
+	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	change(q.quotaOf(team, hosts))
+	change(q.quotaOf(team, hosts.All))
 }
 
 func (q *Quotas) quotaOf(team *fleet.Team, hosts int) *teamQuota {
@@ -269,14 +286,14 @@
 // since the last report may be missing. The totals of each epoch have an arbitrary origin, so
 // the first report of an epoch only serves as the baseline.
 func (q *Quotas) SetRemoteUse(teams []fleet.Team, epoch uint64, use map[string]float64) {
-	hosts, _ := q.hosts()
+	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	gap := q.now() - q.syncedAt
 	q.syncedAt = q.now()
 	if epoch != q.epoch {
 		if q.epoch == 0 {
-			q.creditStart(teams, hosts)
+			q.creditStart(teams, hosts.All)
 		}
 		q.epoch, q.remote = epoch, maps.Clone(use)
 		return
@@ -286,7 +303,7 @@
 	increase := func(name string) float64 { return max(0, use[name]-q.remote[name]) }
 	for i := range teams {
 		if increase(teams[i].Name) > 0 {
-			q.quotaOf(&teams[i], hosts).accrue(teams[i].Rate, teams[i].Burst, q.now())
+			q.quotaOf(&teams[i], hosts.All).accrue(teams[i].Rate*hosts.share(), teams[i].Burst, q.now())
 		}
 	}
 	for name, t := range q.teams {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -16,6 +16,22 @@
 	return fleet.Bounds{QuotaWindow: 8 * time.Second, QuotaOverage: 0.1, QuotaSlack: 110_000, RetryRatio: 0.2, RetryExtra: 56, RetryWindow: 10 * time.Second}
 }
 
+// together returns the count of n hosts that all count together.
+func together(n int) func() HostCount { return countIf(n, func() bool { return true }) }
+
+// alone returns the count of a host of n that receives no reports.
+func alone(n int) func() HostCount { return countIf(n, func() bool { return false }) }
+
+// countIf returns the count of n hosts that count together if reporting returns true.
+func countIf(n int, reporting func() bool) func() HostCount {
+	return func() HostCount {
+		if reporting() {
+			return HostCount{All: n, Together: n}
+		}
+		return HostCount{All: n}
+	}
+}
+
 func half() float64 { return 0.5 }
 
 // takeRepeatedly takes 700 tokens from each of the quotas every 10 ms for a
@@ -37,7 +53,7 @@
 func TestQuotaHoldsAcrossRestartOfAllHosts(t *testing.T) {
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
-	one := func() (int, bool) { return 1, true }
+	one := together(1)
 	q := NewQuotas(testBounds(), one, c.Now, half)
 	c.now += 10 * time.Second
 	total := takeRepeatedly([]*Quotas{q}, c, team, 4*time.Second)
@@ -56,7 +72,7 @@
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
 	var all []*Quotas
 	for range 8 {
-		all = append(all, NewQuotas(testBounds(), func() (int, bool) { return 8, false }, c.Now, half))
+		all = append(all, NewQuotas(testBounds(), alone(8), c.Now, half))
 	}
 	b := testBounds()
 	if total := takeRepeatedly(all, c, team, 8*time.Second); total > (team.Rate*8+team.Burst)*(1+b.QuotaOverage)+b.QuotaSlack {
@@ -67,7 +83,7 @@
 func TestRemoteUseCounts(t *testing.T) {
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
-	q := NewQuotas(testBounds(), func() (int, bool) { return 2, true }, c.Now, half)
+	q := NewQuotas(testBounds(), together(2), c.Now, half)
 	c.now += 10 * time.Second
 	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 0})
 	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000})
@@ -81,7 +97,7 @@
 func TestUseOfTeamFirstSeenInEpochCounts(t *testing.T) {
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
-	q := NewQuotas(testBounds(), func() (int, bool) { return 2, true }, c.Now, half)
+	q := NewQuotas(testBounds(), together(2), c.Now, half)
 	c.now += 10 * time.Second
 	q.SetRemoteUse([]fleet.Team{*team}, 1, nil)
 	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000})
@@ -96,7 +112,7 @@
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 90_000, Burst: 90_000, ByTokens: true}
 	reporting := false
-	q := NewQuotas(testBounds(), func() (int, bool) { return 91, reporting }, c.Now, half)
+	q := NewQuotas(testBounds(), countIf(91, func() bool { return reporting }), c.Now, half)
 	for range 8 {
 		c.now += 100 * time.Millisecond
 		if _, ok := q.Take(team, 7_000); ok {
@@ -112,7 +128,7 @@
 
 func TestRetriesStayWithinBudget(t *testing.T) {
 	c := &clock{now: time.Hour}
-	b := NewRetryBudget(testBounds(), func() (int, bool) { return 8, true }, c.Now)
+	b := NewRetryBudget(testBounds(), together(8), c.Now)
 	requests, retries := 0.0, 0.0
 	for range 1000 {
 		c.now += 10 * time.Millisecond
@@ -130,7 +146,7 @@
 func TestTotalsOfNewEpochAreNotCountedAsUse(t *testing.T) {
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
-	q := NewQuotas(testBounds(), func() (int, bool) { return 8, true }, c.Now, half)
+	q := NewQuotas(testBounds(), together(8), c.Now, half)
 	c.now += 10 * time.Second
 	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 100_000})
 	q.SetRemoteUse([]fleet.Team{*team}, 2, map[string]float64{"t": 900_000})
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -77,9 +77,13 @@
 	freshness := func() (uint64, time.Duration, time.Duration) { return 1, f.now(), f.now() }
 	coord := coordinator.NewCoordinator(name, view, h.net, freshness, false, f.now, log)
 	var client *coordinator.Client
-	h.quotas = NewQuotas(testBounds(), func() (int, bool) {
-		_, reporting := client.LiveHosts()
-		return len(f.known), reporting
+	h.quotas = NewQuotas(testBounds(), func() HostCount {
+		live, reporting := client.LiveHosts()
+		count := HostCount{All: len(f.known)}
+		if reporting {
+			count.Together = max(1, len(live))
+		}
+		return count
 	}, f.now, rand.New(rand.NewPCG(f.random.Uint64(), 5)).Float64)
 	client = coordinator.NewClient(coordinator.ClientOptions{
 		Self: self, FleetView: view, Owner: owner, Coordinator: coord, Calls: h.net, LocalUse: h.quotas.LocalUse,
--- a/internal/gateway/quotafleet_test.go
+++ b/internal/gateway/quotafleet_test.go
@@ -52,7 +52,7 @@
 	f.epoch++
 	f.total = map[string]float64{}
 	for i := range n {
-		f.hosts = append(f.hosts, NewQuotas(testBounds(), func() (int, bool) { return n, f.first[i] != nil }, f.clock.Now, f.random.Float64))
+		f.hosts = append(f.hosts, NewQuotas(testBounds(), countIf(n, func() bool { return f.first[i] != nil }), f.clock.Now, f.random.Float64))
 		f.counted[i] = map[string]float64{}
 		f.reportAt[i] = f.clock.now + time.Duration(f.random.Int64N(int64(f.reportInterval())))
 	}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -159,11 +159,15 @@
 	})
 }
 
-// hostCount returns the number of hosts, and whether this host receives reports
-// on the others.
-func (h *Host) hostCount() (int, bool) {
+// hostCount counts the hosts that are not in a planned stop, and those of them that report to the
+// coordinator.
+func (h *Host) hostCount() gateway.HostCount {
 	live, reporting := h.client.LiveHosts()
-	return max(len(h.view.Hosts()), len(live)), reporting
+	count := gateway.HostCount{All: max(len(h.stayingHosts()), len(live))}
+	if reporting {
+		count.Together = max(1, len(live))
+	}
+	return count
 }
 
 // stayingHosts returns the names of the hosts that are not in a planned stop.
