--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -14,13 +14,15 @@
 
 // ClientOptions configure a Client.
 type ClientOptions struct {
-	Self         fleet.Host
-	FleetView    *FleetView
-	Owner        *Owner
-	Coordinator  *Coordinator // of this host, used while this host is the coordinator
-	Calls        peer.Caller
-	LocalUse     func() map[string]float64                  // this host's quota use by team since its start
-	SetRemoteUse func(epoch uint64, use map[string]float64) // receives, after each report, the total use of all other hosts by team where it changed
+	Self        fleet.Host
+	FleetView   *FleetView
+	Owner       *Owner
+	Coordinator *Coordinator // of this host, used while this host is the coordinator
+	Calls       peer.Caller
+	LocalUse    func() map[string]float64 // this host's quota use by team since its start
+	// SetRemoteUse receives, after each report, the total use of all other hosts by team where it
+	// changed, and with the first of an epoch the balances of the coordinator's host.
+	SetRemoteUse func(epoch uint64, use, balances map[string]float64)
 	Now          func() time.Duration
 	Log          logrus.FieldLogger
 }
@@ -39,6 +41,8 @@
 	liveHosts          []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	lastReplyAt        time.Duration // when a coordinator last replied
+	coordinatorSince   time.Duration // when currentCoordinator last changed
+	together           int           // see CountedTogether
 	failureTimes       map[string]time.Duration
 	failureCounts      map[string]int
 	pendingFailures    []string // IDs of engine failures to report
@@ -123,6 +127,25 @@
 	return c.liveHosts, c.opts.Now()-c.lastReplyAt < hostTimeout && len(c.liveHosts)+len(c.lastLeaving) > 0
 }
 
+// CountedTogether returns how many hosts count the use of teams together with this one, including it, and
+// how many did so at most since shortly before a change of coordinators: the new one hears of them one by
+// one. Both are 0 if this host receives no reports.
+func (c *Client) CountedTogether() (now, lately int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.opts.Now()-c.lastReplyAt >= hostTimeout {
+		return 0, 0
+	}
+	return max(1, len(c.liveHosts)), c.together
+}
+
+// countTogether records the number of hosts in the reply of a coordinator. The caller must hold c.mu.
+func (c *Client) countTogether() {
+	if n := max(1, len(c.liveHosts)); n >= c.together || c.opts.Now()-c.coordinatorSince >= hostTimeout {
+		c.together = n
+	}
+}
+
 // LastLeaving returns the hosts that leave last if all hosts leave, the last one first.
 func (c *Client) LastLeaving() []string {
 	c.mu.Lock()
@@ -184,7 +207,7 @@
 	}
 	if to != c.currentCoordinator {
 		c.opts.Log.WithFields(logrus.Fields{"event": "coordinator_changed", "from": c.currentCoordinator, "to": to}).Info("reporting to another coordinator")
-		c.currentCoordinator, c.sendFull = to, true
+		c.currentCoordinator, c.coordinatorSince, c.sendFull = to, c.opts.Now(), true
 	}
 	r := c.nextReport()
 	c.mu.Unlock()
@@ -222,6 +245,7 @@
 	c.mu.Lock()
 	c.sendFull = c.sendFull || u.UnknownHost
 	c.lastReplyAt = c.opts.Now()
+	c.countTogether()
 	c.mu.Unlock()
 	if u.UnknownHost {
 		c.wake()
@@ -291,14 +315,17 @@
 	if len(u.Load) > 0 {
 		c.opts.FleetView.SetRemoteLoad(u.Load)
 	}
-	if u.UseEpoch != 0 { // the update replies to a report
-		c.opts.SetRemoteUse(u.UseEpoch, u.RemoteUse)
-	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if len(u.LiveHosts) > 0 || len(u.LastLeaving) > 0 {
 		c.liveHosts, c.lastLeaving = u.LiveHosts, u.LastLeaving
+		c.countTogether()
+	}
+	c.mu.Unlock()
+	if u.UseEpoch != 0 { // the update replies to a report
+		c.opts.SetRemoteUse(u.UseEpoch, u.RemoteUse, u.Balances)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.sendFull = c.sendFull || !complete
 	for _, id := range u.EngineFailures {
 		if _, known := c.failureTimes[id]; !known {
--- a/internal/coordinator/client_test.go
+++ b/internal/coordinator/client_test.go
@@ -21,7 +21,7 @@
 	}
 	view.SetHosts(byName)
 	return NewClient(ClientOptions{Self: byName[self], FleetView: view, Owner: &Owner{}, Now: now, Log: quietLog(),
-		SetRemoteUse: func(uint64, map[string]float64) {}})
+		SetRemoteUse: func(uint64, map[string]float64, map[string]float64) {}})
 }
 
 // TestHostWithoutEntryFollowsOthers covers a host that has restarted: until its new entry
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -36,6 +36,7 @@
 type Coordinator struct {
 	self        string
 	freshness   FreshnessFunc
+	balances    func() map[string]float64
 	firstBoot   bool // the whole system is starting for the first time
 	fleetView   *FleetView
 	calls       peer.Caller
@@ -53,6 +54,7 @@
 	ownAskedAt   map[string]time.Duration // by engine, when a host was last asked to own it
 	released     map[string]release       // engines whose owner released them in a planned stop
 	failureTimes map[string]time.Duration
+	reports      uint64 // received from all hosts
 	moveIDBase   uint64 // random, so that move IDs of different coordinators differ
 	moveCount    uint64
 
@@ -104,13 +106,17 @@
 // NewCoordinator returns a coordinator that is inactive until a host reports to it.
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
-		self: self, freshness: freshness, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
+		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
 	}
 }
 
+// ShareBalances sets the function that returns this host's balances of quotas, by team, for hosts that
+// report for the first time. It must be called before Run.
+func (c *Coordinator) ShareBalances(balances func() map[string]float64) { c.balances = balances }
+
 // Register registers the method by which hosts report.
 func (c *Coordinator) Register(r peer.Registrar) {
 	r.Handle(methodReport, func(_ context.Context, from peer.ID, params json.RawMessage) (any, error) {
@@ -137,6 +143,8 @@
 	if r.Leaving && !h.leaving {
 		h.leavingSince = now
 	}
+	c.reports++
+	h.reports++
 	h.reportedAt, h.waitingAt, h.unreachable, h.leaving = now, now, r.Unreachable, r.Leaving
 	c.totals.setWaiting(h, r.Waiting)
 	for _, rc := range r.Running {
@@ -290,7 +298,7 @@
 func (c *Coordinator) registerHost(host string, r Report) *hostState {
 	h := newHostState(r.Incarnation)
 	if old := c.hosts[host]; old != nil && old.incarnation == r.Incarnation {
-		h.use, h.countedUse, h.useEpoch = old.use, old.countedUse, old.useEpoch
+		h.use, h.countedUse, h.useEpoch, h.sentBalances = old.use, old.countedUse, old.useEpoch, old.sentBalances
 	} else {
 		maps.Copy(h.use, r.LocalUse)
 	}
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -7,18 +7,21 @@
 
 // hostState is what a host has reported and what the coordinator has sent to it.
 type hostState struct {
-	incarnation string
-	reportedAt  time.Duration
-	waiting     []WaitingRequests
-	waitingAt   time.Duration
-	running     map[runKey]int
-	load        map[string]int     // running requests by target
-	use         map[string]float64 // by team since the host started
-	countedUse  map[string]float64 // the host's part of totals.use
-	useEpoch    uint64             // epoch of the use of other hosts that is sent to it
-	owned       map[string]EngineView
-	unreachable []string
-	leaving     bool
+	incarnation  string
+	reportedAt   time.Duration
+	waiting      []WaitingRequests
+	waitingAt    time.Duration
+	running      map[runKey]int
+	load         map[string]int     // running requests by target
+	use          map[string]float64 // by team since the host started
+	countedUse   map[string]float64 // the host's part of totals.use
+	useEpoch     uint64             // epoch of the use of other hosts that is sent to it
+	sentBalances bool
+	owned        map[string]EngineView
+	unreachable  []string
+	leaving      bool
+	reports      uint64 // reports received from it
+	othersCount  uint64 // reports of all other hosts at the last update sent to it
 	// leavingSince is when the host first reported that it leaves.
 	leavingSince time.Duration
 
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -132,12 +132,13 @@
 // Update is what the coordinator sends to a host: the changes since the last update.
 type Update struct {
 	Engines        []EngineUpdate     `json:"e,omitempty"`
-	RemoteUse      map[string]float64 `json:"u,omitempty"` // LocalUse of all other hosts; compare within an epoch only
-	UseEpoch       uint64             `json:"ue,omitempty"`
-	LiveHosts      []string           `json:"l,omitempty"` // all hosts that report and do not leave, if this or LastLeaving changed
-	LastLeaving    []string           `json:"z,omitempty"` // only if LiveHosts is empty: hosts that leave last, the last one first
-	Load           map[string]int     `json:"r,omitempty"` // other hosts' requests by target, if changed by more than one or to 0
-	Backlogs       []Backlog          `json:"k,omitempty"` // of the models that the host's requests wait for
+	RemoteUse      map[string]float64 `json:"u,omitempty"`  // LocalUse of all other hosts; compare within an epoch only
+	UseEpoch       uint64             `json:"ue,omitempty"` // 0: no other host has reported since the last update
+	Balances       map[string]float64 `json:"ub,omitempty"` // of quotas at the coordinator's host, by team; only with the first UseEpoch
+	LiveHosts      []string           `json:"l,omitempty"`  // all hosts that report and do not leave, if this or LastLeaving changed
+	LastLeaving    []string           `json:"z,omitempty"`  // only if LiveHosts is empty: hosts that leave last, the last one first
+	Load           map[string]int     `json:"r,omitempty"`  // other hosts' requests by target, if changed by more than one or to 0
+	Backlogs       []Backlog          `json:"k,omitempty"`  // of the models that the host's requests wait for
 	EngineFailures []string           `json:"x,omitempty"`
 	StoreAge       *StoreAge          `json:"v,omitempty"` // only in the reply to a report
 	Coordinator    string             `json:"c,omitempty"` // set by a deputy, which says nothing of the other hosts
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -211,7 +211,7 @@
 		u.Coordinator = c.follows
 		return u
 	}
-	u.RemoteUse, u.UseEpoch = c.useOfOthers(h), h.useEpoch
+	c.addUse(&u, name, h)
 	u.Load = c.loadOfOthers(h)
 	live, leaving := c.liveHosts(), c.lastLeaving()
 	if !slices.Equal(live, h.sentLiveHosts) || !slices.Equal(leaving, h.sentLeaving) {
@@ -221,6 +221,20 @@
 	return u
 }
 
+// addUse adds the use of the other hosts to an update, unless none of them has reported since the last
+// one: a coordinator that was cut off must not take their silence for no use.
+func (c *Coordinator) addUse(u *Update, name string, h *hostState) {
+	others := c.reports - h.reports
+	if others == h.othersCount && len(c.hosts) > 1 {
+		return
+	}
+	h.othersCount = others
+	u.RemoteUse, u.UseEpoch = c.useOfOthers(h), h.useEpoch
+	if !h.sentBalances && name != c.self {
+		u.Balances, h.sentBalances = c.balances(), true
+	}
+}
+
 func (c *Coordinator) liveHosts() []string {
 	live := make([]string, 0, len(c.hosts))
 	for host, h := range c.hosts {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -295,12 +295,12 @@
 		start := time.Now()
 		g.opts.View.Config().Teams[0].Rate = 60
 		g.opts.Quotas = NewQuotas(fleet.Bounds{QuotaSlack: 100}, countIf(60, func() bool { return time.Since(start) >= reportedAfter }), g.opts.Now, half)
-		g.opts.Quotas.SetRemoteUse(nil, 1, nil) // the reply to the host's first report
+		g.opts.Quotas.SetRemoteUse(nil, 1, nil, nil) // the reply to the host's first report
 		for i := range 3 {
 			if w := post(g, "/once/x", "m"); w.Code != http.StatusOK {
 				t.Errorf("request %d: status %d", i, w.Code)
 			}
-			g.opts.Quotas.SetRemoteUse(nil, 1, nil) // the reply to the report that the request caused
+			g.opts.Quotas.SetRemoteUse(nil, 1, nil, nil) // the reply to the report that the request caused
 		}
 		if took := time.Since(start); took > reportedAfter+startupPollInterval {
 			t.Errorf("requests were served after %v", took)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -34,35 +33,6 @@
 	syncGap  time.Duration      // time between the last two reports
 }
 
-// HostCount tells how many hosts there are, and how many count the use of teams together.
-type HostCount struct {
-	All      int // hosts that are known, whether they can be reached or not
-	Together int // hosts that report to this host's coordinator, including this one; 0: it receives no reports
-}
-
-// reporting reports whether this host receives reports on the use of others.
-func (c HostCount) reporting() bool { return c.Together > 0 }
-
-// share returns the part of each team's rate that the hosts that count together may grant.
-func (c HostCount) share() float64 {
-	return min(1, float64(max(1, c.Together))/float64(max(1, c.All)))
-}
-
-type teamQuota struct {
-	balance   float64 // available now; negative: overdrawn
-	updatedAt time.Duration
-	localUse  float64 // taken by this host since its start
-	// unsynced is what this host has taken since the last report on the use of the others,
-	// without the first request since then.
-	unsynced    float64
-	tookRequest bool // since the last report on the use of the others
-
-	localAsked float64 // asked of this host since its start, granted or not
-	requests   float64 // their number
-	takenRate  float64 // taken by the others a second, between the last two reports
-	askedRate  float64 // asked of the others a second, smoothed
-}
-
 // NewQuotas returns unused quotas. The function random returns a number in [0, 1).
 func NewQuotas(bounds fleet.Bounds, hosts func() HostCount, now func() time.Duration, random func() float64) *Quotas {
 	return &Quotas{now: now, hosts: hosts, random: random, bounds: bounds, startedAt: now(), teams: map[string]*teamQuota{}}
@@ -138,7 +108,7 @@
 func (q *Quotas) mayTakeUnsynced(t *teamQuota, n, rate, floor float64, hosts int) bool {
 	credit := t.balance - floor
 	if t.tookRequest {
-		credit -= t.takenRate * q.overdue().Seconds()
+		credit -= t.presumedRate() * q.overdue().Seconds()
 		return t.unsynced+n <= (credit+t.unsynced)*unsyncedShare(hosts)
 	}
 	gap := q.interval().Seconds()
@@ -158,14 +128,6 @@
 	return float64(hosts) * t.localAsked / t.requests
 }
 
-// countUnsynced counts a granted request.
-func (t *teamQuota) countUnsynced(n float64) {
-	if t.tookRequest {
-		t.unsynced += n
-	}
-	t.tookRequest = true
-}
-
 // CountAsked counts a request of n; Take follows, more than once if the request waits.
 func (q *Quotas) CountAsked(team *fleet.Team, n float64) {
 	q.update(team, func(t *teamQuota) {
@@ -182,11 +144,12 @@
 	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.quotaOf(team, hosts.All)
-	rate := team.Rate * hosts.share()
-	t.accrue(rate, team.Burst, q.now())
-	floor := -slackShare(hosts.All) * q.bounds.QuotaSlack * hosts.share()
-	if hosts.reporting() && t.balance < team.Burst && !q.mayTakeUnsynced(t, n, rate, floor, hosts.Together) {
+	t := q.quotaOf(team, hosts)
+	t.accrue(team, hosts, q.now())
+	rate := t.rate
+	floor := -slackShare(hosts.All) * q.bounds.QuotaSlack * t.share
+	floor += max(0, t.balance-floor) * (1 - hosts.share()/t.share) // left to hosts that may only be late
+	if hosts.reporting() && t.balance < t.burst && !q.mayTakeUnsynced(t, n, rate, floor, hosts.Together) {
 		return unsyncedRetry, false
 	}
 	if t.balance-n < floor {
@@ -213,7 +176,7 @@
 	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.quotaOf(team, hosts.All)
+	t := q.quotaOf(team, hosts)
 	return QuotaState{Rate: team.Rate, Balance: math.Round(t.balance), LocalUse: math.Round(t.localUse), AskedRate: math.Round(t.askedRate),
 		Share: math.Round(hosts.share()*100) / 100, Reporting: hosts.reporting()}
 }
@@ -242,13 +205,14 @@
 	hosts := q.hosts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	change(q.quotaOf(team, hosts.All))
+	change(q.quotaOf(team, hosts))
 }
 
-func (q *Quotas) quotaOf(team *fleet.Team, hosts int) *teamQuota {
+func (q *Quotas) quotaOf(team *fleet.Team, hosts HostCount) *teamQuota {
 	t := q.teams[team.Name]
 	if t == nil {
-		t = &teamQuota{updatedAt: q.startedAt, balance: q.startBalance(team, hosts)}
+		share := hosts.balanceShare()
+		t = &teamQuota{share: share, rate: team.Rate * hosts.share(), burst: team.Burst * share, updatedAt: q.startedAt, balance: share * q.startBalance(team, hosts.All)}
 		q.teams[team.Name] = t
 	}
 	return t
@@ -259,89 +223,3 @@
 func (q *Quotas) startBalance(team *fleet.Team, hosts int) float64 {
 	return -min(slackShare(hosts)*q.bounds.QuotaSlack, team.Rate*startDebt(hosts).Seconds())
 }
-
-// askedSuffix follows the name of a team in the name of the count of what was asked.
-const askedSuffix = "\tasked"
-
-// LocalUse returns what this host has taken since its start, by team, and under the name of the
-// team with askedSuffix what it was asked for.
-func (q *Quotas) LocalUse() map[string]float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	out := make(map[string]float64, 2*len(q.teams))
-	for name, t := range q.teams {
-		out[name] = t.localUse
-		out[name+askedSuffix] = t.localAsked
-	}
-	return out
-}
-
-// accrue adds what has become available since the last update.
-func (t *teamQuota) accrue(rate, burst float64, now time.Duration) {
-	t.balance = math.Min(burst, t.balance+rate*(now-t.updatedAt).Seconds())
-	t.updatedAt = now
-}
-
-// SetRemoteUse records the totals of LocalUse of all other hosts; those that have not changed
-// since the last report may be missing. The totals of each epoch have an arbitrary origin, so
-// the first report of an epoch only serves as the baseline.
-func (q *Quotas) SetRemoteUse(teams []fleet.Team, epoch uint64, use map[string]float64) {
-	hosts := q.hosts()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	gap := q.now() - q.syncedAt
-	q.syncedAt = q.now()
-	if epoch != q.epoch {
-		if q.epoch == 0 {
-			q.creditStart(teams, hosts.All)
-		}
-		q.epoch, q.remote = epoch, maps.Clone(use)
-		return
-	}
-	first := q.syncGap == 0
-	q.syncGap = gap
-	increase := func(name string) float64 { return max(0, use[name]-q.remote[name]) }
-	for i := range teams {
-		if increase(teams[i].Name) > 0 {
-			q.quotaOf(&teams[i], hosts.All).accrue(teams[i].Rate*hosts.share(), teams[i].Burst, q.now())
-		}
-	}
-	for name, t := range q.teams {
-		t.countRemote(increase(name), increase(name+askedSuffix), gap, first)
-	}
-	if q.remote == nil {
-		q.remote = map[string]float64{}
-	}
-	maps.Copy(q.remote, use)
-}
-
-// creditStart credits teams with their whole rate since the start of this process, of which
-// a host without reports counts only its share.
-func (q *Quotas) creditStart(teams []fleet.Team, hosts int) {
-	for i := range teams {
-		if t := q.teams[teams[i].Name]; t != nil {
-			t.balance, t.updatedAt = q.startBalance(&teams[i], hosts)-t.localUse, q.startedAt
-			t.accrue(teams[i].Rate, teams[i].Burst, q.now())
-		}
-	}
-}
-
-// rateTime is the time over which the rates of a team are smoothed: the usual time between two
-// reports. Some follow within milliseconds, and a single request makes a large rate then.
-const rateTime = 400 * time.Millisecond
-
-// countRemote counts what the others have taken and were asked for during a time, for the first
-// time since the start of this process or again.
-func (t *teamQuota) countRemote(taken, asked float64, during time.Duration, first bool) {
-	t.unsynced, t.tookRequest = 0, false
-	t.balance -= taken
-	if during <= 0 {
-		return
-	}
-	weight := min(1, during.Seconds()/rateTime.Seconds())
-	t.takenRate += weight * (taken/during.Seconds() - t.takenRate)
-	if !first {
-		weight /= 2 // a few large requests are no lasting demand
-	}
-	t.askedRate += weight * (asked/during.Seconds() - t.askedRate)
-}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -26,7 +26,7 @@
 func countIf(n int, reporting func() bool) func() HostCount {
 	return func() HostCount {
 		if reporting() {
-			return HostCount{All: n, Together: n}
+			return HostCount{All: n, Together: n, Lately: n}
 		}
 		return HostCount{All: n}
 	}
@@ -85,8 +85,8 @@
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
 	q := NewQuotas(testBounds(), together(2), c.Now, half)
 	c.now += 10 * time.Second
-	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 0})
-	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000})
+	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 0}, nil)
+	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000}, nil)
 	if wait, ok := q.Take(team, 700); ok || wait <= 0 {
 		t.Error("a request was granted although the other hosts have used up the quota")
 	}
@@ -99,8 +99,8 @@
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
 	q := NewQuotas(testBounds(), together(2), c.Now, half)
 	c.now += 10 * time.Second
-	q.SetRemoteUse([]fleet.Team{*team}, 1, nil)
-	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000})
+	q.SetRemoteUse([]fleet.Team{*team}, 1, nil, nil)
+	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 200_000}, nil)
 	if _, ok := q.Take(team, 700); ok {
 		t.Error("a request was granted although the other hosts have used up the quota")
 	}
@@ -120,7 +120,7 @@
 		}
 	}
 	reporting = true
-	q.SetRemoteUse([]fleet.Team{*team}, 1, nil)
+	q.SetRemoteUse([]fleet.Team{*team}, 1, nil, nil)
 	if wait, ok := q.Take(team, 7_000); !ok {
 		t.Errorf("a request was refused for %v after the first report, 0.8 s after the start", wait)
 	}
@@ -148,8 +148,8 @@
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
 	q := NewQuotas(testBounds(), together(8), c.Now, half)
 	c.now += 10 * time.Second
-	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 100_000})
-	q.SetRemoteUse([]fleet.Team{*team}, 2, map[string]float64{"t": 900_000})
+	q.SetRemoteUse([]fleet.Team{*team}, 1, map[string]float64{"t": 100_000}, nil)
+	q.SetRemoteUse([]fleet.Team{*team}, 2, map[string]float64{"t": 900_000}, nil)
 	if _, ok := q.Take(team, 700); !ok {
 		t.Error("a request within the quota was refused")
 	}
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -78,20 +78,17 @@
 	coord := coordinator.NewCoordinator(name, view, h.net, freshness, false, f.now, log)
 	var client *coordinator.Client
 	h.quotas = NewQuotas(testBounds(), func() HostCount {
-		live, reporting := client.LiveHosts()
-		count := HostCount{All: len(f.known)}
-		if reporting {
-			count.Together = max(1, len(live))
-		}
-		return count
+		together, lately := client.CountedTogether()
+		return HostCount{All: len(f.known), Together: together, Lately: lately}
 	}, f.now, rand.New(rand.NewPCG(f.random.Uint64(), 5)).Float64)
 	client = coordinator.NewClient(coordinator.ClientOptions{
 		Self: self, FleetView: view, Owner: owner, Coordinator: coord, Calls: h.net, LocalUse: h.quotas.LocalUse,
-		SetRemoteUse: func(epoch uint64, use map[string]float64) {
-			h.quotas.SetRemoteUse([]fleet.Team{*f.team}, epoch, use)
+		SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
+			h.quotas.SetRemoteUse([]fleet.Team{*f.team}, epoch, use, balances)
 		},
 		Now: f.now, Log: log,
 	})
+	coord.ShareBalances(h.quotas.Balances)
 	coord.Register(h.net)
 	client.Register(h.net)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/quotafleet_test.go
+++ b/internal/gateway/quotafleet_test.go
@@ -74,7 +74,7 @@
 			others[name] = n - f.counted[i][name]
 		}
 	}
-	f.hosts[i].SetRemoteUse([]fleet.Team{*f.team}, f.epoch, others)
+	f.hosts[i].SetRemoteUse([]fleet.Team{*f.team}, f.epoch, others, nil)
 	f.reportAt[i] += f.reportInterval()
 }
 
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -139,10 +139,11 @@
 	quotas := gateway.NewQuotas(h.settings.Bounds, h.hostCount, bootclock.Now, rand.Float64)
 	h.client = coordinator.NewClient(coordinator.ClientOptions{
 		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient,
-		LocalUse: quotas.LocalUse, SetRemoteUse: func(epoch uint64, use map[string]float64) {
-			quotas.SetRemoteUse(h.view.Config().Teams, epoch, use)
+		LocalUse: quotas.LocalUse, SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
+			quotas.SetRemoteUse(h.view.Config().Teams, epoch, use, balances)
 		}, Now: bootclock.Now, Log: h.log,
 	})
+	h.coordinator.ShareBalances(quotas.Balances)
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
@@ -162,12 +163,8 @@
 // hostCount counts the hosts that are not in a planned stop, and those of them that report to the
 // coordinator.
 func (h *Host) hostCount() gateway.HostCount {
-	live, reporting := h.client.LiveHosts()
-	count := gateway.HostCount{All: max(len(h.stayingHosts()), len(live))}
-	if reporting {
-		count.Together = max(1, len(live))
-	}
-	return count
+	together, lately := h.client.CountedTogether()
+	return gateway.HostCount{All: max(len(h.stayingHosts()), lately), Together: together, Lately: lately}
 }
 
 // stayingHosts returns the names of the hosts that are not in a planned stop.
