--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -42,7 +42,8 @@
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	lastReplyAt        time.Duration // when a coordinator last replied
 	coordinatorSince   time.Duration // when currentCoordinator last changed
-	together           int           // see CountedTogether
+	reporting          int           // number of hosts that report to the coordinator, with those that leave
+	reportingLately    int           // see CountedTogether
 	failureTimes       map[string]time.Duration
 	failureCounts      map[string]int
 	pendingFailures    []string // IDs of engine failures to report
@@ -136,13 +137,14 @@
 	if c.opts.Now()-c.lastReplyAt >= hostTimeout {
 		return 0, 0
 	}
-	return max(1, len(c.liveHosts)), c.together
+	return max(1, c.reporting), max(1, c.reportingLately)
 }
 
-// countTogether records the number of hosts in the reply of a coordinator. The caller must hold c.mu.
-func (c *Client) countTogether() {
-	if n := max(1, len(c.liveHosts)); n >= c.together || c.opts.Now()-c.coordinatorSince >= hostTimeout {
-		c.together = n
+// countTogether records how many hosts report to the coordinator. The caller must hold c.mu.
+func (c *Client) countTogether(n int) {
+	c.reporting = n
+	if n >= c.reportingLately || c.opts.Now()-c.coordinatorSince >= hostTimeout {
+		c.reportingLately = n
 	}
 }
 
@@ -245,7 +247,6 @@
 	c.mu.Lock()
 	c.sendFull = c.sendFull || u.UnknownHost
 	c.lastReplyAt = c.opts.Now()
-	c.countTogether()
 	c.mu.Unlock()
 	if u.UnknownHost {
 		c.wake()
@@ -318,7 +319,9 @@
 	c.mu.Lock()
 	if len(u.LiveHosts) > 0 || len(u.LastLeaving) > 0 {
 		c.liveHosts, c.lastLeaving = u.LiveHosts, u.LastLeaving
-		c.countTogether()
+	}
+	if u.Reporting > 0 {
+		c.countTogether(u.Reporting)
 	}
 	c.mu.Unlock()
 	if u.UseEpoch != 0 { // the update replies to a report
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -135,6 +135,7 @@
 	RemoteUse      map[string]float64 `json:"u,omitempty"`  // LocalUse of all other hosts; compare within an epoch only
 	UseEpoch       uint64             `json:"ue,omitempty"` // 0: no other host has reported since the last update
 	Balances       map[string]float64 `json:"ub,omitempty"` // of quotas at the coordinator's host, by team; only with the first UseEpoch
+	Reporting      int                `json:"n,omitempty"`  // number of hosts that report, with those that leave; only in the reply to a report
 	LiveHosts      []string           `json:"l,omitempty"`  // all hosts that report and do not leave, if this or LastLeaving changed
 	LastLeaving    []string           `json:"z,omitempty"`  // only if LiveHosts is empty: hosts that leave last, the last one first
 	Load           map[string]int     `json:"r,omitempty"`  // other hosts' requests by target, if changed by more than one or to 0
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -212,6 +212,7 @@
 		return u
 	}
 	c.addUse(&u, name, h)
+	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
 	live, leaving := c.liveHosts(), c.lastLeaving()
 	if !slices.Equal(live, h.sentLiveHosts) || !slices.Equal(leaving, h.sentLeaving) {
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -60,6 +60,9 @@
 	return maxSlackShare - (maxSlackShare-minSlackShare)*min(1, float64(hosts)/slackShareHosts)
 }
 
+// floor returns the balance of all hosts down to which requests are granted.
+func (q *Quotas) floor(hosts HostCount) float64 { return -slackShare(hosts.All) * q.bounds.QuotaSlack }
+
 // Times for which a new process assumes that a team's quota is overdrawn, until it hears of the
 // use of the others: each of them gives out at least one request before that.
 const (
@@ -145,9 +148,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := q.quotaOf(team, hosts)
-	t.accrue(team, hosts, q.now())
+	t.accrue(team, hosts, q.floor(hosts), q.now())
 	rate := t.rate
-	floor := -slackShare(hosts.All) * q.bounds.QuotaSlack * t.share
+	floor := t.share * q.floor(hosts)
 	floor += max(0, t.balance-floor) * (1 - hosts.share()/t.share) // left to hosts that may only be late
 	if hosts.reporting() && t.balance < t.burst && !q.mayTakeUnsynced(t, n, rate, floor, hosts.Together) {
 		return unsyncedRetry, false
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -35,6 +36,8 @@
 type reportingHost struct {
 	net       *peertest.Host
 	quotas    *Quotas
+	client    *coordinator.Client
+	view      *coordinator.FleetView
 	startedAt time.Duration
 	kill      context.CancelFunc // ends the process; nil while there is none
 }
@@ -71,8 +74,8 @@
 	self := f.known[name]
 	self.Incarnation = fmt.Sprint(name, "-", f.now())
 	view := coordinator.NewFleetView("z", f.now)
-	view.SetHosts(f.known)
-	h := &reportingHost{net: f.network.Add(peer.Member{ID: peer.ID{Name: name, Incarnation: self.Incarnation}}), startedAt: f.now()}
+	view.SetHosts(maps.Clone(f.known))
+	h := &reportingHost{view: view, net: f.network.Add(peer.Member{ID: peer.ID{Name: name, Incarnation: self.Incarnation}}), startedAt: f.now()}
 	owner := coordinator.NewOwner(name, name, coordinator.NewLease(name, nil, f.now, log), view, nil, testBounds(), f.now, log)
 	freshness := func() (uint64, time.Duration, time.Duration) { return 1, f.now(), f.now() }
 	coord := coordinator.NewCoordinator(name, view, h.net, freshness, false, f.now, log)
@@ -88,6 +91,7 @@
 		},
 		Now: f.now, Log: log,
 	})
+	h.client = client
 	coord.ShareBalances(h.quotas.Balances)
 	coord.Register(h.net)
 	client.Register(h.net)
@@ -131,6 +135,29 @@
 	}
 }
 
+// leave begins the planned stop of all hosts.
+func (f *reportingFleet) leave() {
+	for name, host := range f.known {
+		host.Leaving = true
+		f.known[name] = host
+	}
+	for _, h := range f.hosts {
+		h.view.SetHosts(maps.Clone(f.known))
+		h.client.Leave()
+	}
+}
+
+// returned tells all hosts that the planned stop of one of them has ended.
+func (f *reportingFleet) returned(i int) {
+	name := fmt.Sprint("h", i)
+	host := f.known[name]
+	host.Leaving = false
+	f.known[name] = host
+	for _, h := range f.hosts {
+		h.view.SetHosts(maps.Clone(f.known))
+	}
+}
+
 // grantedSince returns the tokens granted since a time.
 func (f *reportingFleet) grantedSince(from time.Duration) float64 {
 	sum := 0.0
@@ -226,6 +253,22 @@
 	})
 }
 
+// TestHotTeamWhileAllHostsStop guards against the same while all hosts stop as planned: they change the
+// coordinator several times, and end one after the other.
+func TestHotTeamWhileAllHostsStop(t *testing.T) {
+	testHotTeam(t, func(f *reportingFleet, seed uint64) {
+		f.leave()
+		f.run(time.Duration(seed+1)*time.Second, hotFactor)
+		for i := range f.hosts {
+			f.killHost(i)
+			f.run(200*time.Millisecond, hotFactor)
+			f.returned(i)
+			f.startHost(i)
+			f.run(200*time.Millisecond, hotFactor)
+		}
+	})
+}
+
 // TestTeamWithinItsRateWhileHostsFail checks that a team at 0.8 of its rate is served while hosts restart in turn,
 // fall silent one at a time and lose the coordinator.
 func TestTeamWithinItsRateWhileHostsFail(t *testing.T) {
--- a/internal/gateway/quotareports.go
+++ b/internal/gateway/quotareports.go
@@ -52,7 +52,7 @@
 	increase := func(name string) float64 { return max(0, use[name]-q.remote[name]) }
 	for i := range teams {
 		if increase(teams[i].Name) > 0 {
-			q.quotaOf(&teams[i], hosts).accrue(&teams[i], hosts, q.now())
+			q.quotaOf(&teams[i], hosts).accrue(&teams[i], hosts, q.floor(hosts), q.now())
 		}
 	}
 	for name, t := range q.teams {
--- a/internal/gateway/teamquota.go
+++ b/internal/gateway/teamquota.go
@@ -63,14 +63,17 @@
 }
 
 // accrue adds what has become available since the last update, at the share that was in force, and
-// sets the share in force from now on.
-func (t *teamQuota) accrue(team *fleet.Team, hosts HostCount, now time.Duration) {
+// sets the share in force from now on. Requests are granted down to the balance floor of all hosts.
+func (t *teamQuota) accrue(team *fleet.Team, hosts HostCount, floor float64, now time.Duration) {
 	t.advance(now)
 	share := hosts.balanceShare()
-	if share < t.share || t.balance < 0 {
-		// Hosts that part divide the balance, and hosts that join add their debts up. Credit is not
-		// added up, as hosts that were gone have none.
+	switch {
+	case share < t.share: // hosts that part divide the balance
 		t.balance *= share / t.share
+	case t.balance < 0:
+		// Hosts that join add their debts up, as far as requests are granted on debt. Credit is not
+		// added up, as hosts that were gone have none.
+		t.balance = min(t.balance, max(t.balance*share/t.share, floor))
 	}
 	t.share, t.rate, t.burst = share, team.Rate*hosts.share(), team.Burst*share
 	t.balance = math.Min(t.burst, t.balance)
--- /dev/null
+++ b/internal/platformhost/hostcount_test.go
@@ -0,0 +1,26 @@
+package platformhost
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// TestStoppingHostsCountForQuotas guards against each host taking itself for the only one while all hosts stop
+// as planned, and granting the whole rate of a team (rule QUOTA, seed 20 of the soak).
+func TestStoppingHostsCountForQuotas(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := func() time.Duration { return time.Hour }
+	h := &Host{view: coordinator.NewFleetView("z", now)}
+	h.view.SetHosts(map[string]fleet.Host{"a": {Name: "a", Leaving: true}, "b": {Name: "b", Leaving: true}, "c": {Name: "c", Leaving: true}})
+	h.client = coordinator.NewClient(coordinator.ClientOptions{FleetView: h.view, Owner: &coordinator.Owner{}, Now: now, Log: log})
+	if count := h.hostCount(); count.All != 3 {
+		t.Errorf("%d hosts, want 3", count.All)
+	}
+}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -160,11 +160,11 @@
 	})
 }
 
-// hostCount counts the hosts that are not in a planned stop, and those of them that report to the
-// coordinator.
+// hostCount counts the hosts, and those of them that report to the coordinator. Hosts in a planned stop
+// still serve requests.
 func (h *Host) hostCount() gateway.HostCount {
 	together, lately := h.client.CountedTogether()
-	return gateway.HostCount{All: max(len(h.stayingHosts()), lately), Together: together, Lately: lately}
+	return gateway.HostCount{All: max(len(h.view.Hosts()), lately), Together: together, Lately: lately}
 }
 
 // stayingHosts returns the names of the hosts that are not in a planned stop.
