--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,7 +23,10 @@
 	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
 		return g.relayStream(ctx, x, c, resp, silenceTimer, sent)
 	}
-	body, err := io.ReadAll(resp.Body)
+	if resp.Length > maxBufferedBytes {
+		return g.relayLarge(x, c, resp, silenceTimer)
+	}
+	body, err := readBuffered(resp.Body)
 	if err != nil {
 		g.logBrokenResponse(x, c, err, len(body))
 		return g.sendFailed(x, c, err)
@@ -42,6 +45,49 @@
 	return relayed
 }
 
+// Limits of what is read of a response before any of it is sent to the caller. A target in trouble may
+// send bytes without end.
+const (
+	maxBufferedBytes = 4 << 20 // of a plain response; one with a larger declared length is not buffered
+	maxEventBytes    = 1 << 20 // of one event of a stream
+)
+
+// OversizedResponseError reports a response that exceeds a limit and may have no end.
+type OversizedResponseError struct {
+	Part  string
+	Limit int64 // in bytes
+}
+
+func (e *OversizedResponseError) Error() string {
+	return fmt.Sprintf("%s of the response has more than %d bytes", e.Part, e.Limit)
+}
+
+func readBuffered(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = &OversizedResponseError{Part: "body", Limit: maxBufferedBytes}
+	}
+	return body, err
+}
+
+// relayLarge sends a plain response to the caller as it arrives. If it breaks, the connection is aborted, and
+// the request is not sent again.
+func (g *Gateway) relayLarge(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silenceTimer *time.Timer) result {
+	silenceTimer.Stop()
+	g.copyHeader(x, resp)
+	x.headWritten, x.status = true, resp.Status
+	x.w.WriteHeader(resp.Status)
+	n, err := io.Copy(x.w, resp.Body)
+	if err != nil {
+		x.sends++
+		x.log["reason"] = err.Error()
+		g.logBrokenResponse(x, c, err, int(n))
+		g.fail(x, resp.Status)
+	}
+	g.opts.View.RecordOutcome(c.Target.ID, resp.Status/100 != 5)
+	return relayed
+}
+
 func (g *Gateway) logBrokenResponse(x *exchange, c coordinator.Choice, err error, n int) {
 	g.opts.Log.WithFields(logrus.Fields{"event": "answer_broken", "id": x.call.ID, "target": c.Target.ID, "bytes": n}).Warn(err.Error())
 }
@@ -84,6 +130,9 @@
 				silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
 			}
 		}
+		if err == nil && x.events.partialBytes() > maxEventBytes {
+			err = &OversizedResponseError{Part: "event", Limit: maxEventBytes}
+		}
 		if err == nil {
 			continue
 		}
