--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -28,6 +28,7 @@
 // caller sends requests one after the other and reuses its connections.
 type caller struct {
 	id         int
+	hot        bool // asks for as much as it can for limitedTeam
 	random     *rand.Rand
 	fleet      *fleet
 	checker    *checker
@@ -37,6 +38,9 @@
 	sentOnConn int
 }
 
+// hotTokens is the size of each request of limitedTeam.
+const hotTokens = 3_000
+
 // requestTimeout is the deadline that callers state for each request.
 const requestTimeout = 3 * time.Second
 
@@ -54,10 +58,11 @@
 		if c.sentOnConn++; c.sentOnConn >= requestsPerConn {
 			c.closeConn()
 		}
-		if o.status != http.StatusOK {
-			time.Sleep(50 * time.Millisecond)
+		pause := time.Duration(c.random.IntN(20)) * time.Millisecond
+		if o.status != http.StatusOK && !c.hot {
+			pause += 50 * time.Millisecond
 		}
-		time.Sleep(time.Duration(c.random.IntN(20)) * time.Millisecond)
+		time.Sleep(pause)
 	}
 	c.closeConn()
 }
@@ -109,12 +114,19 @@
 	if o.phase == phasePlannedWork && c.random.IntN(longShare) == 0 {
 		o.path = longPath
 	}
+	if c.hot {
+		o.path = "/pay/x"
+	}
 	began, deadline := time.Now(), requestTimeout
+	o.host, o.sentAt = c.conn.RemoteAddr().String(), began
 	if o.path == longPath {
 		deadline = longTimeout
 	}
 	key, modelHeader := "k1", ""
-	if c.random.IntN(4) == 0 {
+	switch {
+	case c.hot:
+		key, modelHeader = "k7", fmt.Sprintf("Buckthornseam-Token-Count: %d,0\r\n", hotTokens)
+	case c.random.IntN(4) == 0:
 		key = "k2"
 	}
 	if strings.HasPrefix(o.path, "/draft/") {
@@ -125,7 +137,9 @@
 	fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nBuckthornseam-Attempt-Id: %s\r\nAuthorization: Bearer %s\r\nBuckthornseam-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
 		o.path, attempt, key, deadline.Milliseconds(), modelHeader, len(attempt), attempt)
 	resp, err := http.ReadResponse(c.reader, nil)
+	o.endedAt = time.Now()
 	if err != nil {
+		o.timedOut = o.endedAt.Sub(began) >= deadline
 		o.failure = fmt.Sprintf("request %d on the connection to %v at %v: %v", c.sentOnConn, c.conn.RemoteAddr(), time.Now().Format(time.StampMilli), err)
 		c.closeConn()
 		return o
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,9 @@
 	timedOut  bool   // the request's deadline had passed
 	failure   string // why there is no response
 	phase     phase
+	host      string // address of the host that the request was sent to
+	sentAt    time.Time
+	endedAt   time.Time // when the response head came or the connection ended
 }
 
 // checker records what callers and targets observed and detects violations of the
@@ -32,12 +36,16 @@
 	lastOrders         map[string]standin.Order // by engine
 	violations         []string
 	revokedAt          time.Time
-	drainStartedAt     map[string]time.Time // by draining target
-	drainWithoutFaults bool                 // no fault was active when the last drain began
+	drainStartedAt     map[string]time.Time   // by draining target
+	mostLimited        float64                // of the limit, in any window
+	mostLimitedAt      time.Time              // end of that window
+	limitedRuns        []time.Time            // of limitedTeam
+	hostFaults         map[string][]time.Time // begins and ends of faults by address of the host
+	drainWithoutFaults bool                   // no fault was active when the last drain began
 }
 
 func newChecker() *checker {
-	return &checker{runs: map[string][]standin.Run{}, lastOrders: map[string]standin.Order{}, drainStartedAt: map[string]time.Time{}}
+	return &checker{runs: map[string][]standin.Run{}, lastOrders: map[string]standin.Order{}, hostFaults: map[string][]time.Time{}, drainStartedAt: map[string]time.Time{}}
 }
 
 // addViolation records a violated guarantee. c.mu must be held.
@@ -53,6 +61,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[r.Attempt] = append(c.runs[r.Attempt], r)
+	if r.Tenant == limitedTeam {
+		c.limitedRuns = append(c.limitedRuns, r.At)
+	}
 	if r.Tenant == "t2" && !c.revokedAt.IsZero() && r.At.After(c.revokedAt.Add(revokeBound+timingTolerance)) {
 		c.addViolation("revocation: %s ran %v after its key was revoked", r.Attempt, r.At.Sub(c.revokedAt))
 	}
@@ -90,6 +101,44 @@
 	delete(c.drainStartedAt, target)
 }
 
+// recordHostFault records the begin or the end of a fault of a host's process.
+func (c *checker) recordHostFault(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hostFaults[host] = append(c.hostFaults[host], time.Now())
+}
+
+// inTouch reports whether a host's process had no fault from contactBound before a request to its end.
+// c.mu must be held.
+func (c *checker) inTouch(o outcome) bool {
+	for i, at := range c.hostFaults[o.host] {
+		begin := i%2 == 0
+		if begin && at.Before(o.endedAt) && (i+1 == len(c.hostFaults[o.host]) || c.hostFaults[o.host][i+1].Add(contactBound).After(o.sentAt)) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkQuota checks that limitedTeam got no more than its quota in any window.
+func (c *checker) checkQuota() {
+	slices.SortFunc(c.limitedRuns, time.Time.Compare)
+	limit := (quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOverage) + quotaSlack
+	from, most := 0, 0
+	for i, at := range c.limitedRuns {
+		for at.Sub(c.limitedRuns[from]) >= quotaWindow {
+			from++
+		}
+		if i-from+1 > most {
+			most, c.mostLimitedAt = i-from+1, at
+		}
+	}
+	if tokens := float64(most * hotTokens); tokens > limit {
+		c.addViolation("quota: %s ran requests of %.0f tokens in %v, more than %.0f", limitedTeam, tokens, quotaWindow, limit)
+	}
+	c.mostLimited = float64(most*hotTokens) / limit
+}
+
 func (c *checker) recordOutcome(o outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,8 +154,12 @@
 func (c *checker) checkOutcomes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkQuota()
 	for _, o := range c.outcomes {
 		runs := len(c.runs[o.attemptID])
+		if o.status == 0 && runs > 0 && !o.timedOut && c.inTouch(o) {
+			c.addViolation("lost: %s (%s) ran, and its host closed the connection without a response; %s", o.attemptID, o.path, o.failure)
+		}
 		if strings.HasPrefix(o.path, "/pay/") && runs > 1 {
 			c.addViolation("at most once: %s ran %d times", o.attemptID, runs)
 		}
@@ -145,6 +198,7 @@
 	}
 	t.Logf("requests served of those sent: planned work %d of %d, faults %d of %d, recovered %d of %d",
 		served[phasePlannedWork], sent[phasePlannedWork], served[phaseFaults], sent[phaseFaults], served[phaseRecovered], sent[phaseRecovered])
+	t.Logf("%s got %.2f of what its quota allows in %v until %v", limitedTeam, c.mostLimited, quotaWindow, c.mostLimitedAt.Format(time.StampMilli))
 	for _, violation := range c.violations {
 		t.Error(violation)
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -22,6 +22,18 @@
 	leaseBound   = 3 * time.Second
 	drainBound   = 2 * time.Second
 	recoverBound = 12 * time.Second
+	contactBound = 3 * time.Second
+)
+
+// Quota of the team limitedTeam, whose callers ask for far more. The configuration and the settings have
+// the same values.
+const (
+	limitedTeam  = "t3"
+	quotaRate    = 30_000 // tokens a second
+	quotaBurst   = 30_000
+	quotaSlack   = 30_000
+	quotaOverage = 0.1
+	quotaWindow  = 8 * time.Second
 )
 
 const configTemplate = `{"version":%d,"routes":[
@@ -30,7 +42,8 @@
  {"name":"read","host":"h.example","path_prefix":"/read/","type":"idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":2}],
  "services":[{"name":"llm","engine":{"slots":16,"weights_mb":150,"adapter_slots":2,"models":[%s]}},{"name":"app"}],
  "tenants":[{"name":"t1","api_keys":["k1"],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
-  {"name":"t2","api_keys":[%s],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000}],
+  {"name":"t2","api_keys":[%s],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
+  {"name":"t3","api_keys":["k7"],"unit":"token_rate","plain_tokens":200,"rate_per_s":%d,"burst":%d}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":65536}}`
 
 // longEventDelay makes a long response, of three events, take half of the time that a host
@@ -46,7 +59,7 @@
 	for _, m := range models {
 		list = append(list, fmt.Sprintf(`{"name":%q,"weights_mb":70,"load_s":1,"warm_s":0.1,"disk_s":0.1}`, m))
 	}
-	return standin.RawJSON(fmt.Sprintf(configTemplate, version, strings.Join(list, ","), t2Keys))
+	return standin.RawJSON(fmt.Sprintf(configTemplate, version, strings.Join(list, ","), t2Keys, quotaRate, quotaBurst))
 }
 
 // process is a daemon that runs as a child process.
@@ -180,12 +193,12 @@
 retry_budget_ratio=0.2
 budget_window_s=10
 budget_extra_retries=50
-quota_window_s=8
-quota_overage=0.1
-quota_slack=110000
+quota_window_s=%v
+quota_overage=%v
+quota_slack=%d
 [platform]
 address=%q
-`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, f.storeProxies[i].address)
+`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,13 +23,14 @@
 	firstSeed  = flag.Uint64("soak.from", 1, "first seed")
 	faultCount = flag.Int("soak.faults", 6, "number of faults in each run")
 	logDir     = flag.String("soak.logs", "", "directory to which the daemons' logs of failed seeds are copied")
+	hostCount  = flag.Int("soak.hosts", 3, "number of hosts, 3 at least")
 	daemonPath = flag.String("soak.daemon", "", "path of the daemon to run; by default the test builds it")
 )
 
 // Sizes and times of a run.
 const (
-	hostCount        = 3
 	callerCount      = 10
+	hotCallerCount   = 6               // callers of limitedTeam
 	warmUp           = 4 * time.Second // until host lists name all hosts and each engine has an owner
 	plannedTime      = 3 * time.Second
 	maxStopGap       = 1600 * time.Millisecond // between the planned stops of two hosts
@@ -68,7 +69,7 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	checker := newChecker()
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), checker: checker, configVersion: 1}
-	s.fleet = startFleet(t, binary, hostCount, checker.recordRun, checker.recordOrder)
+	s.fleet = startFleet(t, binary, *hostCount, checker.recordRun, checker.recordOrder)
 	t.Cleanup(s.keepLogs)
 	if !waitFor(recoverBound, s.allReady) {
 		t.Fatal("hosts did not become ready")
@@ -82,6 +83,10 @@
 		c := &caller{id: n, random: rand.New(rand.NewPCG(seed, uint64(n)+2)), fleet: s.fleet, checker: checker, phase: &phase}
 		callers.Go(func() { c.run(ctx) })
 	}
+	for n := range hotCallerCount {
+		c := &caller{id: callerCount + n, hot: true, random: rand.New(rand.NewPCG(seed, uint64(n)+1000)), fleet: s.fleet, checker: checker, phase: &phase}
+		callers.Go(func() { c.run(ctx) })
+	}
 	s.plannedWork()
 	s.plannedStopsOfAll()
 	phase.Store(int32(phaseFaults))
@@ -115,11 +120,13 @@
 func (s *soak) plannedWork() {
 	time.Sleep(plannedTime / 3)
 	p := s.hosts[s.random.IntN(len(s.hosts))]
+	s.checker.recordHostFault(p.frontAddr)
 	p.signal(syscall.SIGTERM)
 	s.checker.recordDrainStart(s.plainTargets[0].ID, true)
 	s.registerPlainTarget(0, "draining")
 	_ = p.cmd.Wait() // any exit status is accepted
 	p.start(s.t, s.binary)
+	s.checker.recordHostFault(p.frontAddr)
 	if !waitFor(recoverBound, p.isReady) {
 		s.t.Error("planned work: the host did not become ready again")
 	}
@@ -133,10 +140,12 @@
 	s.t.Log("planned stops of all hosts, gap", gap)
 	var restarts sync.WaitGroup
 	for _, p := range s.hosts {
+		s.checker.recordHostFault(p.frontAddr)
 		p.signal(syscall.SIGTERM)
 		restarts.Go(func() {
 			_ = p.cmd.Wait() // any exit status is accepted
 			p.start(s.t, s.binary)
+			s.checker.recordHostFault(p.frontAddr)
 		})
 		time.Sleep(gap)
 	}
@@ -163,9 +172,11 @@
 			return func() {}
 		}
 		p.hasFault = true
+		s.checker.recordHostFault(p.frontAddr)
 		begin(p)
 		return func() {
 			end(p)
+			s.checker.recordHostFault(p.frontAddr)
 			p.hasFault = false
 		}
 	}
@@ -178,7 +189,7 @@
 
 func (s *soak) faultKinds() []faultKind {
 	storeFault := func(mode proxyMode) func() func() {
-		return func() func() { return s.setProxyMode(s.storeProxies[s.random.IntN(hostCount)], mode) }
+		return func() func() { return s.setProxyMode(s.storeProxies[s.random.IntN(*hostCount)], mode) }
 	}
 	targetFault := func(mode proxyMode) func() func() {
 		return func() func() { return s.setProxyMode(s.targetProxies[s.random.IntN(len(s.targetProxies))], mode) }
