--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -57,7 +57,10 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	allowed := budgetShare * (b.bounds.RetryRatio*requests + b.bounds.RetryExtra/float64(max(1, hosts)))
+	allowed := budgetShare * b.bounds.RetryRatio * requests
+	if hosts > 0 { // otherwise this host's part of the fixed allowance is unknown
+		allowed += budgetShare * b.bounds.RetryExtra / float64(hosts)
+	}
 	if retries+1 > allowed {
 		return false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -282,11 +282,14 @@
 		}
 	}
 	g.opts.Quotas.CountAsked(x.team, n)
-	wait, ok := g.opts.Quotas.Take(x.team, n)
+	wait, ok := g.tryTake(x, n)
 	for !ok && g.starting() && g.opts.Quotas.Isolated() && x.r.Context().Err() == nil && g.opts.Now()+startupPollInterval < x.deadline {
 		x.log["awaited_allotment"] = true
 		g.waitForChange(x.r.Context(), nil, g.opts.Now()+startupPollInterval)
-		wait, ok = g.opts.Quotas.Take(x.team, n)
+		wait, ok = g.tryTake(x, n)
+	}
+	if !ok && !g.opts.Quotas.HostsKnown() {
+		return g.refuse(x, http.StatusServiceUnavailable, "the list of hosts is not known yet", shortRetryAfter)
 	}
 	if !ok {
 		x.log["quota"] = g.opts.Quotas.State(x.team)
@@ -296,6 +299,14 @@
 	return true
 }
 
+// tryTake takes n from the quota of the request's team, once it is known which part of it this host has.
+func (g *Gateway) tryTake(x *exchange, n float64) (wait time.Duration, ok bool) {
+	if x.team.Rate > 0 && !g.opts.Quotas.HostsKnown() {
+		return 0, false
+	}
+	return g.opts.Quotas.Take(x.team, n)
+}
+
 // Values of the Retry-After header of refusals.
 const (
 	shortRetryAfter = 100 * time.Millisecond // for causes that may be over soon, or affect only this host
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -188,9 +188,12 @@
 // other hosts. After its start a coordinator is alone until others report to it.
 func (q *Quotas) Isolated() bool {
 	hosts := q.hosts()
-	return hosts.Together == 0 || hosts.Together == 1 && hosts.All > 1
+	return hosts.Together == 0 || hosts.Together == 1 && hosts.All != 1
 }
 
+// HostsKnown reports whether the list of hosts has come. Without it, this host's part of a rate is unknown.
+func (q *Quotas) HostsKnown() bool { return q.hosts().All > 0 }
+
 // Refund returns what was taken for a request that did not run.
 func (q *Quotas) Refund(team *fleet.Team, n float64) {
 	q.update(team, func(t *teamQuota) {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/target"
 )
 
 // clock is a manually advanced clock.
@@ -80,6 +83,28 @@
 	}
 }
 
+// TestHostWithoutListOfHostsRefusesTeams guards against a host that has just started, and could not read the list
+// of hosts, taking itself for the only one and granting the whole rate (rule QUOTA, seeds 213, 214, 233 and 242 of
+// the soak).
+func TestHostWithoutListOfHostsRefusesTeams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &addressSender{responses: map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){
+			"p1": respond(http.StatusOK, "ok"), "p2": respond(http.StatusOK, "ok"),
+		}}
+		g := testGateway(s)
+		g.opts.View.Config().Teams[0].Rate, g.opts.View.Config().Teams[0].Burst = 1000, 1000
+		count := HostCount{Together: 1, Lately: 1}
+		g.opts.Quotas = NewQuotas(testBounds(), func() HostCount { return count }, g.opts.Now, half)
+		if w := post(g, "/pay/x", ""); w.Code != http.StatusServiceUnavailable || len(s.sentTo) > 0 {
+			t.Errorf("status %d after %d sends, want 503 and no send", w.Code, len(s.sentTo))
+		}
+		count = HostCount{All: 1, Together: 1, Lately: 1}
+		if w := post(g, "/pay/x", ""); w.Code != http.StatusOK {
+			t.Errorf("status %d with a list of hosts, want 200", w.Code)
+		}
+	})
+}
+
 func TestRemoteUseCounts(t *testing.T) {
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
@@ -143,6 +168,17 @@
 	}
 }
 
+// TestRetriesWithoutListOfHosts checks that a host that does not know the number of hosts takes no part of
+// the fixed allowance.
+func TestRetriesWithoutListOfHosts(t *testing.T) {
+	c := &clock{now: time.Hour}
+	b := NewRetryBudget(testBounds(), func() HostCount { return HostCount{} }, c.Now)
+	b.CountRequest("s")
+	if b.AllowRetry("s") {
+		t.Error("a retry of the only request was allowed, want a fifth of the requests at most")
+	}
+}
+
 func TestTotalsOfNewEpochAreNotCountedAsUse(t *testing.T) {
 	c := &clock{now: time.Hour}
 	team := &fleet.Team{Name: "t", Rate: 50_000, Burst: 60_000, ByTokens: true}
--- a/internal/gateway/teamquota.go
+++ b/internal/gateway/teamquota.go
@@ -9,7 +9,7 @@
 
 // HostCount tells how many hosts there are, and how many count the use of teams together.
 type HostCount struct {
-	All      int // hosts that are known, whether they can be reached or not
+	All      int // hosts that are known, whether they can be reached or not; 0: their list has not come yet
 	Together int // hosts that report to this host's coordinator, including this one; 0: it receives no reports
 	Lately   int // highest value of Together in the last second or so, as others may only be late
 }
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -161,8 +161,13 @@
 }
 
 // hostCount counts the hosts, and those of them that report to the coordinator. Hosts in a planned stop
-// still serve requests.
+// still serve requests. It returns zeros until the list of hosts has come.
 func (h *Host) hostCount() gateway.HostCount {
+	select {
+	case <-h.knowsHosts:
+	default:
+		return gateway.HostCount{}
+	}
 	together, lately := h.client.CountedTogether()
 	return gateway.HostCount{All: max(len(h.view.Hosts()), lately), Together: together, Lately: lately}
 }
