--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -129,6 +129,7 @@
 	case c.random.IntN(4) == 0:
 		key = "k2"
 	}
+	o.key = key
 	if strings.HasPrefix(o.path, "/draft/") {
 		modelHeader = "Buckthornseam-Model: " + models[c.random.IntN(len(models))] + "\r\n"
 	}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -15,6 +15,7 @@
 type outcome struct {
 	attemptID string
 	path      string
+	key       string
 	status    int  // 0: no response
 	fromHost  bool // the response is the host's own, not a target's
 	complete  bool // the response was received up to its end
@@ -41,11 +42,12 @@
 	mostLimitedAt      time.Time              // end of that window
 	limitedRuns        []time.Time            // of limitedTeam
 	hostFaults         map[string][]time.Time // begins and ends of faults by address of the host
+	stallEnds          map[string]time.Time   // end of the last stall by target; zero: not ended
 	drainWithoutFaults bool                   // no fault was active when the last drain began
 }
 
 func newChecker() *checker {
-	return &checker{runs: map[string][]standin.Run{}, lastOrders: map[string]standin.Order{}, hostFaults: map[string][]time.Time{}, drainStartedAt: map[string]time.Time{}}
+	return &checker{runs: map[string][]standin.Run{}, lastOrders: map[string]standin.Order{}, hostFaults: map[string][]time.Time{}, stallEnds: map[string]time.Time{}, drainStartedAt: map[string]time.Time{}}
 }
 
 // addViolation records a violated guarantee. c.mu must be held.
@@ -64,7 +66,7 @@
 	if r.Tenant == limitedTeam {
 		c.limitedRuns = append(c.limitedRuns, r.At)
 	}
-	if r.Tenant == "t2" && !c.revokedAt.IsZero() && r.At.After(c.revokedAt.Add(revokeBound+timingTolerance)) {
+	if r.Tenant == "t2" && !c.revokedAt.IsZero() && r.At.After(c.revokedAt.Add(revokeBound+timingTolerance)) && !c.heldUp(r) {
 		c.addViolation("revocation: %s ran %v after its key was revoked", r.Attempt, r.At.Sub(c.revokedAt))
 	}
 	if at, draining := c.drainStartedAt[r.Engine]; draining && c.drainWithoutFaults && r.At.After(at.Add(drainBound+timingTolerance)) {
@@ -72,6 +74,22 @@
 	}
 }
 
+// heldUp reports whether a request may have been held by the stalled proxy of its target. c.mu must be held.
+func (c *checker) heldUp(r standin.Run) bool {
+	ended, known := c.stallEnds[r.Engine]
+	return known && (ended.IsZero() || r.At.Before(ended.Add(timingTolerance)))
+}
+
+// recordStall records that a target's proxy stalls, or no longer does.
+func (c *checker) recordStall(target string, stalled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stallEnds[target] = time.Time{}
+	if !stalled {
+		c.stallEnds[target] = time.Now()
+	}
+}
+
 func (c *checker) recordOrder(o standin.Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,6 +175,9 @@
 	c.checkQuota()
 	for _, o := range c.outcomes {
 		runs := len(c.runs[o.attemptID])
+		if o.key == "k2" && runs > 0 && !c.revokedAt.IsZero() && o.sentAt.After(c.revokedAt.Add(revokeBound)) {
+			c.addViolation("revocation: %s ran, and was sent %v after its key was revoked", o.attemptID, o.sentAt.Sub(c.revokedAt))
+		}
 		if o.status == 0 && runs > 0 && !o.timedOut && c.inTouch(o) {
 			c.addViolation("lost: %s (%s) ran, and its host closed the connection without a response; %s", o.attemptID, o.path, o.failure)
 		}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -148,6 +148,14 @@
 	return l.Addr().String()
 }
 
+// targetID returns the ID of the target behind a proxy.
+func (f *fleet) targetID(proxy int) string {
+	if proxy < len(f.engines) {
+		return f.engines[proxy].ID
+	}
+	return f.plainTargets[proxy-len(f.engines)].ID
+}
+
 func (f *fleet) registerEngine(i int, state string) {
 	var loaded []string
 	for _, m := range f.engines[i].Models {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -192,7 +192,15 @@
 		return func() func() { return s.setProxyMode(s.storeProxies[s.random.IntN(*hostCount)], mode) }
 	}
 	targetFault := func(mode proxyMode) func() func() {
-		return func() func() { return s.setProxyMode(s.targetProxies[s.random.IntN(len(s.targetProxies))], mode) }
+		return func() func() {
+			i := s.random.IntN(len(s.targetProxies))
+			end := s.setProxyMode(s.targetProxies[i], mode)
+			if mode != modeStall {
+				return end
+			}
+			s.checker.recordStall(s.targetID(i), true)
+			return func() { end(); s.checker.recordStall(s.targetID(i), false) }
+		}
 	}
 	start := func(p *process) { p.start(s.t, s.binary) }
 	return []faultKind{
