--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -18,27 +18,43 @@
 // lookupTimeout is how long other hosts may take to reply. It is a few hundred times the network delay.
 const lookupTimeout = 300 * time.Millisecond
 
-// rank returns the hosts in the order in which they keep a stream's record. It is the same at all hosts that
-// know the same hosts.
-func rank(key streamKey, hosts []string) []string {
+// rank returns the first n of the hosts, without the one called except, in the order in which they keep a
+// stream's record: rendezvous hashing. Hosts that know the same other hosts agree on it.
+func rank(key streamKey, hosts []string, except string, n int) []string {
 	type scored struct {
 		host  string
 		score uint64
 	}
-	all := make([]scored, 0, len(hosts))
-	for _, h := range hosts {
-		d := xxhash.NewWithSeed(uint64(key))
-		_, _ = d.WriteString(h) // never fails
-		all = append(all, scored{h, d.Sum64()})
+	best := make([]scored, 0, n+1)
+	for _, host := range hosts {
+		if host == except {
+			continue
+		}
+		s := scored{host, mix(xxhash.Sum64String(host) ^ uint64(key))}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host, b.host))
+		})
+		if at < n {
+			best = slices.Insert(best, at, s)
+			best = best[:min(n, len(best))]
+		}
 	}
-	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host, b.host)) })
-	out := make([]string, len(all))
-	for i, s := range all {
+	out := make([]string, len(best))
+	for i, s := range best {
 		out[i] = s.host
 	}
 	return out
 }
 
+// mix is the finalizer of MurmurHash3. It makes scores of the same host for different keys independent.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
 type lookupRequest struct {
 	Key     streamKey `json:"k"`
 	Service string    `json:"s"`
@@ -102,8 +118,7 @@
 func (r *Registry) ask(ctx context.Context, req lookupRequest) []lookupReply {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	hosts := slices.DeleteFunc(rank(req.Key, r.opts.Hosts()), func(h string) bool { return h == r.opts.Self })
-	hosts = hosts[:min(askedHosts, len(hosts))]
+	hosts := rank(req.Key, r.opts.Hosts(), r.opts.Self, askedHosts)
 	results := make(chan lookupReply, len(hosts))
 	for _, host := range hosts {
 		go func() {
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -146,8 +145,7 @@
 }
 
 func (r *Registry) send(rec record) {
-	hosts := slices.DeleteFunc(rank(rec.Key, r.opts.Hosts()), func(h string) bool { return h == r.opts.Self })
-	for _, host := range hosts[:min(copies, len(hosts))] {
+	for _, host := range rank(rec.Key, r.opts.Hosts(), r.opts.Self, copies) {
 		r.outbox.add(host, rec)
 	}
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -189,3 +190,29 @@
 		t.Error("record is kept after the retention")
 	}
 }
+
+// TestRecordsAreSpreadOverHosts checks that hosts keep similar numbers of records, and that a host that leaves
+// changes nothing for the records of the others.
+func TestRecordsAreSpreadOverHosts(t *testing.T) {
+	const hosts, streams = 8, 8000
+	var names []string
+	for i := range hosts {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	count := map[string]int{}
+	for key := range streamKey(streams) {
+		kept := rank(key, names, "", copies)
+		for _, host := range kept {
+			count[host]++
+		}
+		if kept[0] != "h0" && kept[1] != "h0" && !slices.Equal(kept, rank(key, names[1:], "", copies)) {
+			t.Errorf("key %d: kept by %v, by %v without h0", key, kept, rank(key, names[1:], "", copies))
+		}
+	}
+	const each = streams * copies / hosts
+	for _, name := range names {
+		if n := count[name]; n < each*8/10 || n > each*12/10 {
+			t.Errorf("%s keeps %d records, want about %d", name, n, each)
+		}
+	}
+}
