--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -11,38 +11,42 @@
 // versionHistory knows the software versions of each service's targets that were registered within the last
 // retention.
 type versionHistory struct {
-	targets *fleet.Targets                      // last observed
-	seenAt  map[string]map[string]time.Duration // by service and version
+	targets    *fleet.Targets                      // last observed
+	registered map[string]map[string]bool          // versions of these targets by service
+	goneAt     map[string]map[string]time.Duration // by service and version, when it was last found missing
 }
 
 // observe must be called more often than the versions of a service come and go.
 func (h *versionHistory) observe(targets *fleet.Targets, now time.Duration) {
-	if h.targets != nil {
-		h.mark(h.targets, now) // registered until about now
+	if targets == h.targets {
+		return
 	}
-	if targets != h.targets {
-		h.mark(targets, now)
-		h.targets = targets
+	if h.goneAt == nil {
+		h.goneAt = map[string]map[string]time.Duration{}
 	}
-}
-
-func (h *versionHistory) mark(targets *fleet.Targets, now time.Duration) {
-	if h.seenAt == nil {
-		h.seenAt = map[string]map[string]time.Duration{}
+	for service, versions := range h.registered {
+		if h.goneAt[service] == nil {
+			h.goneAt[service] = map[string]time.Duration{}
+		}
+		for version := range versions {
+			h.goneAt[service][version] = now
+		}
 	}
+	h.targets, h.registered = targets, map[string]map[string]bool{}
 	for _, t := range targets.ByID {
-		versions := h.seenAt[t.Service]
-		if versions == nil {
-			versions = map[string]time.Duration{}
-			h.seenAt[t.Service] = versions
+		if h.registered[t.Service] == nil {
+			h.registered[t.Service] = map[string]bool{}
 		}
-		versions[t.Version] = now
+		h.registered[t.Service][t.Version] = true
 	}
 }
 
 // of returns the recent versions of a service, sorted.
 func (h *versionHistory) of(service string, now time.Duration) []string {
-	versions := h.seenAt[service]
-	maps.DeleteFunc(versions, func(_ string, at time.Duration) bool { return now-at > retention })
-	return slices.Sorted(maps.Keys(versions))
+	gone := h.goneAt[service]
+	maps.DeleteFunc(gone, func(_ string, at time.Duration) bool { return now-at > retention })
+	versions := slices.Collect(maps.Keys(h.registered[service]))
+	versions = slices.AppendSeq(versions, maps.Keys(gone))
+	slices.Sort(versions)
+	return slices.Compact(versions)
 }
