--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -32,6 +32,9 @@
 
 // Plan returns the moves to begin now, at most one for each engine.
 func Plan(s State, opts Options) []Move {
+	if len(s.Engines) == 0 {
+		return nil
+	}
 	p := newPlanner(s, opts)
 	var moves []Move
 	for _, r := range p.loadRequests() {
