--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -108,6 +109,7 @@
 	if served := checker.report(t); served[phaseRecovered] < minServedRecovered {
 		t.Errorf("recovery: only %d requests were served after the faults", served[phaseRecovered])
 	}
+	s.checkCrashes()
 	for _, e := range s.engines {
 		if e.ExceededCapacity() {
 			t.Errorf("memory: %s was ordered to load more models than it has capacity for", e.ID)
@@ -256,6 +258,20 @@
 	}
 }
 
+// checkCrashes fails the test if a daemon's log has the trace of a panic. The daemon that was started next
+// would hide it otherwise.
+func (s *soak) checkCrashes() {
+	for _, p := range s.hosts {
+		data, err := os.ReadFile(p.settingsFile + ".log")
+		if err != nil {
+			s.t.Error(err)
+		}
+		if at := bytes.Index(data, []byte("\npanic: ")); at >= 0 {
+			s.t.Errorf("crash: %s ended by itself: %.400s", p.name, data[at+1:])
+		}
+	}
+}
+
 // keepLogs copies the daemons' logs to logDir if the seed failed and logDir is set.
 func (s *soak) keepLogs() {
 	if !s.t.Failed() || *logDir == "" {
