--- a/coord/swap/empty_test.go
+++ b/coord/swap/empty_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestPlanWithoutEngines guards against a panic of the coordinator's process while a service with hot models has
-// no engine on the list of targets, as after the start of a host, or once the last engine leaves.
+// TestPlanWithoutEngines guards against a panic of the planner while a service with hot models has no engine listed.
 func TestPlanWithoutEngines(t *testing.T) {
 	s := State{Now: now, Models: models("hot", "rare"), Demands: map[string]Demand{
 		"hot": {Rate: 20, Waiting: 3, Due: now + time.Second}, "rare": {Waiting: 1, Due: now + time.Second},
--- a/coord/swap/version_test.go
+++ b/coord/swap/version_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// TestWaitingForVersionGetsCopyAtIt guards against requests that only engines of one software version may
-// serve waiting in vain, because the model's only copy is at an engine of another version.
+// TestWaitingForVersionGetsCopyAtIt guards against requests for a software version waiting while the model's only copy is at another.
 func TestWaitingForVersionGetsCopyAtIt(t *testing.T) {
 	onVersion := func(e Engine, version string) Engine { e.Version = version; return e }
 	s := State{
--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -18,8 +18,7 @@
 	}
 }
 
-// TestStreamThatEndsInsideEventIsBrokenOff guards against a target's stream that ends inside an
-// event being relayed to the caller as complete (incident inc1).
+// TestStreamThatEndsInsideEventIsBrokenOff guards against a stream that ends inside an event reaching the caller as complete.
 func TestStreamThatEndsInsideEventIsBrokenOff(t *testing.T) {
 	const whole, cut = "id: 1\ndata: a\n\n", "id: 2\nda"
 	for _, framing := range []target.Framing{target.FramingClose, target.FramingChunked, target.FramingLength} {
@@ -43,8 +42,7 @@
 	}
 }
 
-// TestUndelimitedStreamWithoutEventIsBrokenOff guards against a target that closes the connection
-// before the first event being taken for an empty stream: nothing shows that it is complete.
+// TestUndelimitedStreamWithoutEventIsBrokenOff guards against a connection closed before the first event counting as an empty stream.
 func TestUndelimitedStreamWithoutEventIsBrokenOff(t *testing.T) {
 	s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){endAfter(target.FramingClose, "")}}
 	if w := post(testGateway(s), "/once/x", "m"); w.Code != http.StatusBadGateway {
@@ -58,8 +56,7 @@
 	}
 }
 
-// TestBlankLineAfterLastEventIsRelayed guards against a complete stream with an additional line break
-// being taken for a broken one.
+// TestBlankLineAfterLastEventIsRelayed guards against a complete stream with one more line break counting as broken.
 func TestBlankLineAfterLastEventIsRelayed(t *testing.T) {
 	const body = "id: 1\ndata: a\n\n"
 	s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -83,9 +83,7 @@
 	}
 }
 
-// TestHostWithoutListOfHostsRefusesTeams guards against a host that has just started, and could not read the list
-// of hosts, taking itself for the only one and granting the whole rate (rule QUOTA, seeds 213, 214, 233 and 242 of
-// the soak).
+// TestHostWithoutListOfHostsRefusesTeams guards against a host that cannot read the list of hosts granting the whole rate.
 func TestHostWithoutListOfHostsRefusesTeams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &addressSender{responses: map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){
@@ -168,8 +166,7 @@
 	}
 }
 
-// TestRetriesWithoutListOfHosts checks that a host that does not know the number of hosts takes no part of
-// the fixed allowance.
+// TestRetriesWithoutListOfHosts guards against such a host taking the whole fixed allowance of retries.
 func TestRetriesWithoutListOfHosts(t *testing.T) {
 	c := &clock{now: time.Hour}
 	b := NewRetryBudget(testBounds(), func() HostCount { return HostCount{} }, c.Now)
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -209,8 +209,7 @@
 	})
 }
 
-// TestHotTeamWhileHostsRestartInTurn guards against each restarted host granting anew what the team had
-// overdrawn before (rule QUOTA, seen with real processes).
+// TestHotTeamWhileHostsRestartInTurn guards against restarted hosts granting anew what a team had overdrawn before.
 func TestHotTeamWhileHostsRestartInTurn(t *testing.T) {
 	testHotTeam(t, func(f *reportingFleet, seed uint64) {
 		for i := range f.hosts {
@@ -222,8 +221,7 @@
 	})
 }
 
-// TestHotTeamWhileCoordinatorsChange guards against hosts that lost the coordinator, and those that have
-// another one, each granting the whole rate (rule QUOTA, seen with real processes).
+// TestHotTeamWhileCoordinatorsChange guards against hosts without and with another coordinator granting the whole rate each.
 func TestHotTeamWhileCoordinatorsChange(t *testing.T) {
 	testHotTeam(t, func(f *reportingFleet, seed uint64) {
 		for i := range 5 { // the coordinator is the first host that replies
@@ -236,8 +234,7 @@
 	})
 }
 
-// TestHotTeamWhileHostsFallSilent guards against hosts that are cut off from the others granting the whole
-// rate, and again when they are back (rule QUOTA, seen with real processes).
+// TestHotTeamWhileHostsFallSilent guards against hosts that are cut off granting the whole rate, and again when they are back.
 func TestHotTeamWhileHostsFallSilent(t *testing.T) {
 	testHotTeam(t, func(f *reportingFleet, _ uint64) {
 		for range 8 {
@@ -253,8 +250,7 @@
 	})
 }
 
-// TestHotTeamWhileAllHostsStop guards against the same while all hosts stop as planned: they change the
-// coordinator several times, and end one after the other.
+// TestHotTeamWhileAllHostsStop guards against stopping hosts, which change the coordinator often, granting the whole rate each.
 func TestHotTeamWhileAllHostsStop(t *testing.T) {
 	testHotTeam(t, func(f *reportingFleet, seed uint64) {
 		f.leave()
@@ -269,8 +265,7 @@
 	})
 }
 
-// TestTeamWithinItsRateWhileHostsFail checks that a team at 0.8 of its rate is served while hosts restart in turn,
-// fall silent one at a time and lose the coordinator.
+// TestTeamWithinItsRateWhileHostsFail guards against a team at 0.8 of its rate being refused while hosts fail.
 func TestTeamWithinItsRateWhileHostsFail(t *testing.T) {
 	for seed := range uint64(4) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -68,8 +68,7 @@
 	return post(g, "/stream/x", "m")
 }
 
-// TestBrokenStreamResumesAtItsVersion guards against a stream going on, within one response, at an
-// engine of another software version than the one that began it (incident second1).
+// TestBrokenStreamResumesAtItsVersion guards against a response that goes on at an engine of another software version.
 func TestBrokenStreamResumesAtItsVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for range 20 { // the choice among engines is random
@@ -101,8 +100,7 @@
 	})
 }
 
-// TestStreamIsAbortedAtOnceIfOnlyItsFailedTargetIsLeft guards against a caller being kept waiting for another
-// target of the version, instead of resuming the stream at the one that broke it off.
+// TestStreamIsAbortedAtOnceIfOnlyItsFailedTargetIsLeft guards against a caller kept waiting for a target that cannot come.
 func TestStreamIsAbortedAtOnceIfOnlyItsFailedTargetIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &addressSender{responses: map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){"old1": breakAfter(firstEvent)}}
@@ -116,8 +114,7 @@
 	})
 }
 
-// TestCallerResumesAtVersionOfFirstEvent guards against a caller's attempt to resume a stream being sent to
-// an engine of another software version than the one that began it (incident second1).
+// TestCallerResumesAtVersionOfFirstEvent guards against a caller's resumed stream going on at another software version.
 func TestCallerResumesAtVersionOfFirstEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for range 20 {
@@ -137,8 +134,7 @@
 	})
 }
 
-// TestResumeOfUnknownVersionIsRefused guards against a stream whose version no host knows going on at
-// any version while there are several. With one version only there is no doubt.
+// TestResumeOfUnknownVersionIsRefused guards against a stream of unknown version going on at any of several.
 func TestResumeOfUnknownVersionIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &addressSender{responses: map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){
--- a/internal/platformhost/hostcount_test.go
+++ b/internal/platformhost/hostcount_test.go
@@ -11,8 +11,7 @@
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
-// TestStoppingHostsCountForQuotas guards against each host taking itself for the only one while all hosts stop
-// as planned, and granting the whole rate of a team (rule QUOTA, seed 20 of the soak).
+// TestStoppingHostsCountForQuotas guards against each of several stopping hosts granting the whole rate of a team.
 func TestStoppingHostsCountForQuotas(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -124,7 +124,7 @@
 		go func() {
 			var reply lookupReply
 			if err := r.opts.Calls.Call(ctx, host, methodLookup, req, &reply); err != nil {
-				reply = lookupReply{}
+				reply = lookupReply{} // a host that does not reply knows nothing
 			}
 			results <- reply
 		}()
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -91,8 +91,7 @@
 	synctest.Test(t, func(t *testing.T) { test(t); t.Cleanup(synctest.Wait) })
 }
 
-// TestAnyHostFindsTheVersion guards against a stream that began at one host being resumed at another without
-// its version (incident second1), also when the host that began it is gone.
+// TestAnyHostFindsTheVersion guards against a stream whose version is unknown at other hosts, or lost with its host.
 func TestAnyHostFindsTheVersion(t *testing.T) {
 	run(t, func(t *testing.T) {
 		const hosts, streams = 8, 40
@@ -111,8 +110,7 @@
 	})
 }
 
-// TestStreamsInProgressWhenVersionAppears guards against streams that began while a service had one version
-// being unknown after an engine of another version has started.
+// TestStreamsInProgressWhenVersionAppears guards against running streams whose version is unknown once a second version appears.
 func TestStreamsInProgressWhenVersionAppears(t *testing.T) {
 	run(t, func(t *testing.T) {
 		f := newFleet(t, 4, "v1")
@@ -134,9 +132,7 @@
 	})
 }
 
-// TestSingleVersionNeedsNoRecord checks that a stream without a record is resumed while there is no doubt
-// about its version, and guards against a host that has just started taking the only version that is left
-// for the only one that there was.
+// TestSingleVersionNeedsNoRecord guards against a host that has just started taking the last version for the only one there was.
 func TestSingleVersionNeedsNoRecord(t *testing.T) {
 	run(t, func(t *testing.T) {
 		f := newFleet(t, 3, "v1", "v2")
