--- a/internal/gateway/teamquota.go
+++ b/internal/gateway/teamquota.go
@@ -11,7 +11,7 @@
 type HostCount struct {
 	All      int // hosts that are known, whether they can be reached or not; 0: their list has not come yet
 	Together int // hosts that report to this host's coordinator, including this one; 0: it receives no reports
-	Lately   int // highest value of Together in the last second or so, as others may only be late
+	Lately   int // the same, but at most since shortly before a change of the coordinator, to which others may only be late
 }
 
 // reporting reports whether this host receives reports on the use of others.
