--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -320,8 +320,11 @@
 	if len(u.LiveHosts) > 0 || len(u.LastLeaving) > 0 {
 		c.liveHosts, c.lastLeaving = u.LiveHosts, u.LastLeaving
 	}
-	if u.Reporting > 0 {
+	switch {
+	case u.Reporting > 0:
 		c.countTogether(u.Reporting)
+	case u.UseEpoch != 0: // a coordinator of an earlier version
+		c.countTogether(len(c.liveHosts))
 	}
 	c.mu.Unlock()
 	if u.UseEpoch != 0 { // the update replies to a report
--- a/internal/coordinator/client_test.go
+++ b/internal/coordinator/client_test.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// TestCoordinatorOfEarlierVersionIsCounted guards against hosts granting only a small part of quotas during an upgrade.
+func TestCoordinatorOfEarlierVersionIsCounted(t *testing.T) {
+	c := testClient("a", fleet.Host{Name: "a"})
+	c.lastReplyAt = c.opts.Now()
+	c.applyUpdate(Update{UseEpoch: 1, LiveHosts: []string{"a", "b", "c"}})
+	if now, lately := c.CountedTogether(); now != 3 || lately != 3 {
+		t.Errorf("%d hosts count together, %d lately, want 3", now, lately)
+	}
+}
+
 // TestLeavingHostIsNotCoordinator covers planned stops: a leaving host coordinates only if
 // all hosts leave, and then the one that leaves last does.
 func TestLeavingHostIsNotCoordinator(t *testing.T) {
