--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -152,17 +153,6 @@
 	}
 }
 
-// recordOrigin records the version at which a stream begins, before its first event is sent to the caller.
-func (g *Gateway) recordOrigin(x *exchange, c coordinator.Choice) {
-	if x.version != nil {
-		return
-	}
-	x.version = &c.Target.Version
-	if x.route.Resumable {
-		g.opts.Origins.Began(x.service, x.call.ID, c.Target.Version)
-	}
-}
-
 // IncompleteStreamError reports a stream whose body ended without an error but is not complete.
 type IncompleteStreamError struct {
 	PartialBytes int // of an incomplete event; 0: the stream had no event
@@ -223,3 +213,12 @@
 	g.reportEngineFailure(x, err)
 	return mayHaveRun
 }
+
+// reportEngineFailure reports a request whose target broke the connection. A
+// target that was only silent isn't counted.
+func (g *Gateway) reportEngineFailure(x *exchange, err error) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	g.opts.ReportEngineFailure(coordinator.EngineFailureID(x.fingerprint(), x.call.ID))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -37,7 +37,7 @@
 // run sends a request to targets until one of them has responded or no further
 // send is possible.
 func (g *Gateway) run(x *exchange) {
-	if g.opts.EngineFailures(x.requestFingerprint(g)) >= maxEngineFailures {
+	if g.opts.EngineFailures(x.fingerprint()) >= maxEngineFailures {
 		g.refuse(x, http.StatusServiceUnavailable, "engines broke off under this request", maxRetryAfter)
 		return
 	}
@@ -86,23 +86,6 @@
 	}
 }
 
-// findVersion determines the version at which a stream that the caller resumes may go on. It refuses the
-// request and returns false if that is unknown.
-func (g *Gateway) findVersion(ctx context.Context, x *exchange) bool {
-	if x.route.Kind != fleet.Streaming || x.call.LastEventID == "" {
-		return true
-	}
-	version, err := g.opts.Origins.Lookup(ctx, x.service, x.call.Resumes)
-	if err != nil {
-		return g.refuse(x, http.StatusServiceUnavailable, err.Error(), shortRetryAfter)
-	}
-	x.version, x.log["stream_version"] = &version, version
-	return true
-}
-
-// requestFingerprint returns x.fingerprint.
-func (x *exchange) requestFingerprint(_ *Gateway) string { return x.fingerprint() }
-
 // giveUp ends a request to which no target has responded completely.
 func (g *Gateway) giveUp(x *exchange) {
 	reason, _ := x.log["reason"].(string)
@@ -193,15 +176,6 @@
 	}
 }
 
-// failedTargets returns the targets that can't go on with the request's stream: those to avoid, unless they
-// only declined it.
-func failedTargets(x *exchange, avoid map[string]bool) map[string]bool {
-	if x.sends == 0 {
-		return nil
-	}
-	return avoid
-}
-
 // retryShed chooses a target, after a delay, among all targets including those
 // to avoid. It is used if no other target can take the request, and only while
 // no target may have run it.
@@ -416,12 +390,3 @@
 	g.reportEngineFailure(x, err)
 	return mayHaveRun
 }
-
-// reportEngineFailure reports a request whose target broke the connection. A
-// target that was only silent isn't counted.
-func (g *Gateway) reportEngineFailure(x *exchange, err error) {
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
-	g.opts.ReportEngineFailure(coordinator.EngineFailureID(x.fingerprint(), x.call.ID))
-}
