Logs: which parts of a prompt a request has, and what was known when a target broke off under it

No line says which part of a prompt the requests have that ran when engines crashed, which of them had just begun, and how many failures the hosts knew of. Now the line request has prompt_parts, and each broken response a line engine_failure with sent_ms, fingerprint, known_failures and prompt_parts.

--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -17,6 +17,9 @@
 	HasTokens   bool
 	LastEventID string // event after which a stream resumes; empty: from the start
 	Resumes     string // ID of the attempt that brought the first event of the resumed stream; empty: not stated
+	// SharedParts are the IDs of the parts of the prompt that other requests may have too, in order.
+	// The last part of a prompt is the request's own and is left out.
+	SharedParts []string
 }
 
 // ModelKey returns the requested model, or MODEL/ADAPTER if an adapter is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	taken             float64       // from the team's quota
 	sends             int           // sends after which the target may have run the request
 	tries             int           // sends that may have reached a target
+	sentAt            time.Duration // time of the last send
 	connectFailures   int           // failed connection attempts
 	cachedFingerprint string        // set by fingerprint
 	log               logrus.Fields
@@ -137,6 +138,9 @@
 	if x.call.LastEventID != "" {
 		x.log["resumes"], x.log["resumes_after"] = x.call.Resumes, x.call.LastEventID
 	}
+	if len(x.call.SharedParts) > 0 {
+		x.log["prompt_parts"] = strings.Join(x.call.SharedParts, ",")
+	}
 	if x.route != nil {
 		x.log["route"], x.log["service"], x.log["model"] = x.route.Name, x.service, x.call.ModelKey()
 		if x.team != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -210,15 +211,19 @@
 	g.logBrokenResponse(x, c, err, 0)
 	g.opts.View.RecordOutcome(c.Target.ID, false)
 	x.log["reason"] = "stream broke off"
-	g.reportEngineFailure(x, err)
+	g.reportEngineFailure(x, c, err)
 	return mayHaveRun
 }
 
 // reportEngineFailure reports a request whose target broke the connection. A
 // target that was only silent isn't counted.
-func (g *Gateway) reportEngineFailure(x *exchange, err error) {
+func (g *Gateway) reportEngineFailure(x *exchange, c coordinator.Choice, err error) {
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
+	g.opts.Log.WithFields(logrus.Fields{
+		"event": "engine_failure", "id": x.call.ID, "target": c.Target.ID, "sent_ms": (g.opts.Now() - x.sentAt).Milliseconds(),
+		"fingerprint": x.fingerprint(), "known_failures": g.opts.EngineFailures(x.fingerprint()), "prompt_parts": strings.Join(x.call.SharedParts, ","),
+	}).Warn("target broke off under the request")
 	g.opts.ReportEngineFailure(coordinator.EngineFailureID(x.fingerprint(), x.call.ID))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -285,6 +285,7 @@
 	defer cancel()
 	timeout := g.silenceTimeout(x, c.Target.ID)
 	sent := g.opts.Now()
+	x.sentAt = sent
 	silenceTimer := time.AfterFunc(timeout, cancel)
 	defer silenceTimer.Stop()
 
@@ -387,6 +388,6 @@
 		x.connectFailures++
 		return notRun
 	}
-	g.reportEngineFailure(x, err)
+	g.reportEngineFailure(x, c, err)
 	return mayHaveRun
 }
