--- /dev/null
+++ b/internal/gateway/crashingparts_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Bounds of the users' rules for parts of prompts that crash engines.
+const (
+	crashContactTime   = 3 * time.Second // in which hosts have to know of a crash
+	crashesUntilBound  = 5               // crashes after which the bound holds
+	mostRequestsBeyond = 3               // requests with the part that may reach engines after that
+	leastSoundShare    = 0.5             // of the share of sound requests that begin in calm times
+)
+
+// checkCrashingPart fails the test if requests with a crashing part, which were sent from a time on, reached
+// engines too often, or if too few sound requests began meanwhile.
+func (f *engineFleet) checkCrashingPart(from, to time.Duration) {
+	f.t.Helper()
+	f.mu.Lock()
+	crashes, reached := f.crashes, f.reached
+	f.mu.Unlock()
+	if len(crashes) == 0 {
+		f.t.Fatal("no engine has crashed")
+	}
+	last := crashes[min(len(crashes), crashesUntilBound)-1]
+	beyond := 0
+	for _, at := range reached {
+		if len(crashes) >= crashesUntilBound && at > last+crashContactTime {
+			beyond++
+		}
+	}
+	calm, _ := f.shareBegun(0, from)
+	share, n := f.shareBegun(last+2*crashContactTime, to)
+	f.t.Logf("%d engines crashed, %d requests with the part reached engines, %d of them beyond the bound; %.3f of %d sound requests began, %.3f before",
+		len(crashes), len(reached), beyond, share, n, calm)
+	if beyond > mostRequestsBeyond {
+		f.t.Errorf("%d requests with the part reached engines after the fifth crash, want %d at most", beyond, mostRequestsBeyond)
+	}
+	if n < 20 || share < leastSoundShare*calm {
+		f.t.Errorf("%.3f of %d sound requests began, want %.3f at least", share, n, leastSoundShare*calm)
+	}
+}
+
+// TestPartThatCrashesEnginesIsStopped guards against requests with one part of a prompt that crashes engines, no two
+// alike, being sent to one engine after the other.
+func TestPartThatCrashesEnginesIsStopped(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 9, seed)
+		f.play(8*time.Second, 60, 0, "")
+		from := f.now()
+		f.play(30*time.Second, 60, 8, "bad")
+		f.checkCrashingPart(from, f.now())
+	})
+}
+
+// forSeeds runs a test in fake time with each of five seeds.
+func forSeeds(t *testing.T, test func(t *testing.T, seed uint64)) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, seed) })
+		})
+	}
+}
+
+// TestSoundPartsAreServedWhileEnginesCrash is the control: engines that crash for another reason stop no part.
+func TestSoundPartsAreServedWhileEnginesCrash(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 9, seed)
+		f.play(5*time.Second, 60, 0, "")
+		from := f.now()
+		for range 8 {
+			f.crashSome(3)
+			f.play(3500*time.Millisecond, 60, 0, "")
+		}
+		if share, n := f.shareBegun(from, f.now()); share < 0.9 {
+			t.Errorf("%.3f of %d sound requests began, want 0.9 at least", share, n)
+		}
+	})
+}
+
+// crashSome ends the first n engines that serve, in the order of their IDs.
+func (f *engineFleet) crashSome(n int) {
+	f.mu.Lock()
+	var ids []string
+	for id := range f.engines {
+		ids = append(ids, id)
+	}
+	f.mu.Unlock()
+	f.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids[:min(n, len(ids))] {
+		f.crash(id)
+	}
+}
--- /dev/null
+++ b/internal/gateway/enginefleet_test.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/streamorigin"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// Times of a simulated engine.
+const (
+	engineQueueTime   = 20 * time.Millisecond   // until a request begins to run
+	engineEventTime   = 60 * time.Millisecond   // between events
+	engineCrashTime   = 80 * time.Millisecond   // from the start of a request that crashes its engine
+	engineListedTime  = 1200 * time.Millisecond // until a crashed engine is no longer listed
+	engineRestartTime = 3 * time.Second         // until another engine is listed in its place
+	engineEvents      = 6                       // of a stream
+)
+
+// engineFleet is a fleet of hosts with gateways and of simulated engines, which a part of a prompt may crash.
+type engineFleet struct {
+	*reportingFleet
+	sender Sender // of all hosts; set before the fleet starts
+
+	mu       sync.Mutex
+	engines  map[string]*simulatedEngine // by address, which is the ID
+	listed   map[string]fleet.Target
+	started  int // engines started so far
+	crashing map[string]bool
+	crashes  []time.Duration // of engines, under a crashing part
+	reached  []time.Duration // requests with a crashing part that reached an engine
+	outcomes []outcome
+	requests sync.WaitGroup
+}
+
+// outcome is how a request ended.
+type outcome struct {
+	sentAt time.Duration
+	parts  []string
+	began  bool // the caller got the head of a response of an engine
+	reason string
+}
+
+type simulatedEngine struct {
+	id      string
+	crashed chan struct{}
+}
+
+func newEngineFleet(t *testing.T, hosts, engines int, seed uint64) *engineFleet {
+	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, crashing: map[string]bool{}}
+	f.sender = f
+	for range engines {
+		f.startEngine()
+	}
+	startReportingFleet(t, hosts, seed, f.addGateway)
+	t.Cleanup(f.requests.Wait)
+	return f
+}
+
+// startEngine starts an engine and lists it. The caller must hold f.mu, or be alone.
+func (f *engineFleet) startEngine() {
+	f.started++
+	id := fmt.Sprint("e", f.started)
+	f.engines[id] = &simulatedEngine{id: id, crashed: make(chan struct{})}
+	f.listed[id] = fleet.Target{ID: id, Service: "llm", Address: id, Zone: "z", Slots: 64, StartedMS: int64(f.started), Models: map[string][]string{"m": nil}}
+}
+
+// list tells all hosts which engines are listed.
+func (f *engineFleet) list() {
+	f.mu.Lock()
+	targets := map[string]fleet.Target{}
+	for id, t := range f.listed {
+		targets[id] = t
+	}
+	f.mu.Unlock()
+	for _, h := range f.hosts {
+		h.view.SetTargets(fleet.NewTargets(targets))
+	}
+}
+
+// crash ends an engine. Another one is listed later.
+func (f *engineFleet) crash(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[id]
+	if e == nil {
+		return
+	}
+	delete(f.engines, id)
+	close(e.crashed)
+	f.requests.Go(func() {
+		time.Sleep(engineListedTime)
+		f.mu.Lock()
+		delete(f.listed, id)
+		f.mu.Unlock()
+		f.list()
+		time.Sleep(engineRestartTime - engineListedTime)
+		f.mu.Lock()
+		f.startEngine()
+		f.mu.Unlock()
+		f.list()
+	})
+}
+
+func (f *engineFleet) addGateway(fleetOfHosts *reportingFleet, h *reportingHost) {
+	f.reportingFleet = fleetOfHosts
+	route := fleet.Route{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: fleet.Streaming, Resumable: true, Attempts: 2, Timeout: 5 * time.Second,
+		Objective: 400 * time.Millisecond, GapObjective: 400 * time.Millisecond, Destinations: []fleet.Destination{{Service: "llm", Weight: 1}}}
+	config := &fleet.Config{Version: 1, Revision: 1, Teams: []fleet.Team{{Name: "t", Keys: []string{"k"}}}, Routes: []fleet.Route{route},
+		Services: map[string]fleet.Service{"llm": {Engine: &fleet.EngineSpec{Models: map[string]fleet.Model{"m": {StoreLoad: 20 * time.Second}}}}}}
+	config.Index()
+	h.view.SetConfig(config)
+	f.mu.Lock()
+	targets := map[string]fleet.Target{}
+	for id, t := range f.listed {
+		targets[id] = t
+	}
+	f.mu.Unlock()
+	h.view.SetTargets(fleet.NewTargets(targets))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := f.now
+	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
+	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: h.view.Targets, Now: now, Log: log})
+	h.gateway = New(Options{
+		Codec: testCodec{}, View: h.view, Sender: f.sender, Origins: origins, Quotas: h.quotas,
+		Budget:              NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
+		ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures,
+		ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
+		Now:             now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
+	})
+}
+
+// Forward implements Sender: the engine sends its events at a fixed pace, and breaks off all its responses
+// when it crashes.
+func (f *engineFleet) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	f.mu.Lock()
+	e := f.engines[address]
+	crashing := slices.ContainsFunc(strings.Fields(r.Header.Get("Parts")), func(p string) bool { return f.crashing[p] })
+	if e != nil && crashing {
+		f.reached = append(f.reached, f.now())
+	}
+	f.mu.Unlock()
+	if e == nil {
+		return nil, &target.UnreachableError{Address: address, Cause: resetError{}}
+	}
+	select {
+	case <-time.After(engineQueueTime):
+	case <-e.crashed:
+		return nil, &target.UnknownOutcomeError{Cause: io.ErrUnexpectedEOF}
+	case <-ctx.Done():
+		return nil, &target.UnknownOutcomeError{Cause: ctx.Err()}
+	}
+	if crashing {
+		time.AfterFunc(engineCrashTime, func() {
+			f.mu.Lock()
+			if f.engines[e.id] != nil {
+				f.crashes = append(f.crashes, f.now())
+			}
+			f.mu.Unlock()
+			f.crash(e.id)
+		})
+	}
+	body := &eventBody{ctx: ctx, crashed: e.crashed}
+	return &target.ForwardResponse{Status: http.StatusOK, Header: http.Header{"Id": {r.ID}, "Stamp": {"s"}}, Length: -1, Body: body}, nil
+}
+
+// eventBody is the body of a stream of engineEvents events.
+type eventBody struct {
+	ctx     context.Context
+	crashed chan struct{}
+	sent    int
+}
+
+func (b *eventBody) Read(p []byte) (int, error) {
+	if b.sent == engineEvents {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(engineEventTime):
+	case <-b.crashed:
+		return 0, io.ErrUnexpectedEOF
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	b.sent++
+	return copy(p, fmt.Sprintf("id: %d\ndata: a\n\n", b.sent)), nil
+}
+
+func (b *eventBody) Close() error { return nil }
+
+// send sends a request with the given shared parts to a random host that runs. No two requests are alike.
+func (f *engineFleet) send(parts ...string) {
+	h := f.hosts[f.random.IntN(len(f.hosts))]
+	if h.kill == nil {
+		return
+	}
+	id := fmt.Sprint("r", f.random.Uint64())
+	f.requests.Go(func() {
+		r := newPost("/stream/"+id, "m", id)
+		r.Header.Set("Parts", strings.Join(parts, " "))
+		o := outcome{sentAt: f.now(), parts: parts}
+		w := serve(h.gateway, r)
+		o.began = w.Code == http.StatusOK
+		f.mu.Lock()
+		f.outcomes = append(f.outcomes, o)
+		f.mu.Unlock()
+	})
+}
+
+// play sends requests for a duration: sound ones, and others that have the part crashing in addition; "": none.
+func (f *engineFleet) play(d time.Duration, soundPerSecond, crashingPerSecond float64, crashing string) {
+	const step = 10 * time.Millisecond
+	f.mu.Lock()
+	f.crashing[crashing] = crashing != ""
+	f.mu.Unlock()
+	for end := f.now() + d; f.now() < end; time.Sleep(step) {
+		if f.random.Float64() < soundPerSecond*step.Seconds() {
+			f.send(f.soundParts()...)
+		}
+		if f.random.Float64() < crashingPerSecond*step.Seconds() {
+			f.send(append(f.soundParts(), crashing)...)
+		}
+	}
+}
+
+// soundParts returns two parts: one of three, and one of the many that are rarely used.
+func (f *engineFleet) soundParts() []string {
+	return []string{fmt.Sprint("head", f.random.IntN(3)), fmt.Sprint("document", f.random.IntN(400))}
+}
+
+// shareBegun returns the share of the sound requests sent in a span of time that began, and their number.
+func (f *engineFleet) shareBegun(from, to time.Duration) (share float64, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	began := 0
+	for _, o := range f.outcomes {
+		if o.sentAt < from || o.sentAt >= to || slices.ContainsFunc(o.parts, func(p string) bool { return f.crashing[p] }) {
+			continue
+		}
+		n++
+		if o.began {
+			began++
+		}
+	}
+	return float64(began) / float64(max(1, n)), n
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -27,11 +27,11 @@
 	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
 	tokensOut, err := strconv.Atoi(r.Header.Get("Tokens-Out"))
 	return fleet.Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Key: r.Header.Get("Key"), Deadline: 10 * time.Second,
-		TokensOut: tokensOut, HasTokens: err == nil, LastEventID: r.Header.Get("From"), Resumes: r.Header.Get("Resumes")}, nil
+		TokensOut: tokensOut, HasTokens: err == nil, LastEventID: r.Header.Get("From"), Resumes: r.Header.Get("Resumes"), SharedParts: strings.Fields(r.Header.Get("Parts"))}, nil
 }
 
 func (testCodec) AttemptHeader(a fleet.Attempt) http.Header {
-	return http.Header{"From": {a.LastEventID}, "Team": {a.Team}}
+	return http.Header{"From": {a.LastEventID}, "Team": {a.Team}, "Parts": {a.Header.Get("Parts")}}
 }
 
 func (testCodec) ReadResponse(status int, h http.Header) fleet.Response {
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -31,11 +31,13 @@
 	granted []grant
 	asked   int
 	refused int
+	onStart func(f *reportingFleet, h *reportingHost) // called before the tasks of a host start, if set
 }
 
 type reportingHost struct {
 	net       *peertest.Host
 	quotas    *Quotas
+	gateway   *Gateway // nil unless set by onStart
 	client    *coordinator.Client
 	view      *coordinator.FleetView
 	startedAt time.Duration
@@ -45,8 +47,14 @@
 func (f *reportingFleet) now() time.Duration { return time.Since(f.start) + time.Hour }
 
 func newReportingFleet(t *testing.T, hosts int, seed uint64) *reportingFleet {
+	return startReportingFleet(t, hosts, seed, nil)
+}
+
+// startReportingFleet is newReportingFleet with an onStart.
+func startReportingFleet(t *testing.T, hosts int, seed uint64, onStart func(f *reportingFleet, h *reportingHost)) *reportingFleet {
 	f := &reportingFleet{
-		t: t, start: time.Now(), network: peertest.New(seed), random: rand.New(rand.NewPCG(seed, 4)), known: map[string]fleet.Host{},
+		onStart: onStart,
+		t:       t, start: time.Now(), network: peertest.New(seed), random: rand.New(rand.NewPCG(seed, 4)), known: map[string]fleet.Host{},
 		team:  &fleet.Team{Name: "t", Rate: 62_000, Burst: 69_000, ByTokens: true},
 		hosts: make([]*reportingHost, hosts),
 	}
@@ -92,6 +100,9 @@
 		Now: f.now, Log: log,
 	})
 	h.client = client
+	if f.onStart != nil {
+		f.onStart(f, h)
+	}
 	coord.ShareBalances(h.quotas.Balances)
 	coord.Register(h.net)
 	client.Register(h.net)
