Parts of prompts that crash targets are found out and stopped

Cause: hosts counted the failures of engines by the whole request, so requests that share the part that crashes engines but differ in anything else were new to them each time.

Change: coord/crashcause records failures and completions by part and blocks a part once nothing else explains its failures; hosts exchange evidence with the reports to the coordinator, each decides by itself, and the coordinator's host keeps the blocked parts in the store for a restart of all hosts. The gateway checks before each send, also of requests that have waited. Why this works: the parts that sound requests share are completed all the time, the cause never is; failures at targets that a blocked part has crashed count against no other part.

New: a large fleet, hosts that restart, a cause in first place; controls for crashes and lost connections without a cause, which block nothing.

--- /dev/null
+++ b/coord/crashcause/crashcause_test.go
@@ -0,0 +1,258 @@
+package crashcause
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const start = time.Hour
+
+// script plays failures and completions on one tracker.
+type script struct {
+	t       *Tracker
+	now     time.Duration
+	targets int
+}
+
+func newScript() *script { return &script{t: New(), now: start} }
+
+// fail has a new target break off a request with each list of parts, sent a moment ago.
+func (s *script) fail(requests ...[]string) {
+	s.now += 100 * time.Millisecond
+	s.targets++
+	for _, parts := range requests {
+		s.t.RecordFailure(s.now, parts, fmt.Sprint("target", s.targets), s.now-50*time.Millisecond)
+	}
+}
+
+func (s *script) complete(n int, parts ...string) {
+	for range n {
+		s.now += 10 * time.Millisecond
+		s.t.RecordCompletion(s.now, parts, "sound", s.now-5*time.Millisecond)
+	}
+}
+
+func (s *script) evaluate() {
+	s.now += 2 * settleTime
+	s.t.Evaluate(s.now)
+}
+
+func never(string) bool { return false }
+
+func (s *script) expect(t *testing.T, part string, blocked bool) {
+	t.Helper()
+	if got := s.t.Check(s.now, []string{part}, never) != ""; got != blocked {
+		t.Errorf("%s: blocked %v, want %v", part, got, blocked)
+	}
+}
+
+// TestCauseAmongSharedParts guards against blocking a part that the crashing requests share with sound ones.
+func TestCauseAmongSharedParts(t *testing.T) {
+	s := newScript()
+	s.complete(20, "head")
+	for i := range 3 {
+		s.fail([]string{"head", "bad"}, []string{"head", fmt.Sprint("other", i%2)})
+	}
+	s.evaluate()
+	s.expect(t, "bad", true)
+	s.expect(t, "head", false)
+	s.expect(t, "other0", false)
+}
+
+// TestPartsThatFailTogether guards against blocking only the wrong one of two parts with the same failures.
+func TestPartsThatFailTogether(t *testing.T) {
+	s := newScript()
+	for range 3 {
+		s.fail([]string{"head", "bad"}, []string{"head", "other"})
+	}
+	s.evaluate()
+	s.expect(t, "bad", true)
+	s.expect(t, "other", true)
+	s.complete(1, "head", "other")
+	s.expect(t, "other", false)
+	s.expect(t, "bad", true)
+}
+
+// TestCauseWithoutHistory guards against the same at hosts that have just started and know of no completions.
+func TestCauseWithoutHistory(t *testing.T) {
+	s := newScript()
+	for range 4 {
+		s.fail([]string{"head", "bad"}, []string{"head"})
+	}
+	s.evaluate()
+	s.expect(t, "bad", true)
+	s.expect(t, "head", false)
+}
+
+// TestFailuresAtOnceAreOne guards against blocking a part that was in use at several targets that failed together.
+func TestFailuresAtOnceAreOne(t *testing.T) {
+	s := newScript()
+	for i := range 9 {
+		s.t.RecordFailure(s.now+time.Duration(i)*time.Millisecond, []string{"part"}, fmt.Sprint(i), s.now-time.Second)
+	}
+	s.evaluate()
+	s.expect(t, "part", false)
+}
+
+// TestManyTargetsCrashSideBySide guards against a cause that crashes all targets before any request is sent again.
+func TestManyTargetsCrashSideBySide(t *testing.T) {
+	s := newScript()
+	s.complete(20, "head")
+	for i := range 6 {
+		s.t.RecordFailure(s.now+time.Duration(30*i)*time.Millisecond, []string{"head", "bad"}, fmt.Sprint(i), s.now-time.Second)
+	}
+	s.evaluate()
+	s.expect(t, "bad", true)
+	s.expect(t, "head", false)
+}
+
+// TestCompletionStartsOver guards against counting failures that lie before a completion.
+func TestCompletionStartsOver(t *testing.T) {
+	s := newScript()
+	for range 6 {
+		s.fail([]string{"part"})
+		s.fail([]string{"part"})
+		s.complete(1, "part")
+	}
+	s.evaluate()
+	s.expect(t, "part", false)
+}
+
+// TestTargetThatGoesOnHasNotCrashed guards against taking lost connections for crashes.
+func TestTargetThatGoesOnHasNotCrashed(t *testing.T) {
+	s := newScript()
+	for range 5 {
+		s.fail([]string{"part"})
+		s.t.RecordCompletion(s.now+200*time.Millisecond, []string{"other"}, fmt.Sprint("target", s.targets), s.now+100*time.Millisecond)
+	}
+	s.evaluate()
+	s.expect(t, "part", false)
+}
+
+// TestCrashedTargetsExplainOtherFailures guards against blocking the parts of requests that ran beside the crashing ones.
+func TestCrashedTargetsExplainOtherFailures(t *testing.T) {
+	s := newScript()
+	s.complete(20, "head")
+	for range 4 {
+		s.fail([]string{"head", "bad"}, []string{"head", "rare"})
+	}
+	s.fail([]string{"head", "bad"})
+	s.evaluate()
+	s.expect(t, "bad", true)
+	s.expect(t, "rare", false)
+	s.now += time.Second
+	s.evaluate()
+	s.expect(t, "rare", false)
+}
+
+// TestPartThatTurnsBad covers a part that was sound before, as after an upgrade of the targets.
+func TestPartThatTurnsBad(t *testing.T) {
+	s := newScript()
+	s.complete(10, "head", "part")
+	for range 12 {
+		s.complete(5, "head")
+		s.fail([]string{"head", "part"})
+	}
+	s.evaluate()
+	s.expect(t, "part", true)
+	s.expect(t, "head", false)
+}
+
+// TestProbesGrowRarer guards against blocks without end, and against probes that crash one target after the other.
+func TestProbesGrowRarer(t *testing.T) {
+	s := newScript()
+	for range 3 {
+		s.fail([]string{"bad"})
+	}
+	s.evaluate()
+	always := func(string) bool { return true }
+	probes := []time.Duration{}
+	for end := s.now + 10*time.Minute; s.now < end; s.now += 100 * time.Millisecond {
+		if s.t.Check(s.now, []string{"bad"}, always) == "" {
+			probes = append(probes, s.now-start)
+			s.fail([]string{"bad"})
+		}
+	}
+	if len(probes) < 2 || len(probes) > 4 || probes[0] < firstProbeWait {
+		t.Errorf("probes after %v, want 2 to 4 in ten minutes, the first after %v", probes, firstProbeWait)
+	}
+	s.now += maxProbeWait
+	if s.t.Check(s.now, []string{"bad"}, always) != "" {
+		t.Fatal("no further probe")
+	}
+	s.complete(1, "bad")
+	s.expect(t, "bad", false)
+}
+
+// TestBlockOutlastsRestart guards against all hosts forgetting what crashes targets when they restart together.
+func TestBlockOutlastsRestart(t *testing.T) {
+	s := newScript()
+	for range 3 {
+		s.fail([]string{"bad"})
+	}
+	s.evaluate()
+	next := newScript()
+	next.t.Restore(next.now, s.t.Blocks())
+	next.expect(t, "bad", true)
+}
+
+// TestEvidenceReachesAllHosts guards against hosts that judge by their own failures only.
+func TestEvidenceReachesAllHosts(t *testing.T) {
+	const hosts = 4
+	coordinator, now := New(), start
+	var trackers []*Tracker
+	up, down := make([]Cursor, hosts), make([]Cursor, hosts)
+	for range hosts {
+		trackers = append(trackers, New())
+	}
+	exchange := func() {
+		for i, tr := range trackers {
+			coordinator.MergeReport(now, fmt.Sprint(i), tr.Changes(now, &up[i], ToCoordinator))
+			tr.MergeUpdate(now, coordinator.Changes(now, &down[i], ToHost))
+			tr.Evaluate(now)
+		}
+	}
+	for i := range 3 {
+		now += 400 * time.Millisecond
+		trackers[i].RecordFailure(now, []string{"head", "bad"}, fmt.Sprint("target", i), now-100*time.Millisecond)
+		for range 5 {
+			trackers[(i+1)%hosts].RecordCompletion(now, []string{"head"}, "sound", now-100*time.Millisecond)
+		}
+		exchange()
+	}
+	for range 6 {
+		now += 400 * time.Millisecond
+		exchange()
+		coordinator.Evaluate(now)
+	}
+	restarted := New()
+	restarted.MergeUpdate(now, coordinator.Changes(now, &Cursor{}, ToHost))
+	for i, tr := range append(trackers, restarted) {
+		if bad, head := tr.Check(now, []string{"bad"}, never), tr.Check(now, []string{"head"}, never); bad == "" || head != "" {
+			t.Errorf("host %d blocks %q and %q, want bad only", i, bad, head)
+		}
+	}
+	for i, tr := range trackers {
+		if e := tr.Changes(now, &up[i], ToCoordinator); e != nil && len(e.Failures) > 0 {
+			t.Errorf("host %d reports %d failures again", i, len(e.Failures))
+		}
+	}
+	coordinator.MergeReport(now, "0", &Evidence{Completions: []CompletionRecord{{Part: "bad", Weight: 1}}})
+	trackers[1].MergeUpdate(now, coordinator.Changes(now+resendInterval, &down[1], ToHost))
+	if trackers[1].Check(now, []string{"bad"}, never) != "" {
+		t.Error("a completion at another host does not end the block")
+	}
+}
+
+// TestLimitsOfMemory guards against callers who fill the memory of hosts with parts.
+func TestLimitsOfMemory(t *testing.T) {
+	s := newScript()
+	for i := range 3 * maxParts {
+		s.complete(1, fmt.Sprint("c", i))
+		s.fail([]string{fmt.Sprint("f", i)})
+	}
+	if len(s.t.own) > maxParts || s.t.count > maxFailures || len(s.t.byTarget) > maxFailures {
+		t.Errorf("%d completions, %d failures of %d targets", len(s.t.own), s.t.count, len(s.t.byTarget))
+	}
+}
--- /dev/null
+++ b/coord/crashcause/evidence.go
@@ -0,0 +1,163 @@
+package crashcause
+
+import "time"
+
+// Evidence is what one host tells another one. All times are ages in ms at the time of sending.
+type Evidence struct {
+	Failures    []FailureRecord    `json:"f,omitempty"`
+	Completions []CompletionRecord `json:"c,omitempty"`
+	Blocks      []BlockRecord      `json:"b,omitempty"`
+}
+
+// FailureRecord tells that a target broke off requests with a part.
+type FailureRecord struct {
+	Part     string `json:"p"`
+	Target   string `json:"t"`
+	SentMS   int64  `json:"s"`
+	BrokeMS  int64  `json:"b"`
+	Position int    `json:"i,omitempty"`
+	Refuted  bool   `json:"r,omitempty"`
+}
+
+// CompletionRecord is the weight of the completions of a part.
+type CompletionRecord struct {
+	Part   string  `json:"p"`
+	Weight float64 `json:"w"`
+	LastMS int64   `json:"l"`
+}
+
+// BlockRecord is a block of a part.
+type BlockRecord struct {
+	Part         string `json:"p"`
+	SinceMS      int64  `json:"s"`
+	LastMS       int64  `json:"l"`
+	FailedProbes int    `json:"n,omitempty"`
+}
+
+// Direction tells which way evidence goes.
+type Direction int
+
+// The directions.
+const (
+	ToCoordinator Direction = iota // what this host learned from it is left out
+	ToHost
+)
+
+// Cursor holds what was sent to one receiver. The zero value means nothing.
+type Cursor struct {
+	version       uint64
+	completions   map[string]time.Duration // by part, the last one that was sent
+	completionsAt time.Duration            // when completions were last looked for
+}
+
+// Changes returns the evidence that a receiver has not been sent, or nil if there is none. A receiver with an
+// unused cursor is sent all.
+func (t *Tracker) Changes(now time.Duration, cursor *Cursor, to Direction) *Evidence {
+	var e Evidence
+	if cursor.version < t.version {
+		t.addNewRecords(now, &e, *cursor, to)
+	}
+	e.Completions = t.newCompletions(now, cursor, to)
+	cursor.version = max(t.version, 1)
+	if len(e.Failures)+len(e.Completions)+len(e.Blocks) == 0 {
+		return nil
+	}
+	return &e
+}
+
+// addNewRecords adds the failures and blocks that a receiver has not been sent.
+func (t *Tracker) addNewRecords(now time.Duration, e *Evidence, cursor Cursor, to Direction) {
+	omit := func(fromAbove bool, version uint64) bool {
+		return version <= cursor.version || fromAbove && to == ToCoordinator && cursor.version > 0
+	}
+	for part, byTarget := range t.failures {
+		for target, f := range byTarget {
+			if !omit(f.fromAbove, f.version) {
+				e.Failures = append(e.Failures, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted})
+			}
+		}
+	}
+	for part, b := range t.blocks {
+		if !omit(b.fromAbove, b.version) {
+			e.Blocks = append(e.Blocks, BlockRecord{part, ageMS(now, b.since), ageMS(now, b.last), b.failedProbes})
+		}
+	}
+}
+
+// newCompletions returns the completions of suspect parts that a receiver has not been sent.
+func (t *Tracker) newCompletions(now time.Duration, cursor *Cursor, to Direction) []CompletionRecord {
+	if now < cursor.completionsAt+resendInterval && cursor.completionsAt > 0 {
+		return nil
+	}
+	cursor.completionsAt = now
+	sent := cursor.completions
+	cursor.completions = map[string]time.Duration{}
+	var out []CompletionRecord
+	for _, part := range t.suspects() {
+		c := t.below(now, part)
+		if to == ToHost {
+			c = t.all(now, part)
+		}
+		if c.last > sent[part] {
+			out = append(out, CompletionRecord{part, c.weight, ageMS(now, c.last)})
+		}
+		cursor.completions[part] = c.last
+	}
+	return out
+}
+
+func ageMS(now, at time.Duration) int64 { return (now - at).Milliseconds() }
+
+// MergeReport adds the evidence that a host has reported to this one.
+func (t *Tracker) MergeReport(now time.Duration, from string, e *Evidence) {
+	t.merge(now, from, false, e)
+}
+
+// MergeUpdate adds the evidence of the coordinating host.
+func (t *Tracker) MergeUpdate(now time.Duration, e *Evidence) { t.merge(now, "", true, e) }
+
+func (t *Tracker) merge(now time.Duration, from string, fromAbove bool, e *Evidence) {
+	if e == nil {
+		return
+	}
+	at := func(age int64) time.Duration { return now - time.Duration(age)*time.Millisecond }
+	for _, r := range e.Failures {
+		t.addFailure(now, r.Part, r.Target, failure{sent: at(r.SentMS), broke: at(r.BrokeMS), position: r.Position, refuted: r.Refuted, fromAbove: fromAbove})
+	}
+	for _, r := range e.Completions {
+		c := completions{weight: r.Weight, at: now, last: at(r.LastMS)}
+		if fromAbove {
+			c.weight, c.last = max(c.weight, t.total[r.Part].weightAt(now)), max(c.last, t.total[r.Part].last)
+			t.total[r.Part] = c
+		} else {
+			if t.reported[r.Part] == nil {
+				t.reported[r.Part] = map[string]completions{}
+			}
+			t.reported[r.Part][from] = c
+		}
+	}
+	for _, r := range e.Blocks {
+		t.mergeBlock(r.Part, block{since: at(r.SinceMS), last: at(r.LastMS), failedProbes: r.FailedProbes, fromAbove: fromAbove})
+	}
+	for part := range t.blocks {
+		t.releaseIfCompleted(part)
+	}
+}
+
+// sameTime is the difference below which two times that hosts tell of the same event are taken for equal.
+const sameTime = time.Second
+
+func (t *Tracker) mergeBlock(part string, b block) {
+	known := t.blocks[part]
+	if known == nil {
+		if t.lastCompletion(part) <= b.last {
+			t.addBlock(part, &b)
+		}
+		return
+	}
+	if b.failedProbes > known.failedProbes || b.last > known.last+sameTime {
+		t.version++
+		known.failedProbes, known.last = max(known.failedProbes, b.failedProbes), max(known.last, b.last)
+		known.fromAbove, known.version = b.fromAbove, t.version
+	}
+}
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"buckthornseam.dev/coord/crashcause"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
 )
@@ -19,6 +20,7 @@
 	Owner       *Owner
 	Coordinator *Coordinator // of this host, used while this host is the coordinator
 	Calls       peer.Caller
+	Parts       *PartFailures             // the same as the Coordinator's
 	LocalUse    func() map[string]float64 // this host's quota use by team since its start
 	// SetRemoteUse receives, after each report, the total use of all other hosts by team where it
 	// changed, and with the first of an epoch the balances of the coordinator's host.
@@ -38,6 +40,7 @@
 	sendFull           bool
 	sentUse            map[string]float64
 	sentOwned          map[string]EngineView
+	sentParts          crashcause.Cursor
 	liveHosts          []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	lastReplyAt        time.Duration // when a coordinator last replied
@@ -185,6 +188,7 @@
 		case <-timer.C:
 		}
 		c.report(ctx)
+		c.opts.Parts.evaluate()
 		timer.Reset(reportInterval)
 	}
 }
@@ -280,8 +284,12 @@
 	if c.sendFull {
 		clear(c.sentUse)
 		clear(c.sentOwned)
+		c.sentParts = crashcause.Cursor{}
 		c.sendFull = false
 	}
+	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures
+		r.Parts = c.opts.Parts.changes(&c.sentParts, crashcause.ToCoordinator)
+	}
 	c.opts.FleetView.report(&r)
 	for team, n := range c.opts.LocalUse() {
 		if c.sentUse[team] != n {
@@ -311,6 +319,7 @@
 
 // applyUpdate applies an update of the coordinator.
 func (c *Client) applyUpdate(u Update) {
+	c.opts.Parts.mergeUpdate(u.Parts)
 	c.opts.FleetView.SetBacklogs(u.Backlogs) // first, since the engine updates below wake the waiting requests
 	complete := len(u.Engines) == 0 || c.opts.FleetView.ApplyUpdates(c.opts.Self.Name, u.Engines...)
 	if len(u.Load) > 0 {
--- a/internal/coordinator/client_test.go
+++ b/internal/coordinator/client_test.go
@@ -20,7 +20,7 @@
 		byName[h.Name] = h
 	}
 	view.SetHosts(byName)
-	return NewClient(ClientOptions{Self: byName[self], FleetView: view, Owner: &Owner{}, Now: now, Log: quietLog(),
+	return NewClient(ClientOptions{Self: byName[self], FleetView: view, Owner: &Owner{}, Now: now, Log: quietLog(), Parts: NewPartFailures(self, view.Hosts, now, quietLog()),
 		SetRemoteUse: func(uint64, map[string]float64, map[string]float64) {}})
 }
 
@@ -85,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := testClient("self", fleet.Host{Name: "self"}, fleet.Host{Name: "first", CreateRevision: 1}, fleet.Host{Name: "second", CreateRevision: 2})
 		calls := &deputyCalls{coordinator: "first"}
-		c.opts.Calls, c.opts.Coordinator = calls, NewCoordinator("self", c.opts.FleetView, calls, nil, false, c.opts.Now, quietLog())
+		c.opts.Calls, c.opts.Coordinator = calls, NewCoordinator("self", c.opts.FleetView, calls, c.opts.Parts, nil, false, c.opts.Now, quietLog())
 		c.opts.Owner = &Owner{lease: NewLease("self", nil, c.opts.Now, quietLog())}
 		c.opts.LocalUse = func() map[string]float64 { return nil }
 		c.unreachableSince["first"] = c.opts.Now()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 	firstBoot   bool // the whole system is starting for the first time
 	fleetView   *FleetView
 	calls       peer.Caller
+	parts       *PartFailures
 	now         func() time.Duration
 	log         logrus.FieldLogger
 	wakeup      chan struct{}
@@ -104,9 +105,9 @@
 type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
 
 // NewCoordinator returns a coordinator that is inactive until a host reports to it.
-func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
+func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
-		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
+		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, parts: parts, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
@@ -172,6 +173,9 @@
 	for _, id := range r.EngineFailures {
 		c.failureTimes[id] = now
 	}
+	if host != c.self {
+		c.parts.mergeReport(host, r.Parts)
+	}
 	c.wake()
 	return c.updateFor(host, h, true)
 }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -14,7 +14,8 @@
 	now := time.Hour
 	clock := func() time.Duration { return now }
 	confirmed := func() (uint64, time.Duration, time.Duration) { return 1, now, now }
-	return NewCoordinator("c", NewFleetView("z", clock), nil, confirmed, false, clock, quietLog()), &now
+	view := NewFleetView("z", clock)
+	return NewCoordinator("c", view, nil, NewPartFailures("c", view.Hosts, clock, quietLog()), confirmed, false, clock, quietLog()), &now
 }
 
 func use(n float64) map[string]float64 { return map[string]float64{"t": n} }
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"buckthornseam.dev/coord/crashcause"
 )
 
 // hostState is what a host has reported and what the coordinator has sent to it.
@@ -32,6 +34,7 @@
 	sentLiveHosts []string
 	sentLeaving   []string // last Update.LastLeaving sent
 	sentFailures  map[string]bool
+	sentParts     crashcause.Cursor
 	pushing       bool
 }
 
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"buckthornseam.dev/coord/crashcause"
 	"buckthornseam.dev/coord/swap"
 )
 
@@ -95,16 +96,17 @@
 // Report is what a host reports to the coordinator: its whole state if Full is set,
 // otherwise the changes since its last report.
 type Report struct {
-	Incarnation    string             `json:"i"`
-	Full           bool               `json:"f,omitempty"`
-	Waiting        []WaitingRequests  `json:"w,omitempty"` // always complete
-	Running        []RunningCount     `json:"r,omitempty"`
-	Arrivals       []Arrivals         `json:"a,omitempty"`
-	LocalUse       map[string]float64 `json:"u,omitempty"` // quota counts since the host started, by the names of gateway.Quotas.LocalUse
-	Owned          []EngineView       `json:"o,omitempty"`
-	EngineFailures []string           `json:"x,omitempty"` // IDs of failures of engines during requests
-	Unreachable    []string           `json:"d,omitempty"` // unreachable targets, always complete
-	Leaving        bool               `json:"l,omitempty"`
+	Incarnation    string               `json:"i"`
+	Full           bool                 `json:"f,omitempty"`
+	Waiting        []WaitingRequests    `json:"w,omitempty"` // always complete
+	Running        []RunningCount       `json:"r,omitempty"`
+	Arrivals       []Arrivals           `json:"a,omitempty"`
+	LocalUse       map[string]float64   `json:"u,omitempty"` // quota counts since the host started, by the names of gateway.Quotas.LocalUse
+	Owned          []EngineView         `json:"o,omitempty"`
+	EngineFailures []string             `json:"x,omitempty"`  // IDs of failures of engines during requests
+	Parts          *crashcause.Evidence `json:"cp,omitempty"` // parts of prompts that may crash targets
+	Unreachable    []string             `json:"d,omitempty"`  // unreachable targets, always complete
+	Leaving        bool                 `json:"l,omitempty"`
 }
 
 // EngineUpdate is what a host needs to know to send requests to an engine.
@@ -131,19 +133,20 @@
 
 // Update is what the coordinator sends to a host: the changes since the last update.
 type Update struct {
-	Engines        []EngineUpdate     `json:"e,omitempty"`
-	RemoteUse      map[string]float64 `json:"u,omitempty"`  // LocalUse of all other hosts; compare within an epoch only
-	UseEpoch       uint64             `json:"ue,omitempty"` // 0: no other host has reported since the last update
-	Balances       map[string]float64 `json:"ub,omitempty"` // of quotas at the coordinator's host, by team; only with the first UseEpoch
-	Reporting      int                `json:"n,omitempty"`  // number of hosts that report, with those that leave; only in the reply to a report
-	LiveHosts      []string           `json:"l,omitempty"`  // all hosts that report and do not leave, if this or LastLeaving changed
-	LastLeaving    []string           `json:"z,omitempty"`  // only if LiveHosts is empty: hosts that leave last, the last one first
-	Load           map[string]int     `json:"r,omitempty"`  // other hosts' requests by target, if changed by more than one or to 0
-	Backlogs       []Backlog          `json:"k,omitempty"`  // of the models that the host's requests wait for
-	EngineFailures []string           `json:"x,omitempty"`
-	StoreAge       *StoreAge          `json:"v,omitempty"` // only in the reply to a report
-	Coordinator    string             `json:"c,omitempty"` // set by a deputy, which says nothing of the other hosts
-	UnknownHost    bool               `json:"q,omitempty"` // the next report must be a full one
+	Engines        []EngineUpdate       `json:"e,omitempty"`
+	RemoteUse      map[string]float64   `json:"u,omitempty"`  // LocalUse of all other hosts; compare within an epoch only
+	UseEpoch       uint64               `json:"ue,omitempty"` // 0: no other host has reported since the last update
+	Balances       map[string]float64   `json:"ub,omitempty"` // of quotas at the coordinator's host, by team; only with the first UseEpoch
+	Reporting      int                  `json:"n,omitempty"`  // number of hosts that report, with those that leave; only in the reply to a report
+	LiveHosts      []string             `json:"l,omitempty"`  // all hosts that report and do not leave, if this or LastLeaving changed
+	LastLeaving    []string             `json:"z,omitempty"`  // only if LiveHosts is empty: hosts that leave last, the last one first
+	Load           map[string]int       `json:"r,omitempty"`  // other hosts' requests by target, if changed by more than one or to 0
+	Backlogs       []Backlog            `json:"k,omitempty"`  // of the models that the host's requests wait for
+	EngineFailures []string             `json:"x,omitempty"`
+	Parts          *crashcause.Evidence `json:"cp,omitempty"`
+	StoreAge       *StoreAge            `json:"v,omitempty"` // only in the reply to a report
+	Coordinator    string               `json:"c,omitempty"` // set by a deputy, which says nothing of the other hosts
+	UnknownHost    bool                 `json:"q,omitempty"` // the next report must be a full one
 }
 
 // SwapCommand tells the owner of an engine to carry out a move.
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"buckthornseam.dev/coord/crashcause"
 	"buckthornseam.dev/coord/swap"
 )
 
@@ -138,6 +139,7 @@
 			if err != nil {
 				clear(h.sentVersions) // the host may have received none of it
 				clear(h.sentFailures)
+				h.sentParts = crashcause.Cursor{}
 				h.updateVersion = 0
 			}
 		}()
@@ -202,6 +204,9 @@
 			u.EngineFailures = append(u.EngineFailures, id)
 		}
 	}
+	if name != c.self {
+		u.Parts = c.parts.changes(&h.sentParts, crashcause.ToHost)
+	}
 	u.Backlogs = c.totals.backlogsOf(h)
 	if !counts {
 		return u
--- a/internal/gateway/crashingparts_test.go
+++ b/internal/gateway/crashingparts_test.go
@@ -12,6 +12,7 @@
 	crashContactTime   = 3 * time.Second // in which hosts have to know of a crash
 	crashesUntilBound  = 5               // crashes after which the bound holds
 	mostRequestsBeyond = 3               // requests with the part that may reach engines after that
+	mostSoundBlocked   = 4               // of 403 sound parts: 1 in 100
 	leastSoundShare    = 0.5             // of the share of sound requests that begin in calm times
 )
 
@@ -34,6 +35,9 @@
 	}
 	calm, _ := f.shareBegun(0, from)
 	share, n := f.shareBegun(last+2*crashContactTime, to)
+	if n := f.blockedParts(); n > mostSoundBlocked {
+		f.t.Errorf("%d sound parts blocked, want %d at most", n, mostSoundBlocked)
+	}
 	f.t.Logf("%d engines crashed, %d requests with the part reached engines, %d of them beyond the bound; %.3f of %d sound requests began, %.3f before",
 		len(crashes), len(reached), beyond, share, n, calm)
 	if beyond > mostRequestsBeyond {
@@ -56,6 +60,47 @@
 	})
 }
 
+// TestCrashingPartWhileHostsRestart guards against hosts that forget, or never learn, what the others have found.
+func TestCrashingPartWhileHostsRestart(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 9, seed)
+		f.play(8*time.Second, 60, 0, "")
+		from := f.now()
+		f.play(time.Duration(seed)*300*time.Millisecond, 60, 8, "bad")
+		for i := range 6 { // the coordinator is the first host that runs
+			f.killHost(i)
+			f.play(1500*time.Millisecond, 60, 8, "bad")
+			f.startHost(i)
+			f.play(2500*time.Millisecond, 60, 8, "bad")
+		}
+		f.play(6*time.Second, 60, 8, "bad")
+		f.checkCrashingPart(from, f.now())
+	})
+}
+
+// TestCrashingPartInLargeFleet covers a fleet in which each host sees few of the requests.
+func TestCrashingPartInLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngineFleet(t, 73, 60, 1)
+		f.play(5*time.Second, 300, 0, "")
+		from := f.now()
+		f.play(16*time.Second, 300, 20, "bad")
+		f.checkCrashingPart(from, f.now())
+	})
+}
+
+// TestFirstPartThatCrashesEngines covers a cause that stands before the parts that its requests share with sound ones.
+func TestFirstPartThatCrashesEngines(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 9, seed)
+		f.crashingFirst = true
+		f.play(8*time.Second, 60, 0, "")
+		from := f.now()
+		f.play(20*time.Second, 60, 3, "bad")
+		f.checkCrashingPart(from, f.now())
+	})
+}
+
 // forSeeds runs a test in fake time with each of five seeds.
 func forSeeds(t *testing.T, test func(t *testing.T, seed uint64)) {
 	for seed := range uint64(5) {
@@ -75,12 +120,49 @@
 			f.crashSome(3)
 			f.play(3500*time.Millisecond, 60, 0, "")
 		}
+		if n := f.blockedParts(); n > 0 {
+			t.Errorf("%d parts blocked", n)
+		}
 		if share, n := f.shareBegun(from, f.now()); share < 0.9 {
 			t.Errorf("%.3f of %d sound requests began, want 0.9 at least", share, n)
 		}
 	})
 }
 
+// TestSoundPartsAreServedWhileResponsesBreak is the control for connections that are lost while the engines go on.
+func TestSoundPartsAreServedWhileResponsesBreak(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 9, seed)
+		f.play(5*time.Second, 60, 0, "")
+		f.breakShare = 0.4
+		from := f.now()
+		f.play(20*time.Second, 60, 0, "")
+		f.breakShare = 0
+		f.play(time.Second, 60, 0, "")
+		if n := f.blockedParts(); n > 0 {
+			t.Errorf("%d parts blocked", n)
+		}
+		if share, n := f.shareBegun(from, f.now()); share < 0.9 {
+			t.Errorf("%.3f of %d sound requests began, want 0.9 at least", share, n)
+		}
+	})
+}
+
+// blockedParts returns the largest number of sound parts that a host refuses.
+func (f *engineFleet) blockedParts() int {
+	most := 0
+	for _, h := range f.hosts {
+		n := 0
+		for i := range soundHeads + soundDocuments {
+			if part := soundPart(i); h.parts.Check([]string{part}, false) != "" {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // crashSome ends the first n engines that serve, in the order of their IDs.
 func (f *engineFleet) crashSome(n int) {
 	f.mu.Lock()
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -32,7 +33,6 @@
 // engineFleet is a fleet of hosts with gateways and of simulated engines, which a part of a prompt may crash.
 type engineFleet struct {
 	*reportingFleet
-	sender Sender // of all hosts; set before the fleet starts
 
 	mu       sync.Mutex
 	engines  map[string]*simulatedEngine // by address, which is the ID
@@ -40,9 +40,12 @@
 	started  int // engines started so far
 	crashing map[string]bool
 	crashes  []time.Duration // of engines, under a crashing part
-	reached  []time.Duration // requests with a crashing part that reached an engine
+	reached  []time.Duration // requests with a crashing part that reached an engine, from hosts that started a while ago
 	outcomes []outcome
-	requests sync.WaitGroup
+	// crashingFirst has the crashing part stand before the others, and not in place of the second.
+	crashingFirst bool
+	breakShare    float64 // of the responses that break off while their engine goes on
+	requests      sync.WaitGroup
 }
 
 // outcome is how a request ended.
@@ -60,7 +63,6 @@
 
 func newEngineFleet(t *testing.T, hosts, engines int, seed uint64) *engineFleet {
 	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, crashing: map[string]bool{}}
-	f.sender = f
 	for range engines {
 		f.startEngine()
 	}
@@ -135,21 +137,28 @@
 	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
 	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: h.view.Targets, Now: now, Log: log})
 	h.gateway = New(Options{
-		Codec: testCodec{}, View: h.view, Sender: f.sender, Origins: origins, Quotas: h.quotas,
+		Codec: testCodec{}, View: h.view, Sender: hostSender{f, h}, Origins: origins, Quotas: h.quotas,
 		Budget:              NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
-		ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures,
+		ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts,
 		ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
 		Now:             now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
 }
 
+// hostSender sends the requests of a host to the simulated engines.
+type hostSender struct {
+	fleet *engineFleet
+	host  *reportingHost
+}
+
 // Forward implements Sender: the engine sends its events at a fixed pace, and breaks off all its responses
 // when it crashes.
-func (f *engineFleet) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
+func (s hostSender) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	f := s.fleet
 	f.mu.Lock()
 	e := f.engines[address]
 	crashing := slices.ContainsFunc(strings.Fields(r.Header.Get("Parts")), func(p string) bool { return f.crashing[p] })
-	if e != nil && crashing {
+	if e != nil && crashing && f.now() > s.host.startedAt+crashContactTime {
 		f.reached = append(f.reached, f.now())
 	}
 	f.mu.Unlock()
@@ -174,6 +183,9 @@
 		})
 	}
 	body := &eventBody{ctx: ctx, crashed: e.crashed}
+	if rand.Float64() < f.breakShare {
+		body.breakAfter = 1 + rand.IntN(engineEvents-1)
+	}
 	return &target.ForwardResponse{Status: http.StatusOK, Header: http.Header{"Id": {r.ID}, "Stamp": {"s"}}, Length: -1, Body: body}, nil
 }
 
@@ -182,6 +194,8 @@
 	ctx     context.Context
 	crashed chan struct{}
 	sent    int
+	// breakAfter is the number of events after which the connection is lost; 0: it is not.
+	breakAfter int
 }
 
 func (b *eventBody) Read(p []byte) (int, error) {
@@ -196,6 +210,9 @@
 		return 0, b.ctx.Err()
 	}
 	b.sent++
+	if b.sent == b.breakAfter {
+		return 0, resetError{}
+	}
 	return copy(p, fmt.Sprintf("id: %d\ndata: a\n\n", b.sent)), nil
 }
 
@@ -231,14 +248,26 @@
 			f.send(f.soundParts()...)
 		}
 		if f.random.Float64() < crashingPerSecond*step.Seconds() {
-			f.send(append(f.soundParts(), crashing)...)
+			if parts := f.soundParts(); f.crashingFirst {
+				f.send(append([]string{crashing}, parts...)...)
+			} else {
+				f.send(parts[0], crashing)
+			}
 		}
 	}
 }
 
-// soundParts returns two parts: one of three, and one of the many that are rarely used.
+// Numbers of parts of sound requests: a few that most requests have, and many that are rarely used.
+const (
+	soundHeads     = 3
+	soundDocuments = 400
+)
+
+func soundPart(i int) string { return fmt.Sprint("part", i) }
+
+// soundParts returns one part of each kind.
 func (f *engineFleet) soundParts() []string {
-	return []string{fmt.Sprint("head", f.random.IntN(3)), fmt.Sprint("document", f.random.IntN(400))}
+	return []string{soundPart(f.random.IntN(soundHeads)), soundPart(soundHeads + f.random.IntN(soundDocuments))}
 }
 
 // shareBegun returns the share of the sound requests sent in a span of time that began, and their number.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,15 @@
 	Lookup(ctx context.Context, service, attempt string) (version string, err error)
 }
 
+// PartFailures finds out which parts of prompts crash targets. coordinator.PartFailures implements it.
+type PartFailures interface {
+	RecordFailure(parts []string, t fleet.Target, sent time.Duration)
+	RecordCompletion(parts []string, t fleet.Target, sent time.Duration)
+	// Check returns a part that crashes targets, or an empty string. With probe set, it admits a request
+	// with such a part once in a while.
+	Check(parts []string, probe bool) (blocked string)
+}
+
 // Options holds the dependencies and settings of a gateway.
 type Options struct {
 	Codec               fleet.Codec
@@ -48,6 +57,7 @@
 	LoadAdapter         func(ctx context.Context, owner string, c coordinator.AdapterCommand) error
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
+	Parts               PartFailures
 	// ConfigConfirmed returns the latest time, on the clock Now, at which the
 	// configuration was known to be current.
 	ConfigConfirmed func() (time.Duration, bool)
@@ -111,6 +121,7 @@
 	events            eventBuffer
 	version           *string // only version at which the stream may go on; nil: any, as it has not begun
 	noRetryBudget     bool
+	probe             bool          // admitted although a part of its prompt is blocked
 	retryAfter        time.Duration // Retry-After of a refusal; 0: the shortest
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -121,7 +121,7 @@
 	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: view.Targets, Now: now, Log: log})
 	return New(Options{
 		Codec: testCodec{}, View: view, Sender: sender, Origins: origins, Quotas: NewQuotas(bounds, hosts, now, half), Budget: NewRetryBudget(bounds, hosts, now),
-		ReportEngineFailure: func(string) {}, EngineFailures: func(string) int { return 0 }, ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
+		ReportEngineFailure: func(string) {}, EngineFailures: func(string) int { return 0 }, Parts: coordinator.NewPartFailures("h", view.Hosts, now, log), ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
 		Now: now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
 }
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -37,6 +37,7 @@
 type reportingHost struct {
 	net       *peertest.Host
 	quotas    *Quotas
+	parts     *coordinator.PartFailures
 	gateway   *Gateway // nil unless set by onStart
 	client    *coordinator.Client
 	view      *coordinator.FleetView
@@ -86,14 +87,15 @@
 	h := &reportingHost{view: view, net: f.network.Add(peer.Member{ID: peer.ID{Name: name, Incarnation: self.Incarnation}}), startedAt: f.now()}
 	owner := coordinator.NewOwner(name, name, coordinator.NewLease(name, nil, f.now, log), view, nil, testBounds(), f.now, log)
 	freshness := func() (uint64, time.Duration, time.Duration) { return 1, f.now(), f.now() }
-	coord := coordinator.NewCoordinator(name, view, h.net, freshness, false, f.now, log)
+	h.parts = coordinator.NewPartFailures(name, view.Hosts, f.now, log)
+	coord := coordinator.NewCoordinator(name, view, h.net, h.parts, freshness, false, f.now, log)
 	var client *coordinator.Client
 	h.quotas = NewQuotas(testBounds(), func() HostCount {
 		together, lately := client.CountedTogether()
 		return HostCount{All: len(f.known), Together: together, Lately: lately}
 	}, f.now, rand.New(rand.NewPCG(f.random.Uint64(), 5)).Float64)
 	client = coordinator.NewClient(coordinator.ClientOptions{
-		Self: self, FleetView: view, Owner: owner, Coordinator: coord, Calls: h.net, LocalUse: h.quotas.LocalUse,
+		Self: self, FleetView: view, Owner: owner, Coordinator: coord, Calls: h.net, Parts: h.parts, LocalUse: h.quotas.LocalUse,
 		SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
 			h.quotas.SetRemoteUse([]fleet.Team{*f.team}, epoch, use, balances)
 		},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -35,6 +35,9 @@
 	}
 	silenceTimer.Stop()
 	g.opts.View.RecordOutcome(c.Target.ID, resp.Status/100 != 5)
+	if resp.Status/100 == 2 {
+		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
+	}
 	g.copyHeader(x, resp)
 	if resp.Length < 0 {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -150,6 +153,7 @@
 			return callerLeft
 		}
 		g.opts.Origins.Completed(x.call.ID)
+		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
 		return relayed
 	}
 }
@@ -225,5 +229,6 @@
 		"event": "engine_failure", "id": x.call.ID, "target": c.Target.ID, "sent_ms": (g.opts.Now() - x.sentAt).Milliseconds(),
 		"fingerprint": x.fingerprint(), "known_failures": g.opts.EngineFailures(x.fingerprint()), "prompt_parts": strings.Join(x.call.SharedParts, ","),
 	}).Warn("target broke off under the request")
+	g.opts.Parts.RecordFailure(x.call.SharedParts, c.Target, x.sentAt)
 	g.opts.ReportEngineFailure(coordinator.EngineFailureID(x.fingerprint(), x.call.ID))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -41,6 +41,10 @@
 		g.refuse(x, http.StatusServiceUnavailable, "engines broke off under this request", maxRetryAfter)
 		return
 	}
+	if g.hasBlockedPart(x) {
+		g.giveUp(x)
+		return
+	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), max(0, x.deadline-g.opts.Now()))
 	defer cancel()
 	g.opts.Budget.CountRequest(x.service)
@@ -58,6 +62,10 @@
 			g.giveUp(x)
 			return
 		}
+		if g.hasBlockedPart(x) { // found out while the request waited
+			g.giveUp(x)
+			return
+		}
 		if x.tries > 0 && !g.opts.Budget.AllowRetry(x.service) {
 			x.noRetryBudget = true
 			g.giveUp(x)
@@ -86,6 +94,22 @@
 	}
 }
 
+// hasBlockedPart reports whether a part of the prompt crashes targets. The first send of a request may be
+// admitted all the same, to find out whether the part still does.
+func (g *Gateway) hasBlockedPart(x *exchange) bool {
+	blocked := g.opts.Parts.Check(x.call.SharedParts, false)
+	if blocked == "" || x.probe && x.tries == 0 {
+		return false
+	}
+	if x.tries == 0 && g.opts.Parts.Check(x.call.SharedParts, true) == "" {
+		x.probe, x.log["probe"] = true, blocked
+		return false
+	}
+	x.log["reason"], x.log["blocked_part"] = "a part of the prompt crashes targets", blocked
+	x.retryAfter = maxRetryAfter
+	return true
+}
+
 // giveUp ends a request to which no target has responded completely.
 func (g *Gateway) giveUp(x *exchange) {
 	reason, _ := x.log["reason"].(string)
--- a/internal/platformhost/hostcount_test.go
+++ b/internal/platformhost/hostcount_test.go
@@ -18,7 +18,7 @@
 	now := func() time.Duration { return time.Hour }
 	h := &Host{view: coordinator.NewFleetView("z", now), knowsHosts: make(chan struct{})}
 	h.view.SetHosts(map[string]fleet.Host{"a": {Name: "a", Leaving: true}, "b": {Name: "b", Leaving: true}, "c": {Name: "c", Leaving: true}})
-	h.client = coordinator.NewClient(coordinator.ClientOptions{FleetView: h.view, Owner: &coordinator.Owner{}, Now: now, Log: log})
+	h.client = coordinator.NewClient(coordinator.ClientOptions{FleetView: h.view, Owner: &coordinator.Owner{}, Now: now, Log: log, Parts: coordinator.NewPartFailures("a", h.view.Hosts, now, log)})
 	if count := h.hostCount(); count.All != 0 {
 		t.Errorf("%d hosts before the list of hosts has come, want 0", count.All)
 	}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -82,6 +82,7 @@
 	lease       *coordinator.Lease
 	owner       *coordinator.Owner
 	coordinator *coordinator.Coordinator
+	parts       *coordinator.PartFailures
 	client      *coordinator.Client
 	origins     *streamorigin.Registry
 	peerClient  *peer.Client
@@ -132,13 +133,14 @@
 	holder := coordinator.HolderName(h.self.Name, h.settings.IP)
 	h.lease = coordinator.NewLease(holder, h.store, bootclock.Now, h.log)
 	h.owner = coordinator.NewOwner(h.self.Name, holder, h.lease, h.view, h.adapter.Engines, h.settings.Bounds, bootclock.Now, h.log)
-	h.coordinator = coordinator.NewCoordinator(h.self.Name, h.view, h.peerClient, h.confirmations, h.settings.FirstBoot, bootclock.Now, h.log)
+	h.parts = coordinator.NewPartFailures(h.self.Name, h.view.Hosts, bootclock.Now, h.log)
+	h.coordinator = coordinator.NewCoordinator(h.self.Name, h.view, h.peerClient, h.parts, h.confirmations, h.settings.FirstBoot, bootclock.Now, h.log)
 }
 
 func (h *Host) initGateway() {
 	quotas := gateway.NewQuotas(h.settings.Bounds, h.hostCount, bootclock.Now, rand.Float64)
 	h.client = coordinator.NewClient(coordinator.ClientOptions{
-		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient,
+		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient, Parts: h.parts,
 		LocalUse: quotas.LocalUse, SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
 			quotas.SetRemoteUse(h.view.Config().Teams, epoch, use, balances)
 		}, Now: bootclock.Now, Log: h.log,
@@ -154,7 +156,7 @@
 		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClient(), Quotas: quotas,
 		Budget:      gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now),
 		Origins:     h.origins,
-		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures,
+		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts,
 		ConfigConfirmed: h.configConfirmed,
 		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
@@ -183,6 +185,12 @@
 	return names
 }
 
+func (h *Host) newPartStore() *coordinator.PartStore {
+	return &coordinator.PartStore{
+		Parts: h.parts, Store: h.store, Coordinates: func() bool { return h.client.Coordinator() == h.self.Name }, Log: h.log,
+	}
+}
+
 func (h *Host) loadAdapter(ctx context.Context, owner string, c coordinator.AdapterCommand) error {
 	if owner == h.self.Name {
 		return h.owner.LoadAdapter(ctx, c)
@@ -251,6 +259,7 @@
 		func() error { return h.coordinator.Run(ctx) },
 		func() error { return h.client.Run(ctx) },
 		func() error { return h.client.RunProbes(ctx) },
+		func() error { return h.newPartStore().Run(ctx) },
 		func() error { return h.origins.Run(ctx) },
 		func() error { return h.peerServer.Serve(ctx, peers) },
 	}
