--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -46,6 +46,8 @@
 	ID     string // ID of the call; empty: not stated
 	Stamp  string // proves which target made the response; empty: none
 	NotRun bool   // the target states that it did not run the call
+	// Limit is the number of requests a second that the target takes from all hosts together; 0: it names none.
+	Limit float64
 }
 
 // Codec translates between calls and the platform's HTTP headers.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -319,6 +319,9 @@
 	}
 	defer resp.Body.Close()
 	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
+	if response.Limit > 0 {
+		x.log["target_limit"] = response.Limit
+	}
 	if response.NotRun {
 		x.log["shed_by"] = c.Target.ID
 		g.opts.View.RecordOutcome(c.Target.ID, resp.Status == http.StatusMisdirectedRequest || x.call.Model != "")
