--- a/internal/gateway/crashingparts_test.go
+++ b/internal/gateway/crashingparts_test.go
@@ -9,7 +9,7 @@
 
 // Bounds of the users' rules for parts of prompts that crash engines.
 const (
-	crashContactTime   = 3 * time.Second // in which hosts have to know of a crash
+	contactTime        = 3 * time.Second // in which hosts have to know of a crash
 	crashesUntilBound  = 5               // crashes after which the bound holds
 	mostRequestsBeyond = 3               // requests with the part that may reach engines after that
 	mostSoundBlocked   = 4               // of 403 sound parts: 1 in 100
@@ -29,12 +29,12 @@
 	last := crashes[min(len(crashes), crashesUntilBound)-1]
 	beyond := 0
 	for _, at := range reached {
-		if len(crashes) >= crashesUntilBound && at > last+crashContactTime {
+		if len(crashes) >= crashesUntilBound && at > last+contactTime {
 			beyond++
 		}
 	}
 	calm, _ := f.shareBegun(0, from)
-	share, n := f.shareBegun(last+2*crashContactTime, to)
+	share, n := f.shareBegun(last+2*contactTime, to)
 	if n := f.blockedParts(); n > mostSoundBlocked {
 		f.t.Errorf("%d sound parts blocked, want %d at most", n, mostSoundBlocked)
 	}
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -39,8 +39,10 @@
 	listed   map[string]fleet.Target
 	started  int // engines started so far
 	crashing map[string]bool
-	crashes  []time.Duration // of engines, under a crashing part
-	reached  []time.Duration // requests with a crashing part that reached an engine, from hosts that started a while ago
+	crashes  []time.Duration            // of engines, under a crashing part
+	reached  []time.Duration            // requests with a crashing part that reached an engine, from hosts that started a while ago
+	limits   map[string]float64         // that engines name in their responses, by ID
+	arrivals map[string][]time.Duration // of requests at engines that have ever named a limit, from hosts that started a while ago
 	outcomes []outcome
 	// crashingFirst has the crashing part stand before the others, and not in place of the second.
 	crashingFirst bool
@@ -62,7 +64,7 @@
 }
 
 func newEngineFleet(t *testing.T, hosts, engines int, seed uint64) *engineFleet {
-	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, crashing: map[string]bool{}}
+	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, crashing: map[string]bool{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
 	for range engines {
 		f.startEngine()
 	}
@@ -92,6 +94,13 @@
 	}
 }
 
+// nameLimit has an engine name a limit; 0: it names none any more.
+func (f *engineFleet) nameLimit(id string, limit float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits[id] = limit
+}
+
 // crash ends an engine. Another one is listed later.
 func (f *engineFleet) crash(id string) {
 	f.mu.Lock()
@@ -158,9 +167,13 @@
 	f.mu.Lock()
 	e := f.engines[address]
 	crashing := slices.ContainsFunc(strings.Fields(r.Header.Get("Parts")), func(p string) bool { return f.crashing[p] })
-	if e != nil && crashing && f.now() > s.host.startedAt+crashContactTime {
+	if e != nil && crashing && f.now() > s.host.startedAt+contactTime {
 		f.reached = append(f.reached, f.now())
 	}
+	limit, named := f.limits[address]
+	if e != nil && named && f.now() > s.host.startedAt+contactTime {
+		f.arrivals[address] = append(f.arrivals[address], f.now())
+	}
 	f.mu.Unlock()
 	if e == nil {
 		return nil, &target.UnreachableError{Address: address, Cause: resetError{}}
@@ -186,7 +199,11 @@
 	if rand.Float64() < f.breakShare {
 		body.breakAfter = 1 + rand.IntN(engineEvents-1)
 	}
-	return &target.ForwardResponse{Status: http.StatusOK, Header: http.Header{"Id": {r.ID}, "Stamp": {"s"}}, Length: -1, Body: body}, nil
+	header := http.Header{"Id": {r.ID}, "Stamp": {"s"}}
+	if limit > 0 {
+		header.Set("Limit", fmt.Sprint(limit))
+	}
+	return &target.ForwardResponse{Status: http.StatusOK, Header: header, Length: -1, Body: body}, nil
 }
 
 // eventBody is the body of a stream of engineEvents events.
