Parts of prompts: the first failure that a host sees is reported

A host that had reported before without any failure took version 1 for sent, and the first failure has version 1. So the first crash of a fleet was known to one host only. Found while writing the tests of another exchange of this kind. Versions start at 1 now. TestFirstFailureIsReported fails without the change (no evidence, one failure wanted).

--- a/coord/crashcause/crashcause_test.go
+++ b/coord/crashcause/crashcause_test.go
@@ -245,6 +245,18 @@
 	}
 }
 
+// TestFirstFailureIsReported guards against a host that has reported nothing yet leaving out its first failure.
+func TestFirstFailureIsReported(t *testing.T) {
+	tracker, cursor := New(), Cursor{}
+	if e := tracker.Changes(start, &cursor, ToCoordinator); e != nil {
+		t.Fatalf("got %+v before any failure", e)
+	}
+	tracker.RecordFailure(start, []string{"part"}, "target", start-time.Second)
+	if e := tracker.Changes(start, &cursor, ToCoordinator); e == nil || len(e.Failures) != 1 {
+		t.Errorf("got %+v, want one failure", e)
+	}
+}
+
 // TestLimitsOfMemory guards against callers who fill the memory of hosts with parts.
 func TestLimitsOfMemory(t *testing.T) {
 	s := newScript()
--- a/coord/crashcause/evidence.go
+++ b/coord/crashcause/evidence.go
@@ -58,7 +58,7 @@
 		t.addNewRecords(now, &e, *cursor, to)
 	}
 	e.Completions = t.newCompletions(now, cursor, to)
-	cursor.version = max(t.version, 1)
+	cursor.version = t.version
 	if len(e.Failures)+len(e.Completions)+len(e.Blocks) == 0 {
 		return nil
 	}
--- a/coord/crashcause/tracker.go
+++ b/coord/crashcause/tracker.go
@@ -25,7 +25,7 @@
 	total    map[string]completions            // by part, of all hosts, as the coordinating host told
 	blocks   map[string]*block
 	count    int    // of failures
-	version  uint64 // increases with each change of a failure or a block
+	version  uint64 // from 1; increases with each change of a failure or a block
 	// changes holds the blocks and releases since TakeChanges.
 	changes []Change
 }
@@ -54,7 +54,7 @@
 func New() *Tracker {
 	return &Tracker{
 		failures: map[string]map[string]*failure{}, byTarget: map[string]map[string]*failure{}, own: map[string]completions{},
-		reported: map[string]map[string]completions{}, total: map[string]completions{}, blocks: map[string]*block{},
+		reported: map[string]map[string]completions{}, total: map[string]completions{}, blocks: map[string]*block{}, version: 1,
 	}
 }
 
