Limits that targets name are kept by all hosts together

Cause: no code acted on the header; a limit that all hosts share was not thought of. Each host keeping to the limit by itself would not have been enough: eight hosts, eight times the limit.

Change: coord/permit. Hosts exchange the limits that responses name; a request is sent to such a target only if no other one can take it, and with a permit of the coordinator, which has a token bucket for each target. The planner of swaps does not count the copies there. Why this works: one place counts all sends, and whoever cannot ask it does not send.

--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -58,7 +58,7 @@
 	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, running: map[string]int{}, assigned: map[string]bool{}}
 	for i := range s.Engines {
 		e := &s.Engines[i]
-		if !e.Serves {
+		if !e.Serves || e.Limited {
 			continue
 		}
 		for model, c := range e.Copies {
@@ -134,7 +134,7 @@
 func (p *planner) hasCopyAt(model, version string) bool {
 	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
 		c, there := e.Copies[model]
-		return there && e.Serves && e.Version == version && c.State != Draining
+		return there && e.Serves && !e.Limited && e.Version == version && c.State != Draining
 	})
 }
 
@@ -164,6 +164,9 @@
 func (p *planner) chooseMove(r loadRequest) (Move, bool) {
 	best, bestCost := Move{}, math.Inf(1)
 	local := p.loadableLocally(r)
+	if !local && r.waiting && p.hasLimitedCopy(r) {
+		return Move{}, false // the few requests that it takes are served sooner than by a load from the weight store
+	}
 	allowStore := !local && !p.opts.NoStoreLoads
 	r.mayTakeReserve = !local && r.waiting && !r.late
 	for i := range p.Engines {
@@ -174,6 +177,9 @@
 		if _, there := e.Copies[r.model]; there {
 			continue
 		}
+		if e.Limited && (!r.waiting || local) {
+			continue
+		}
 		source := e.source(r.model)
 		if source == FromStore && (!allowStore || p.StoreLoads >= p.storeLoadLimit(r, e)) {
 			continue
@@ -197,6 +203,14 @@
 	return best, true
 }
 
+// hasLimitedCopy reports whether an engine that takes few requests has a model.
+func (p *planner) hasLimitedCopy(r loadRequest) bool {
+	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
+		c, there := e.Copies[r.model]
+		return there && e.Serves && e.Limited && r.allows(&e) && c.State != Draining
+	})
+}
+
 // apply updates the planner's counts as if a move were done, so that the rest of the
 // plan takes it into account.
 func (p *planner) apply(m Move) {
@@ -206,7 +220,14 @@
 		p.StoreLoads++
 	}
 	for _, model := range m.Unload {
-		p.copies[model]--
-		p.ready[model]--
+		if !p.limited(m.Engine) {
+			p.copies[model]--
+			p.ready[model]--
+		}
 	}
 }
+
+// limited reports whether an engine takes few requests, so that its copies are not counted.
+func (p *planner) limited(engine string) bool {
+	return slices.ContainsFunc(p.Engines, func(e Engine) bool { return e.ID == engine && e.Limited })
+}
--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -57,6 +57,7 @@
 	InMemory   map[string]bool
 	Busy       bool // an order is in progress, or no host may order the engine
 	Serves     bool // accepts requests
+	Limited    bool // accepts few requests, which other engines should take if they can
 }
 
 // Demand is the demand for one model.
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -23,6 +23,7 @@
 type Choice struct {
 	Target       fleet.Target
 	NeedsAdapter bool // the adapter must be loaded first
+	NeedsPermit  bool // the target names a limit; see Client.RequestPermit
 	Load         int  // known requests of all hosts at the target
 	Reason       string
 	Deferred     bool // none was chosen, because other waiting requests take the free slots first
@@ -45,11 +46,13 @@
 // of e for each choiceSpread by which its score is higher.
 func noise() float64 { return -choiceSpread * math.Log(rand.ExpFloat64()) }
 
-// Pick chooses a target. It returns false if no target can take the request now.
+// Pick chooses a target. It returns false if no target can take the request now. Targets that name a limit are
+// left to requests that no other target can take, but for one now and then to learn whether they still do.
 func (f *FleetView) Pick(req Requirements) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
+	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
 		if t.Draining || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
@@ -70,7 +73,13 @@
 				continue
 			}
 		}
-		free += f.freeSlots(t, req.Late)
+		rate, stale := f.limits.Rate(f.now(), runOf(t))
+		if rate > 0 && f.now() < f.noPermitUntil[id] {
+			continue
+		}
+		if rate == 0 {
+			free += f.freeSlots(t, req.Late)
+		}
 		score := f.score(t) - noise()
 		if needsAdapter {
 			score += adapterPenalty
@@ -78,12 +87,20 @@
 		if unreachable {
 			score += unreachablePenalty
 		}
-		if !found || score < bestScore {
-			found, bestScore = true, score
-			best = Choice{Target: t, NeedsAdapter: needsAdapter, Load: f.load[id] + f.remoteLoad[id]}
+		choice := Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, Load: f.load[id] + f.remoteLoad[id]}
+		switch {
+		case rate > 0 && !stale:
+			if score < limitedScore {
+				limited, limitedScore = choice, score
+			}
+		case !found || score < bestScore:
+			found, bestScore, best = true, score, choice
 		}
 	}
-	if found && req.Model != "" && !f.admit(req, free) {
+	if !found && limited.NeedsPermit {
+		return limited, true
+	}
+	if found && req.Model != "" && !best.NeedsPermit && !f.admit(req, free) {
 		return Choice{Deferred: true}, false
 	}
 	return best, found
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/coord/crashcause"
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
 )
@@ -41,6 +42,7 @@
 	sentUse            map[string]float64
 	sentOwned          map[string]EngineView
 	sentParts          crashcause.Cursor
+	sentLimits         uint64 // version of the limits that the coordinator was sent
 	liveHosts          []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	lastReplyAt        time.Duration // when a coordinator last replied
@@ -189,6 +191,7 @@
 		}
 		c.report(ctx)
 		c.opts.Parts.evaluate()
+		c.logLimits()
 		timer.Reset(reportInterval)
 	}
 }
@@ -284,11 +287,12 @@
 	if c.sendFull {
 		clear(c.sentUse)
 		clear(c.sentOwned)
-		c.sentParts = crashcause.Cursor{}
+		c.sentParts, c.sentLimits = crashcause.Cursor{}, 0
 		c.sendFull = false
 	}
-	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures
+	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures and FleetView
 		r.Parts = c.opts.Parts.changes(&c.sentParts, crashcause.ToCoordinator)
+		r.Limits, c.sentLimits = c.opts.FleetView.limitChanges(c.sentLimits, permit.ToCoordinator)
 	}
 	c.opts.FleetView.report(&r)
 	for team, n := range c.opts.LocalUse() {
@@ -320,6 +324,7 @@
 // applyUpdate applies an update of the coordinator.
 func (c *Client) applyUpdate(u Update) {
 	c.opts.Parts.mergeUpdate(u.Parts)
+	c.opts.FleetView.mergeLimits(u.Limits, true)
 	c.opts.FleetView.SetBacklogs(u.Backlogs) // first, since the engine updates below wake the waiting requests
 	complete := len(u.Engines) == 0 || c.opts.FleetView.ApplyUpdates(c.opts.Self.Name, u.Engines...)
 	if len(u.Load) > 0 {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
@@ -71,6 +72,7 @@
 
 	readySince map[runKey]time.Duration // by copy, when it became ready
 	storeLimit storeLoadLimit
+	permits    *permit.Issuer // of targets that name a limit
 }
 
 type move struct {
@@ -111,6 +113,7 @@
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
+		permits: permit.NewIssuer(),
 	}
 }
 
@@ -127,6 +130,7 @@
 		}
 		return c.Report(from.Name, report), nil
 	})
+	c.registerPermits(r)
 }
 
 // Report applies a host's report and returns the update for that host.
@@ -175,6 +179,7 @@
 	}
 	if host != c.self {
 		c.parts.mergeReport(host, r.Parts)
+		c.fleetView.mergeLimits(r.Limits, false)
 	}
 	c.wake()
 	return c.updateFor(host, h, true)
@@ -295,6 +300,7 @@
 			delete(c.failureTimes, id)
 		}
 	}
+	c.permits.Expire(now)
 }
 
 // registerHost adds the host of a full report. Its use before the first report to this
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
@@ -32,6 +33,8 @@
 	refusedUntil  map[modelKey]time.Duration // refused models, until when they still count as requested
 	backlogs      map[modelKey]seenBacklog   // as last reported
 	missingUntil  map[runKey]time.Duration   // set by RecordMissingModel, and when this expires
+	limits        *permit.Limits             // that targets name
+	noPermitUntil map[string]time.Duration   // by target, when a permit is asked for again
 }
 
 type runKey struct{ engine, model string }
@@ -53,7 +56,7 @@
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
 		missingUntil: map[runKey]time.Duration{}, unusableUntil: map[string]time.Duration{}, refusedUntil: map[modelKey]time.Duration{},
-		backlogs: map[modelKey]seenBacklog{},
+		backlogs: map[modelKey]seenBacklog{}, limits: permit.NewLimits(), noPermitUntil: map[string]time.Duration{},
 	}
 }
 
@@ -99,6 +102,11 @@
 			delete(f.health, id)
 		}
 	}
+	for id := range f.noPermitUntil {
+		if _, ok := t.ByID[id]; !ok {
+			delete(f.noPermitUntil, id)
+		}
+	}
 	f.notify()
 }
 
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -35,6 +35,7 @@
 	sentLeaving   []string // last Update.LastLeaving sent
 	sentFailures  map[string]bool
 	sentParts     crashcause.Cursor
+	sentLimits    uint64 // version of the limits that it was sent
 	pushing       bool
 }
 
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"buckthornseam.dev/coord/crashcause"
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/coord/swap"
 )
 
@@ -26,6 +27,7 @@
 	methodPing    = "steer.ping"
 	methodSwap    = "steer.swap"
 	MethodAdapter = "steer.adapter"
+	methodPermit  = "steer.permit"
 )
 
 // codeOwnedElsewhere is the error code of methodOwn if another host may still order the
@@ -105,6 +107,7 @@
 	Owned          []EngineView         `json:"o,omitempty"`
 	EngineFailures []string             `json:"x,omitempty"`  // IDs of failures of engines during requests
 	Parts          *crashcause.Evidence `json:"cp,omitempty"` // parts of prompts that may crash targets
+	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
 	Unreachable    []string             `json:"d,omitempty"`  // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 }
@@ -144,9 +147,10 @@
 	Backlogs       []Backlog            `json:"k,omitempty"`  // of the models that the host's requests wait for
 	EngineFailures []string             `json:"x,omitempty"`
 	Parts          *crashcause.Evidence `json:"cp,omitempty"`
-	StoreAge       *StoreAge            `json:"v,omitempty"` // only in the reply to a report
-	Coordinator    string               `json:"c,omitempty"` // set by a deputy, which says nothing of the other hosts
-	UnknownHost    bool                 `json:"q,omitempty"` // the next report must be a full one
+	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
+	StoreAge       *StoreAge            `json:"v,omitempty"`  // only in the reply to a report
+	Coordinator    string               `json:"c,omitempty"`  // set by a deputy, which says nothing of the other hosts
+	UnknownHost    bool                 `json:"q,omitempty"`  // the next report must be a full one
 }
 
 // SwapCommand tells the owner of an engine to carry out a move.
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornseam.dev/coord/crashcause"
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/coord/swap"
 )
 
@@ -139,7 +140,7 @@
 			if err != nil {
 				clear(h.sentVersions) // the host may have received none of it
 				clear(h.sentFailures)
-				h.sentParts = crashcause.Cursor{}
+				h.sentParts, h.sentLimits = crashcause.Cursor{}, 0
 				h.updateVersion = 0
 			}
 		}()
@@ -206,6 +207,7 @@
 	}
 	if name != c.self {
 		u.Parts = c.parts.changes(&h.sentParts, crashcause.ToHost)
+		u.Limits, h.sentLimits = c.fleetView.limitChanges(h.sentLimits, permit.ToHost)
 	}
 	u.Backlogs = c.totals.backlogsOf(h)
 	if !counts {
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -148,7 +148,7 @@
 	h.gateway = New(Options{
 		Codec: testCodec{}, View: h.view, Sender: hostSender{f, h}, Origins: origins, Quotas: h.quotas,
 		Budget:              NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
-		ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts,
+		ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit,
 		ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
 		Now:             now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	Quotas              *Quotas
 	Budget              *RetryBudget
 	Origins             StreamOrigins
+	RequestPermit       func(ctx context.Context, t fleet.Target) bool // for a target that names a limit
 	LoadAdapter         func(ctx context.Context, owner string, c coordinator.AdapterCommand) error
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -167,6 +167,9 @@
 		changed := view.Changed()
 		choice, ok := view.Pick(req)
 		if ok {
+			if choice.NeedsPermit && !g.opts.RequestPermit(ctx, choice.Target) {
+				continue // with the other targets
+			}
 			if !choice.NeedsAdapter || g.loadAdapter(ctx, x, choice) {
 				g.logChoice(x, choice)
 				return choice, true
@@ -209,7 +212,7 @@
 	}
 	req.Avoid = nil
 	choice, ok := g.opts.View.Pick(req)
-	if !ok || choice.NeedsAdapter {
+	if !ok || choice.NeedsAdapter || choice.NeedsPermit && !g.opts.RequestPermit(x.r.Context(), choice.Target) {
 		return coordinator.Choice{}, false
 	}
 	clear(avoid)
@@ -319,6 +322,7 @@
 	}
 	defer resp.Body.Close()
 	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
+	g.opts.View.RecordLimit(c.Target, response.Limit)
 	if response.Limit > 0 {
 		x.log["target_limit"] = response.Limit
 	}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -156,7 +156,7 @@
 		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClient(), Quotas: quotas,
 		Budget:      gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now),
 		Origins:     h.origins,
-		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts,
+		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit,
 		ConfigConfirmed: h.configConfirmed,
 		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
