Swaps: engines that take few requests serve rare models

Cause: the planner did not count copies at engines with a limit and loaded nothing there, so their places were lost to the rare models, which need few requests each, while hot models kept copies there that nobody may use.

Change: copies of rare models at an engine that takes one request a second or more count, and such models are loaded there; hot models are not, and their copies there are evicted first.

Pattern: TestHeavyPatterns, two and four of nine engines take few requests.

--- a/coord/swap/limited_test.go
+++ b/coord/swap/limited_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 func limited(e Engine) Engine {
-	e.Limited = true
+	e.Limit = minLimit / 2.0
 	return e
 }
 
--- a/coord/swap/model_test.go
+++ b/coord/swap/model_test.go
@@ -16,6 +16,8 @@
 	crashedEngines                                  int       // engines that are lost after 3 s
 	hotSetMoves                                     bool      // the hot rates move to other models after 3 s
 	rareBurst                                       float64   // factor of the rare rate from 3 to 6 s; 0: none
+	limitedEngines                                  int       // engines that take limit requests a second from 3 s on
+	limit                                           float64
 }
 
 // Times and sizes, as on the first site of the users.
@@ -41,7 +43,8 @@
 	waiting  map[string][]time.Duration // arrival times by model
 	busy     map[string]time.Duration   // engine ID to the end of its load
 	running  []run
-	requests [2]int // rare, hot
+	permits  []float64 // by engine, of those that take few requests
+	requests [2]int    // rare, hot
 	inTime   [2]int
 }
 
@@ -52,7 +55,7 @@
 }
 
 func newSimulation(s scenario, seed uint64) *simulation {
-	sim := &simulation{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[string][]time.Duration{}, busy: map[string]time.Duration{}, rates: make([]float64, s.models)}
+	sim := &simulation{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[string][]time.Duration{}, busy: map[string]time.Duration{}, rates: make([]float64, s.models), permits: make([]float64, s.engines)}
 	sim.state = State{Models: map[string]Model{}, Demands: map[string]Demand{}}
 	for i := range s.models {
 		sim.state.Models[sim.name(i)] = Model{SizeMB: modelSizeMB, Load: [3]time.Duration{diskLoadTime, diskLoadTime, storeLoadTime}}
@@ -83,6 +86,9 @@
 		for e := range sim.crashedEngines {
 			sim.state.Engines[e].Serves = false
 		}
+		for e := range sim.limitedEngines {
+			sim.state.Engines[e].Limit = sim.limit
+		}
 		if sim.hotSetMoves {
 			n := len(sim.hotRates)
 			for i := range sim.hotRates {
@@ -93,6 +99,7 @@
 	sim.state.Now = now
 	sim.arrive(now)
 	sim.finishRunsAndLoads(now)
+	sim.issuePermits()
 	sim.serveWaiting(now)
 	sim.updateDemands(now)
 	for _, m := range Plan(sim.state, DefaultOptions()) {
@@ -151,12 +158,20 @@
 func (sim *simulation) serveWaiting(now time.Duration) {
 	for i, rate := range sim.rates {
 		name, hot := sim.name(i), rate > sim.rareRate/float64(sim.models-len(sim.hotRates))
-		for e := range sim.state.Engines {
+		for _, e := range sim.enginesByChoice() {
 			c, there := sim.state.Engines[e].Copies[name]
 			if !there || c.State != Ready || !sim.state.Engines[e].Serves {
 				continue
 			}
+			var denied []time.Duration
 			for _, arrival := range sim.waiting[name] {
+				if sim.state.Engines[e].Limit > 0 {
+					if sim.permits[e] < 1 {
+						denied = append(denied, arrival)
+						continue
+					}
+					sim.permits[e]--
+				}
 				c.Running++
 				sim.running = append(sim.running, run{e, name, now + requestTime})
 				limit := rareObjective
@@ -168,11 +183,31 @@
 				}
 			}
 			sim.state.Engines[e].Copies[name] = c
-			delete(sim.waiting, name)
+			sim.waiting[name] = denied
 		}
 	}
 }
 
+// enginesByChoice returns the engines in the order in which requests choose them: those that name a limit last.
+func (sim *simulation) enginesByChoice() []int {
+	var free, limited []int
+	for e := range sim.state.Engines {
+		if sim.state.Engines[e].Limit > 0 {
+			limited = append(limited, e)
+		} else {
+			free = append(free, e)
+		}
+	}
+	return append(free, limited...)
+}
+
+// issuePermits adds the permits of one step at the engines that take few requests.
+func (sim *simulation) issuePermits() {
+	for e := range sim.limitedEngines {
+		sim.permits[e] = min(sim.permits[e]+sim.limit*simStep.Seconds(), 1+sim.limit/2)
+	}
+}
+
 func (sim *simulation) updateDemands(now time.Duration) {
 	for i, rate := range sim.rates {
 		name := sim.name(i)
@@ -227,12 +262,14 @@
 func TestHeavyPatterns(t *testing.T) {
 	hot := []float64{27, 10, 6, 5, 4}
 	for name, s := range map[string]scenario{
-		"calm":                        {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5},
-		"rare burst on a full fleet":  {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, rareBurst: 2},
-		"one of nine engines crashes": {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, crashedEngines: 1},
-		"hot set moves":               {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, hotSetMoves: true},
-		"grown fleet":                 {engines: 60, copiesPerEngine: 3, models: 353, modelsPerDisk: 21, hotRates: []float64{90, 70, 60, 50, 30, 20, 12, 8, 6, 5, 4, 3}, rareRate: 79},
-		"grown fleet of two copies":   {engines: 90, copiesPerEngine: 2, models: 274, modelsPerDisk: 11, hotRates: []float64{70, 60, 50, 40, 30, 20, 12, 8, 6, 5, 4, 3}, rareRate: 50},
+		"calm":                                   {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5},
+		"rare burst on a full fleet":             {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, rareBurst: 2},
+		"one of nine engines crashes":            {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, crashedEngines: 1},
+		"two of nine engines take few requests":  {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, limitedEngines: 2, limit: 2.5},
+		"four of nine engines take few requests": {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 30, hotRates: hot, rareRate: 10.5, limitedEngines: 4, limit: 2.5},
+		"hot set moves":                          {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, hotSetMoves: true},
+		"grown fleet":                            {engines: 60, copiesPerEngine: 3, models: 353, modelsPerDisk: 21, hotRates: []float64{90, 70, 60, 50, 30, 20, 12, 8, 6, 5, 4, 3}, rareRate: 79},
+		"grown fleet of two copies":              {engines: 90, copiesPerEngine: 2, models: 274, modelsPerDisk: 11, hotRates: []float64{70, 60, 50, 40, 30, 20, 12, 8, 6, 5, 4, 3}, rareRate: 50},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var share [2]float64
--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -52,16 +52,22 @@
 	ready    map[string]int
 	running  map[string]int
 	assigned map[string]bool // engines that have a move in this plan
+	// uncounted holds the models by engine whose copies there are not in the counts.
+	uncounted map[string]map[string]bool
 }
 
 func newPlanner(s State, opts Options) *planner {
-	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, running: map[string]int{}, assigned: map[string]bool{}}
+	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, running: map[string]int{}, assigned: map[string]bool{}, uncounted: map[string]map[string]bool{}}
 	for i := range s.Engines {
 		e := &s.Engines[i]
-		if !e.Serves || e.Limited {
+		if !e.Serves {
 			continue
 		}
 		for model, c := range e.Copies {
+			if !p.counts(e, model) {
+				p.setUncounted(e.ID, model)
+				continue
+			}
 			if c.State != Draining {
 				p.copies[model]++
 			}
@@ -74,6 +80,13 @@
 	return p
 }
 
+func (p *planner) setUncounted(engine, model string) {
+	if p.uncounted[engine] == nil {
+		p.uncounted[engine] = map[string]bool{}
+	}
+	p.uncounted[engine][model] = true
+}
+
 // wantedCopies returns the number of copies that a model should have.
 func (p *planner) wantedCopies(model string) int {
 	if p.Demands[model].Rate < p.opts.HotRate {
@@ -134,7 +147,7 @@
 func (p *planner) hasCopyAt(model, version string) bool {
 	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
 		c, there := e.Copies[model]
-		return there && e.Serves && !e.Limited && e.Version == version && c.State != Draining
+		return there && e.Serves && p.counts(&e, model) && e.Version == version && c.State != Draining
 	})
 }
 
@@ -164,7 +177,7 @@
 func (p *planner) chooseMove(r loadRequest) (Move, bool) {
 	best, bestCost := Move{}, math.Inf(1)
 	local := p.loadableLocally(r)
-	if !local && r.waiting && p.hasLimitedCopy(r) {
+	if !local && r.waiting && !p.hot(r.model) && p.hasLimitedCopy(r) {
 		return Move{}, false // the few requests that it takes are served sooner than by a load from the weight store
 	}
 	allowStore := !local && !p.opts.NoStoreLoads
@@ -177,7 +190,7 @@
 		if _, there := e.Copies[r.model]; there {
 			continue
 		}
-		if e.Limited && (!r.waiting || local) {
+		if !p.counts(e, r.model) && (!r.waiting || local || p.hot(r.model)) {
 			continue
 		}
 		source := e.source(r.model)
@@ -207,7 +220,7 @@
 func (p *planner) hasLimitedCopy(r loadRequest) bool {
 	return slices.ContainsFunc(p.Engines, func(e Engine) bool {
 		c, there := e.Copies[r.model]
-		return there && e.Serves && e.Limited && r.allows(&e) && c.State != Draining
+		return there && e.Serves && !p.counts(&e, r.model) && r.allows(&e) && c.State != Draining
 	})
 }
 
@@ -220,14 +233,21 @@
 		p.StoreLoads++
 	}
 	for _, model := range m.Unload {
-		if !p.limited(m.Engine) {
+		if !p.uncounted[m.Engine][model] {
 			p.copies[model]--
 			p.ready[model]--
 		}
 	}
 }
 
-// limited reports whether an engine takes few requests, so that its copies are not counted.
-func (p *planner) limited(engine string) bool {
-	return slices.ContainsFunc(p.Engines, func(e Engine) bool { return e.ID == engine && e.Limited })
+// minLimit is the smallest limit of an engine that gets copies of rare models: about what one swap after the
+// other brings there.
+const minLimit = 1
+
+// counts reports whether a copy at an engine serves what is asked of the model. An engine with a limit serves
+// rare models only.
+func (p *planner) counts(e *Engine, model string) bool {
+	return e.Limit == 0 || e.Limit >= minLimit && !p.hot(model)
 }
+
+func (p *planner) hot(model string) bool { return p.Demands[model].Rate >= p.opts.HotRate }
--- a/coord/swap/room.go
+++ b/coord/swap/room.go
@@ -28,7 +28,7 @@
 	for model, c := range e.Copies {
 		size := p.Models[model].SizeMB
 		free -= size
-		if cost, ok := p.evictionCost(model, c, r); ok {
+		if cost, ok := p.evictionCost(e, model, c, r); ok {
 			victims = append(victims, victim{model, size, cost})
 		}
 	}
@@ -67,10 +67,13 @@
 }
 
 // evictionCost returns the cost of evicting a copy, and whether it may be evicted at all.
-func (p *planner) evictionCost(model string, c Copy, r loadRequest) (float64, bool) {
+func (p *planner) evictionCost(e *Engine, model string, c Copy, r loadRequest) (float64, bool) {
 	if c.State != Ready || p.Now < c.ReadyAt+p.opts.MinResidence {
 		return 0, false
 	}
+	if p.uncounted[e.ID][model] && p.ready[model] > 0 {
+		return float64(min(c.Running, 4)) * runningWeight, true
+	}
 	d := p.Demands[model]
 	others := p.ready[model] - 1
 	if others <= 0 && d.Waiting > 0 {
--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -57,7 +57,8 @@
 	InMemory   map[string]bool
 	Busy       bool // an order is in progress, or no host may order the engine
 	Serves     bool // accepts requests
-	Limited    bool // accepts few requests, which other engines should take if they can
+	// Limit is the number of requests a second that the engine takes, if it is in need; 0: any number.
+	Limit float64
 }
 
 // Demand is the demand for one model.
--- a/coord/swap/weightstore.go
+++ b/coord/swap/weightstore.go
@@ -30,7 +30,7 @@
 func (p *planner) loadableLocally(r loadRequest) bool {
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		if _, there := e.Copies[r.model]; there || !e.Serves || e.Limited || !r.allows(e) || e.source(r.model) == FromStore {
+		if _, there := e.Copies[r.model]; there || !e.Serves || !p.counts(e, r.model) || !r.allows(e) || e.source(r.model) == FromStore {
 			continue
 		}
 		if _, _, ok := p.makeRoom(e, r); ok || e.Busy {
