Limits of targets: the limit in a 421 is not the target's

An address may belong to another target by now, whose response with status 421 may name its own limit. Found in review; TestLimitOfAnotherTargetIsIgnored fails without the change (a permit is requested for the engine).

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -322,7 +322,9 @@
 	}
 	defer resp.Body.Close()
 	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
-	g.opts.View.RecordLimit(c.Target, response.Limit)
+	if resp.Status != http.StatusMisdirectedRequest { // otherwise it may be the response of another target
+		g.opts.View.RecordLimit(c.Target, response.Limit)
+	}
 	if response.Limit > 0 {
 		x.log["target_limit"] = response.Limit
 	}
--- a/internal/gateway/targetlimit_test.go
+++ b/internal/gateway/targetlimit_test.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/target"
 )
 
 // Bounds of the users' rule for engines that name a limit.
@@ -134,3 +139,22 @@
 		f.checkBegun(named, 0.98)
 	})
 }
+
+// TestLimitOfAnotherTargetIsIgnored guards against the limit of the target that now has a former one's address.
+func TestLimitOfAnotherTargetIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		misdirected := func(target.ForwardRequest) (*target.ForwardResponse, error) {
+			return &target.ForwardResponse{Status: http.StatusMisdirectedRequest, Header: http.Header{"Not-Run": {"1"}, "Limit": {"0.1"}}, Body: http.NoBody}, nil
+		}
+		s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){misdirected, respond(http.StatusOK, firstEvent)}}
+		g := testGateway(s)
+		setEngines(g, map[string]string{"e1": "v1"})
+		g.opts.RequestPermit = func(_ context.Context, to fleet.Target) bool {
+			t.Errorf("a permit is requested for %s", to.ID)
+			return true
+		}
+		if w := post(g, "/stream/x", "m"); w.Code != http.StatusOK {
+			t.Errorf("status %d, want 200", w.Code)
+		}
+	})
+}
