Blocked parts: the store is asked again after 3 s when a call failed

A call to a store that is down is charged like any other; the coordinator's host made two a second. Found in review; no test, as the interval decides nothing.

--- a/internal/coordinator/partstore.go
+++ b/internal/coordinator/partstore.go
@@ -19,8 +19,11 @@
 	blockedPartsName               = "current"
 )
 
-// partStoreInterval is the time between two looks at whether the blocked parts have to be read or written.
-const partStoreInterval = 500 * time.Millisecond
+// Times of a PartStore.
+const (
+	partStoreInterval   = 500 * time.Millisecond // between two looks at whether the parts have to be read or written
+	partStoreRetryDelay = 3 * time.Second        // after a call that failed, since calls to a store that is down are charged too
+)
 
 // PartStore keeps the blocked parts of prompts in the store. Only the coordinator's host reads and writes them;
 // the others learn of them by its updates.
@@ -52,6 +55,9 @@
 		}
 		if err := s.step(ctx); err != nil {
 			s.Log.WithFields(logrus.Fields{"event": "blocked_parts_not_stored", "loaded": s.loaded}).Warn(err.Error())
+			ticker.Reset(partStoreRetryDelay)
+		} else {
+			ticker.Reset(partStoreInterval)
 		}
 	}
 }
