Requests wait while a part of their prompt may crash targets

Ruled out: deciding sooner (a decision after 0.5 to 0.8 s blocks sound parts where many responses break).

Change: once two targets have failed under a part that nobody completes, its requests wait for a second after the last failure, and then go on spread over another second, so that the first one that fails holds the others again. Requests that a completion clears go on at once.

Sound requests as before. Tests, failing before: TestCrashingPartInLargeFleet now asks that two thirds of the engines go on; TestRequestWaitsWhileItsPartMayCrashTargets, with a sound part as the control.

--- a/coord/crashcause/block.go
+++ b/coord/crashcause/block.go
@@ -113,6 +113,34 @@
 	return ""
 }
 
+// Times of holds.
+const (
+	holdTime        = time.Second // after a failure
+	minHoldFailures = 2
+)
+
+// HoldUntil returns until when a request should wait because a part of it may crash targets: some have failed
+// under it just now, and too few requests with it were completed. 0: no part may. Until more is known, no further
+// target should be put at risk.
+func (t *Tracker) HoldUntil(now time.Duration, parts []string) (until time.Duration) {
+	for _, part := range parts {
+		if len(t.failures[part]) < minHoldFailures {
+			continue
+		}
+		done := t.all(now, part)
+		n, last := 0, time.Duration(0)
+		for _, f := range t.failures[part] {
+			if !f.refuted && f.broke > done.last {
+				n, last = n+1, max(last, f.broke)
+			}
+		}
+		if n >= minHoldFailures && float64(n) > done.weight {
+			until = max(until, last+holdTime)
+		}
+	}
+	return until
+}
+
 // StoredBlock is what outlasts a restart of all hosts.
 type StoredBlock struct {
 	Part         string `json:"part"`
--- a/internal/coordinator/partfailures.go
+++ b/internal/coordinator/partfailures.go
@@ -64,6 +64,16 @@
 	return p.tracker.Check(p.now(), parts, func(part string) bool { return probe && p.probes(part) })
 }
 
+// HoldUntil returns until when a request should wait, since a part of its prompt may crash targets; 0: none may.
+func (p *PartFailures) HoldUntil(parts []string) time.Duration {
+	if len(parts) == 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.HoldUntil(p.now(), parts)
+}
+
 // probes reports whether this host probes a part. One host does, so that a probe crashes one target.
 func (p *PartFailures) probes(part string) bool {
 	first, most := "", uint64(0)
--- a/internal/gateway/crashingparts_test.go
+++ b/internal/gateway/crashingparts_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
 )
 
 // Bounds of the users' rules for parts of prompts that crash engines.
@@ -78,7 +81,8 @@
 	})
 }
 
-// TestCrashingPartInLargeFleet covers a fleet in which each host sees few of the requests.
+// TestCrashingPartInLargeFleet guards against a fleet in which each host sees few of the requests losing more than a third of
+// its engines before the part is found out.
 func TestCrashingPartInLargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newEngineFleet(t, 73, 60, 1)
@@ -86,6 +90,9 @@
 		from := f.now()
 		f.play(16*time.Second, 300, 20, "bad")
 		f.checkCrashingPart(from, f.now())
+		if n := len(f.crashes); n > 60/3 {
+			t.Errorf("%d of 60 engines crashed, want a third at most", n)
+		}
 	})
 }
 
@@ -101,6 +108,33 @@
 	})
 }
 
+// TestRequestWaitsWhileItsPartMayCrashTargets guards against putting further targets at risk while it is not known yet
+// whether a part crashes them. The control has a part that was completed since.
+func TestRequestWaitsWhileItsPartMayCrashTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSender{}
+		for range 2 {
+			s.responses = append(s.responses, respond(http.StatusOK, firstEvent))
+		}
+		g := testGateway(s)
+		for i := range 2 {
+			g.opts.Parts.RecordFailure([]string{"part", "sound"}, fleet.Target{ID: fmt.Sprint("lost", i)}, g.opts.Now())
+		}
+		g.opts.Parts.RecordCompletion([]string{"sound"}, fleet.Target{ID: "e1"}, g.opts.Now())
+		for parts, waits := range map[string]bool{"sound": false, "part": true} {
+			began := time.Now()
+			r := newPost("/stream/x", "m", "a1")
+			r.Header.Set("Parts", parts)
+			if w := serve(g, r); w.Code != http.StatusOK {
+				t.Errorf("%s: status %d, want 200", parts, w.Code)
+			}
+			if waited := time.Since(began); waits != (waited >= 500*time.Millisecond) || waited > 3*time.Second {
+				t.Errorf("%s: served after %v, should wait: %v", parts, waited, waits)
+			}
+		}
+	})
+}
+
 // forSeeds runs a test in fake time with each of five seeds.
 func forSeeds(t *testing.T, test func(t *testing.T, seed uint64)) {
 	for seed := range uint64(5) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// Check returns a part that crashes targets, or an empty string. With probe set, it admits a request
 	// with such a part once in a while.
 	Check(parts []string, probe bool) (blocked string)
+	// HoldUntil returns until when a request should wait, since a part of its prompt may crash targets; 0: none
+	// may.
+	HoldUntil(parts []string) time.Duration
 }
 
 // Options holds the dependencies and settings of a gateway.
@@ -123,6 +126,8 @@
 	version           *string // only version at which the stream may go on; nil: any, as it has not begun
 	noRetryBudget     bool
 	probe             bool          // admitted although a part of its prompt is blocked
+	holdEnd           time.Duration // of the last hold, according to PartFailures
+	heldUntil         time.Duration // somewhat later than holdEnd
 	retryAfter        time.Duration // Retry-After of a refusal; 0: the shortest
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -165,6 +166,12 @@
 		until := g.targetWaitEnd(x)
 		req.Late = endWait != nil && g.opts.Now() > x.arrived+x.route.Objective
 		changed := view.Changed()
+		if g.onHold(x) {
+			if !g.waitOnHold(ctx, x, until) {
+				return coordinator.Choice{}, false
+			}
+			continue
+		}
 		choice, ok := view.Pick(req)
 		if ok {
 			if choice.NeedsPermit && !g.opts.RequestPermit(ctx, choice.Target) {
@@ -203,6 +210,38 @@
 	}
 }
 
+// holdSpread is the time over which the requests go on that were held. If the first one crashes its target, the
+// others are held again.
+const holdSpread = time.Second
+
+// onHold reports whether the request should wait because a part of its prompt may crash targets.
+func (g *Gateway) onHold(x *exchange) bool {
+	if x.probe {
+		return false
+	}
+	switch end := g.opts.Parts.HoldUntil(x.call.SharedParts); {
+	case end == 0:
+		x.holdEnd, x.heldUntil = 0, 0
+	case end != x.holdEnd:
+		x.holdEnd, x.heldUntil = end, end+rand.N(holdSpread)
+	}
+	return g.opts.Now() < x.heldUntil
+}
+
+// waitOnHold waits for a moment while a part of the prompt may crash targets. It returns false if the request
+// should not wait any longer.
+func (g *Gateway) waitOnHold(ctx context.Context, x *exchange, until time.Duration) bool {
+	if ctx.Err() != nil || g.opts.Now() >= until || g.hasBlockedPart(x) {
+		if _, ok := x.log["blocked_part"]; !ok {
+			x.log["reason"] = "a part of the prompt may crash targets"
+		}
+		return false
+	}
+	x.log["held"] = true
+	g.waitForChange(ctx, nil, min(until, g.opts.Now()+recheckInterval))
+	return true
+}
+
 // retryShed chooses a target, after a delay, among all targets including those
 // to avoid. It is used if no other target can take the request, and only while
 // no target may have run it.
