--- a/internal/coordinator/partstore.go
+++ b/internal/coordinator/partstore.go
@@ -16,7 +16,7 @@
 // The object that holds the parts of prompts which crash targets, for the case that all hosts restart.
 const (
 	kindBlockedParts platform.Kind = "seam-blocked-parts"
-	blockedPartsName               = "current"
+	blockedPartsName string        = "current"
 )
 
 // Times of a PartStore.
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -55,7 +55,6 @@
 	sentAt time.Duration
 	parts  []string
 	began  bool // the caller got the head of a response of an engine
-	reason string
 }
 
 type simulatedEngine struct {
