Soak: an engine names a limit during the faults

The soak had no target that names a limit. One engine now takes 2 requests a second from the begin of the faults to their end, and the check counts as the users' rule does: hosts in touch, half a second after each was told, from the contact time on, but for requests that a stalled proxy held.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -43,7 +43,11 @@
 	limitedRuns        []time.Time            // of limitedTeam
 	hostFaults         map[string][]time.Time // begins and ends of faults by address of the host
 	stallEnds          map[string]time.Time   // end of the last stall by target; zero: not ended
-	drainWithoutFaults bool                   // no fault was active when the last drain began
+	limitedEngine      string
+	limitNamedAt       time.Time
+	limitEndedAt       time.Time
+	mostAtLimit        int  // requests that count at limitedEngine in any window
+	drainWithoutFaults bool // no fault was active when the last drain began
 }
 
 func newChecker() *checker {
@@ -157,6 +161,69 @@
 	c.mostLimited = float64(most*hotTokens) / limit
 }
 
+// recordLimit records that an engine names a limit, or no longer does.
+func (c *checker) recordLimit(engine string, named bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limitedEngine = engine
+	if named {
+		c.limitNamedAt = time.Now()
+	} else {
+		c.limitEndedAt = time.Now()
+	}
+}
+
+// limitedArrivals returns the runs at limitedEngine that count, in the order of time: those sent by hosts in touch that
+// had a run there toldTime before, while the engine named its limit. c.mu must be held.
+func (c *checker) limitedArrivals() (first time.Time, counted []time.Time) {
+	hosts := map[string]outcome{}
+	for _, o := range c.outcomes {
+		hosts[o.attemptID] = o
+	}
+	var all []standin.Run
+	for _, runs := range c.runs {
+		for _, r := range runs {
+			if r.Engine == c.limitedEngine && r.At.After(c.limitNamedAt) && r.At.Before(c.limitEndedAt) {
+				all = append(all, r)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	told := map[string]time.Time{}
+	for _, r := range all {
+		if first.IsZero() {
+			first = r.At
+		}
+		o, known := hosts[r.Attempt]
+		if !known {
+			continue
+		}
+		if at, ok := told[o.host]; !ok {
+			told[o.host] = r.At
+		} else if r.At.After(at.Add(toldTime)) && c.inTouch(o) && !c.heldUp(r) {
+			counted = append(counted, r.At)
+		}
+	}
+	return first, counted
+}
+
+// checkLimit checks that limitedEngine got no more requests in any window than its limit allows.
+func (c *checker) checkLimit() {
+	first, arrivals := c.limitedArrivals()
+	from := 0
+	for i, at := range arrivals {
+		for at.Sub(arrivals[from]) >= limitWindow {
+			from++
+		}
+		if at.After(first.Add(contactBound)) {
+			c.mostAtLimit = max(c.mostAtLimit, i-from+1)
+		}
+	}
+	if allowed := limitOverage*engineLimit*limitWindow.Seconds() + limitSlack; float64(c.mostAtLimit) > allowed {
+		c.addViolation("limit: %s, which takes %v requests a second, got %d in %v, more than %.0f", c.limitedEngine, engineLimit, c.mostAtLimit, limitWindow, allowed)
+	}
+}
+
 func (c *checker) recordOutcome(o outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -173,6 +240,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checkQuota()
+	c.checkLimit()
 	for _, o := range c.outcomes {
 		runs := len(c.runs[o.attemptID])
 		if o.key == "k2" && runs > 0 && !c.revokedAt.IsZero() && o.sentAt.After(c.revokedAt.Add(revokeBound)) {
@@ -220,6 +288,7 @@
 	t.Logf("requests served of those sent: planned work %d of %d, faults %d of %d, recovered %d of %d",
 		served[phasePlannedWork], sent[phasePlannedWork], served[phaseFaults], sent[phaseFaults], served[phaseRecovered], sent[phaseRecovered])
 	t.Logf("%s got %.2f of what its quota allows in %v until %v", limitedTeam, c.mostLimited, quotaWindow, c.mostLimitedAt.Format(time.StampMilli))
+	t.Logf("%s, which takes %v requests a second, got %d in %v at most", c.limitedEngine, engineLimit, c.mostAtLimit, limitWindow)
 	for _, violation := range c.violations {
 		t.Error(violation)
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -36,6 +36,15 @@
 	quotaWindow  = 8 * time.Second
 )
 
+// Rule for the engine that names a limit during the faults.
+const (
+	engineLimit  = 2.0 // requests a second
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5 // requests
+	toldTime     = 500 * time.Millisecond
+)
+
 const configTemplate = `{"version":%d,"routes":[
  {"name":"draft","host":"h.example","path_prefix":"/draft/","type":"streaming","timeout_ms":5000,"goal_ms":400,"service":"llm","attempts":2,"resumable":true,"gap_goal_ms":400},
  {"name":"pay","host":"h.example","path_prefix":"/pay/","type":"non_idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":1},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,7 +94,9 @@
 	time.Sleep(longTimeout) // until requests from the planned work have ended
 	s.checker.recordDrainEnd(s.plainTargets[0].ID)
 	s.registerPlainTarget(0, "ready")
+	endLimit := s.limitEngine()
 	s.injectFaults()
+	endLimit()
 	faultsEnded := time.Now()
 	if !waitFor(recoverBound, s.allReady) {
 		t.Errorf("recovery: not all hosts are ready %v after the last fault", time.Since(faultsEnded))
@@ -117,6 +119,17 @@
 	}
 }
 
+// limitEngine has an engine name a limit until the returned function is called.
+func (s *soak) limitEngine() (end func()) {
+	e := s.engines[len(s.engines)-1]
+	e.NameLimit(fmt.Sprint(engineLimit))
+	s.checker.recordLimit(e.ID, true)
+	return func() {
+		s.checker.recordLimit(e.ID, false)
+		e.NameLimit("")
+	}
+}
+
 // plannedWork stops one host by SIGTERM, starts it again, and drains a plain target
 // meanwhile. It revokes no key.
 func (s *soak) plannedWork() {
