--- a/coord/crashcause/block.go
+++ b/coord/crashcause/block.go
@@ -17,11 +17,11 @@
 
 // block holds back requests with a part.
 type block struct {
-	since, last  time.Duration // last: when a target last failed under the part
-	failedProbes int
-	probing      time.Duration // a request was admitted again and may be running until then
-	fromAbove    bool
-	version      uint64
+	since, last     time.Duration // last: when a target last failed under the part
+	failedProbes    int
+	probing         time.Duration // a request was admitted again and may be running until then
+	fromCoordinator bool
+	version         uint64
 }
 
 // probeAt returns when a request is admitted again.
@@ -78,7 +78,7 @@
 		b.failedProbes++
 	}
 	t.version++
-	b.last, b.version, b.fromAbove = max(b.last, f.broke), t.version, f.fromAbove
+	b.last, b.version, b.fromCoordinator = max(b.last, f.broke), t.version, f.fromCoordinator
 }
 
 // releaseIfCompleted ends the block of a part that a target completed after its last failure.
--- a/coord/crashcause/evidence.go
+++ b/coord/crashcause/evidence.go
@@ -67,18 +67,18 @@
 
 // addNewRecords adds the failures and blocks that a receiver has not been sent.
 func (t *Tracker) addNewRecords(now time.Duration, e *Evidence, cursor Cursor, to Direction) {
-	omit := func(fromAbove bool, version uint64) bool {
-		return version <= cursor.version || fromAbove && to == ToCoordinator && cursor.version > 0
+	omit := func(fromCoordinator bool, version uint64) bool {
+		return version <= cursor.version || fromCoordinator && to == ToCoordinator && cursor.version > 0
 	}
 	for part, byTarget := range t.failures {
 		for target, f := range byTarget {
-			if !omit(f.fromAbove, f.version) {
+			if !omit(f.fromCoordinator, f.version) {
 				e.Failures = append(e.Failures, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted})
 			}
 		}
 	}
 	for part, b := range t.blocks {
-		if !omit(b.fromAbove, b.version) {
+		if !omit(b.fromCoordinator, b.version) {
 			e.Blocks = append(e.Blocks, BlockRecord{part, ageMS(now, b.since), ageMS(now, b.last), b.failedProbes})
 		}
 	}
@@ -94,7 +94,7 @@
 	cursor.completions = map[string]time.Duration{}
 	var out []CompletionRecord
 	for _, part := range t.suspects() {
-		c := t.below(now, part)
+		c := t.ownAndReported(now, part)
 		if to == ToHost {
 			c = t.all(now, part)
 		}
@@ -116,17 +116,17 @@
 // MergeUpdate adds the evidence of the coordinating host.
 func (t *Tracker) MergeUpdate(now time.Duration, e *Evidence) { t.merge(now, "", true, e) }
 
-func (t *Tracker) merge(now time.Duration, from string, fromAbove bool, e *Evidence) {
+func (t *Tracker) merge(now time.Duration, from string, fromCoordinator bool, e *Evidence) {
 	if e == nil {
 		return
 	}
 	at := func(age int64) time.Duration { return now - time.Duration(age)*time.Millisecond }
 	for _, r := range e.Failures {
-		t.addFailure(now, r.Part, r.Target, failure{sent: at(r.SentMS), broke: at(r.BrokeMS), position: r.Position, refuted: r.Refuted, fromAbove: fromAbove})
+		t.addFailure(now, r.Part, r.Target, failure{sent: at(r.SentMS), broke: at(r.BrokeMS), position: r.Position, refuted: r.Refuted, fromCoordinator: fromCoordinator})
 	}
 	for _, r := range e.Completions {
 		c := completions{weight: r.Weight, at: now, last: at(r.LastMS)}
-		if fromAbove {
+		if fromCoordinator {
 			c.weight, c.last = max(c.weight, t.total[r.Part].weightAt(now)), max(c.last, t.total[r.Part].last)
 			t.total[r.Part] = c
 		} else {
@@ -137,7 +137,7 @@
 		}
 	}
 	for _, r := range e.Blocks {
-		t.mergeBlock(r.Part, block{since: at(r.SinceMS), last: at(r.LastMS), failedProbes: r.FailedProbes, fromAbove: fromAbove})
+		t.mergeBlock(r.Part, block{since: at(r.SinceMS), last: at(r.LastMS), failedProbes: r.FailedProbes, fromCoordinator: fromCoordinator})
 	}
 	for part := range t.blocks {
 		t.releaseIfCompleted(part)
@@ -158,6 +158,6 @@
 	if b.failedProbes > known.failedProbes || b.last > known.last+sameTime {
 		t.version++
 		known.failedProbes, known.last = max(known.failedProbes, b.failedProbes), max(known.last, b.last)
-		known.fromAbove, known.version = b.fromAbove, t.version
+		known.fromCoordinator, known.version = b.fromCoordinator, t.version
 	}
 }
--- a/coord/crashcause/tracker.go
+++ b/coord/crashcause/tracker.go
@@ -32,11 +32,11 @@
 
 // failure tells that a target broke off requests with a part.
 type failure struct {
-	sent, broke time.Duration // of the request that was sent last
-	position    int           // of the part in the request
-	refuted     bool          // the target went on
-	fromAbove   bool          // learned from the coordinating host
-	version     uint64
+	sent, broke     time.Duration // of the request that was sent last
+	position        int           // of the part in the request
+	refuted         bool          // the target went on
+	fromCoordinator bool          // learned from the coordinating host
+	version         uint64
 }
 
 // completions of a part. The weight of each halves every halfLife.
@@ -71,7 +71,7 @@
 	for _, f := range t.byTarget[target] {
 		if !f.refuted && f.broke < sent && sent < f.broke+refuteWindow {
 			t.version++
-			f.refuted, f.fromAbove, f.version = true, false, t.version
+			f.refuted, f.fromCoordinator, f.version = true, false, t.version
 		}
 	}
 	for _, part := range parts {
@@ -118,7 +118,7 @@
 	}
 	if next != *known {
 		t.version++
-		next.fromAbove, next.version = f.fromAbove, t.version
+		next.fromCoordinator, next.version = f.fromCoordinator, t.version
 		*known = next
 	}
 }
@@ -207,8 +207,8 @@
 	return out
 }
 
-// below returns the completions of a part that were recorded here or reported to this host.
-func (t *Tracker) below(now time.Duration, part string) completions {
+// ownAndReported returns the completions of a part that were recorded here or reported to this host.
+func (t *Tracker) ownAndReported(now time.Duration, part string) completions {
 	own := t.own[part]
 	sum := completions{weight: own.weightAt(now), at: now, last: own.last}
 	for _, c := range t.reported[part] {
@@ -220,7 +220,7 @@
 
 // all returns all known completions of a part.
 func (t *Tracker) all(now time.Duration, part string) completions {
-	sum, total := t.below(now, part), t.total[part]
+	sum, total := t.ownAndReported(now, part), t.total[part]
 	return completions{weight: max(sum.weight, total.weightAt(now)), at: now, last: max(sum.last, total.last)}
 }
 
--- a/coord/permit/limits.go
+++ b/coord/permit/limits.go
@@ -20,11 +20,11 @@
 
 // limit of a target.
 type limit struct {
-	rate      float64       // requests a second; 0: the target names no limit any more
-	at        time.Duration // of the last response
-	told      time.Duration // value of at when version last changed
-	fromAbove bool          // learned from the coordinating host
-	version   uint64
+	rate            float64       // requests a second; 0: the target names no limit any more
+	at              time.Duration // of the last response
+	told            time.Duration // value of at when version last changed
+	fromCoordinator bool          // learned from the coordinating host
+	version         uint64
 }
 
 // Change is a limit that is new, differs or has ended.
@@ -49,7 +49,7 @@
 	l.set(now, target, rate, false)
 }
 
-func (l *Limits) set(at time.Duration, target string, rate float64, fromAbove bool) {
+func (l *Limits) set(at time.Duration, target string, rate float64, fromCoordinator bool) {
 	k := l.known[target]
 	switch {
 	case k == nil && (rate == 0 || len(l.known) >= maxTargets):
@@ -65,7 +65,7 @@
 	}
 	if rate != k.rate || at >= k.told+refreshInterval {
 		l.version++
-		k.told, k.fromAbove, k.version = at, fromAbove, l.version
+		k.told, k.fromCoordinator, k.version = at, fromCoordinator, l.version
 	}
 	k.rate, k.at = rate, at
 }
@@ -112,7 +112,7 @@
 		return nil, sent
 	}
 	for target, k := range l.known {
-		if k.version > sent && (!k.fromAbove || to == ToHost || sent == 0) {
+		if k.version > sent && (!k.fromCoordinator || to == ToHost || sent == 0) {
 			records = append(records, Record{target, k.rate, (now - k.at).Milliseconds()})
 		}
 	}
@@ -120,8 +120,8 @@
 }
 
 // Merge adds the records of another host.
-func (l *Limits) Merge(now time.Duration, records []Record, fromAbove bool) {
+func (l *Limits) Merge(now time.Duration, records []Record, fromCoordinator bool) {
 	for _, r := range records {
-		l.set(now-time.Duration(r.AgeMS)*time.Millisecond, r.Target, max(0, r.Rate), fromAbove)
+		l.set(now-time.Duration(r.AgeMS)*time.Millisecond, r.Target, max(0, r.Rate), fromCoordinator)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,18 +37,6 @@
 	Lookup(ctx context.Context, service, attempt string) (version string, err error)
 }
 
-// PartFailures finds out which parts of prompts crash targets. coordinator.PartFailures implements it.
-type PartFailures interface {
-	RecordFailure(parts []string, t fleet.Target, sent time.Duration)
-	RecordCompletion(parts []string, t fleet.Target, sent time.Duration)
-	// Check returns a part that crashes targets, or an empty string. With probe set, it admits a request
-	// with such a part once in a while.
-	Check(parts []string, probe bool) (blocked string)
-	// HoldUntil returns until when a request should wait, since a part of its prompt may crash targets; 0: none
-	// may.
-	HoldUntil(parts []string) time.Duration
-}
-
 // Options holds the dependencies and settings of a gateway.
 type Options struct {
 	Codec               fleet.Codec
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -95,22 +94,6 @@
 	}
 }
 
-// hasBlockedPart reports whether a part of the prompt crashes targets. The first send of a request may be
-// admitted all the same, to find out whether the part still does.
-func (g *Gateway) hasBlockedPart(x *exchange) bool {
-	blocked := g.opts.Parts.Check(x.call.SharedParts, false)
-	if blocked == "" || x.probe && x.tries == 0 {
-		return false
-	}
-	if x.tries == 0 && g.opts.Parts.Check(x.call.SharedParts, true) == "" {
-		x.probe, x.log["probe"] = true, blocked
-		return false
-	}
-	x.log["reason"], x.log["blocked_part"] = "a part of the prompt crashes targets", blocked
-	x.retryAfter = maxRetryAfter
-	return true
-}
-
 // giveUp ends a request to which no target has responded completely.
 func (g *Gateway) giveUp(x *exchange) {
 	reason, _ := x.log["reason"].(string)
@@ -210,38 +193,6 @@
 	}
 }
 
-// holdSpread is the time over which the requests go on that were held. If the first one crashes its target, the
-// others are held again.
-const holdSpread = time.Second
-
-// onHold reports whether the request should wait because a part of its prompt may crash targets.
-func (g *Gateway) onHold(x *exchange) bool {
-	if x.probe {
-		return false
-	}
-	switch end := g.opts.Parts.HoldUntil(x.call.SharedParts); {
-	case end == 0:
-		x.holdEnd, x.heldUntil = 0, 0
-	case end != x.holdEnd:
-		x.holdEnd, x.heldUntil = end, end+rand.N(holdSpread)
-	}
-	return g.opts.Now() < x.heldUntil
-}
-
-// waitOnHold waits for a moment while a part of the prompt may crash targets. It returns false if the request
-// should not wait any longer.
-func (g *Gateway) waitOnHold(ctx context.Context, x *exchange, until time.Duration) bool {
-	if ctx.Err() != nil || g.opts.Now() >= until || g.hasBlockedPart(x) {
-		if _, ok := x.log["blocked_part"]; !ok {
-			x.log["reason"] = "a part of the prompt may crash targets"
-		}
-		return false
-	}
-	x.log["held"] = true
-	g.waitForChange(ctx, nil, min(until, g.opts.Now()+recheckInterval))
-	return true
-}
-
 // retryShed chooses a target, after a delay, among all targets including those
 // to avoid. It is used if no other target can take the request, and only while
 // no target may have run it.
@@ -259,36 +210,6 @@
 	return choice, true
 }
 
-// targetWaitEnd returns the time until which a request may wait for a target. It
-// leaves the usual run time, but at most a third of the time until the deadline.
-func (g *Gateway) targetWaitEnd(x *exchange) time.Duration {
-	runTime := plainRunTime
-	if x.route.Kind == fleet.Streaming {
-		runTime = streamRunTime
-	}
-	until := x.deadline - min(runTime, (x.deadline-x.arrived)/3)
-	if x.route.Kind == fleet.Streaming {
-		until = min(until, x.arrived+callerTimeout(x.route)-firstEventTime)
-	}
-	return g.lastSendBeforeStop(x, until)
-}
-
-// According to the platform's documentation, callers of a stream disconnect if
-// they receive no event, including the first one, for the longest of these times.
-const (
-	callerTimeoutMin        = 2 * time.Second
-	callerTimeoutObjectives = 4 // times the route's objective
-	callerTimeoutGaps       = 8 // times the route's gap objective
-)
-
-// firstEventTime is the usual time from the send to a target's first event.
-const firstEventTime = 100 * time.Millisecond
-
-// callerTimeout returns how long a caller waits for the first event of a stream.
-func callerTimeout(r *fleet.Route) time.Duration {
-	return max(callerTimeoutMin, callerTimeoutObjectives*r.Objective, callerTimeoutGaps*r.GapObjective)
-}
-
 // unavailableReason returns why no engine can load the model in time. It is empty
 // if one can.
 func (g *Gateway) unavailableReason(x *exchange) string {
