--- a/internal/gateway/targetlimit_test.go
+++ b/internal/gateway/targetlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -125,6 +126,30 @@
 	})
 }
 
+// TestLimitOfEngineWhileHostsAreCut guards against two coordinators that issue the whole limit each.
+func TestLimitOfEngineWhileHostsAreCut(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 3, seed)
+		f.play(5*time.Second, 24, 0, "")
+		named := f.now()
+		ids := []string{"e1", "e2", "e3"}
+		for _, id := range ids {
+			f.nameLimit(id, 4)
+		}
+		for _, cut := range []bool{true, false, true, false} {
+			for a := range 4 {
+				for b := 4; b < 8; b++ {
+					f.network.SetBlocked(fmt.Sprint("h", a), fmt.Sprint("h", b), cut)
+				}
+			}
+			f.play(5*time.Second, 24, 0, "")
+		}
+		for _, id := range ids {
+			f.checkLimit(id, 4, named)
+		}
+	})
+}
+
 // TestLimitOfEngineInLargeFleet covers a limit with less than one request in ten seconds for each host.
 func TestLimitOfEngineInLargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
