--- a/internal/gateway/crashingparts_test.go
+++ b/internal/gateway/crashingparts_test.go
@@ -168,10 +168,10 @@
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		f := newEngineFleet(t, 8, 9, seed)
 		f.play(5*time.Second, 60, 0, "")
-		f.breakShare = 0.4
+		f.setBreakShare(0.4)
 		from := f.now()
 		f.play(20*time.Second, 60, 0, "")
-		f.breakShare = 0
+		f.setBreakShare(0)
 		f.play(time.Second, 60, 0, "")
 		if n := f.blockedParts(); n > 0 {
 			t.Errorf("%d parts blocked", n)
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/streamorigin"
 	"buckthornseam.dev/seam/internal/target"
@@ -37,7 +39,8 @@
 	mu       sync.Mutex
 	engines  map[string]*simulatedEngine // by address, which is the ID
 	listed   map[string]fleet.Target
-	started  int // engines started so far
+	views    map[string]*coordinator.FleetView // by host, of its last process
+	started  int                               // engines started so far
 	crashing map[string]bool
 	crashes  []time.Duration            // of engines, under a crashing part
 	reached  []time.Duration            // requests with a crashing part that reached an engine, from hosts that started a while ago
@@ -63,7 +66,7 @@
 }
 
 func newEngineFleet(t *testing.T, hosts, engines int, seed uint64) *engineFleet {
-	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, crashing: map[string]bool{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
+	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
 	for range engines {
 		f.startEngine()
 	}
@@ -83,13 +86,9 @@
 // list tells all hosts which engines are listed.
 func (f *engineFleet) list() {
 	f.mu.Lock()
-	targets := map[string]fleet.Target{}
-	for id, t := range f.listed {
-		targets[id] = t
-	}
-	f.mu.Unlock()
-	for _, h := range f.hosts {
-		h.view.SetTargets(fleet.NewTargets(targets))
+	defer f.mu.Unlock()
+	for _, view := range f.views {
+		view.SetTargets(fleet.NewTargets(maps.Clone(f.listed)))
 	}
 }
 
@@ -100,6 +99,13 @@
 	f.limits[id] = limit
 }
 
+// setBreakShare sets the share of the responses that break off while their engine goes on.
+func (f *engineFleet) setBreakShare(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.breakShare = share
+}
+
 // crash ends an engine. Another one is listed later.
 func (f *engineFleet) crash(id string) {
 	f.mu.Lock()
@@ -125,7 +131,9 @@
 }
 
 func (f *engineFleet) addGateway(fleetOfHosts *reportingFleet, h *reportingHost) {
-	f.reportingFleet = fleetOfHosts
+	if f.reportingFleet == nil {
+		f.reportingFleet = fleetOfHosts
+	}
 	route := fleet.Route{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: fleet.Streaming, Resumable: true, Attempts: 2, Timeout: 5 * time.Second,
 		Objective: 400 * time.Millisecond, GapObjective: 400 * time.Millisecond, Destinations: []fleet.Destination{{Service: "llm", Weight: 1}}}
 	config := &fleet.Config{Version: 1, Revision: 1, Teams: []fleet.Team{{Name: "t", Keys: []string{"k"}}}, Routes: []fleet.Route{route},
@@ -133,12 +141,9 @@
 	config.Index()
 	h.view.SetConfig(config)
 	f.mu.Lock()
-	targets := map[string]fleet.Target{}
-	for id, t := range f.listed {
-		targets[id] = t
-	}
+	f.views[h.net.Self().ID.Name] = h.view
+	h.view.SetTargets(fleet.NewTargets(maps.Clone(f.listed)))
 	f.mu.Unlock()
-	h.view.SetTargets(fleet.NewTargets(targets))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	now := f.now
@@ -170,6 +175,7 @@
 		f.reached = append(f.reached, f.now())
 	}
 	limit, named := f.limits[address]
+	breakShare := f.breakShare
 	if e != nil && named && f.now() > s.host.startedAt+contactTime {
 		f.arrivals[address] = append(f.arrivals[address], f.now())
 	}
@@ -195,7 +201,7 @@
 		})
 	}
 	body := &eventBody{ctx: ctx, crashed: e.crashed}
-	if rand.Float64() < f.breakShare {
+	if rand.Float64() < breakShare {
 		body.breakAfter = 1 + rand.IntN(engineEvents-1)
 	}
 	header := http.Header{"Id": {r.ID}, "Stamp": {"s"}}
