Parts of prompts: a stored count of probes is not looped over

A count of failed probes comes from the store or another host; a huge one would have kept each check of a request busy. Found in review; TestBlockOutlastsRestart has such a count and did not end without the change.

--- a/coord/crashcause/block.go
+++ b/coord/crashcause/block.go
@@ -27,7 +27,7 @@
 // probeAt returns when a request is admitted again.
 func (b *block) probeAt() time.Duration {
 	wait := firstProbeWait
-	for range b.failedProbes {
+	for n := b.failedProbes; n > 0 && wait < maxProbeWait; n-- {
 		wait = min(2*wait, maxProbeWait)
 	}
 	return max(b.last+wait, b.probing)
--- a/coord/crashcause/crashcause_test.go
+++ b/coord/crashcause/crashcause_test.go
@@ -195,6 +195,10 @@
 	next := newScript()
 	next.t.Restore(next.now, s.t.Blocks())
 	next.expect(t, "bad", true)
+	next.t.Restore(next.now, []StoredBlock{{Part: "unlikely", FailedProbes: 1 << 60}})
+	if got := next.t.blocks["unlikely"].probeAt(); got != next.now+maxProbeWait {
+		t.Errorf("probed after %v, want %v", got-next.now, maxProbeWait)
+	}
 }
 
 // TestEvidenceReachesAllHosts guards against hosts that judge by their own failures only.
--- a/coord/crashcause/evaluate.go
+++ b/coord/crashcause/evaluate.go
@@ -59,14 +59,17 @@
 			return cmp.Or(cmp.Compare(len(a.failures), len(b.failures)), cmp.Compare(a.position, b.position), cmp.Compare(a.part, b.part))
 		})
 		for _, c := range guilty { // parts that failed together cannot be told apart
-			if c.position == first.position && maps.EqualFunc(c.failures, first.failures, sameFailure) && !t.block(now, c) {
+			if c.position == first.position && sameTargets(c, first) && !t.block(now, c) {
 				return
 			}
 		}
 	}
 }
 
-func sameFailure(*failure, *failure) bool { return true } // of the same target
+// sameTargets reports whether two candidates have failures at the same targets.
+func sameTargets(a, b candidate) bool {
+	return maps.EqualFunc(a.failures, b.failures, func(*failure, *failure) bool { return true })
+}
 
 // candidates returns the parts whose failures outnumber their recent completions.
 func (t *Tracker) candidates(now time.Duration) []candidate {
