--- a/internal/coordinator/fake_test.go
+++ b/internal/coordinator/fake_test.go
@@ -35,6 +35,20 @@
 	unloading        map[string]bool      // adapters to unload once no request uses them
 }
 
+// exceeded reports whether the engine was ever ordered to hold more than its capacity.
+func (f *fakeEngine) exceeded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.exceededCapacity
+}
+
+// orderCount returns the number of orders that the engine has accepted.
+func (f *fakeEngine) orderCount() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.orders
+}
+
 func (f *fakeEngine) finishLoad() {
 	if f.loading != "" && !time.Now().Before(f.loadedAt) {
 		f.models[f.loading], f.loading = true, ""
--- a/internal/coordinator/lateorders_test.go
+++ b/internal/coordinator/lateorders_test.go
@@ -45,7 +45,7 @@
 			go loadAdapter("a5")
 		}
 		time.Sleep(moveTimeout)
-		if engine.exceededCapacity {
+		if engine.exceeded() {
 			t.Error("the engine was ordered to load more adapters than it has slots")
 		}
 	})
@@ -115,7 +115,7 @@
 			t.Errorf("the swap took %v, want 2 s at most", took)
 		}
 		time.Sleep(engine.delay)
-		if engine.exceededCapacity {
+		if engine.exceeded() {
 			t.Error("the engine was ordered to hold more than it has room for")
 		}
 	})
--- a/internal/coordinator/owner_test.go
+++ b/internal/coordinator/owner_test.go
@@ -53,7 +53,7 @@
 			}
 		}
 		time.Sleep(moveTimeout)
-		if engine.exceededCapacity {
+		if engine.exceeded() {
 			t.Error("the engine was ordered to hold more than it has room for")
 		}
 	})
@@ -75,7 +75,7 @@
 				_ = o.Swap(SwapCommand{Move: 4, Engine: "e1", Unload: []string{"a"}, Load: "b", Source: swap.FromDisk})
 			}
 			time.Sleep(moveTimeout) // until the last move has ended
-			if engine.exceededCapacity {
+			if engine.exceeded() {
 				t.Errorf("delay %v: the engine was ordered to hold more than it has room for", late)
 			}
 		})
@@ -135,7 +135,7 @@
 		if err := o.LoadAdapter(ctx, AdapterCommand{Engine: "e1", Model: "b", Adapter: "a5"}); err != nil {
 			t.Fatal(err)
 		}
-		if engine.exceededCapacity {
+		if engine.exceeded() {
 			t.Error("an adapter was loaded before the evicted one was unloaded")
 		}
 	})
@@ -192,11 +192,11 @@
 				_ = o.Swap(SwapCommand{Move: moves, Engine: "e1", Unload: unload, Load: load, Source: swap.FromDisk})
 			}
 			time.Sleep(moveTimeout)
-			if engine.exceededCapacity {
+			if engine.exceeded() {
 				t.Errorf("seed %d: the engine was ordered to hold more than it has room for", seed)
 			}
-			if engine.orders < 7+20 {
-				t.Errorf("seed %d: only %d orders were carried out in a minute", seed, engine.orders-7)
+			if engine.orderCount() < 7+20 {
+				t.Errorf("seed %d: only %d orders were carried out in a minute", seed, engine.orderCount()-7)
 			}
 		})
 	}
@@ -214,7 +214,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(moveTimeout)
-		if engine.exceededCapacity {
+		if engine.exceeded() {
 			t.Error("the engine was ordered to hold more than it has room for")
 		}
 		if _, has := o.Owned()[0].Models["c"]; !has {
@@ -312,7 +312,7 @@
 			t.Error(err)
 		}
 		time.Sleep(moveTimeout)
-		if engine.exceededCapacity {
+		if engine.exceeded() {
 			t.Error("the engine was ordered to hold more than it has room for")
 		}
 	})
