Tests: a target with a limit is chosen last, also a plain one

Options.RequestPermit says what its caller relies on: after a denial the view does not return the target for a time, or the request would ask without pause.

--- a/internal/coordinator/choice_test.go
+++ b/internal/coordinator/choice_test.go
@@ -62,3 +62,30 @@
 		t.Errorf("chose engine %s, which is unreachable", c.Target.ID)
 	}
 }
+
+// TestTargetWithLimitIsChosenLast guards against requests that another target can take going to one in need, be it an
+// engine or a plain target.
+func TestTargetWithLimitIsChosenLast(t *testing.T) {
+	now := time.Hour
+	f := NewFleetView("z", func() time.Duration { return now })
+	a, b := fleet.Target{ID: "a", Service: "s", Slots: 8}, fleet.Target{ID: "b", Service: "s", Slots: 8}
+	f.SetTargets(fleet.NewTargets(map[string]fleet.Target{"a": a, "b": b}))
+	f.RecordLimit(a, 1.5)
+	for range 20 { // the choice is random
+		if c, ok := f.Pick(Requirements{Service: "s"}); !ok || c.Target.ID != "b" || c.NeedsPermit {
+			t.Fatalf("chosen %+v, want b without a permit", c)
+		}
+	}
+	if c, ok := f.Pick(Requirements{Service: "s", Avoid: map[string]bool{"b": true}}); !ok || c.Target.ID != "a" || !c.NeedsPermit {
+		t.Errorf("chosen %+v, want a with a permit", c)
+	}
+	f.avoidWithoutPermit("a", time.Second)
+	if c, ok := f.Pick(Requirements{Service: "s", Avoid: map[string]bool{"b": true}}); ok {
+		t.Errorf("chosen %+v while a permit is denied, want none", c)
+	}
+	now += time.Second
+	f.RecordLimit(a, 0)
+	if c, ok := f.Pick(Requirements{Service: "s", Avoid: map[string]bool{"b": true}}); !ok || c.NeedsPermit {
+		t.Errorf("chosen %+v after the limit has ended, want a without a permit", c)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,13 +39,15 @@
 
 // Options holds the dependencies and settings of a gateway.
 type Options struct {
-	Codec               fleet.Codec
-	View                *coordinator.FleetView
-	Sender              Sender
-	Quotas              *Quotas
-	Budget              *RetryBudget
-	Origins             StreamOrigins
-	RequestPermit       func(ctx context.Context, t fleet.Target) bool // for a target that names a limit
+	Codec   fleet.Codec
+	View    *coordinator.FleetView
+	Sender  Sender
+	Quotas  *Quotas
+	Budget  *RetryBudget
+	Origins StreamOrigins
+	// RequestPermit is called before a request is sent to a target that names a limit. If it returns false, the View
+	// must not return the target for a time.
+	RequestPermit       func(ctx context.Context, t fleet.Target) bool
 	LoadAdapter         func(ctx context.Context, owner string, c coordinator.AdapterCommand) error
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
