Tests: the control of crashing parts can fail; the news of failures is checked

Found on the last reading: TestSoundPartsAreServedWhileEnginesCrash passed even with a tracker that blocks after one failure at once, as it looked at the blocked parts at its end only, when completions had ended the blocks. The bound is the same: none.

TestEngineFailuresAreKnownToAllHosts: all eight hosts know of a failure half a second later.

--- a/internal/gateway/crashingparts_test.go
+++ b/internal/gateway/crashingparts_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
@@ -135,6 +136,21 @@
 	})
 }
 
+// TestEngineFailuresAreKnownToAllHosts guards against news of crashes that come later than the next crash.
+func TestEngineFailuresAreKnownToAllHosts(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		f := newEngineFleet(t, 8, 9, seed)
+		f.play(3*time.Second, 60, 0, "")
+		f.hosts[seed].client.ReportEngineFailure(coordinator.EngineFailureID("request", "attempt"))
+		time.Sleep(500 * time.Millisecond)
+		for i, h := range f.hosts {
+			if n := h.client.EngineFailures("request"); n != 1 {
+				t.Errorf("host %d knows of %d failures half a second later, want 1", i, n)
+			}
+		}
+	})
+}
+
 // forSeeds runs a test in fake time with each of five seeds.
 func forSeeds(t *testing.T, test func(t *testing.T, seed uint64)) {
 	for seed := range uint64(5) {
@@ -152,10 +168,7 @@
 		from := f.now()
 		for range 8 {
 			f.crashSome(3)
-			f.play(3500*time.Millisecond, 60, 0, "")
-		}
-		if n := f.blockedParts(); n > 0 {
-			t.Errorf("%d parts blocked", n)
+			f.playWithoutBlocks(3500*time.Millisecond, 60)
 		}
 		if share, n := f.shareBegun(from, f.now()); share < 0.9 {
 			t.Errorf("%.3f of %d sound requests began, want 0.9 at least", share, n)
@@ -170,18 +183,27 @@
 		f.play(5*time.Second, 60, 0, "")
 		f.setBreakShare(0.4)
 		from := f.now()
-		f.play(20*time.Second, 60, 0, "")
+		f.playWithoutBlocks(20*time.Second, 60)
 		f.setBreakShare(0)
-		f.play(time.Second, 60, 0, "")
-		if n := f.blockedParts(); n > 0 {
-			t.Errorf("%d parts blocked", n)
-		}
+		f.playWithoutBlocks(time.Second, 60)
 		if share, n := f.shareBegun(from, f.now()); share < 0.9 {
 			t.Errorf("%.3f of %d sound requests began, want 0.9 at least", share, n)
 		}
 	})
 }
 
+// playWithoutBlocks sends sound requests, and fails the test if a host blocks a part meanwhile, be it for a moment.
+func (f *engineFleet) playWithoutBlocks(d time.Duration, perSecond float64) {
+	f.t.Helper()
+	const step = 100 * time.Millisecond
+	for ; d > 0; d -= step {
+		f.play(step, perSecond, 0, "")
+		if n := f.blockedParts(); n > 0 {
+			f.t.Errorf("%d sound parts blocked", n)
+		}
+	}
+}
+
 // blockedParts returns the largest number of sound parts that a host refuses.
 func (f *engineFleet) blockedParts() int {
 	most := 0
