Logs: eras of the store, ignored configurations and targets that say they leave

The client of the store now reads Store-Era (line store_era), the line config_taken has the revision, config_ignored tells of one that is dropped, and the line of a request has target_leaving.

--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -48,6 +48,8 @@
 	NotRun bool   // the target states that it did not run the call
 	// Limit is the number of requests a second that the target takes from all hosts together; 0: it names none.
 	Limit float64
+	// Leaving is set if the target states that it leaves.
+	Leaving bool
 }
 
 // Codec translates between calls and the platform's HTTP headers.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -288,6 +288,9 @@
 	if response.Limit > 0 {
 		x.log["target_limit"] = response.Limit
 	}
+	if response.Leaving {
+		x.log["target_leaving"] = c.Target.ID
+	}
 	if response.NotRun {
 		x.log["shed_by"] = c.Target.ID
 		g.opts.View.RecordOutcome(c.Target.ID, resp.Status == http.StatusMisdirectedRequest || x.call.Model != "")
--- /dev/null
+++ b/internal/platform/eras.go
@@ -0,0 +1,47 @@
+package platform
+
+import "sync"
+
+// Era counts how often the store was restored from a copy. A restore takes back the last changes, and their
+// revisions are given out again. 0: the store names no era.
+type Era uint32
+
+// Eras tracks the highest era that this process has heard of. It is safe for concurrent use; the zero value knows
+// no era.
+type Eras struct {
+	mu      sync.Mutex
+	current Era
+	changed chan struct{}
+}
+
+// Learn records an era that the store or another host named, and reports whether it is new.
+func (e *Eras) Learn(era Era) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era <= e.current {
+		return false
+	}
+	e.current = era
+	if e.changed != nil {
+		close(e.changed)
+		e.changed = nil
+	}
+	return true
+}
+
+// Current returns the highest era heard of.
+func (e *Eras) Current() Era {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+// Changed returns the current era and a channel that is closed when a higher one is learned.
+func (e *Eras) Changed() (Era, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.changed == nil {
+		e.changed = make(chan struct{})
+	}
+	return e.current, e.changed
+}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -49,7 +49,7 @@
 
 // Adapter holds what is specific to the platform.
 type Adapter struct {
-	NewStore      func(m *observe.Metrics) Store
+	NewStore      func(eras *platform.Eras, m *observe.Metrics) Store
 	Engines       coordinator.EngineClient
 	Codec         Codec
 	ConfigKind    platform.Kind
@@ -79,6 +79,7 @@
 	self        fleet.Host
 	view        *coordinator.FleetView
 	store       Store
+	eras        platform.Eras // of the store
 	lease       *coordinator.Lease
 	owner       *coordinator.Owner
 	coordinator *coordinator.Coordinator
@@ -112,7 +113,7 @@
 	}
 	h.view = coordinator.NewFleetView(settings.Zone, bootclock.Now)
 	h.view.SetHosts(map[string]fleet.Host{h.self.Name: h.self})
-	h.store = adapter.NewStore(h.metrics)
+	h.store = adapter.NewStore(&h.eras, h.metrics)
 	h.initSteering()
 	h.initGateway()
 	h.config = storecache.New(storecache.Options{
@@ -251,6 +252,7 @@
 		Source: h.store, Outage: &h.outage, Kind: kindHosts, Policy: h.bounded(h.hostPolicy), StaleStart: true, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
 	})
 	return []func() error{
+		func() error { return h.logEras(ctx) },
 		func() error { return h.config.Run(ctx) },
 		func() error { return h.targets.Run(ctx) },
 		func() error { return hosts.Run(ctx) },
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -55,6 +55,9 @@
 	}
 	old := h.view.Config()
 	if uint64(obj.Version) <= old.Revision {
+		if uint64(obj.Version) < old.Revision {
+			h.log.WithFields(logrus.Fields{"event": "config_ignored", "revision": obj.Version, "in_force": old.Revision, "version": old.Version}).Warn("the stored configuration has an earlier revision than the one in force")
+		}
 		return
 	}
 	c, err := h.adapter.Codec.Config(obj)
@@ -63,7 +66,24 @@
 		return
 	}
 	h.view.SetConfig(c)
-	h.log.WithFields(logrus.Fields{"event": "config_taken", "version": c.Version, "before": old.Version, "routes": len(c.Routes)}).Info("configuration in force")
+	h.log.WithFields(logrus.Fields{"event": "config_taken", "version": c.Version, "revision": c.Revision, "before": old.Version, "routes": len(c.Routes)}).Info("configuration in force")
+}
+
+// logEras logs each new era of the store until ctx ends.
+func (h *Host) logEras(ctx context.Context) error {
+	before := platform.Era(0)
+	for ctx.Err() == nil {
+		era, changed := h.eras.Changed()
+		if era != before {
+			h.log.WithFields(logrus.Fields{"event": "store_era", "era": era, "before": before}).Warn("the store names another era: it was restored from a copy, unless this is its first response")
+			before = era
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return nil
 }
 
 // targetsChanged applies the registered targets. Entries that can't be decoded
