Copies of the store: an expired watch is followed by a list at once

What callers saw: requests went to engines that had left. Its first probe was refused as expired, which was not kept; it waited for the interval of its policy (2.5 s), made the watch, was refused as expired again, and since another copy had an answer meanwhile, waited for the interval once more. The coordinator names targets that are gone for 12 s only, so after a longer cut nothing else told the host. Ruled out for this delay: stale data (the copy that took longest listed current data at its first list). Change: an expired probe counts, and a list does not wait for the interval, unless the copy is confirmed in another way or was listed less than 2 s ago. Hosts whose copies the coordinator confirms behave as before, so a large fleet makes no more calls. Test: TestReturningHostListsAtOnceAfterItsWatchExpired failed before (2 objects for 1), its control is TestConfirmedCopyIsNotListedForItsExpiredWatch.

--- a/internal/platformhost/policy.go
+++ b/internal/platformhost/policy.go
@@ -20,17 +20,17 @@
 	configPolicyStarting  = storecache.PollPolicy{MaxWait: historyWait, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
 	configPolicyStrict    = storecache.PollPolicy{MaxWait: 700 * time.Millisecond, MaxRetryDelay: strictRetryDelay}                        // a fifth of the greatest age of a usable configuration
 	configPolicyIsolated  = storecache.PollPolicy{MaxWait: 1300 * time.Millisecond, MaxRetryDelay: isolatedRetryDelay, NewsWait: newsWait} // a third of that age: many hosts may be isolated at once
-	configPolicyConfirmed = storecache.PollPolicy{MaxWait: historyWait, MinInterval: time.Hour, MaxRetryDelay: isolatedRetryDelay}
+	configPolicyConfirmed = storecache.PollPolicy{MaxWait: historyWait, MinInterval: time.Hour, MaxRetryDelay: isolatedRetryDelay, Confirmed: true}
 	configPolicyNewer     = storecache.PollPolicy{MaxWait: 300 * time.Millisecond, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
 	configPolicyBehind    = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 300 * time.Millisecond, MaxRetryDelay: isolatedRetryDelay}
 	targetPolicyStarting  = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 2500 * time.Millisecond, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
-	targetPolicyStrict    = storecache.PollPolicy{MaxWait: 500 * time.Millisecond, MinInterval: 450 * time.Millisecond}                                             // a quarter of the drain bound
-	targetPolicyIsolated  = storecache.PollPolicy{MaxWait: time.Second, MinInterval: 900 * time.Millisecond, MaxRetryDelay: isolatedRetryDelay, NewsWait: newsWait} // half of the drain bound
-	targetPolicyConfirmed = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 10 * time.Second, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}    // for the models of engines without an owner
+	targetPolicyStrict    = storecache.PollPolicy{MaxWait: 500 * time.Millisecond, MinInterval: 450 * time.Millisecond}                                                           // a quarter of the drain bound
+	targetPolicyIsolated  = storecache.PollPolicy{MaxWait: time.Second, MinInterval: 900 * time.Millisecond, MaxRetryDelay: isolatedRetryDelay, NewsWait: newsWait}               // half of the drain bound
+	targetPolicyConfirmed = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 10 * time.Second, AllowStale: true, MaxRetryDelay: isolatedRetryDelay, Confirmed: true} // for the models of engines without an owner
 	targetPolicyBehind    = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 2500 * time.Millisecond, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
 	hostPolicyStarting    = storecache.PollPolicy{MaxWait: 500 * time.Millisecond, MinInterval: 300 * time.Millisecond, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
 	hostPolicyStrict      = storecache.PollPolicy{MaxWait: historyWait, MinInterval: 1500 * time.Millisecond}
-	hostPolicyRelaxed     = storecache.PollPolicy{MaxWait: historyWait, MinInterval: 3 * time.Second, AllowStale: true, MaxRetryDelay: isolatedRetryDelay} // the coordinator learns of new hosts from their reports
+	hostPolicyRelaxed     = storecache.PollPolicy{MaxWait: historyWait, MinInterval: 3 * time.Second, AllowStale: true, MaxRetryDelay: isolatedRetryDelay, Confirmed: true} // the coordinator learns of new hosts from their reports
 )
 
 // historyWait is the longest wait of a poll: half of the time for which the store keeps its
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -30,6 +31,9 @@
 	// NewsWait is how long to wait, once a store that was down answers again, for the policy to
 	// change, since the copy may be confirmed in another way.
 	NewsWait time.Duration
+	// Confirmed is set if the copy is known to be current in another way. Otherwise objects are listed at once
+	// when a watch has expired.
+	Confirmed bool
 }
 
 // Options holds the settings of a mirror.
@@ -64,9 +68,9 @@
 	down      bool
 	outageEnd time.Duration // end of the last store outage
 
-	// reachable is set after a successful probe of a store that was down, until the next call;
-	// only Run uses it.
-	reachable bool
+	// Only Run uses the following fields.
+	reachable bool          // a store that was down was probed with success, and not called since
+	listedAt  time.Duration // end of the last list
 }
 
 // New returns an empty mirror, which does not poll before Run.
@@ -91,6 +95,9 @@
 		start, down := m.opts.Now(), m.isDown()
 		if err := m.step(ctx, start); err != nil {
 			m.recordFailure(ctx, err)
+			if m.listsAtOnce(err, down) {
+				continue
+			}
 			m.opts.Outage.failed(m.opts.Now(), down, m.firstDelay())
 			m.awaitRetry(ctx)
 			if m.reachable {
@@ -110,6 +117,28 @@
 	return nil
 }
 
+// minListInterval is the shortest time between two lists of which the second does not wait for the policy's
+// interval. A store may drop its history again and again.
+const minListInterval = 2 * time.Second
+
+// listsAtOnce reports whether a call showed that the copy is incomplete, so that the next call, which lists all
+// objects, need not wait. After an outage the store may still refuse such a call.
+func (m *Mirror) listsAtOnce(err error, down bool) bool {
+	var expired *platform.ExpiredError
+	return errors.As(err, &expired) && !down && m.mayListSoon()
+}
+
+func (m *Mirror) mayListSoon() bool {
+	return m.opts.Now()-m.listedAt >= minListInterval && !m.opts.Policy().Confirmed
+}
+
+// incomplete reports whether a watch has expired since the last list.
+func (m *Mirror) incomplete() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed && m.version == 0
+}
+
 // probeWait is the wait of a poll after a failed call.
 const probeWait = time.Millisecond
 
@@ -168,6 +197,7 @@
 		if err != nil {
 			return err
 		}
+		m.listedAt = m.opts.Now()
 		if stale {
 			start = 0
 		}
--- a/internal/storecache/mirror_test.go
+++ b/internal/storecache/mirror_test.go
@@ -324,3 +324,52 @@
 		}
 	})
 }
+
+// TestReturningHostListsAtOnceAfterItsWatchExpired guards against a host that was cut off while the store dropped its
+// history: it listed the targets 5 s after its return, since it waited for the interval of its policy twice, and
+// sent requests to targets that had left.
+func TestReturningHostListsAtOnceAfterItsWatchExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newSource()
+		behind := PollPolicy{MaxWait: time.Millisecond, MinInterval: 2500 * time.Millisecond, AllowStale: true, MaxRetryDelay: 750 * time.Millisecond}
+		_, count := start(t, source, func(o *Options) { o.Policy = func() PollPolicy { return behind } })
+		time.Sleep(4 * time.Second)
+		source.set(func(f *fakeSource) { f.fails = true })
+		time.Sleep(13 * time.Second)
+		source.set(func(f *fakeSource) {
+			f.version += 50
+			delete(f.objects, "a")
+			f.fails, f.expired, f.strict = false, true, 0
+		})
+		time.Sleep(1500 * time.Millisecond)
+		if count() != 1 {
+			t.Errorf("%d objects 1.5 s after the host's return, want one: the other one is gone", count())
+		}
+		time.Sleep(10 * time.Second)
+		source.set(func(f *fakeSource) {
+			if f.strict != 1 {
+				t.Errorf("%d calls for current data after the return, want one", f.strict)
+			}
+		})
+	})
+}
+
+// TestConfirmedCopyIsNotListedForItsExpiredWatch is the control of the test above: hundreds of hosts whose copies the
+// coordinator confirms do not all list when the store drops its history.
+func TestConfirmedCopyIsNotListedForItsExpiredWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newSource()
+		confirmed := PollPolicy{MaxWait: time.Millisecond, MinInterval: 10 * time.Second, AllowStale: true, MaxRetryDelay: 750 * time.Millisecond, Confirmed: true}
+		start(t, source, func(o *Options) { o.Policy = func() PollPolicy { return confirmed } })
+		time.Sleep(15 * time.Second)
+		source.set(func(f *fakeSource) { f.fails = true })
+		time.Sleep(10 * time.Second)
+		source.set(func(f *fakeSource) { f.fails, f.expired, f.strict = false, true, 0 })
+		time.Sleep(5 * time.Second)
+		source.set(func(f *fakeSource) {
+			if f.strict > 0 {
+				t.Errorf("%d calls for current data, want none", f.strict)
+			}
+		})
+	})
+}
--- a/internal/storecache/outage.go
+++ b/internal/storecache/outage.go
@@ -86,6 +86,9 @@
 func (m *Mirror) awaitNews(ctx context.Context, probed time.Duration) {
 	for ctx.Err() == nil {
 		policy, waited := m.opts.Policy(), m.opts.Now()-probed
+		if m.incomplete() && m.mayListSoon() {
+			policy.MinInterval = 0
+		}
 		if waited >= policy.NewsWait && waited >= policy.MinInterval {
 			return
 		}
@@ -119,6 +122,7 @@
 	var expired *platform.ExpiredError
 	switch {
 	case errors.As(err, &expired):
+		m.expire()
 		return nil
 	case err != nil:
 		return err
@@ -138,20 +142,27 @@
 	if ctx.Err() != nil {
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	var expired *platform.ExpiredError
 	if errors.As(err, &expired) {
-		m.opts.Log.WithFields(logrus.Fields{"event": "watch_expired", "kind": m.opts.Kind, "version": m.version}).Info("watch history has expired; listing again")
-		m.version = 0
+		m.expire()
 		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if !m.down {
 		m.opts.Log.WithFields(logrus.Fields{"event": "store_lost", "kind": m.opts.Kind, "version": m.version}).Warn(err.Error())
 	}
 	m.down = true
 }
 
+// expire records that the store no longer has the history that follows the copy.
+func (m *Mirror) expire() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.opts.Log.WithFields(logrus.Fields{"event": "watch_expired", "kind": m.opts.Kind, "version": m.version}).Info("watch history has expired; listing again")
+	m.version = 0
+}
+
 // recordSuccess records the end of an outage if there was one. It must be called
 // with m.mu held.
 func (m *Mirror) recordSuccess() {
