Targets: a host reads the list at once after a long absence

What callers saw: requests at targets that had left, from hosts that had just returned. Cause: a host whose list differs from the coordinator's reads stale data each 2.5 s, relying on the coordinator naming every target that was removed. Ruled out: keeping the notices for longer, as the list is sent with each reply to each host. Change: a copy that was not known to be current for half of that time is read from current data at once, then as before. Test: TestHostReturningAfterALongCutReadsTheTargetsAtOnce, with the control that shorter cuts and confirmed copies cost nothing more. It did not compile before, as the age of the copy was not looked at at all.

--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -11,9 +11,9 @@
 	"buckthornseam.dev/coord/swap"
 )
 
-// removedTargetTTL is how long hosts are told of a target that was removed from the list.
-// They read the list themselves only every few seconds.
-const removedTargetTTL = 12 * time.Second
+// RemovedTargetTTL is how long hosts are told of a target that was removed from the list.
+// They read the list themselves only every few seconds, and at once after a longer absence.
+const RemovedTargetTTL = 12 * time.Second
 
 // trackRemovedTargets records the targets that were removed from the list.
 func (c *Coordinator) trackRemovedTargets(now time.Duration) {
@@ -29,7 +29,7 @@
 		delete(c.removedTargets, id)
 	}
 	for id, at := range c.removedTargets {
-		if now-at > removedTargetTTL {
+		if now-at > RemovedTargetTTL {
 			delete(c.removedTargets, id)
 		}
 	}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -94,11 +95,13 @@
 	config      *storecache.Mirror
 	targets     *storecache.Mirror
 	startedAt   time.Duration
-	hostsListed sync.Once
-	knowsHosts  chan struct{} // closed with the first list of hosts
-	listedAt    time.Duration // when this host's entry was last seen, or written first; only join uses it
-	stop        chan struct{}
-	stopping    chan struct{} // closed when the planned stop starts
+	// targetsSameAt is when the list of targets was last known to be the coordinator's, in nanoseconds.
+	targetsSameAt atomic.Int64
+	hostsListed   sync.Once
+	knowsHosts    chan struct{} // closed with the first list of hosts
+	listedAt      time.Duration // when this host's entry was last seen, or written first; only join uses it
+	stop          chan struct{}
+	stopping      chan struct{} // closed when the planned stop starts
 }
 
 // New returns a host that does not run yet.
--- a/internal/platformhost/policy.go
+++ b/internal/platformhost/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"buckthornseam.dev/seam/internal/bootclock"
+	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/storecache"
 )
 
@@ -27,6 +28,7 @@
 	targetPolicyStrict    = storecache.PollPolicy{MaxWait: 500 * time.Millisecond, MinInterval: 450 * time.Millisecond}                                                           // a quarter of the drain bound
 	targetPolicyIsolated  = storecache.PollPolicy{MaxWait: time.Second, MinInterval: 900 * time.Millisecond, MaxRetryDelay: isolatedRetryDelay, NewsWait: newsWait}               // half of the drain bound
 	targetPolicyConfirmed = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 10 * time.Second, AllowStale: true, MaxRetryDelay: isolatedRetryDelay, Confirmed: true} // for the models of engines without an owner
+	targetPolicyReturning = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 300 * time.Millisecond, MaxRetryDelay: isolatedRetryDelay}
 	targetPolicyBehind    = storecache.PollPolicy{MaxWait: time.Millisecond, MinInterval: 2500 * time.Millisecond, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
 	hostPolicyStarting    = storecache.PollPolicy{MaxWait: 500 * time.Millisecond, MinInterval: 300 * time.Millisecond, AllowStale: true, MaxRetryDelay: isolatedRetryDelay}
 	hostPolicyStrict      = storecache.PollPolicy{MaxWait: historyWait, MinInterval: 1500 * time.Millisecond}
@@ -70,6 +72,7 @@
 	confirmedAgo time.Duration // since the coordinator's copy was current, as it reported
 	same, behind bool          // this host's copy is the coordinator's, or an older one
 	newerFor     time.Duration // since the coordinator first told of its copy
+	currentAgo   time.Duration // since this host's copy was last known to be current
 	staleWait    time.Duration // how long a newer copy is looked for in data that may be out of date
 }
 
@@ -133,10 +136,15 @@
 // targetPolicy follows from what the coordinator reports on the list of targets. It
 // also tells this host which targets are draining.
 func (h *Host) targetPolicy() storecache.PollPolicy {
-	freshness := h.client.StoreFreshness()
+	freshness, now := h.client.StoreFreshness(), bootclock.Now()
+	current, _ := h.targets.Confirmed()
+	same := freshness.Targets == h.view.Targets().Digest
+	if same {
+		h.targetsSameAt.Store(int64(freshness.TargetsAt))
+	}
 	return targetPolicyOf(copyState{
-		coordinator: h.coordinatorState(), uptime: bootclock.Now() - h.startedAt, confirmedAgo: bootclock.Now() - freshness.TargetsAt,
-		same: freshness.Targets == h.view.Targets().Digest,
+		coordinator: h.coordinatorState(), uptime: now - h.startedAt, confirmedAgo: now - freshness.TargetsAt, same: same,
+		currentAgo: now - max(current, time.Duration(h.targetsSameAt.Load())),
 	})
 }
 
@@ -148,6 +156,8 @@
 		return targetPolicyStrict
 	case s.confirmedAgo >= maxFreshnessAge:
 		return targetPolicyIsolated
+	case !s.same && s.currentAgo > coordinator.RemovedTargetTTL/2:
+		return targetPolicyReturning // the coordinator may no longer name all targets that were removed meanwhile
 	case !s.same:
 		return targetPolicyBehind
 	}
--- a/internal/platformhost/policy_test.go
+++ b/internal/platformhost/policy_test.go
@@ -50,6 +50,23 @@
 	}
 }
 
+// TestHostReturningAfterALongCutReadsTheTargetsAtOnce guards against relying on the coordinator's notices of removed
+// targets after a cut that was longer than it keeps them.
+func TestHostReturningAfterALongCutReadsTheTargetsAtOnce(t *testing.T) {
+	s := copyState{coordinator: coordinatorReplied, uptime: time.Hour, confirmedAgo: reportIntervalOfModel, currentAgo: coordinator.RemovedTargetTTL}
+	if p := targetPolicyOf(s); p.AllowStale || p.MinInterval > 500*time.Millisecond {
+		t.Errorf("after a cut of %v: policy %+v, want current data at once", s.currentAgo, p)
+	}
+	s.currentAgo = coordinator.RemovedTargetTTL / 4
+	if p := targetPolicyOf(s); !p.AllowStale {
+		t.Errorf("after a cut of %v: policy %+v, want cheap calls, as the coordinator still names what was removed", s.currentAgo, p)
+	}
+	s.currentAgo, s.same = coordinator.RemovedTargetTTL, true
+	if p := targetPolicyOf(s); !p.Confirmed {
+		t.Errorf("with the coordinator's list: policy %+v, want none of its own", p)
+	}
+}
+
 // TestStartOfFleet covers the pattern of hundreds of hosts that start at once: until the
 // coordinator's first reply no host asks the store for more than its first lists.
 func TestStartOfFleet(t *testing.T) {
