Store: versions are ordered by era and revision

What callers saw: on a store that was restored, requests at targets that drain, and routes that were not served (CONFIG, DRAIN). Cause: a revision alone does not say which history it belongs to. A restored store gives revisions out again, so a watch from before hears nothing of the changes below it, an entry with the same revision is taken for unchanged, and a configuration with a lower one is dropped. Ruled out: going by 410 alone (a store that has passed the lost revisions gives none); a separate era beside each version (every comparison and every fencing token would need both, and one forgotten place is the same fault again). Change: platform.Version holds the era in its high bits, so that all comparisons order by (era, revision), and fencing tokens go on rising; 40 bits of revision and 13 of era stay exact in JSON numbers. Copies end their polls when any call names a new era, and list again unless the coordinator confirms them.

--- a/internal/platform/eras.go
+++ b/internal/platform/eras.go
@@ -36,6 +36,17 @@
 	return e.current
 }
 
+// Check learns the era that a response names and returns the era that the response belongs to: if it names none, the
+// highest one heard of. It fails with *EraError if a higher one is known, so that the response is out of date.
+func (e *Eras) Check(named Era) (Era, error) {
+	e.Learn(named)
+	current := e.Current()
+	if named > 0 && named < current {
+		return named, &EraError{Expected: current, Found: named}
+	}
+	return current, nil
+}
+
 // Changed returns the current era and a channel that is closed when a higher one is learned.
 func (e *Eras) Changed() (Era, <-chan struct{}) {
 	e.mu.Lock()
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -65,6 +65,26 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
+// EraError reports a response that belongs to another era of the store than the one expected: a late one of an
+// earlier era, or one to a call that was made before the store was restored.
+type EraError struct {
+	Expected, Found Era
+}
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("response belongs to era %d of the store, not %d", e.Found, e.Expected)
+}
+
+// VersionRangeError reports an era or a revision that is too high for a Version.
+type VersionRangeError struct {
+	Era      Era
+	Revision uint64
+}
+
+func (e *VersionRangeError) Error() string {
+	return fmt.Sprintf("revision %d of era %d is too high", e.Revision, e.Era)
+}
+
 // InvalidError reports a request that the API rejects regardless of what it stores.
 type InvalidError struct {
 	Kind   Kind
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,8 +15,33 @@
 // Version is a resource version. Versions of all kinds are drawn from one counter, so a
 // later change always has a larger version. Zero means "no version": in an update, it
 // requires that the object does not exist yet.
+//
+// If the store names its era, the version holds the era in its high bits. A restored store gives
+// revisions out again, so only the two together order the changes.
 type Version uint64
 
+// Layout of a Version. Versions serve as fencing tokens too, which other systems read as
+// numbers with 53 significant bits.
+const (
+	revisionBits = 40
+	maxRevision  = 1<<revisionBits - 1
+	maxEra       = 1<<(53-revisionBits) - 1
+)
+
+// NewVersion returns the version of a revision in an era. It fails with *VersionRangeError.
+func NewVersion(era Era, revision uint64) (Version, error) {
+	if revision > maxRevision || era > maxEra {
+		return 0, &VersionRangeError{Era: era, Revision: revision}
+	}
+	return Version(era)<<revisionBits | Version(revision), nil
+}
+
+// Era returns the era in which the revision was given out, 0 if the store named none.
+func (v Version) Era() Era { return Era(v >> revisionBits) }
+
+// Revision returns the revision of the store.
+func (v Version) Revision() uint64 { return uint64(v & maxRevision) }
+
 // Kind is the name of a collection of objects.
 type Kind string
 
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -120,11 +120,11 @@
 	h.initSteering()
 	h.initGateway()
 	h.config = storecache.New(storecache.Options{
-		Source: h.store, Outage: &h.outage, Kind: adapter.ConfigKind, Policy: h.bounded(h.configPolicy),
+		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.ConfigKind, Policy: h.bounded(h.configPolicy),
 		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged,
 	})
 	h.targets = storecache.New(storecache.Options{
-		Source: h.store, Outage: &h.outage, Kind: adapter.TargetKind, Policy: h.bounded(h.targetPolicy),
+		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.TargetKind, Policy: h.bounded(h.targetPolicy),
 		StaleStart: true, KeepMissing: targetKeepMissing, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
 	})
 	return h
@@ -252,7 +252,7 @@
 
 func (h *Host) tasks(ctx context.Context, peers net.Listener) []func() error {
 	hosts := storecache.New(storecache.Options{
-		Source: h.store, Outage: &h.outage, Kind: kindHosts, Policy: h.bounded(h.hostPolicy), StaleStart: true, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
+		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: kindHosts, Policy: h.bounded(h.hostPolicy), StaleStart: true, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
 	})
 	return []func() error{
 		func() error { return h.logEras(ctx) },
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -48,7 +48,10 @@
 	StaleStart bool
 	// Outage is shared by the mirrors of one process, so that one of them probes a store that is
 	// down for all; nil: the mirror is alone.
-	Outage      *Outage
+	Outage *Outage
+	// Eras of the store. When a new one is learned, watches end; all objects are listed again under the next policy
+	// that asks for calls. nil: the store names none.
+	Eras        *platform.Eras
 	KeepMissing time.Duration        // how long objects that disappeared during a store outage are kept
 	Now         func() time.Duration // also advances while the machine is suspended
 	Log         logrus.FieldLogger
@@ -78,6 +81,9 @@
 	if opts.Outage == nil {
 		opts.Outage = &Outage{}
 	}
+	if opts.Eras == nil {
+		opts.Eras = &platform.Eras{}
+	}
 	return &Mirror{opts: opts, objects: map[string]platform.Object{}, missing: map[string]time.Duration{}}
 }
 
@@ -110,7 +116,7 @@
 			m.awaitNews(ctx, start)
 			continue
 		}
-		for m.opts.Now()-start < m.opts.Policy().MinInterval && ctx.Err() == nil {
+		for m.opts.Now()-start < m.opts.Policy().MinInterval && ctx.Err() == nil && !m.inEarlierEra() {
 			sleep(ctx, min(policyCheckInterval, m.opts.Policy().MinInterval-(m.opts.Now()-start)))
 		}
 	}
@@ -139,6 +145,14 @@
 	return m.listed && m.version == 0
 }
 
+// inEarlierEra reports whether the copy was taken before the store was restored and has to be listed again. If it is
+// confirmed in another way, its objects are those of the new era, and the next call will list them.
+func (m *Mirror) inEarlierEra() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed && m.version > 0 && m.version.Era() < m.opts.Eras.Current() && !m.opts.Policy().Confirmed
+}
+
 // probeWait is the wait of a poll after a failed call.
 const probeWait = time.Millisecond
 
@@ -149,35 +163,51 @@
 const policyCheckInterval = 200 * time.Millisecond
 
 // poll makes one poll, and reports whether it was completed. It is interrupted if
-// the MaxWait of the policy decreases.
+// the MaxWait of the policy decreases or a new era of the store is learned.
 func (m *Mirror) poll(ctx context.Context, after platform.Version, policy PollPolicy) ([]platform.Event, platform.Version, bool, error) {
-	if policy.MaxWait <= shortPollWait {
-		events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, policy.MaxWait, policy.AllowStale)
-		return events, version, true, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
+	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	interrupted := false
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for ctx.Err() == nil {
-			sleep(ctx, policyCheckInterval)
-			if ctx.Err() == nil && m.opts.Policy().MaxWait < policy.MaxWait {
-				interrupted = true
-				cancel()
-			}
-		}
+		interrupted = m.awaitInterrupt(pollCtx, after.Era(), policy)
+		cancel()
 	}()
-	events, version, err := m.opts.Source.Poll(ctx, m.opts.Kind, after, policy.MaxWait, policy.AllowStale)
+	events, version, err := m.opts.Source.Poll(pollCtx, m.opts.Kind, after, policy.MaxWait, policy.AllowStale)
 	cancel()
 	<-done
-	if err != nil && interrupted {
+	switch {
+	case err != nil && m.opts.Eras.Current() > after.Era():
+		return nil, 0, false, &platform.ExpiredError{Kind: m.opts.Kind, After: after}
+	case err != nil && interrupted:
 		return nil, 0, false, nil
 	}
 	return events, version, true, err
 }
 
+// awaitInterrupt returns true if a poll should be interrupted, and false when ctx ends.
+func (m *Mirror) awaitInterrupt(ctx context.Context, pollEra platform.Era, policy PollPolicy) bool {
+	for {
+		era, eraChanged := m.opts.Eras.Changed()
+		if era > pollEra {
+			return true
+		}
+		timer := time.NewTimer(policyCheckInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-eraChanged:
+			timer.Stop()
+		case <-timer.C:
+			if policy.MaxWait > shortPollWait && m.opts.Policy().MaxWait < policy.MaxWait {
+				return true
+			}
+		}
+	}
+}
+
 func (m *Mirror) step(ctx context.Context, start time.Duration) error {
 	m.mu.Lock()
 	everListed, after := m.listed, m.version
