Configuration: a restored store does not take it back

What callers saw: a version in force came back older (CONFIG). Cause: the copy from which a store is restored holds an earlier version, at a revision of a later era; hosts took it, and a host that started then knew nothing else, a withdrawn key included. Change: a host keeps the version in force while a later era offers a lower number, and takes the same or a higher one. Hosts tell the coordinator the newest version that they know, which tells the others; a host whose version is lower but was stored later answers 503 until the operator has written the newer one again. The same configuration written again is recognised by its hash, so hundreds of hosts need not read it again.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -43,6 +43,7 @@
 	sentOwned          map[string]EngineView
 	sentParts          crashcause.Cursor
 	sentLimits         uint64 // version of the limits that the coordinator was sent
+	sentConfig         ConfigVersion
 	liveHosts          []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	lastReplyAt        time.Duration // when a coordinator last replied
@@ -60,7 +61,8 @@
 // StoreFreshness tells how recent the coordinator's copies of the store are, by this
 // host's clock.
 type StoreFreshness struct {
-	Config      uint64        // store revision of the configuration
+	Config      uint64        // platform.Version of the configuration
+	Digest      uint64        // fleet.Config.Digest of it
 	ConfigAt    time.Duration // when it was last known to be in force
 	ConfigSince time.Duration // when it was first reported
 	// Earlier is the revision before Config, and EarlierAt when it was last known to be in force.
@@ -264,13 +266,16 @@
 // at began. At that time the ages were no higher.
 func (c *Client) applyStoreAge(age StoreAge, began time.Duration) {
 	c.opts.FleetView.SetUnusable(age.Unusable)
+	if age.NewestConfig != nil {
+		c.opts.FleetView.RecordConfig(*age.NewestConfig)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	configAt := began - time.Duration(age.ConfigAgeMS)*time.Millisecond
 	targetsAt := began - time.Duration(age.TargetAgeMS)*time.Millisecond
 	if age.Config > c.freshness.Config {
 		c.freshness.Earlier, c.freshness.EarlierAt = c.freshness.Config, c.freshness.ConfigAt
-		c.freshness.Config, c.freshness.ConfigAt, c.freshness.ConfigSince = age.Config, configAt, c.opts.Now()
+		c.freshness.Config, c.freshness.ConfigAt, c.freshness.ConfigSince, c.freshness.Digest = age.Config, configAt, c.opts.Now(), age.Digest
 	}
 	if age.Config == c.freshness.Config {
 		c.freshness.ConfigAt = max(c.freshness.ConfigAt, configAt) // a new coordinator may report a higher age
@@ -287,13 +292,16 @@
 	if c.sendFull {
 		clear(c.sentUse)
 		clear(c.sentOwned)
-		c.sentParts, c.sentLimits = crashcause.Cursor{}, 0
+		c.sentParts, c.sentLimits, c.sentConfig = crashcause.Cursor{}, 0, ConfigVersion{}
 		c.sendFull = false
 	}
 	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures and FleetView
 		r.Parts = c.opts.Parts.changes(&c.sentParts, crashcause.ToCoordinator)
 		r.Limits, c.sentLimits = c.opts.FleetView.limitChanges(c.sentLimits, permit.ToCoordinator)
 	}
+	if newest := c.opts.FleetView.NewestConfig(); newest != c.sentConfig {
+		r.Config, c.sentConfig = &newest, newest
+	}
 	c.opts.FleetView.report(&r)
 	for team, n := range c.opts.LocalUse() {
 		if c.sentUse[team] != n {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -177,6 +177,10 @@
 	for _, id := range r.EngineFailures {
 		c.failureTimes[id] = now
 	}
+	if r.Config != nil {
+		c.fleetView.RecordConfig(*r.Config)
+		h.knownConfig = *r.Config
+	}
 	if host != c.self {
 		c.parts.mergeReport(host, r.Parts)
 		c.fleetView.mergeLimits(r.Limits, false)
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -35,7 +35,8 @@
 	sentLeaving   []string // last Update.LastLeaving sent
 	sentFailures  map[string]bool
 	sentParts     crashcause.Cursor
-	sentLimits    uint64 // version of the limits that it was sent
+	sentLimits    uint64        // version of the limits that it was sent
+	knownConfig   ConfigVersion // the newest one that it has reported or was sent
 	pushing       bool
 }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -100,7 +100,8 @@
 // after Index.
 type Config struct {
 	Version  int64
-	Revision uint64 // store revision of the object
+	Revision uint64 // platform.Version of the object
+	Digest   uint64 // hash of the stored object; 0: unknown
 	Routes   []Route
 	Services map[string]Service
 	Teams    []Team
--- a/internal/platformhost/policy.go
+++ b/internal/platformhost/policy.go
@@ -107,10 +107,11 @@
 // configPolicy follows from what the coordinator reports on this host's revision of the
 // configuration.
 func (h *Host) configPolicy() storecache.PollPolicy {
-	freshness, revision := h.client.StoreFreshness(), h.view.Config().Revision
+	freshness, config := h.client.StoreFreshness(), h.view.Config()
+	same := isConfigOf(freshness, config)
 	return configPolicyOf(copyState{
 		coordinator: h.coordinatorState(), uptime: bootclock.Now() - h.startedAt, confirmedAgo: bootclock.Now() - freshness.ConfigAt,
-		same: freshness.Config == revision, behind: freshness.Config > revision, newerFor: bootclock.Now() - freshness.ConfigSince,
+		same: same, behind: !same && freshness.Config > config.Revision, newerFor: bootclock.Now() - freshness.ConfigSince,
 		staleWait: h.settings.Bounds.ConfigApply / staleConfigShare,
 	})
 }
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -25,27 +25,34 @@
 
 // configConfirmed returns the latest time at which the configuration was known
 // to be current, either from this host's own mirror or from the coordinator's
-// confirmation of the same revision.
+// confirmation of the same one. It returns false if this host has none, or only one that
+// a restored store went back to.
 func (h *Host) configConfirmed() (time.Duration, bool) {
 	at, ok := h.config.Confirmed()
-	if !ok {
-		return at, ok
+	if !ok || h.view.ConfigWentBack() {
+		return 0, false
 	}
-	return max(at, confirmedBy(h.client.StoreFreshness(), h.view.Config().Revision)), true
+	return max(at, confirmedBy(h.client.StoreFreshness(), h.view.Config())), true
 }
 
-// confirmedBy returns when coordinators last reported a revision of the configuration as in force.
+// confirmedBy returns when coordinators last reported a configuration as in force.
 // While a host takes a newer one, the one it has was in force until a moment ago.
-func confirmedBy(f coordinator.StoreFreshness, revision uint64) time.Duration {
-	switch revision {
-	case f.Config:
+func confirmedBy(f coordinator.StoreFreshness, c *fleet.Config) time.Duration {
+	switch {
+	case isConfigOf(f, c):
 		return f.ConfigAt
-	case f.Earlier:
+	case c.Revision == f.Earlier:
 		return f.EarlierAt
 	}
 	return 0
 }
 
+// isConfigOf reports whether a configuration is the one that the coordinator has. After a restore of the store, the same
+// one may have been written again.
+func isConfigOf(f coordinator.StoreFreshness, c *fleet.Config) bool {
+	return c.Revision == f.Config || c.Digest == f.Digest && c.Digest != 0
+}
+
 // configChanged applies the stored configuration if it is newer than the one in
 // use.
 func (h *Host) configChanged(objects map[string]platform.Object) {
@@ -55,9 +62,6 @@
 	}
 	old := h.view.Config()
 	if uint64(obj.Version) <= old.Revision {
-		if uint64(obj.Version) < old.Revision {
-			h.log.WithFields(logrus.Fields{"event": "config_ignored", "revision": obj.Version, "in_force": old.Revision, "version": old.Version}).Warn("the stored configuration has an earlier revision than the one in force")
-		}
 		return
 	}
 	c, err := h.adapter.Codec.Config(obj)
@@ -65,6 +69,11 @@
 		h.log.WithFields(logrus.Fields{"event": "config_unreadable", "revision": obj.Version}).Error(err.Error())
 		return
 	}
+	if c.Version < old.Version && obj.Version.Era() > platform.Version(old.Revision).Era() {
+		// The operator writes the newer version again.
+		h.log.WithFields(logrus.Fields{"event": "config_ignored", "revision": obj.Version, "version": c.Version, "in_force": old.Version}).Warn("the restored store has an earlier configuration than the one in force")
+		return
+	}
 	h.view.SetConfig(c)
 	h.log.WithFields(logrus.Fields{"event": "config_taken", "version": c.Version, "revision": c.Revision, "before": old.Version, "routes": len(c.Routes)}).Info("configuration in force")
 }
