Targets that say they leave: nothing new is sent to them

What callers saw: a request reached a target after a response had told the host that the target leaves (DRAIN). Cause: Server-Leaving was not read; hosts went by the list of targets alone, which may not say so while the store is away or restored. Change: the header is read in every response, to requests, orders and requests for reports, whatever the status. The host marks that start of the target as draining at once, and tells the coordinator, which tells all hosts, with the age. The mark ends with the instance, not by a time, and no later list takes it back, also not for a target that was registered as draining. A target that is found to leave between its choice and the send is sent nothing; its owner sends no order and asks for no report. The digest of the list stays as registered, so hosts do not read it again. For a 421 the mark is set too: should another target have the address by now, the one that was chosen must not be sent to either.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -184,6 +184,7 @@
 	if host != c.self {
 		c.parts.mergeReport(host, r.Parts)
 		c.fleetView.mergeLimits(r.Limits, false)
+		c.fleetView.mergeLeaving(r.LeavingTargets)
 	}
 	c.wake()
 	return c.updateFor(host, h, true)
--- a/internal/coordinator/fake_test.go
+++ b/internal/coordinator/fake_test.go
@@ -20,6 +20,7 @@
 type fakeEngine struct {
 	mu               sync.Mutex
 	orders           int64
+	received         int // orders and requests for a report
 	models           map[string]bool
 	loading          string
 	loadedAt         time.Time
@@ -42,6 +43,13 @@
 	return f.exceededCapacity
 }
 
+// calls returns the number of orders and requests for a report that the engine has received.
+func (f *fakeEngine) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received
+}
+
 // orderCount returns the number of orders that the engine has accepted.
 func (f *fakeEngine) orderCount() int64 {
 	f.mu.Lock()
@@ -58,6 +66,7 @@
 func (f *fakeEngine) Order(ctx context.Context, _ string, o fleet.Order) (fleet.OrderOutcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.received++
 	if f.responseDelay > 0 {
 		outcome, pause := f.carryOut(o), f.responseDelay
 		f.mu.Unlock()
@@ -156,6 +165,7 @@
 func (f *fakeEngine) Report(context.Context, string, string) (fleet.EngineReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.received++
 	f.finishLoad()
 	r := fleet.EngineReport{Orders: f.orders, Busy: f.loading != "", Models: map[string][]string{}}
 	for m := range f.models {
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -18,7 +18,9 @@
 	mu            sync.Mutex
 	config        *fleet.Config
 	newestConfig  ConfigVersion
-	targets       *fleet.Targets
+	listed        *fleet.Targets // as registered
+	targets       *fleet.Targets // as registered, but those that leave are marked as draining
+	leaving       leavingTargets
 	views         map[string]EngineView // by engine, from the coordinator or this host's own Owner
 	running       map[runKey]int        // this host's requests
 	load          map[string]int        // this host's requests by target
@@ -52,7 +54,7 @@
 // machine was suspended.
 func NewFleetView(zone string, now func() time.Duration) *FleetView {
 	return &FleetView{
-		zone: zone, now: now, config: &fleet.Config{}, targets: fleet.NewTargets(nil),
+		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}},
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
@@ -128,11 +130,21 @@
 	return f.config
 }
 
-// SetTargets replaces the registered targets and drops what is known of unregistered ones.
+// SetTargets replaces the registered targets and drops what is known of unregistered ones. A target that was
+// registered as draining, or said that it leaves, stays so whatever the list says later.
 func (f *FleetView) SetTargets(t *fleet.Targets) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.targets = t
+	f.listed = t
+	runs := make(map[string]bool, len(t.ByID))
+	for _, target := range t.ByID {
+		runs[runOf(target)] = true
+		if target.Draining {
+			f.leaving.add(runOf(target), f.now(), false)
+		}
+	}
+	f.leaving.expire(f.now(), runs)
+	f.markLeaving()
 	for id := range f.views {
 		if _, ok := t.ByID[id]; !ok {
 			delete(f.views, id)
@@ -187,13 +199,28 @@
 	return t, ok
 }
 
-// Targets returns the registered targets.
+// Targets returns the registered targets. Those that leave are marked as draining.
 func (f *FleetView) Targets() *fleet.Targets {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.targets
 }
 
+// ListedTargets returns the targets as they are registered.
+func (f *FleetView) ListedTargets() *fleet.Targets {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Accepts reports whether a target that was chosen still takes requests: it is registered and does not leave.
+func (f *FleetView) Accepts(chosen fleet.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t, ok := f.targets.ByID[chosen.ID]
+	return ok && !t.Draining && t.StartedMS == chosen.StartedMS
+}
+
 // SetViews stores views of engines.
 func (f *FleetView) SetViews(views ...EngineView) {
 	f.mu.Lock()
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -36,6 +36,7 @@
 	sentFailures  map[string]bool
 	sentParts     crashcause.Cursor
 	sentLimits    uint64        // version of the limits that it was sent
+	sentTargets   uint64        // version of the leaving targets that it was sent
 	knownConfig   ConfigVersion // the newest one that it has reported or was sent
 	pushing       bool
 }
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -108,7 +108,8 @@
 	EngineFailures []string             `json:"x,omitempty"`  // IDs of failures of engines during requests
 	Parts          *crashcause.Evidence `json:"cp,omitempty"` // parts of prompts that may crash targets
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
-	Unreachable    []string             `json:"d,omitempty"`  // unreachable targets, always complete
+	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
+	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
 }
@@ -152,9 +153,10 @@
 	EngineFailures []string             `json:"x,omitempty"`
 	Parts          *crashcause.Evidence `json:"cp,omitempty"`
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
-	StoreAge       *StoreAge            `json:"v,omitempty"`  // only in the reply to a report
-	Coordinator    string               `json:"c,omitempty"`  // set by a deputy, which says nothing of the other hosts
-	UnknownHost    bool                 `json:"q,omitempty"`  // the next report must be a full one
+	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
+	StoreAge       *StoreAge            `json:"v,omitempty"` // only in the reply to a report
+	Coordinator    string               `json:"c,omitempty"` // set by a deputy, which says nothing of the other hosts
+	UnknownHost    bool                 `json:"q,omitempty"` // the next report must be a full one
 }
 
 // SwapCommand tells the owner of an engine to carry out a move.
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -50,6 +50,9 @@
 	if !ok {
 		return fleet.OrderNotSent, &UnknownEngineError{Engine: e.id}
 	}
+	if t.Draining {
+		return fleet.OrderNotSent, &LeavingEngineError{Engine: e.id}
+	}
 	ord.TargetID, ord.Holder, ord.Fence = e.id, o.holder, e.fence
 	o.mu.Lock()
 	current := o.owned[e.id] == e && o.term == o.lease.Term()
@@ -132,7 +135,7 @@
 	defer func() { <-e.adapterLock }()
 	time.Sleep(reportLag)
 	t, ok := o.fleetView.Target(e.id)
-	if !ok {
+	if !ok || t.Draining {
 		return false
 	}
 	report, err := o.engines.Report(ctx, t.Address, e.id)
@@ -153,6 +156,9 @@
 	e.adapterLock <- struct{}{}
 	defer func() { <-e.adapterLock }()
 	for range rereadTries {
+		if t, ok := o.fleetView.Target(e.id); ok && t.Draining {
+			break
+		}
 		if o.readReport(ctx, e) {
 			return
 		}
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -19,9 +19,13 @@
 // EngineClient sends orders to engines and reads their reports.
 type EngineClient interface {
 	Order(ctx context.Context, address string, o fleet.Order) (fleet.OrderOutcome, error)
+	// Report fails if the engine has not responded with a report.
 	Report(ctx context.Context, address, targetID string) (fleet.EngineReport, error)
 }
 
+// NoticeFunc receives what an engine states in a response to an order or a request for its report.
+type NoticeFunc func(targetID string, n fleet.Notices)
+
 // Times of orders and of an engine's reports.
 const (
 	drainDelay         = 15 * time.Millisecond   // for hosts to stop sending requests to a model before its unload
@@ -256,6 +260,13 @@
 	return "engine " + e.Engine + " is not known or not owned here"
 }
 
+// LeavingEngineError reports an engine that leaves and is sent nothing new.
+type LeavingEngineError struct {
+	Engine string
+}
+
+func (e *LeavingEngineError) Error() string { return "engine " + e.Engine + " leaves" }
+
 // NoLeaseError reports a host that may not order engines.
 type NoLeaseError struct{}
 
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -140,7 +140,7 @@
 			if err != nil {
 				clear(h.sentVersions) // the host may have received none of it
 				clear(h.sentFailures)
-				h.sentParts, h.sentLimits = crashcause.Cursor{}, 0
+				h.sentParts, h.sentLimits, h.sentTargets = crashcause.Cursor{}, 0, 0
 				h.updateVersion = 0
 			}
 		}()
@@ -208,6 +208,7 @@
 	if name != c.self {
 		u.Parts = c.parts.changes(&h.sentParts, crashcause.ToHost)
 		u.Limits, h.sentLimits = c.fleetView.limitChanges(h.sentLimits, permit.ToHost)
+		u.LeavingTargets, h.sentTargets = c.fleetView.leavingChanges(h.sentTargets)
 	}
 	u.Backlogs = c.totals.backlogsOf(h)
 	if !counts {
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -46,10 +46,14 @@
 	ID     string // ID of the call; empty: not stated
 	Stamp  string // proves which target made the response; empty: none
 	NotRun bool   // the target states that it did not run the call
+	Notices
+}
+
+// Notices are what a target states about itself in all its responses.
+type Notices struct {
 	// Limit is the number of requests a second that the target takes from all hosts together; 0: it names none.
-	Limit float64
-	// Leaving is set if the target states that it leaves.
-	Leaving bool
+	Limit   float64
+	Leaving bool // the target leaves and takes no new requests
 }
 
 // Codec translates between calls and the platform's HTTP headers.
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -47,6 +47,26 @@
 }
 
 // digest sums hashes, so that it does not depend on an order.
+// WithDraining returns the targets with those marked as draining for which drains returns true. The digest stays that of
+// the targets as they are registered.
+func (t *Targets) WithDraining(drains func(Target) bool) *Targets {
+	var byID map[string]Target
+	for id, target := range t.ByID {
+		if target.Draining || !drains(target) {
+			continue
+		}
+		if byID == nil {
+			byID = maps.Clone(t.ByID)
+		}
+		target.Draining = true
+		byID[id] = target
+	}
+	if byID == nil {
+		return t
+	}
+	return &Targets{ByID: byID, ByService: t.ByService, Digest: t.Digest}
+}
+
 func (t *Targets) digest() uint64 {
 	var sum uint64
 	onDisk := map[string]bool{}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -36,7 +36,7 @@
 
 func (testCodec) ReadResponse(status int, h http.Header) fleet.Response {
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64) // 0 without the header
-	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Limit: limit}
+	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Notices: fleet.Notices{Limit: limit, Leaving: h.Get("Leaving") != ""}}
 }
 
 func (testCodec) ResponseHeader(h http.Header) http.Header { return h }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -265,6 +265,10 @@
 			return notRun
 		}
 	}
+	if !g.opts.View.Accepts(c.Target) { // known since it was chosen
+		x.tries--
+		return notRun
+	}
 	g.checkInvariants(x, c)
 	end := g.opts.View.BeginRequest(c.Target.ID, x.call.Model)
 	defer end()
@@ -282,15 +286,7 @@
 	}
 	defer resp.Body.Close()
 	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
-	if resp.Status != http.StatusMisdirectedRequest { // otherwise it may be the response of another target
-		g.opts.View.RecordLimit(c.Target, response.Limit)
-	}
-	if response.Limit > 0 {
-		x.log["target_limit"] = response.Limit
-	}
-	if response.Leaving {
-		x.log["target_leaving"] = c.Target.ID
-	}
+	g.recordNotices(x, c, resp.Status, response.Notices)
 	if response.NotRun {
 		x.log["shed_by"] = c.Target.ID
 		g.opts.View.RecordOutcome(c.Target.ID, resp.Status == http.StatusMisdirectedRequest || x.call.Model != "")
@@ -317,6 +313,22 @@
 	return g.relay(ctx, x, c, resp, silenceTimer, sent)
 }
 
+// recordNotices records what a target states about itself.
+func (g *Gateway) recordNotices(x *exchange, c coordinator.Choice, status int, n fleet.Notices) {
+	if n.Limit > 0 {
+		x.log["target_limit"] = n.Limit
+	}
+	if n.Leaving {
+		x.log["target_leaving"] = c.Target.ID
+	}
+	switch {
+	case status != http.StatusMisdirectedRequest:
+		g.opts.View.RecordNotices(c.Target.ID, n)
+	case n.Leaving: // even if another target has this address by now, the one that was chosen is not to be sent to
+		g.opts.View.RecordLeaving(c.Target)
+	}
+}
+
 // checkInvariants checks the invariants that hold whenever a request is sent.
 func (g *Gateway) checkInvariants(x *exchange, c coordinator.Choice) {
 	invariant.Check(x.sends == 0 || x.route.Retryable(), invariant.AtMostOnce, "request %s is sent again after it may have run", x.call.ID)
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -51,7 +51,7 @@
 // Adapter holds what is specific to the platform.
 type Adapter struct {
 	NewStore      func(eras *platform.Eras, m *observe.Metrics) Store
-	Engines       coordinator.EngineClient
+	NewEngines    func(onNotice coordinator.NoticeFunc) coordinator.EngineClient
 	Codec         Codec
 	ConfigKind    platform.Kind
 	ConfigName    string
@@ -136,7 +136,7 @@
 	h.peerClient = peer.NewClient(id, "", h.view, h.metrics.Scope)
 	holder := coordinator.HolderName(h.self.Name, h.settings.IP)
 	h.lease = coordinator.NewLease(holder, h.store, bootclock.Now, h.log)
-	h.owner = coordinator.NewOwner(h.self.Name, holder, h.lease, h.view, h.adapter.Engines, h.settings.Bounds, bootclock.Now, h.log)
+	h.owner = coordinator.NewOwner(h.self.Name, holder, h.lease, h.view, h.adapter.NewEngines(h.view.RecordNotices), h.settings.Bounds, bootclock.Now, h.log)
 	h.parts = coordinator.NewPartFailures(h.self.Name, h.view.Hosts, bootclock.Now, h.log)
 	h.coordinator = coordinator.NewCoordinator(h.self.Name, h.view, h.peerClient, h.parts, h.confirmations, h.settings.FirstBoot, bootclock.Now, h.log)
 }
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -98,7 +98,7 @@
 // targetsChanged applies the registered targets. Entries that can't be decoded
 // are logged and skipped.
 func (h *Host) targetsChanged(objects map[string]platform.Object) {
-	old := h.view.Targets()
+	old := h.view.ListedTargets()
 	byID := make(map[string]fleet.Target, len(objects))
 	for name, obj := range objects {
 		if known, ok := old.ByID[name]; ok && known.Revision == uint64(obj.Version) {
