Copies of the store: what a restore lists or lacks for a moment is not taken at its word

What callers saw (DRAIN, and refusals): a restored store lists targets that had left until their removal is written again, and lacks those that registered after the copy. Change: an object that had been removed within 30 s is withheld for 5 s unless it is written again; one that is missing is kept for 2 s, as after an outage of the store.

--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -67,6 +67,7 @@
 // Times related to the mirrors.
 const (
 	maxFreshnessAge   = 1300 * time.Millisecond // of the coordinator's confirmation: three report intervals, or a strict poll
+	targetWithhold    = 5 * time.Second         // the removal of an entry that a restored store lists again is written by then
 	targetKeepMissing = 2 * time.Second         // entries that expired during a store outage are renewed by then
 )
 
@@ -125,7 +126,7 @@
 	})
 	h.targets = storecache.New(storecache.Options{
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.TargetKind, Policy: h.bounded(h.targetPolicy),
-		StaleStart: true, KeepMissing: targetKeepMissing, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
+		StaleStart: true, KeepMissing: targetKeepMissing, WithholdRemoved: targetWithhold, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
 	})
 	return h
 }
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -51,11 +51,14 @@
 	Outage *Outage
 	// Eras of the store. When a new one is learned, watches end; all objects are listed again under the next policy
 	// that asks for calls. nil: the store names none.
-	Eras        *platform.Eras
-	KeepMissing time.Duration        // how long objects that disappeared during a store outage are kept
-	Now         func() time.Duration // also advances while the machine is suspended
-	Log         logrus.FieldLogger
-	OnChange    func(map[string]platform.Object) // called with all objects; the map must not be modified
+	Eras *platform.Eras
+	// WithholdRemoved is how long an object that had been removed is left out when a restored store lists it again,
+	// unless it is written again.
+	WithholdRemoved time.Duration
+	KeepMissing     time.Duration        // how long objects that disappeared during a store outage are kept
+	Now             func() time.Duration // also advances while the machine is suspended
+	Log             logrus.FieldLogger
+	OnChange        func(map[string]platform.Object) // called with all objects; the map must not be modified
 }
 
 // Mirror is a copy of the objects of one kind. Run keeps it up to date.
@@ -69,7 +72,9 @@
 	listed    bool
 	confirmed time.Duration // the copy was complete at this time
 	down      bool
-	outageEnd time.Duration // end of the last store outage
+	outageEnd time.Duration // end of the last store outage, or of the last restore
+	era       platform.Era  // of the last list
+	removals  removals
 
 	// Only Run uses the following fields.
 	reachable bool          // a store that was down was probed with success, and not called since
@@ -84,7 +89,7 @@
 	if opts.Eras == nil {
 		opts.Eras = &platform.Eras{}
 	}
-	return &Mirror{opts: opts, objects: map[string]platform.Object{}, missing: map[string]time.Duration{}}
+	return &Mirror{opts: opts, objects: map[string]platform.Object{}, missing: map[string]time.Duration{}, removals: newRemovals()}
 }
 
 // Confirmed returns the latest time at which the copy was known to be complete,
@@ -241,7 +246,7 @@
 	if at, _ := m.Confirmed(); at == 0 && !policy.AllowStale {
 		policy.MaxWait = min(policy.MaxWait, probeWait) // after a first list that may be out of date
 	}
-	if m.keepsMissing() {
+	if m.awaitsTime() {
 		policy.MaxWait = min(policy.MaxWait, m.opts.KeepMissing/4)
 	}
 	events, version, complete, err := m.poll(ctx, after, policy)
@@ -265,23 +270,33 @@
 	return nil
 }
 
-func (m *Mirror) keepsMissing() bool {
+// awaitsTime reports whether objects are kept or withheld for a time.
+func (m *Mirror) awaitsTime() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.missing) > 0
+	return len(m.missing)+len(m.removals.withheld) > 0
 }
 
 func (m *Mirror) applyList(list platform.List, start time.Duration) {
 	m.mu.Lock()
 	m.recordSuccess()
+	restored := m.enterEra(list.Version.Era())
+	now := m.opts.Now()
 	found := make(map[string]platform.Object, len(list.Items))
 	for _, obj := range list.Items {
-		found[obj.Name] = obj
 		delete(m.missing, obj.Name)
+		if !m.removals.listed(obj, restored, now, m.opts.WithholdRemoved) {
+			found[obj.Name] = obj
+		}
 	}
 	for name, obj := range m.objects {
-		if _, ok := found[name]; !ok && m.keepMissing(name) {
+		if _, ok := found[name]; ok {
+			continue
+		}
+		if m.keepMissing(name) {
 			found[name] = obj
+		} else if _, withheld := m.removals.withheld[name]; !withheld {
+			m.removals.removed(name, now)
 		}
 	}
 	m.objects, m.version, m.listed, m.confirmed = found, list.Version, true, max(m.confirmed, start)
@@ -320,9 +335,17 @@
 		if e.Type != platform.EventDelete {
 			next[e.Object.Name] = e.Object
 			delete(m.missing, e.Object.Name)
+			m.removals.written(e.Object.Name)
 		} else if !m.keepMissing(e.Object.Name) {
 			delete(next, e.Object.Name)
+			m.removals.removed(e.Object.Name, m.opts.Now())
+		}
+	}
+	for _, obj := range m.removals.release(m.opts.Now()) {
+		if !changed {
+			next, changed = maps.Clone(m.objects), true
 		}
+		next[obj.Name] = obj
 	}
 	for name, until := range m.missing {
 		if m.opts.Now() >= until {
@@ -331,6 +354,7 @@
 			}
 			delete(m.missing, name)
 			delete(next, name)
+			m.removals.removed(name, m.opts.Now())
 		}
 	}
 	m.objects, m.version, m.confirmed = next, max(version, m.version), max(confirmed, m.confirmed)
