Owners of engines: a takeover is remembered over a lost response and a restart

Cause: a takeover waits that time, but a host that claims the engine again, because the claim had no response or its process restarted just after it, finds its own record and goes on at once. Change: the record names the earlier holder until the new one claims the engine again; a process that does not know of its own takeover waits as after a takeover. Left: a second lost response in the repeated claim.

--- a/internal/coordinator/lease.go
+++ b/internal/coordinator/lease.go
@@ -44,6 +44,7 @@
 	Holder string       `json:"holder"`
 	Claim  uint64       `json:"claim,omitempty"` // increases when the holder claims the engine again
 	Era    platform.Era `json:"era,omitempty"`   // of the store when it was written
+	From   string       `json:"from,omitempty"`  // earlier holder, until the new one has claimed the engine again
 }
 
 // Lease is the right of this host to order the engines that it owns. It also records in
@@ -72,6 +73,7 @@
 	term       uint64                         // increases each time the lease is lost
 	seenLeases map[string]leaseObservation    // leases of other hosts
 	seenOwners map[string]ownerObservation    // owners of engines that other hosts own
+	takenOver  map[string]platform.Version    // engines that this process has taken over, with the version of its claim
 }
 
 // leaseObservation is a version of another host's lease and when it was first read.
@@ -108,7 +110,7 @@
 	settling := &eraSettling{store: o.Store, eras: o.Eras, firstBoot: o.FirstBoot, after: leaseTTL + o.OrderLease + 2*leaseDriftMargin, now: o.Now}
 	return &Lease{
 		holder: o.Holder, store: o.Store, eras: o.Eras, settling: settling, now: o.Now, log: o.Log,
-		validUntil: map[platform.Era]time.Duration{}, seenLeases: map[string]leaseObservation{}, seenOwners: map[string]ownerObservation{},
+		validUntil: map[platform.Era]time.Duration{}, seenLeases: map[string]leaseObservation{}, seenOwners: map[string]ownerObservation{}, takenOver: map[string]platform.Version{},
 	}
 }
 
@@ -346,12 +348,19 @@
 	if err := l.settling.await(ctx); err != nil {
 		return 0, false, err
 	}
-	stored, err := l.put(ctx, kindOwners, engine, obj.Version, ownerRecord{Holder: l.holder, Era: era, Claim: rec.Claim + 1})
+	// The owner of a record of an earlier era has not written itself down again, and had stopped before the era was settled.
+	next := ownerRecord{Holder: l.holder, Era: era, Claim: rec.Claim + 1}
+	if rec.Holder != l.holder && rec.Era == era {
+		next.From = rec.Holder
+	}
+	stored, err := l.put(ctx, kindOwners, engine, obj.Version, next)
 	if err != nil {
 		return 0, false, err
 	}
-	// The owner of a record of an earlier era has not written itself down again, and had stopped before the era was settled.
-	return uint64(stored.Version), rec.Holder != "" && rec.Holder != l.holder && rec.Era == era, nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.takenOver[engine] = stored.Version
+	return uint64(stored.Version), next.From != "", nil
 }
 
 // LostEngineError reports that this host no longer owns an engine.
@@ -401,20 +410,24 @@
 
 // claimAgain claims an engine that this host owns according to its record. If the lease had
 // ended, another host may have read that and be about to write itself into the record; a new
-// version of the record makes this write fail.
+// version of the record makes this write fail. If the record was written by a takeover of which this process
+// does not know, because the response was lost or the process has restarted since, the earlier owner
+// may have ordered the engine just before.
 func (l *Lease) claimAgain(ctx context.Context, engine string, version platform.Version, rec ownerRecord) (fence uint64, takenOver bool, err error) {
 	l.mu.Lock()
 	foundEnded := l.foundEnded
+	takenOver = rec.From != "" && l.takenOver[engine] != version
 	l.mu.Unlock()
-	if !foundEnded {
+	if !foundEnded && !takenOver {
 		return uint64(version), false, nil
 	}
 	rec.Claim++
+	rec.From = ""
 	stored, err := l.put(ctx, kindOwners, engine, version, rec)
 	if err != nil {
 		return 0, false, err
 	}
-	return uint64(stored.Version), false, nil
+	return uint64(stored.Version), takenOver, nil
 }
 
 // heldElsewhere returns the owner of an engine if its lease cannot have ended yet,
--- a/internal/coordinator/owner_test.go
+++ b/internal/coordinator/owner_test.go
@@ -317,3 +317,42 @@
 		}
 	})
 }
+
+// TestClaimWithLostResponseWaitsForTheEarlierOwner guards against ordering an engine right after its earlier owner: the
+// claim that took it over had no response, and the next one found this host's own record.
+func TestClaimWithLostResponseWaitsForTheEarlierOwner(t *testing.T) {
+	now := time.Hour
+	store := &restorableStore{objects: map[string]platform.Object{}}
+	lease := func(holder string) (*Lease, *hostStore) {
+		s := &hostStore{store: store, eras: &platform.Eras{}}
+		l := NewLease(LeaseOptions{Holder: holder, Store: s, Eras: s.eras, Now: func() time.Duration { return now }, Log: quietLog()})
+		if err := l.renew(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return l, s
+	}
+	earlier, _ := lease("a")
+	if _, _, err := earlier.Claim(t.Context(), "e1"); err != nil {
+		t.Fatal(err)
+	}
+	next, way := lease("b")
+	var elsewhere *OwnedElsewhereError
+	if _, _, err := next.Claim(t.Context(), "e1"); !errors.As(err, &elsewhere) {
+		t.Fatalf("got %v", err)
+	}
+	now += leaseTTL + leaseDriftMargin
+	if err := next.endLease(t.Context(), "a"); err != nil {
+		t.Fatal(err)
+	}
+	way.loseNext = true
+	if _, _, err := next.Claim(t.Context(), "e1"); err == nil {
+		t.Fatal("the claim had a response")
+	}
+	now += time.Second
+	if _, takenOver, err := next.Claim(t.Context(), "e1"); err != nil || !takenOver {
+		t.Errorf("taken over %v, error %v; want true and none", takenOver, err)
+	}
+	if _, takenOver, err := next.Claim(t.Context(), "e1"); err != nil || takenOver {
+		t.Errorf("claimed again: taken over %v, error %v; want false and none", takenOver, err)
+	}
+}
