Entries of hosts and blocked parts: written again after a restore

A restored store may have forgotten hosts that joined after the copy, and the parts of prompts that are blocked. Hosts keep missing entries of others for 3 s, and a host that is not listed in the new era writes its entry within 1.5 s instead of 5 s; one that is listed makes no call. The coordinator's host reads the blocked parts again and writes them if they differ. Tests: TestEntryForgottenByARestoreIsWrittenAgain, TestBlockedPartsAreWrittenAgainAfterARestore; the first fails before (the entry counts as listed), so does the second (nothing is written until the next part is blocked).

--- a/internal/coordinator/partstore.go
+++ b/internal/coordinator/partstore.go
@@ -33,8 +33,10 @@
 	// Coordinates reports whether this host is the coordinator.
 	Coordinates func() bool
 	Log         logrus.FieldLogger
+	Eras        *platform.Eras // of the store
 
 	loaded  bool
+	era     platform.Era // in which the parts were read
 	version platform.Version
 	written []crashcause.StoredBlock
 }
@@ -64,7 +66,8 @@
 
 // step reads the blocked parts if the host has become the coordinator, or writes them if they have changed.
 func (s *PartStore) step(ctx context.Context) error {
-	if !s.loaded {
+	if era := s.Eras.Current(); !s.loaded || s.era != era { // a restored store may have forgotten the last ones
+		s.loaded, s.era = false, era
 		return s.load(ctx)
 	}
 	blocks := s.Parts.stored()
--- a/internal/coordinator/partstore_test.go
+++ b/internal/coordinator/partstore_test.go
@@ -22,7 +22,7 @@
 		start := func() (*PartFailures, context.CancelFunc) {
 			parts := NewPartFailures("a", hosts, now, quietLog())
 			ctx, cancel := context.WithCancel(t.Context())
-			s := &PartStore{Parts: parts, Store: store, Coordinates: func() bool { return true }, Log: quietLog()}
+			s := &PartStore{Parts: parts, Store: store, Coordinates: func() bool { return true }, Log: quietLog(), Eras: &platform.Eras{}}
 			go func() { _ = s.Run(ctx) }()
 			return parts, cancel
 		}
@@ -47,6 +47,31 @@
 	})
 }
 
+// TestBlockedPartsAreWrittenAgainAfterARestore guards against a store that has forgotten the blocked parts, after which a
+// restart of all hosts would have to find them out anew.
+func TestBlockedPartsAreWrittenAgainAfterARestore(t *testing.T) {
+	store := &restorableStore{era: 1, objects: map[string]platform.Object{}}
+	empty := store.clone()
+	eras := &platform.Eras{}
+	parts := NewPartFailures("a", func() map[string]fleet.Host { return nil }, func() time.Duration { return time.Hour }, quietLog())
+	parts.restore([]crashcause.StoredBlock{{Part: "bad"}})
+	s := &PartStore{Parts: parts, Store: &hostStore{store: store, eras: eras}, Log: quietLog(), Eras: eras}
+	steps := func() {
+		for range 4 {
+			if err := s.step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	steps()
+	store.restore(empty)
+	eras.Learn(store.era)
+	steps()
+	if _, stored := store.objects[string(kindBlockedParts)+"/"+blockedPartsName]; !stored {
+		t.Error("the blocked parts are not in the restored store")
+	}
+}
+
 // TestOneHostProbes guards against each host of a fleet crashing a target to find out whether a part still does.
 func TestOneHostProbes(t *testing.T) {
 	clock := func() time.Duration { return time.Hour }
--- a/internal/platformhost/join_test.go
+++ b/internal/platformhost/join_test.go
@@ -18,10 +18,14 @@
 type entryStore struct {
 	Store
 	version platform.Version
+	era     platform.Era // conditions of other ones are not sent
 	puts    int
 }
 
 func (s *entryStore) Put(_ context.Context, obj platform.Object) (platform.Object, error) {
+	if obj.Version > 0 && obj.Version.Era() != s.era {
+		return platform.Object{}, &platform.ConflictError{}
+	}
 	s.puts++
 	switch {
 	case obj.Version != s.version && s.version > 0:
@@ -50,6 +54,41 @@
 	}
 }
 
+// Get implements Store.
+func (s *entryStore) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	if s.version == 0 {
+		return platform.Object{}, &platform.NotFoundError{}
+	}
+	return platform.Object{Version: s.version}, nil
+}
+
+// TestEntryForgottenByARestoreIsWrittenAgain guards against callers and hosts losing a host that joined after the copy
+// was taken from which the store was restored, and against writing entries that the copy has.
+func TestEntryForgottenByARestoreIsWrittenAgain(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	inEra := func(era platform.Era) platform.Version {
+		v, err := platform.NewVersion(era, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	for _, c := range []struct {
+		listed, stored platform.Version
+		puts           int
+	}{{inEra(1), 0, 1}, {inEra(1), inEra(2), 1}, {inEra(2), inEra(2), 0}} {
+		store := &entryStore{version: c.stored, era: 2}
+		h := &Host{store: store, self: fleet.Host{Name: "a", Incarnation: "1"}, view: coordinator.NewFleetView("z", bootclock.Now), log: log}
+		h.eras.Learn(2)
+		h.view.SetHosts(map[string]fleet.Host{"a": {Name: "a", ModRevision: uint64(c.listed), Incarnation: "1"}})
+		h.listedAt = bootclock.Now()
+		if h.rejoin(t.Context()); store.puts != c.puts {
+			t.Errorf("listed at %x, stored at %x: %d writes, want %d", c.listed, c.stored, store.puts, c.puts)
+		}
+	}
+}
+
 // TestEntryIsNotWrittenAgainBeforeItIsListed covers the same pattern: the list of hosts shows a new entry
 // seconds later, until when it shows the earlier process's.
 func TestEntryIsNotWrittenAgainBeforeItIsListed(t *testing.T) {
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -67,6 +67,7 @@
 // Times related to the mirrors.
 const (
 	maxFreshnessAge   = 1300 * time.Millisecond // of the coordinator's confirmation: three report intervals, or a strict poll
+	hostKeepMissing   = 3 * time.Second         // entries that a restored store has forgotten are written again by then
 	targetWithhold    = 5 * time.Second         // the removal of an entry that a restored store lists again is written by then
 	targetKeepMissing = 2 * time.Second         // entries that expired during a store outage are renewed by then
 )
@@ -194,7 +195,7 @@
 
 func (h *Host) newPartStore() *coordinator.PartStore {
 	return &coordinator.PartStore{
-		Parts: h.parts, Store: h.store, Coordinates: func() bool { return h.client.Coordinator() == h.self.Name }, Log: h.log,
+		Parts: h.parts, Store: h.store, Coordinates: func() bool { return h.client.Coordinator() == h.self.Name }, Log: h.log, Eras: &h.eras,
 	}
 }
 
@@ -255,7 +256,7 @@
 
 func (h *Host) tasks(ctx context.Context, peers net.Listener) []func() error {
 	hosts := storecache.New(storecache.Options{
-		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: kindHosts, Policy: h.bounded(h.hostPolicy), StaleStart: true, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
+		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: kindHosts, Policy: h.bounded(h.hostPolicy), StaleStart: true, KeepMissing: hostKeepMissing, Now: bootclock.Now, Log: h.log, OnChange: h.hostsChanged,
 	})
 	return []func() error{
 		func() error { return h.logEras(ctx) },
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -161,6 +161,7 @@
 	pruneAfter     = 15 * time.Second       // a host that has sent no report for this long is considered gone
 	pruneInterval  = 2 * time.Second
 	rejoinAfter    = 5 * time.Second // longer than a list of hosts takes to show this host's entry
+	relistTime     = time.Second     // in which the hosts are listed again after a restore of the store
 )
 
 // join writes this host's entry. Then it regularly restores the entry if it is
@@ -184,15 +185,23 @@
 	h.listedAt = bootclock.Now()
 	missing := map[string]time.Time{}
 	for ctx.Err() == nil {
-		sleep(ctx, pruneInterval)
+		_, restored := h.eras.Changed()
+		timer := time.NewTimer(pruneInterval)
+		select {
+		case <-restored:
+			sleep(ctx, relistTime+rand.N(relistTime/2))
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 		h.rejoin(ctx)
 		h.prune(ctx, missing)
 	}
 	return nil
 }
 
-// rejoin writes this host's entry again if another host has removed it, unless a
-// planned stop has started.
+// rejoin writes this host's entry again if another host has removed it or the store was restored
+// from a copy without it, unless a planned stop has started.
 func (h *Host) rejoin(ctx context.Context) {
 	self, _ := h.view.Host(h.self.Name)
 	select {
@@ -200,11 +209,12 @@
 		return
 	default:
 	}
-	if self.ModRevision > 0 && self.Incarnation == h.self.Incarnation {
+	forgotten := self.ModRevision > 0 && platform.Version(self.ModRevision).Era() < h.eras.Current()
+	if self.ModRevision > 0 && self.Incarnation == h.self.Incarnation && !forgotten {
 		h.listedAt = bootclock.Now()
 		return
 	}
-	if bootclock.Now()-h.listedAt < rejoinAfter {
+	if bootclock.Now()-h.listedAt < rejoinAfter && !forgotten {
 		return
 	}
 	err := h.putSelf(ctx)
@@ -230,6 +240,12 @@
 	switch {
 	case errors.As(err, &conflict) && conflict.Found > 0:
 		obj.Version = conflict.Found
+	case errors.As(err, &conflict): // the expected version belongs to an earlier era of the store
+		stored, err := h.store.Get(ctx, kindHosts, entry.Name)
+		if err != nil && !errors.As(err, &missing) {
+			return err
+		}
+		obj.Version = stored.Version
 	case errors.As(err, &missing) && expected > 0:
 		obj.Version = 0
 	default:
