Eras of the store: hosts tell each other

A host that reaches other hosts but not the store, or makes no call for seconds, learns of a restore from the reports and replies that are sent anyway: one number in each. A coordinator that learns of it last stops confirming what it knows from before. Test: TestHostsTellEachOtherTheEra.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -12,6 +12,7 @@
 	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/platform"
 )
 
 // ClientOptions configure a Client.
@@ -22,6 +23,7 @@
 	Coordinator *Coordinator // of this host, used while this host is the coordinator
 	Calls       peer.Caller
 	Parts       *PartFailures             // the same as the Coordinator's
+	Eras        *platform.Eras            // of the store; nil: it names none
 	LocalUse    func() map[string]float64 // this host's quota use by team since its start
 	// SetRemoteUse receives, after each report, the total use of all other hosts by team where it
 	// changed, and with the first of an epoch the balances of the coordinator's host.
@@ -91,6 +93,9 @@
 
 // NewClient returns a Client that does nothing before Run.
 func NewClient(opts ClientOptions) *Client {
+	if opts.Eras == nil {
+		opts.Eras = &platform.Eras{}
+	}
 	c := &Client{
 		opts: opts, startedAt: opts.Now(), wakeup: make(chan struct{}, 1), unreachableSince: map[string]time.Duration{}, sendFull: true,
 		sentUse: map[string]float64{}, sentOwned: map[string]EngineView{}, failureTimes: map[string]time.Duration{}, failureCounts: map[string]int{},
@@ -267,6 +272,7 @@
 // applyStoreAge applies the store ages in the coordinator's reply to a report that was sent
 // at began. At that time the ages were no higher.
 func (c *Client) applyStoreAge(age StoreAge, began time.Duration) {
+	c.opts.Eras.Learn(age.Era)
 	c.opts.FleetView.SetUnusable(age.Unusable)
 	if age.NewestConfig != nil {
 		c.opts.FleetView.RecordConfig(*age.NewestConfig)
@@ -289,7 +295,7 @@
 
 // nextReport returns the next report. The caller must hold c.mu.
 func (c *Client) nextReport() Report {
-	r := Report{Incarnation: c.opts.Self.Incarnation, Full: c.sendFull, EngineFailures: c.pendingFailures, Leaving: c.leaving}
+	r := Report{Incarnation: c.opts.Self.Incarnation, Full: c.sendFull, EngineFailures: c.pendingFailures, Leaving: c.leaving, Era: c.opts.Eras.Current()}
 	c.pendingFailures = nil
 	if c.sendFull {
 		clear(c.sentUse)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
+	"buckthornseam.dev/seam/internal/platform"
 )
 
 // Times of the coordinator.
@@ -38,7 +39,8 @@
 	self        string
 	freshness   FreshnessFunc
 	balances    func() map[string]float64
-	firstBoot   bool // the whole system is starting for the first time
+	eras        *platform.Eras // of the store
+	firstBoot   bool           // the whole system is starting for the first time
 	fleetView   *FleetView
 	calls       peer.Caller
 	parts       *PartFailures
@@ -109,7 +111,7 @@
 // NewCoordinator returns a coordinator that is inactive until a host reports to it.
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
-		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, parts: parts, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
+		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, eras: &platform.Eras{}, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, parts: parts, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
@@ -121,6 +123,9 @@
 // report for the first time. It must be called before Run.
 func (c *Coordinator) ShareBalances(balances func() map[string]float64) { c.balances = balances }
 
+// ShareEras sets where the eras of the store are kept that hosts tell each other. It must be called before Run.
+func (c *Coordinator) ShareEras(eras *platform.Eras) { c.eras = eras }
+
 // Register registers the method by which hosts report.
 func (c *Coordinator) Register(r peer.Registrar) {
 	r.Handle(methodReport, func(_ context.Context, from peer.ID, params json.RawMessage) (any, error) {
@@ -177,6 +182,7 @@
 	for _, id := range r.EngineFailures {
 		c.failureTimes[id] = now
 	}
+	c.eras.Learn(r.Era)
 	if r.Config != nil {
 		c.fleetView.RecordConfig(*r.Config)
 		h.knownConfig = *r.Config
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -17,6 +17,7 @@
 	"buckthornseam.dev/coord/crashcause"
 	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/coord/swap"
+	"buckthornseam.dev/seam/internal/platform"
 )
 
 // Methods of the peer protocol.
@@ -112,6 +113,7 @@
 	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
+	Era            platform.Era         `json:"e,omitempty"`  // of the store, as far as the host knows
 }
 
 // EngineUpdate is what a host needs to know to send requests to an engine.
@@ -129,12 +131,13 @@
 // StoreAge tells how old the coordinator's copies of the store are. It saves the other
 // hosts calls to the store.
 type StoreAge struct {
-	Config      uint64   `json:"c"`           // platform.Version of the configuration
-	Digest      uint64   `json:"h,omitempty"` // fleet.Config.Digest of it
-	ConfigAgeMS int64    `json:"a"`           // time since it was known to be in force
-	TargetAgeMS int64    `json:"t"`           // time since the list of targets was known to be complete
-	Targets     uint64   `json:"d,omitempty"` // fleet.Targets.Digest of this list
-	Unusable    []string `json:"u,omitempty"` // targets that leave or have recently been removed
+	Config      uint64       `json:"c"`           // platform.Version of the configuration
+	Digest      uint64       `json:"h,omitempty"` // fleet.Config.Digest of it
+	ConfigAgeMS int64        `json:"a"`           // time since it was known to be in force
+	TargetAgeMS int64        `json:"t"`           // time since the list of targets was known to be complete
+	Targets     uint64       `json:"d,omitempty"` // fleet.Targets.Digest of this list
+	Unusable    []string     `json:"u,omitempty"` // targets that leave or have recently been removed
+	Era         platform.Era `json:"e,omitempty"` // of the store
 	// NewestConfig is the newest configuration that the coordinator has heard of; nil: as last sent.
 	NewestConfig *ConfigVersion `json:"n,omitempty"`
 }
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -38,7 +38,7 @@
 func (c *Coordinator) storeAge() *StoreAge {
 	config, configAt, targetsAt := c.freshness()
 	now := c.now()
-	age := &StoreAge{Config: config, Digest: c.fleetView.Config().Digest, Targets: c.fleetView.Targets().Digest, ConfigAgeMS: (now - configAt).Milliseconds() + 1, TargetAgeMS: (now - targetsAt).Milliseconds() + 1}
+	age := &StoreAge{Config: config, Era: c.eras.Current(), Digest: c.fleetView.Config().Digest, Targets: c.fleetView.Targets().Digest, ConfigAgeMS: (now - configAt).Milliseconds() + 1, TargetAgeMS: (now - targetsAt).Milliseconds() + 1}
 	for id := range c.removedTargets {
 		age.Unusable = append(age.Unusable, id)
 	}
--- a/internal/coordinator/updates_test.go
+++ b/internal/coordinator/updates_test.go
@@ -94,3 +94,21 @@
 		t.Error("the host does not ask for the full state")
 	}
 }
+
+// TestHostsTellEachOtherTheEra guards against a host that reaches others but not the store going by what it knew before a
+// restore, and against a coordinator that learns of it last.
+func TestHostsTellEachOtherTheEra(t *testing.T) {
+	c, _ := testCoordinator()
+	c.eras.Learn(2)
+	client := testClient("a", fleet.Host{Name: "a"})
+	client.opts.Eras.Learn(1)
+	u := c.Report("a", Report{Incarnation: "1", Full: true, Era: 1})
+	client.applyStoreAge(*u.StoreAge, client.opts.Now())
+	if era := client.opts.Eras.Current(); era != 2 {
+		t.Errorf("the host goes by era %d, want 2", era)
+	}
+	c.Report("b", Report{Incarnation: "1", Full: true, Era: 3})
+	if era := c.eras.Current(); era != 3 {
+		t.Errorf("the coordinator goes by era %d, want 3", era)
+	}
+}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -148,12 +148,13 @@
 func (h *Host) initGateway() {
 	quotas := gateway.NewQuotas(h.settings.Bounds, h.hostCount, bootclock.Now, rand.Float64)
 	h.client = coordinator.NewClient(coordinator.ClientOptions{
-		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient, Parts: h.parts,
+		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient, Parts: h.parts, Eras: &h.eras,
 		LocalUse: quotas.LocalUse, SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
 			quotas.SetRemoteUse(h.view.Config().Teams, epoch, use, balances)
 		}, Now: bootclock.Now, Log: h.log,
 	})
 	h.coordinator.ShareBalances(quotas.Balances)
+	h.coordinator.ShareEras(&h.eras)
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
