--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -46,12 +46,16 @@
 	limitedEngine      string
 	limitNamedAt       time.Time
 	limitEndedAt       time.Time
-	mostAtLimit        int  // requests that count at limitedEngine in any window
-	drainWithoutFaults bool // no fault was active when the last drain began
+	mostAtLimit        int    // requests that count at limitedEngine in any window
+	leavingTarget      string // states in its responses that it leaves
+	leavingSince       time.Time
+	toldLeaving        int               // hosts that had such a response
+	lastFences         map[string]uint64 // by engine
+	drainWithoutFaults bool              // no fault was active when the last drain began
 }
 
 func newChecker() *checker {
-	return &checker{runs: map[string][]standin.Run{}, lastOrders: map[string]standin.Order{}, hostFaults: map[string][]time.Time{}, stallEnds: map[string]time.Time{}, drainStartedAt: map[string]time.Time{}}
+	return &checker{runs: map[string][]standin.Run{}, lastOrders: map[string]standin.Order{}, hostFaults: map[string][]time.Time{}, stallEnds: map[string]time.Time{}, drainStartedAt: map[string]time.Time{}, lastFences: map[string]uint64{}}
 }
 
 // addViolation records a violated guarantee. c.mu must be held.
@@ -101,7 +105,40 @@
 	if known && last.Holder != o.Holder && o.At.Sub(last.At) < leaseBound {
 		c.addViolation("one holder: %s received an order from %s %v after one from %s", o.Engine, o.Holder, o.At.Sub(last.At), last.Holder)
 	}
+	if known && last.Holder != o.Holder && o.Fence <= c.lastFences[o.Engine] {
+		c.addViolation("one holder: %s received an order from %s with token %d after one from %s with %d", o.Engine, o.Holder, o.Fence, last.Holder, c.lastFences[o.Engine])
+	}
 	c.lastOrders[o.Engine] = o
+	c.lastFences[o.Engine] = max(o.Fence, c.lastFences[o.Engine])
+}
+
+// recordLeaving records that a target begins to state in its responses that it leaves.
+func (c *checker) recordLeaving(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leavingTarget, c.leavingSince = target, time.Now()
+}
+
+// checkLeaving checks that a host sends no request to a target that a caller sent it drainBound after the host had passed
+// on a response of it that said it leaves. c.mu must be held.
+func (c *checker) checkLeaving() {
+	ran := func(o outcome) bool {
+		return slices.ContainsFunc(c.runs[o.attemptID], func(r standin.Run) bool { return r.Engine == c.leavingTarget })
+	}
+	told := map[string]time.Time{}
+	for _, o := range c.outcomes {
+		if at, known := told[o.host]; o.status == 200 && !o.fromHost && o.sentAt.After(c.leavingSince) && ran(o) && (!known || o.endedAt.Before(at)) {
+			told[o.host] = o.endedAt
+		}
+	}
+	c.toldLeaving = len(told)
+	for _, o := range c.outcomes {
+		at, known := told[o.host]
+		faultSince := slices.ContainsFunc(c.hostFaults[o.host], func(fault time.Time) bool { return fault.After(at) })
+		if known && !faultSince && o.sentAt.After(at.Add(drainBound+timingTolerance)) && ran(o) {
+			c.addViolation("leaving: %s was sent to %s %v after its host knew that the target leaves", o.attemptID, c.leavingTarget, o.sentAt.Sub(at))
+		}
+	}
 }
 
 func (c *checker) recordRevocation() {
@@ -241,6 +278,7 @@
 	defer c.mu.Unlock()
 	c.checkQuota()
 	c.checkLimit()
+	c.checkLeaving()
 	for _, o := range c.outcomes {
 		runs := len(c.runs[o.attemptID])
 		if o.key == "k2" && runs > 0 && !c.revokedAt.IsZero() && o.sentAt.After(c.revokedAt.Add(revokeBound)) {
@@ -289,6 +327,7 @@
 		served[phasePlannedWork], sent[phasePlannedWork], served[phaseFaults], sent[phaseFaults], served[phaseRecovered], sent[phaseRecovered])
 	t.Logf("%s got %.2f of what its quota allows in %v until %v", limitedTeam, c.mostLimited, quotaWindow, c.mostLimitedAt.Format(time.StampMilli))
 	t.Logf("%s, which takes %v requests a second, got %d in %v at most", c.limitedEngine, engineLimit, c.mostAtLimit, limitWindow)
+	t.Logf("%d hosts had a response of %s, which leaves", c.toldLeaving, c.leavingTarget)
 	for _, violation := range c.violations {
 		t.Error(violation)
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -45,14 +45,15 @@
 	toldTime     = 500 * time.Millisecond
 )
 
-const configTemplate = `{"version":%d,"routes":[
+const configTemplate = `{"version":%[1]d,"routes":[
+ {"name":"probe","host":"h.example","path_prefix":"/version-%[1]d/","type":"idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":2,"public":true},
  {"name":"draft","host":"h.example","path_prefix":"/draft/","type":"streaming","timeout_ms":5000,"goal_ms":400,"service":"llm","attempts":2,"resumable":true,"gap_goal_ms":400},
  {"name":"pay","host":"h.example","path_prefix":"/pay/","type":"non_idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":1},
  {"name":"read","host":"h.example","path_prefix":"/read/","type":"idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":2}],
- "services":[{"name":"llm","engine":{"slots":16,"weights_mb":150,"adapter_slots":2,"models":[%s]}},{"name":"app"}],
+ "services":[{"name":"llm","engine":{"slots":16,"weights_mb":150,"adapter_slots":2,"models":[%[2]s]}},{"name":"app"}],
  "tenants":[{"name":"t1","api_keys":["k1"],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
-  {"name":"t2","api_keys":[%s],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
-  {"name":"t3","api_keys":["k7"],"unit":"token_rate","plain_tokens":200,"rate_per_s":%d,"burst":%d}],
+  {"name":"t2","api_keys":[%[3]s],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
+  {"name":"t3","api_keys":["k7"],"unit":"token_rate","plain_tokens":200,"rate_per_s":%[4]d,"burst":%[5]d}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":65536}}`
 
 // longEventDelay makes a long response, of three events, take half of the time that a host
@@ -114,6 +115,7 @@
 	storeProxies  []*proxy // by host
 	engines       []*standin.Engine
 	plainTargets  []*standin.Engine
+	plainStarts   []int    // by plain target, the number of its last start
 	targetProxies []*proxy // those of the engines, then those of the plain targets
 	hosts         []*process
 }
@@ -129,7 +131,7 @@
 	}
 	for i := range 2 {
 		e := &standin.Engine{ID: fmt.Sprintf("i-app%d", i), EventDelay: 5 * time.Millisecond, OnRun: onRun}
-		f.plainTargets = append(f.plainTargets, e)
+		f.plainTargets, f.plainStarts = append(f.plainTargets, e), append(f.plainStarts, 1)
 		f.targetProxies = append(f.targetProxies, startProxy(t, serve(t, e)))
 		f.registerPlainTarget(i, "ready")
 	}
@@ -175,8 +177,14 @@
 }
 
 func (f *fleet) registerPlainTarget(i int, state string) {
-	f.store.Put("servers", f.plainTargets[i].ID, standin.RawJSON(fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":64,"state":%q,"born":1}`,
-		f.targetProxies[len(f.engines)+i].address, state)))
+	f.store.Put("servers", f.plainTargets[i].ID, standin.RawJSON(fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":64,"state":%q,"born":%d}`,
+		f.targetProxies[len(f.engines)+i].address, state, f.plainStarts[i])))
+}
+
+// restartPlainTarget registers the next start of a target that was drained.
+func (f *fleet) restartPlainTarget(i int) {
+	f.plainStarts[i]++
+	f.registerPlainTarget(i, "ready")
 }
 
 // newHost writes the settings of a host, which gets a loopback address of its own,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"buckthornseam.dev/seam/platform/standin"
 )
 
 var (
@@ -65,11 +68,12 @@
 	random        *rand.Rand
 	checker       *checker
 	configVersion int
+	configKeys    string // of team t2
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
 	checker := newChecker()
-	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), checker: checker, configVersion: 1}
+	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), checker: checker, configVersion: 1, configKeys: `"k2"`}
 	s.fleet = startFleet(t, binary, *hostCount, checker.recordRun, checker.recordOrder)
 	t.Cleanup(s.keepLogs)
 	if !waitFor(recoverBound, s.allReady) {
@@ -93,8 +97,9 @@
 	phase.Store(int32(phaseFaults))
 	time.Sleep(longTimeout) // until requests from the planned work have ended
 	s.checker.recordDrainEnd(s.plainTargets[0].ID)
-	s.registerPlainTarget(0, "ready")
+	s.restartPlainTarget(0)
 	endLimit := s.limitEngine()
+	s.leaveTarget()
 	s.injectFaults()
 	endLimit()
 	faultsEnded := time.Now()
@@ -102,6 +107,7 @@
 		t.Errorf("recovery: not all hosts are ready %v after the last fault", time.Since(faultsEnded))
 	}
 	time.Sleep(time.Until(faultsEnded.Add(settleTime)))
+	s.checkConfigurations()
 	phase.Store(int32(phaseRecovered))
 	time.Sleep(recoveredTime)
 	cancel()
@@ -130,6 +136,65 @@
 	}
 }
 
+// leaveTarget has a plain target state in its responses that it leaves. The list of targets does not say so.
+func (s *soak) leaveTarget() {
+	e := s.plainTargets[len(s.plainTargets)-1]
+	s.checker.recordLeaving(e.ID)
+	e.Leave()
+}
+
+// keysAfterRevocation are the keys of team t2 without k2.
+const keysAfterRevocation = `"k3"`
+
+// configure writes the next version of the configuration.
+func (s *soak) configure() {
+	s.configVersion++
+	s.store.Put("config", "main", config(s.configVersion, s.configKeys))
+}
+
+// checkConfigurations checks that all hosts have the last version in force.
+func (s *soak) checkConfigurations() {
+	for _, p := range s.hosts {
+		client := http.Client{Timeout: time.Second}
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/version-%d/x", p.frontAddr, s.configVersion), nil)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		req.Host = "h.example"
+		req.Header.Set("Buckthornseam-Attempt-Id", "probe-"+p.name)
+		resp, err := client.Do(req)
+		if err != nil {
+			s.t.Errorf("configuration: %s: %v", p.name, err)
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusNotFound {
+			s.t.Errorf("configuration: %s does not have version %d in force", p.name, s.configVersion)
+		}
+	}
+}
+
+// lostChanges is the number of changes that a restore takes back, more than are made until the end of a run.
+const lostChanges = 2000
+
+// rewriteDelay is the time after a restore until the operator and the targets write again what is gone.
+const rewriteDelay = 300 * time.Millisecond
+
+// restoreStore restores the store from a copy. The operator and the targets write again what they wrote since.
+func (s *soak) restoreStore(backup standin.Copy) {
+	s.store.Restore(backup)
+	time.Sleep(rewriteDelay)
+	s.store.Put("config", "main", config(s.configVersion, s.configKeys))
+	for i := range s.engines {
+		s.registerEngine(i, "ready")
+	}
+	for i := range s.plainTargets {
+		s.registerPlainTarget(i, "ready")
+	}
+	time.Sleep(rewriteDelay)
+	s.configure()
+}
+
 // plannedWork stops one host by SIGTERM, starts it again, and drains a plain target
 // meanwhile. It revokes no key.
 func (s *soak) plannedWork() {
@@ -240,10 +305,18 @@
 			s.plainTargets[s.random.IntN(len(s.plainTargets))].AbortNext(abortedResponses)
 			return func() {}
 		}},
+		{"store restored from a copy", func() func() {
+			backup := s.store.Copy()
+			s.configure()
+			for range lostChanges {
+				s.store.Put("test", "lost", standin.RawJSON("{}"))
+			}
+			return func() { s.restoreStore(backup) }
+		}},
 		{"key revoked", func() func() {
-			s.configVersion++
-			if s.configVersion == 2 { // k2 can be revoked only once
-				s.store.Put("config", "main", config(s.configVersion, `"k3"`))
+			if s.configKeys != keysAfterRevocation { // k2 can be revoked only once
+				s.configKeys = keysAfterRevocation
+				s.configure()
 				s.checker.recordRevocation()
 			}
 			return func() {}
