--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -47,6 +47,8 @@
 	limits   map[string]float64         // that engines name in their responses, by ID
 	arrivals map[string][]time.Duration // of requests at engines that have ever named a limit, from hosts that started a while ago
 	outcomes []outcome
+	cuts     map[string]cutMode // by host, how it is cut off from all engines
+	cutEnds  map[string]chan struct{}
 	// crashingFirst has the crashing part stand before the others, and not in place of the second.
 	crashingFirst bool
 	breakShare    float64 // of the responses that break off while their engine goes on
@@ -56,17 +58,80 @@
 // outcome is how a request ended.
 type outcome struct {
 	sentAt time.Duration
+	host   string
 	parts  []string
 	began  bool // the caller got the head of a response of an engine
 }
 
+// cutMode is how a host is cut off from all engines.
+type cutMode string
+
+// The kinds of cuts: connections hang; they are reset, and new ones hang; they go on, and new ones are refused.
+const (
+	cutHang   cutMode = "hang"
+	cutReset  cutMode = "reset"
+	cutRefuse cutMode = "refuse"
+)
+
+// cutOff cuts hosts off from all engines.
+func (f *engineFleet) cutOff(mode cutMode, hosts ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range hosts {
+		name := f.hosts[i].net.Self().ID.Name
+		f.cuts[name], f.cutEnds[name] = mode, make(chan struct{})
+	}
+}
+
+// endCuts ends all cuts.
+func (f *engineFleet) endCuts() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, end := range f.cutEnds {
+		close(end)
+		delete(f.cutEnds, name)
+		delete(f.cuts, name)
+	}
+}
+
+// cutOf returns how a host is cut off from all engines, and a channel that is closed at the end.
+func (f *engineFleet) cutOf(host string) (cutMode, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts[host], f.cutEnds[host]
+}
+
+// simulatedDialTimeout is the time until a connection that hangs is given up.
+const simulatedDialTimeout = 300 * time.Millisecond
+
+// dial opens a connection of a host to an engine.
+func (f *engineFleet) dial(ctx context.Context, host, address string) error {
+	mode, _ := f.cutOf(host)
+	switch mode {
+	case cutHang, cutReset:
+		select {
+		case <-time.After(simulatedDialTimeout):
+		case <-ctx.Done():
+		}
+		return resetError{}
+	case cutRefuse:
+		return resetError{}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.engines[address] == nil {
+		return resetError{}
+	}
+	return nil
+}
+
 type simulatedEngine struct {
 	id      string
 	crashed chan struct{}
 }
 
 func newEngineFleet(t *testing.T, hosts, engines int, seed uint64) *engineFleet {
-	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
+	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, cuts: map[string]cutMode{}, cutEnds: map[string]chan struct{}{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
 	for range engines {
 		f.startEngine()
 	}
@@ -168,6 +233,10 @@
 // when it crashes.
 func (s hostSender) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
 	f := s.fleet
+	host := s.host.net.Self().ID.Name
+	if err := f.dial(ctx, host, address); err != nil {
+		return nil, &target.UnreachableError{Address: address, Cause: err}
+	}
 	f.mu.Lock()
 	e := f.engines[address]
 	crashing := slices.ContainsFunc(strings.Fields(r.Header.Get("Parts")), func(p string) bool { return f.crashing[p] })
@@ -200,7 +269,7 @@
 			f.crash(e.id)
 		})
 	}
-	body := &eventBody{ctx: ctx, crashed: e.crashed}
+	body := &eventBody{ctx: ctx, crashed: e.crashed, cut: func() (cutMode, <-chan struct{}) { return f.cutOf(host) }}
 	if rand.Float64() < breakShare {
 		body.breakAfter = 1 + rand.IntN(engineEvents-1)
 	}
@@ -218,6 +287,7 @@
 	sent    int
 	// breakAfter is the number of events after which the connection is lost; 0: it is not.
 	breakAfter int
+	cut        func() (cutMode, <-chan struct{})
 }
 
 func (b *eventBody) Read(p []byte) (int, error) {
@@ -231,6 +301,15 @@
 	case <-b.ctx.Done():
 		return 0, b.ctx.Err()
 	}
+	if mode, end := b.cut(); mode == cutReset {
+		return 0, resetError{}
+	} else if mode == cutHang {
+		select {
+		case <-end:
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
+	}
 	b.sent++
 	if b.sent == b.breakAfter {
 		return 0, resetError{}
@@ -250,7 +329,7 @@
 	f.requests.Go(func() {
 		r := newPost("/stream/"+id, "m", id)
 		r.Header.Set("Parts", strings.Join(parts, " "))
-		o := outcome{sentAt: f.now(), parts: parts}
+		o := outcome{sentAt: f.now(), parts: parts, host: h.net.Self().ID.Name}
 		w := serve(h.gateway, r)
 		o.began = w.Code == http.StatusOK
 		f.mu.Lock()
