Hosts that have lost all engines send requests through other hosts

Cause: such a host had no other way, took each engine for unreachable for 0.8 s and tried the next one. Ruled out: leaving the directory (callers keep addresses and connections for longer than the rule allows, and a whole zone may be cut); refusing at once alone (the callers' first tries still fail). Change: a host notices by its own connections and a round of probes, half a second after the cut, that it has lost its way to all engines (internal/targetreach). It then sends each request, as the caller sent it, to a host that reaches engines, which treats it like one of its own callers': limits, retries, permits and versions are counted there and only there. One hop: a host that is cut off, or stops, declines. What is left of the deadline goes along, the caller's leaving ends the request there, and a hop that is lost after the request was handed over is unknown, not "not run". After the cut a growing part goes directly, over 2 s, longer if the way is lost again. Failures of engines are reported only once this host has reached one since; a cut host reports no engine as unreachable, is not asked to own engines, and gives up its own after a third of the contact time.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -24,6 +24,7 @@
 	Calls       peer.Caller
 	Parts       *PartFailures             // the same as the Coordinator's
 	Eras        *platform.Eras            // of the store; nil: it names none
+	CutOff      func() bool               // whether this host has lost its way to all targets; nil: it never has
 	LocalUse    func() map[string]float64 // this host's quota use by team since its start
 	// SetRemoteUse receives, after each report, the total use of all other hosts by team where it
 	// changed, and with the first of an epoch the balances of the coordinator's host.
@@ -48,6 +49,7 @@
 	sentTargets        uint64 // version of the leaving targets that the coordinator was sent
 	sentConfig         ConfigVersion
 	liveHosts          []string
+	cutOffHosts        []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	lastReplyAt        time.Duration // when a coordinator last replied
 	coordinatorSince   time.Duration // when currentCoordinator last changed
@@ -96,6 +98,9 @@
 	if opts.Eras == nil {
 		opts.Eras = &platform.Eras{}
 	}
+	if opts.CutOff == nil {
+		opts.CutOff = func() bool { return false }
+	}
 	c := &Client{
 		opts: opts, startedAt: opts.Now(), wakeup: make(chan struct{}, 1), unreachableSince: map[string]time.Duration{}, sendFull: true,
 		sentUse: map[string]float64{}, sentOwned: map[string]EngineView{}, failureTimes: map[string]time.Duration{}, failureCounts: map[string]int{},
@@ -141,6 +146,13 @@
 	return c.liveHosts, c.opts.Now()-c.lastReplyAt < hostTimeout && len(c.liveHosts)+len(c.lastLeaving) > 0
 }
 
+// CutOffHosts returns the hosts that have lost their way to all targets, as the coordinator last told.
+func (c *Client) CutOffHosts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cutOffHosts
+}
+
 // CountedTogether returns how many hosts count the use of teams together with this one, including it, and
 // how many did so at most since shortly before a change of coordinators: the new one hears of them one by
 // one. Both are 0 if this host receives no reports.
@@ -312,6 +324,9 @@
 		r.Config, c.sentConfig = &newest, newest
 	}
 	c.opts.FleetView.report(&r)
+	if r.CutOff = c.opts.CutOff(); r.CutOff {
+		r.Unreachable = nil // what this host sees of targets says something about its own way
+	}
 	for team, n := range c.opts.LocalUse() {
 		if c.sentUse[team] != n {
 			if r.LocalUse == nil {
@@ -350,7 +365,7 @@
 	}
 	c.mu.Lock()
 	if len(u.LiveHosts) > 0 || len(u.LastLeaving) > 0 {
-		c.liveHosts, c.lastLeaving = u.LiveHosts, u.LastLeaving
+		c.liveHosts, c.lastLeaving, c.cutOffHosts = u.LiveHosts, u.LastLeaving, u.CutOffHosts
 	}
 	switch {
 	case u.Reporting > 0:
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -155,7 +155,7 @@
 	}
 	c.reports++
 	h.reports++
-	h.reportedAt, h.waitingAt, h.unreachable, h.leaving = now, now, r.Unreachable, r.Leaving
+	h.reportedAt, h.waitingAt, h.unreachable, h.leaving, h.cutOff = now, now, r.Unreachable, r.Leaving, r.CutOff
 	c.totals.setWaiting(h, r.Waiting)
 	for _, rc := range r.Running {
 		c.totals.setRunning(h, runKey{rc.Engine, rc.Model}, rc.N)
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -70,6 +70,14 @@
 	return f.changed
 }
 
+// RequestReport has this host report to the coordinator soon, and wakes what waits for a change of the view.
+func (f *FleetView) RequestReport() {
+	f.mu.Lock()
+	f.notify()
+	f.mu.Unlock()
+	f.requestReport()
+}
+
 func (f *FleetView) notify() {
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -22,6 +22,7 @@
 	owned        map[string]EngineView
 	unreachable  []string
 	leaving      bool
+	cutOff       bool   // it has lost its way to all targets
 	reports      uint64 // reports received from it
 	othersCount  uint64 // reports of all other hosts at the last update sent to it
 	// leavingSince is when the host first reported that it leaves.
@@ -33,6 +34,7 @@
 	updateVersion uint64 // Coordinator.updateVersion of the last update sent
 	sentLiveHosts []string
 	sentLeaving   []string // last Update.LastLeaving sent
+	sentCutOff    []string // last Update.CutOffHosts sent
 	sentFailures  map[string]bool
 	sentParts     crashcause.Cursor
 	sentLimits    uint64        // version of the limits that it was sent
--- a/internal/coordinator/lease.go
+++ b/internal/coordinator/lease.go
@@ -176,6 +176,32 @@
 	return err
 }
 
+// Yield ends the lease, so that other hosts need not wait for its expiry, like Release, but it may be acquired again. The
+// caller must wait for orders in progress before it calls Yield; no further ones are sent once Suspend was called.
+func (l *Lease) Yield(ctx context.Context) error {
+	l.renewLock.Lock()
+	defer l.renewLock.Unlock()
+	version, renewal, err := l.ownVersion(ctx)
+	if err != nil || version == 0 {
+		return err
+	}
+	l.mu.Lock()
+	l.foundEnded = true // another host may read this and be about to claim an engine
+	l.version = 0
+	l.mu.Unlock()
+	_, err = l.put(ctx, kindLeases, l.holder, version, leaseRecord{Holder: l.holder, Ended: true, Renewal: renewal + 1})
+	return err
+}
+
+// Suspend gives up the right to order engines until the lease is acquired again.
+func (l *Lease) Suspend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.renewing = false
+	clear(l.validUntil)
+	l.term++
+}
+
 // Run renews the lease from the first call of Acquire until ctx ends.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -112,6 +112,7 @@
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
 	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
+	CutOff         bool                 `json:"k,omitempty"`  // the host has lost its way to all targets; Unreachable is then empty
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
 	Era            platform.Era         `json:"e,omitempty"`  // of the store, as far as the host knows
 }
@@ -151,6 +152,7 @@
 	Reporting      int                  `json:"n,omitempty"`  // number of hosts that report, with those that leave; only in the reply to a report
 	LiveHosts      []string             `json:"l,omitempty"`  // all hosts that report and do not leave, if this or LastLeaving changed
 	LastLeaving    []string             `json:"z,omitempty"`  // only if LiveHosts is empty: hosts that leave last, the last one first
+	CutOffHosts    []string             `json:"ko,omitempty"` // hosts that have lost their way to all targets; with LiveHosts
 	Load           map[string]int       `json:"r,omitempty"`  // other hosts' requests by target, if changed by more than one or to 0
 	Backlogs       []Backlog            `json:"k,omitempty"`  // of the models that the host's requests wait for
 	EngineFailures []string             `json:"x,omitempty"`
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -306,6 +306,27 @@
 	o.changed()
 }
 
+// orderTime is longer than an order in progress takes.
+const orderTime = 500 * time.Millisecond
+
+// Yield gives up all engines, so that other hosts can own them, and reports whether there were any. It is for a host that
+// cannot reach them.
+func (o *Owner) Yield(ctx context.Context) bool {
+	o.mu.Lock()
+	n := len(o.owned)
+	o.mu.Unlock()
+	if n == 0 {
+		return false
+	}
+	o.lease.Suspend()
+	o.refresh()
+	o.changed()
+	sleep(ctx, orderTime)
+	err := o.lease.Yield(ctx)
+	o.log.WithFields(logrus.Fields{"event": "engines_yielded", "engines": n, "failed": err != nil}).Warn("this host reaches no engine; others may own those that it owned")
+	return true
+}
+
 // UnknownEngineError reports an engine that this host does not know or own.
 type UnknownEngineError struct {
 	Engine string
--- a/internal/coordinator/planning.go
+++ b/internal/coordinator/planning.go
@@ -34,7 +34,7 @@
 		}
 		host := cmp.Or(returning, c.holders[id])
 		delete(c.holders, id) // asked only once, since a host of that name on another machine does not hold the lease
-		if c.hosts[host] == nil {
+		if h := c.hosts[host]; h == nil || h.cutOff {
 			host = c.chooseOwner(t.Zone, count, perOwner)
 		}
 		if host == "" {
@@ -119,7 +119,7 @@
 func (c *Coordinator) chooseOwner(zone string, count map[string]int, perOwner int) string {
 	best, bestScore := "", math.Inf(1)
 	for name, h := range c.hosts {
-		if h.leaving {
+		if h.leaving || h.cutOff {
 			continue
 		}
 		score := float64(count[name])
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -225,10 +225,10 @@
 	c.addUse(&u, name, h)
 	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
-	live, leaving := c.liveHosts(), c.lastLeaving()
-	if !slices.Equal(live, h.sentLiveHosts) || !slices.Equal(leaving, h.sentLeaving) {
-		u.LiveHosts, u.LastLeaving = live, leaving
-		h.sentLiveHosts, h.sentLeaving = live, leaving
+	live, leaving, cutOff := c.liveHosts(), c.lastLeaving(), c.cutOffHosts()
+	if !slices.Equal(live, h.sentLiveHosts) || !slices.Equal(leaving, h.sentLeaving) || !slices.Equal(cutOff, h.sentCutOff) {
+		u.LiveHosts, u.LastLeaving, u.CutOffHosts = live, leaving, cutOff
+		h.sentLiveHosts, h.sentLeaving, h.sentCutOff = live, leaving, cutOff
 	}
 	return u
 }
@@ -258,6 +258,18 @@
 	return live
 }
 
+// cutOffHosts returns the hosts that have lost their way to all targets.
+func (c *Coordinator) cutOffHosts() []string {
+	var out []string
+	for host, h := range c.hosts {
+		if h.cutOff {
+			out = append(out, host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // minLoadChange is the smallest change of a target's load that is sent to hosts. A change
 // to 0 is always sent.
 const minLoadChange = 2
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -134,7 +134,7 @@
 var decisionEvents = []string{"move_planned", "move_done", "move_failed", "move_refused", "move_forgotten", "order", "engine_owned", "engine_differs", "orders_recounted", "target_changed", "target_gone"}
 
 // hostEvents are the events about the state of a host itself.
-var hostEvents = []string{"store_lost", "store_regained", "coordinator_changed", "coordinator_lost", "deputy_replied", "lease_lost", "lease_ended", "lease_not_renewed", "config_taken", "config_ignored", "store_era", "target_leaving", "targets_listed", "host_silent", "host_stopping", "host_started", "log_dropped"}
+var hostEvents = []string{"store_lost", "store_regained", "coordinator_changed", "coordinator_lost", "deputy_replied", "lease_lost", "lease_ended", "lease_not_renewed", "config_taken", "config_ignored", "store_era", "target_leaving", "target_reach", "targets_listed", "host_silent", "host_stopping", "host_started", "log_dropped"}
 
 func (s *scope) includes(r record) bool {
 	if r.text("id") == s.id {
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -56,12 +56,22 @@
 	Leaving bool // the target leaves and takes no new requests
 }
 
+// Relay describes a caller's request that is sent to targets by another host.
+type Relay struct {
+	Header      http.Header   // headers of the caller's request
+	Deadline    time.Duration // what is left of the caller's time
+	LastEventID string        // event after which the stream resumes; empty: from the start
+	Resumes     string        // ID of the attempt that brought the stream's first event; empty: not stated
+}
+
 // Codec translates between calls and the platform's HTTP headers.
 type Codec interface {
 	// ReadCall fails with *BadCallError.
 	ReadCall(r *http.Request) (Call, error)
 	AttemptHeader(a Attempt) http.Header
 	ReadResponse(status int, h http.Header) Response
+	// RelayHeader returns the headers of a caller's request with which it is sent to another host.
+	RelayHeader(r Relay) http.Header
 	// ResponseHeader returns the headers of a response that are relayed to the
 	// caller.
 	ResponseHeader(h http.Header) http.Header
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -13,6 +13,7 @@
 
 	Listen      Listen
 	PeerPort    int // for traffic between hosts
+	RelayPort   int // for requests that other hosts pass on; 0: none are taken
 	MetricsPort int
 	Store       string // address of the platform's store
 
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -88,10 +88,11 @@
 	Name           string  `json:"name"`
 	Incarnation    string  `json:"incarnation"`
 	Zone           string  `json:"zone"`
-	Address        string  `json:"address"`           // IP:port for callers
-	PeerAddress    string  `json:"peer_address"`      // IP:port for other hosts
-	Weight         float64 `json:"weight"`            // CPU share; the host with the largest becomes the coordinator
-	Leaving        bool    `json:"leaving,omitempty"` // a planned stop has started
-	ModRevision    uint64  `json:"-"`                 // store revision of the entry
-	CreateRevision uint64  `json:"-"`                 // store revision of its first version
+	Address        string  `json:"address"`                 // IP:port for callers
+	PeerAddress    string  `json:"peer_address"`            // IP:port for other hosts
+	RelayAddress   string  `json:"relay_address,omitempty"` // IP:port for requests of other hosts' callers; empty: it takes none
+	Weight         float64 `json:"weight"`                  // CPU share; the host with the largest becomes the coordinator
+	Leaving        bool    `json:"leaving,omitempty"`       // a planned stop has started
+	ModRevision    uint64  `json:"-"`                       // store revision of the entry
+	CreateRevision uint64  `json:"-"`                       // store revision of its first version
 }
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +23,7 @@
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/streamorigin"
 	"buckthornseam.dev/seam/internal/target"
+	"buckthornseam.dev/seam/internal/targetreach"
 )
 
 // Times of a simulated engine.
@@ -51,6 +55,8 @@
 	cutEnds  map[string]chan struct{}
 	// crashingFirst has the crashing part stand before the others, and not in place of the second.
 	crashingFirst bool
+	blamed        int     // failures of engines that hosts reported
+	relayed       int     // requests that a host sent through another one
 	breakShare    float64 // of the responses that break off while their engine goes on
 	requests      sync.WaitGroup
 }
@@ -212,12 +218,32 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	now := f.now
+	self := fleetOfHosts.known[h.net.Self().ID.Name]
+	h.reach = targetreach.New(targetreach.Options{
+		Addresses: func() []string { return slices.Collect(maps.Keys(h.view.Targets().ByID)) },
+		Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			if err := f.dial(ctx, self.Name, address); err != nil {
+				return nil, err
+			}
+			conn, other := net.Pipe()
+			_ = other.Close()
+			return conn, nil
+		},
+		Now: now, Log: log, OnChange: h.view.RequestReport,
+	})
 	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
 	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: h.view.Targets, Now: now, Log: log})
 	h.gateway = New(Options{
 		Codec: testCodec{}, View: h.view, Sender: hostSender{f, h}, Origins: origins, Quotas: h.quotas,
-		Budget:              NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
-		ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit,
+		Budget:         NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
+		EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit,
+		ReportEngineFailure: func(id string) {
+			f.mu.Lock()
+			f.blamed++
+			f.mu.Unlock()
+			h.client.ReportEngineFailure(id)
+		},
+		Reach: h.reach, Helpers: &HelperHosts{Self: self, View: h.view, Client: h.client, Sender: relaySender{f}}, Self: self.Name,
 		ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
 		Now:             now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
@@ -234,9 +260,11 @@
 func (s hostSender) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
 	f := s.fleet
 	host := s.host.net.Self().ID.Name
-	if err := f.dial(ctx, host, address); err != nil {
+	conn, err := s.host.reach.Dial(ctx, "tcp", address)
+	if err != nil {
 		return nil, &target.UnreachableError{Address: address, Cause: err}
 	}
+	_ = conn.Close()
 	f.mu.Lock()
 	e := f.engines[address]
 	crashing := slices.ContainsFunc(strings.Fields(r.Header.Get("Parts")), func(p string) bool { return f.crashing[p] })
@@ -280,6 +308,58 @@
 	return &target.ForwardResponse{Status: http.StatusOK, Header: header, Length: -1, Body: body}, nil
 }
 
+// relaySender sends requests between the hosts of the fleet.
+type relaySender struct{ fleet *engineFleet }
+
+// Forward implements Sender.
+func (s relaySender) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	i := slices.IndexFunc(s.fleet.hosts, func(h *reportingHost) bool { return h.net.Self().ID.Name == address && h.kill != nil })
+	if i < 0 {
+		return nil, &target.UnreachableError{Address: address, Cause: resetError{}}
+	}
+	s.fleet.mu.Lock()
+	s.fleet.relayed++
+	s.fleet.mu.Unlock()
+	req := httptest.NewRequest(r.Method, r.URI, bytes.NewReader(r.Body)).WithContext(ctx)
+	req.Host, req.Header = r.Host, r.Header
+	pipeReader, pipeWriter := io.Pipe()
+	w := &relayResponse{header: http.Header{}, head: make(chan int, 1), body: pipeWriter}
+	s.fleet.requests.Go(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				_ = pipeWriter.CloseWithError(resetError{})
+			}
+		}()
+		s.fleet.hosts[i].gateway.RelayHandler().ServeHTTP(w, req)
+		_ = pipeWriter.Close()
+	})
+	select {
+	case status := <-w.head:
+		return &target.ForwardResponse{Status: status, Header: w.header.Clone(), Length: -1, Framing: target.FramingChunked, Body: pipeReader}, nil
+	case <-ctx.Done():
+		return nil, &target.UnknownOutcomeError{Cause: ctx.Err()}
+	}
+}
+
+// relayResponse is the response of one host to another.
+type relayResponse struct {
+	header http.Header
+	head   chan int
+	body   *io.PipeWriter
+	once   sync.Once
+}
+
+func (w *relayResponse) Header() http.Header { return w.header }
+
+func (w *relayResponse) WriteHeader(status int) { w.once.Do(func() { w.head <- status }) }
+
+func (w *relayResponse) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	return w.body.Write(p)
+}
+
+func (w *relayResponse) Flush() {}
+
 // eventBody is the body of a stream of engineEvents events.
 type eventBody struct {
 	ctx     context.Context
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,11 @@
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
 	Parts               PartFailures
+	// Reach tells whether this host reaches its targets, and Helpers are the hosts through which it sends requests
+	// otherwise. nil: there is no other way.
+	Reach   Reach
+	Helpers Helpers
+	Self    string // name of this host
 	// ConfigConfirmed returns the latest time, on the clock Now, at which the
 	// configuration was known to be current.
 	ConfigConfirmed func() (time.Duration, bool)
@@ -72,7 +77,12 @@
 }
 
 // New returns a gateway that accepts requests.
-func New(opts Options) *Gateway { return &Gateway{opts: opts, startedAt: opts.Now()} }
+func New(opts Options) *Gateway {
+	if opts.Reach == nil || opts.Helpers == nil {
+		opts.Reach = alwaysReached{}
+	}
+	return &Gateway{opts: opts, startedAt: opts.Now()}
+}
 
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
@@ -115,20 +125,26 @@
 	events            eventBuffer
 	version           *string // only version at which the stream may go on; nil: any, as it has not begun
 	noRetryBudget     bool
-	probe             bool          // admitted although a part of its prompt is blocked
-	holdEnd           time.Duration // of the last hold, according to PartFailures
-	heldUntil         time.Duration // somewhat later than holdEnd
-	retryAfter        time.Duration // Retry-After of a refusal; 0: the shortest
+	probe             bool            // admitted although a part of its prompt is blocked
+	holdEnd           time.Duration   // of the last hold, according to PartFailures
+	heldUntil         time.Duration   // somewhat later than holdEnd
+	retryAfter        time.Duration   // Retry-After of a refusal; 0: the shortest
+	relayedBy         string          // host that the caller is connected to; empty: this one
+	helpersTried      map[string]bool // hosts through which the request was tried
+	waitsDirectly     bool            // it was decided that this host sends the request itself
 }
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, "") }
+
+// serve serves a request of this host's callers, or of those of the host relayedBy.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, relayedBy string) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	if g.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{w: w, r: r, arrived: g.opts.Now(), log: logrus.Fields{}}
+	x := &exchange{w: w, r: r, arrived: g.opts.Now(), relayedBy: relayedBy, log: logrus.Fields{}}
 	if g.closed.Load() {
 		g.refuseForStop(x)
 	} else if g.admit(x) {
@@ -142,6 +158,9 @@
 	took := g.opts.Now() - x.arrived
 	x.log["event"], x.log["id"], x.log["status"] = "request", x.call.ID, x.status
 	x.log["took_ms"], x.log["tries"] = took.Milliseconds(), x.tries
+	if x.relayedBy != "" {
+		x.log["relayed_by"] = x.relayedBy
+	}
 	if x.call.LastEventID != "" {
 		x.log["resumes"], x.log["resumes_after"] = x.call.Resumes, x.call.LastEventID
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,13 @@
 	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Notices: fleet.Notices{Limit: limit, Leaving: h.Get("Leaving") != ""}}
 }
 
+func (testCodec) RelayHeader(r fleet.Relay) http.Header {
+	h := r.Header.Clone()
+	h.Set("From", r.LastEventID)
+	h.Set("Resumes", r.Resumes)
+	return h
+}
+
 func (testCodec) ResponseHeader(h http.Header) http.Header { return h }
 
 // scriptedSender gives the nth response to the nth send. Further sends get none
--- /dev/null
+++ b/internal/gateway/helper.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// Reach tells whether this host reaches its targets. targetreach.Monitor implements it.
+type Reach interface {
+	// CutOff reports whether this host has lost its way to all targets, and since when.
+	CutOff() (since time.Duration, cutOff bool)
+	// Direct reports whether the next request should be sent to targets by this host itself. It returns true for a
+	// growing part of the requests after a cut.
+	Direct() bool
+	// OnCutOff calls f when this host loses its way to all targets, until stop is called.
+	OnCutOff(f func()) (stop func())
+	// Confirm reports whether a failure at a target, seen at a time, says something about the target. It may wait.
+	Confirm(ctx context.Context, failedAt time.Duration) bool
+}
+
+// alwaysReached is the Reach of a host that has no other way.
+type alwaysReached struct{}
+
+func (alwaysReached) CutOff() (time.Duration, bool)               { return 0, false }
+func (alwaysReached) Direct() bool                                { return true }
+func (alwaysReached) OnCutOff(func()) func()                      { return func() {} }
+func (alwaysReached) Confirm(context.Context, time.Duration) bool { return true }
+
+// Helpers are the hosts through which requests can be sent to targets.
+type Helpers interface {
+	// Choose returns a host that is not among those tried and reaches targets.
+	Choose(tried map[string]bool) (fleet.Host, bool)
+	// Forward sends a request to a host's relay address. It fails like Sender.Forward.
+	Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error)
+}
+
+// Headers of requests between hosts.
+const (
+	headerRelayedBy = "Seam-Relayed-By"     // name of the host that the caller is connected to
+	headerDeclined  = "Seam-Relay-Declined" // the host cannot send the request either; another one may
+)
+
+// maxHelpers is the number of hosts through which a request is tried at most.
+const maxHelpers = 3
+
+// RelayHandler returns the handler for requests that other hosts pass on, since they have lost their way to all targets.
+// They are served like those of this host's own callers, but never passed on again.
+func (g *Gateway) RelayHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from := r.Header.Get(headerRelayedBy)
+		r.Header.Del(headerRelayedBy)
+		if _, cutOff := g.opts.Reach.CutOff(); cutOff || g.stop.Load() != nil || from == "" {
+			w.Header().Set(headerDeclined, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		g.serve(w, r, from)
+	})
+}
+
+// goesThroughHelper reports whether a request should be sent through another host now.
+func (g *Gateway) goesThroughHelper(x *exchange) bool {
+	if x.relayedBy != "" || x.sends > 0 && !x.route.Retryable() {
+		return false
+	}
+	if _, cutOff := g.opts.Reach.CutOff(); !cutOff && (x.waitsDirectly || g.opts.Reach.Direct()) {
+		x.waitsDirectly = true // decided once, unless the way is lost later
+		return false
+	}
+	_, ok := g.opts.Helpers.Choose(x.helpersTried)
+	return ok
+}
+
+// passOn sends a request to targets through other hosts, and reports whether it was responded to or given up. Otherwise no
+// other host took it and it has not run; this host may try itself.
+func (g *Gateway) passOn(ctx context.Context, x *exchange) bool {
+	if x.taken > 0 { // the other host counts it
+		g.opts.Quotas.Refund(x.team, x.taken)
+		x.taken = 0
+	}
+	for range maxHelpers {
+		helper, ok := g.opts.Helpers.Choose(x.helpersTried)
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		if x.sends > 0 && !g.opts.Budget.AllowRetry(x.service) {
+			x.noRetryBudget = true
+			break
+		}
+		x.tryHelper(helper.Name)
+		switch g.sendThrough(ctx, x, helper) {
+		case relayed:
+			return true
+		case callerLeft:
+			x.log["reason"] = "caller left"
+			g.giveUp(x)
+			return true
+		case mayHaveRun:
+			x.sends++
+			if !x.route.Retryable() || x.sends >= x.route.Attempts {
+				g.giveUp(x)
+				return true
+			}
+		}
+	}
+	if x.sends > 0 || ctx.Err() != nil {
+		g.giveUp(x)
+		return true
+	}
+	return false
+}
+
+func (x *exchange) tryHelper(name string) {
+	if x.helpersTried == nil {
+		x.helpersTried = map[string]bool{}
+	}
+	x.helpersTried[name] = true
+	x.log["through"] = name
+}
+
+// sendThrough sends a request through one host and relays its response.
+func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) result {
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relay := fleet.Relay{Header: x.r.Header, Deadline: x.deadline - g.opts.Now(), LastEventID: x.events.lastID}
+	if x.headWritten && x.call.Resumes == "" {
+		relay.Resumes = x.call.ID
+	}
+	silence := time.AfterFunc(g.relaySilence(x), cancel)
+	defer silence.Stop()
+	header := g.opts.Codec.RelayHeader(relay)
+	header.Set(headerRelayedBy, g.opts.Self)
+	request := target.ForwardRequest{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, ToHost: true}
+	resp, err := g.opts.Helpers.Forward(sendCtx, helper.RelayAddress, request, g.responseID)
+	if err != nil {
+		return g.relayFailed(x, helper, err)
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(headerDeclined) != "" {
+		return notRun
+	}
+	if x.headWritten && resp.Status != http.StatusOK {
+		return mayHaveRun
+	}
+	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
+		return g.passStream(x, helper, resp, silence)
+	}
+	return g.passWhole(x, helper, resp)
+}
+
+// relaySilence returns how long another host may take for the next event of a stream, or for any other complete response.
+func (g *Gateway) relaySilence(x *exchange) time.Duration {
+	left := x.deadline - g.opts.Now()
+	switch {
+	case !x.route.Retryable() || x.sends+1 >= x.route.Attempts:
+		return left
+	case x.headWritten:
+		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective))
+	}
+	return min(left, max(silenceMin, silenceObjectives*x.route.Objective))
+}
+
+// relayFailed classifies a send to another host without a complete response.
+func (g *Gateway) relayFailed(x *exchange, helper fleet.Host, err error) result {
+	g.opts.Log.WithFields(logrus.Fields{"event": "relay_failed", "id": x.call.ID, "peer": helper.Name}).Warn(err.Error())
+	if x.r.Context().Err() != nil {
+		return callerLeft
+	}
+	x.log["reason"] = err.Error()
+	var unreachable *target.UnreachableError
+	if errors.As(err, &unreachable) {
+		return notRun
+	}
+	return mayHaveRun
+}
+
+// passWhole passes on a response once it has come whole.
+func (g *Gateway) passWhole(x *exchange, helper fleet.Host, resp *target.ForwardResponse) result {
+	if resp.Length > maxBufferedBytes {
+		return g.passLarge(x, resp)
+	}
+	body, err := readBuffered(resp.Body)
+	if err != nil {
+		return g.relayFailed(x, helper, err)
+	}
+	g.copyHeader(x, resp)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.status = resp.Status
+	x.w.WriteHeader(resp.Status)
+	if _, err := x.w.Write(body); err != nil {
+		x.log["reason"] = "caller left during the answer"
+	}
+	return relayed
+}
+
+// passLarge passes on a response as it arrives.
+func (g *Gateway) passLarge(x *exchange, resp *target.ForwardResponse) result {
+	g.copyHeader(x, resp)
+	x.headWritten, x.status = true, resp.Status
+	x.w.WriteHeader(resp.Status)
+	if _, err := io.Copy(x.w, resp.Body); err != nil {
+		x.sends++
+		x.log["reason"] = err.Error()
+		g.fail(x, resp.Status)
+	}
+	return relayed
+}
+
+// passStream passes on the events of a stream as they arrive. Only whole events are passed on, so that the stream can be
+// resumed elsewhere if the other host is lost.
+func (g *Gateway) passStream(x *exchange, helper fleet.Host, resp *target.ForwardResponse, silence *time.Timer) result {
+	flusher := http.NewResponseController(x.w)
+	x.events.reset()
+	buf := make([]byte, copyBufferBytes)
+	began := false
+	for {
+		n, err := resp.Body.Read(buf)
+		x.events.add(buf[:n])
+		if events := x.events.takeComplete(); len(events) > 0 {
+			began = true
+			silence.Reset(g.relaySilence(x))
+			if !g.writeEvents(x, flusher, events, resp) {
+				return callerLeft
+			}
+		}
+		if err == nil && x.events.partialBytes() > maxEventBytes {
+			err = &OversizedResponseError{Part: "event", Limit: maxEventBytes}
+		}
+		if err == nil {
+			continue
+		}
+		logStreamEnd(x, resp)
+		if err == io.EOF {
+			err = checkStreamEnd(x, resp, !began)
+		}
+		if err != nil {
+			return g.relayFailed(x, helper, err)
+		}
+		if !g.writeEvents(x, flusher, x.events.remainder(), resp) {
+			return callerLeft
+		}
+		return relayed
+	}
+}
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -17,6 +17,7 @@
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/peer/peertest"
 	"buckthornseam.dev/seam/internal/platform"
+	"buckthornseam.dev/seam/internal/targetreach"
 )
 
 // reportingFleet is a fleet whose hosts count a team's use by their real reports to the coordinator,
@@ -39,7 +40,8 @@
 	net       *peertest.Host
 	quotas    *Quotas
 	parts     *coordinator.PartFailures
-	gateway   *Gateway // nil unless set by onStart
+	gateway   *Gateway             // nil unless set by onStart
+	reach     *targetreach.Monitor // nil unless set by onStart
 	client    *coordinator.Client
 	view      *coordinator.FleetView
 	startedAt time.Duration
@@ -62,7 +64,7 @@
 	}
 	for i := range hosts {
 		name := fmt.Sprint("h", i)
-		f.known[name] = fleet.Host{Name: name, Zone: "z", Weight: 0.4, CreateRevision: uint64(i + 1)}
+		f.known[name] = fleet.Host{Name: name, Zone: "z", RelayAddress: name, Weight: 0.4, CreateRevision: uint64(i + 1)}
 	}
 	for i := range hosts {
 		f.startHost(i)
@@ -100,6 +102,13 @@
 		SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
 			h.quotas.SetRemoteUse([]fleet.Team{*f.team}, epoch, use, balances)
 		},
+		CutOff: func() bool {
+			if h.reach == nil {
+				return false
+			}
+			_, cutOff := h.reach.CutOff()
+			return cutOff
+		},
 		Now: f.now, Log: log,
 	})
 	h.client = client
@@ -112,6 +121,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.kill = cancel
 	f.hosts[i] = h
+	if h.reach != nil {
+		go func() { _ = h.reach.Run(ctx) }()
+	}
 	go func() { _ = coord.Run(ctx) }()
 	go func() { _ = client.Run(ctx) }()
 	go func() { _ = client.RunProbes(ctx) }()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -220,15 +220,35 @@
 }
 
 // reportEngineFailure reports a request whose target broke the connection. A
-// target that was only silent isn't counted.
+// target that was only silent isn't counted, nor is a failure that may come from the loss of this host's
+// way to all targets.
 func (g *Gateway) reportEngineFailure(x *exchange, c coordinator.Choice, err error) {
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
-	g.opts.Log.WithFields(logrus.Fields{
+	record := g.engineFailure(x, c)
+	if _, always := g.opts.Reach.(alwaysReached); always {
+		record()
+		return
+	}
+	failedAt := g.opts.Now()
+	go func() {
+		if g.opts.Reach.Confirm(context.WithoutCancel(x.r.Context()), failedAt) {
+			record()
+		}
+	}()
+}
+
+// engineFailure returns a function that records the failure of a target under a request.
+func (g *Gateway) engineFailure(x *exchange, c coordinator.Choice) (record func()) {
+	fields := logrus.Fields{
 		"event": "engine_failure", "id": x.call.ID, "target": c.Target.ID, "sent_ms": (g.opts.Now() - x.sentAt).Milliseconds(),
 		"fingerprint": x.fingerprint(), "known_failures": g.opts.EngineFailures(x.fingerprint()), "prompt_parts": strings.Join(x.call.SharedParts, ","),
-	}).Warn("target broke off under the request")
-	g.opts.Parts.RecordFailure(x.call.SharedParts, c.Target, x.sentAt)
-	g.opts.ReportEngineFailure(coordinator.EngineFailureID(x.fingerprint(), x.call.ID))
+	}
+	parts, sentAt, failure := x.call.SharedParts, x.sentAt, coordinator.EngineFailureID(x.fingerprint(), x.call.ID)
+	return func() {
+		g.opts.Log.WithFields(fields).Warn("target broke off under the request")
+		g.opts.Parts.RecordFailure(parts, c.Target, sentAt)
+		g.opts.ReportEngineFailure(failure)
+	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -47,11 +47,14 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), max(0, x.deadline-g.opts.Now()))
 	defer cancel()
+	x.events.lastID = x.call.LastEventID
+	if !g.outlastsStop(x) && g.goesThroughHelper(x) && g.passOn(ctx, x) {
+		return
+	}
 	g.opts.Budget.CountRequest(x.service)
 	if x.call.Model != "" {
 		g.opts.View.RecordArrival(x.service, x.call.Model)
 	}
-	x.events.lastID = x.call.LastEventID
 	if !g.findVersion(ctx, x) {
 		return
 	}
@@ -59,6 +62,9 @@
 	for {
 		choice, ok := g.awaitTarget(ctx, x, avoid)
 		if !ok {
+			if g.goesThroughHelper(x) && g.passOn(ctx, x) {
+				return
+			}
 			g.giveUp(x)
 			return
 		}
@@ -146,6 +152,9 @@
 		if x.sends == 0 && g.outlastsStop(x) {
 			return coordinator.Choice{}, false
 		}
+		if g.goesThroughHelper(x) {
+			return coordinator.Choice{}, false
+		}
 		until := g.targetWaitEnd(x)
 		req.Late = endWait != nil && g.opts.Now() > x.arrived+x.route.Objective
 		changed := view.Changed()
@@ -279,6 +288,7 @@
 	x.sentAt = sent
 	silenceTimer := time.AfterFunc(timeout, cancel)
 	defer silenceTimer.Stop()
+	defer g.opts.Reach.OnCutOff(func() { silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID)) })()
 
 	resp, err := g.opts.Sender.Forward(sendCtx, c.Target.Address, g.newForwardRequest(x, c), g.responseID)
 	if err != nil {
@@ -364,6 +374,7 @@
 	silenceMin             = 1800 * time.Millisecond // leaves time for another target if the caller waits 3.2 s
 	silenceGaps            = 3                       // times the route's gap objective, between events
 	silenceRecentLatencies = 4                       // times the target's recent latency, so that a slow target doesn't count as silent
+	silenceCutOff          = 500 * time.Millisecond  // of a host that has lost its way to all targets, on whose open connections responses may still come
 )
 
 // silenceTimeout returns how long a target may take for the next event of a stream
@@ -374,6 +385,9 @@
 	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts {
 		return left
 	}
+	if _, cutOff := g.opts.Reach.CutOff(); cutOff && x.relayedBy == "" {
+		return min(left, silenceCutOff)
+	}
 	if x.headWritten {
 		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective))
 	}
--- a/internal/gateway/stranded_test.go
+++ b/internal/gateway/stranded_test.go
@@ -66,6 +66,9 @@
 				healed := f.now()
 				f.play(5*time.Second, 60, 0, "")
 				time.Sleep(5 * time.Second)
+				if f.blamed > 0 {
+					t.Errorf("%d failures of engines were reported; none has failed", f.blamed)
+				}
 				if share, n := f.shareBegun(healed+contactTime, f.now()); share < 0.95 {
 					t.Errorf("%.2f of %d requests began after the cut", share, n)
 				}
@@ -73,3 +76,56 @@
 		})
 	}
 }
+
+// TestReachableEnginesAreNotGoneThroughHelpers is the control: hosts that reach engines pass nothing on, also while an
+// engine crashes.
+func TestReachableEnginesAreNotGoneThroughHelpers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngineFleet(t, 8, 9, 1)
+		f.play(2*time.Second, 60, 0, "")
+		f.crash("e1")
+		f.play(5*time.Second, 60, 0, "")
+		if f.relayed > 0 {
+			t.Errorf("%d requests were passed on", f.relayed)
+		}
+	})
+}
+
+// TestAllHostsWithoutEngines covers a cut of all hosts: there is nobody to pass requests on to, and the end is noticed.
+func TestAllHostsWithoutEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngineFleet(t, 4, 9, 1)
+		f.play(2*time.Second, 30, 0, "")
+		f.cutOff(cutHang, 0, 1, 2, 3)
+		f.play(3*time.Second, 30, 0, "")
+		before := f.relayed
+		f.play(3*time.Second, 30, 0, "")
+		if f.relayed > before {
+			t.Errorf("%d requests were passed on to hosts that are cut off themselves", f.relayed-before)
+		}
+		f.endCuts()
+		healed := f.now()
+		f.play(5*time.Second, 30, 0, "")
+		time.Sleep(5 * time.Second)
+		if share, n := f.shareBegun(healed+contactTime, f.now()); share < 0.95 {
+			t.Errorf("%.2f of %d requests began after the cut", share, n)
+		}
+	})
+}
+
+// TestCutThatComesAndGoes guards against requests that follow each return of a way that is lost again.
+func TestCutThatComesAndGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngineFleet(t, 8, 9, 1)
+		f.play(2*time.Second, 60, 0, "")
+		from := f.now()
+		for range 6 {
+			f.cutOff(cutHang, 0, 1, 2, 3, 4)
+			f.play(1500*time.Millisecond, 60, 0, "")
+			f.endCuts()
+			f.play(700*time.Millisecond, 60, 0, "")
+		}
+		f.checkStranded([]int{0, 1, 2, 3, 4}, from+contactTime, f.now())
+		time.Sleep(6 * time.Second)
+	})
+}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -29,6 +29,7 @@
 	"buckthornseam.dev/seam/internal/storecache"
 	"buckthornseam.dev/seam/internal/streamorigin"
 	"buckthornseam.dev/seam/internal/target"
+	"buckthornseam.dev/seam/internal/targetreach"
 )
 
 // Store is the platform's store.
@@ -89,6 +90,7 @@
 	parts       *coordinator.PartFailures
 	client      *coordinator.Client
 	origins     *streamorigin.Registry
+	reach       *targetreach.Monitor
 	peerClient  *peer.Client
 	peerServer  *peer.Server
 	gateway     *gateway.Gateway
@@ -116,6 +118,9 @@
 		Name: settings.Host, Incarnation: uuid.NewString(), Zone: settings.Zone, Address: settings.Listen.Callers,
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), Weight: settings.CPUShare,
 	}
+	if settings.RelayPort > 0 {
+		h.self.RelayAddress = net.JoinHostPort(settings.IP, strconv.Itoa(settings.RelayPort))
+	}
 	h.view = coordinator.NewFleetView(settings.Zone, bootclock.Now)
 	h.view.SetHosts(map[string]fleet.Host{h.self.Name: h.self})
 	h.store = adapter.NewStore(&h.eras, h.metrics)
@@ -147,8 +152,12 @@
 
 func (h *Host) initGateway() {
 	quotas := gateway.NewQuotas(h.settings.Bounds, h.hostCount, bootclock.Now, rand.Float64)
+	h.reach = targetreach.New(targetreach.Options{
+		Addresses: h.targetAddresses, Dial: target.DialContext, Now: bootclock.Now, Log: h.log, OnChange: h.view.RequestReport,
+	})
 	h.client = coordinator.NewClient(coordinator.ClientOptions{
 		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient, Parts: h.parts, Eras: &h.eras,
+		CutOff:   func() bool { _, cutOff := h.reach.CutOff(); return cutOff },
 		LocalUse: quotas.LocalUse, SetRemoteUse: func(epoch uint64, use, balances map[string]float64) {
 			quotas.SetRemoteUse(h.view.Config().Teams, epoch, use, balances)
 		}, Now: bootclock.Now, Log: h.log,
@@ -162,7 +171,8 @@
 	h.origins.Register(h.peerServer)
 	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self}
 	h.gateway = gateway.New(gateway.Options{
-		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClient(), Quotas: quotas,
+		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClientWithDialer(h.reach.Dial), Quotas: quotas,
+		Reach: h.reach, Helpers: &gateway.HelperHosts{Self: h.self, View: h.view, Client: h.client, Sender: target.NewClient()}, Self: h.self.Name,
 		Budget:      gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now),
 		Origins:     h.origins,
 		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit,
@@ -171,6 +181,17 @@
 	})
 }
 
+// targetAddresses returns the addresses of all targets that do not leave.
+func (h *Host) targetAddresses() []string {
+	var out []string
+	for _, t := range h.view.Targets().ByID {
+		if !t.Draining {
+			out = append(out, t.Address)
+		}
+	}
+	return out
+}
+
 // hostCount counts the hosts, and those of them that report to the coordinator. Hosts in a planned stop
 // still serve requests. It returns zeros until the list of hosts has come.
 func (h *Host) hostCount() gateway.HostCount {
@@ -270,6 +291,8 @@
 		func() error { return h.coordinator.Run(ctx) },
 		func() error { return h.client.Run(ctx) },
 		func() error { return h.client.RunProbes(ctx) },
+		func() error { return h.reach.Run(ctx) },
+		func() error { return h.yieldEngines(ctx) },
 		func() error { return h.newPartStore().Run(ctx) },
 		func() error { return h.origins.Run(ctx) },
 		func() error { return h.peerServer.Serve(ctx, peers) },
@@ -329,7 +352,7 @@
 	directory.HandleFunc(h.adapter.DirectoryPath, h.serveDirectory).Methods(http.MethodGet)
 	metrics.Handle(h.adapter.MetricsPath, h.metrics.Handler).Methods(http.MethodGet)
 	var out []server
-	for _, s := range []struct {
+	listeners := []struct {
 		address      string
 		handler      http.Handler
 		checkFraming bool
@@ -338,7 +361,15 @@
 		{h.settings.Listen.Ready, ready, false},
 		{h.settings.Listen.Directory, directory, false},
 		{net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.MetricsPort)), metrics, false},
-	} {
+	}
+	if h.self.RelayAddress != "" {
+		listeners = append(listeners, struct {
+			address      string
+			handler      http.Handler
+			checkFraming bool
+		}{h.self.RelayAddress, h.gateway.RelayHandler(), true})
+	}
+	for _, s := range listeners {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return nil, &ServeError{Address: s.address, Cause: err}
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -31,6 +31,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	ToHost bool // the receiver is another host of this system, which needs the caller's key
 }
 
 // Framing tells how the end of a response's body is marked.
@@ -107,7 +108,7 @@
 		}
 		target = parsed
 	}
-	invariant.Check(f.Header.Get(keyHeader) == "", invariant.KeyHidden, "the key of request %s would have been sent to target %s", f.ID, address)
+	invariant.Check(f.ToHost || f.Header.Get(keyHeader) == "", invariant.KeyHidden, "the key of request %s would have been sent to target %s", f.ID, address)
 	req := &http.Request{
 		Method: f.Method, URL: target, Host: f.Host, Header: f.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(f.Body)),
