--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -178,3 +178,69 @@
 		}
 	})
 }
+
+// TestEnginesOfCutOffHostMove guards against engines that get no orders while their owner has lost its way to them: it gives
+// them up, nobody asks it to own them, and the next owner need not wait for the end of its lease.
+func TestEnginesOfCutOffHostMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine()
+		o, _ := newTestOwner(t, engine)
+		if !o.Yield(t.Context()) {
+			t.Fatal("there was no engine to give up")
+		}
+		before := engine.calls()
+		if err := o.Swap(SwapCommand{Move: 1, Engine: "e1", Unload: []string{"a"}}); err == nil {
+			t.Error("a move was accepted after the engines were given up")
+		}
+		next := NewLease(LeaseOptions{Holder: "h2@ip", Store: o.lease.store, Eras: &platform.Eras{}, Now: o.now, Log: quietLog()})
+		if err := next.renew(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, taken, err := next.Claim(t.Context(), "e1"); err != nil || !taken {
+			t.Errorf("got taken over %v and error %v, want true and none", taken, err)
+		}
+		time.Sleep(10 * time.Second)
+		if n := engine.calls() - before; n > 0 {
+			t.Errorf("%d calls to the engine after it was given up", n)
+		}
+		var elsewhere *OwnedElsewhereError
+		if err := o.Own(t.Context(), "e1"); !errors.As(err, &elsewhere) && err != nil {
+			t.Errorf("the host that is back claims the engine: %v", err)
+		}
+	})
+	c, now := testCoordinator()
+	calls := &recordingCaller{}
+	c.calls = calls
+	c.fleetView.SetConfig(&fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Engine: &fleet.EngineSpec{}}}})
+	c.fleetView.SetTargets(fleet.NewTargets(map[string]fleet.Target{"e1": {ID: "e1", Service: "s"}}))
+	c.Report("a", Report{Incarnation: "1", Full: true, CutOff: true, Unreachable: []string{"e1"}})
+	c.Report("b", Report{Incarnation: "1", Full: true})
+	synctest.Test(t, func(t *testing.T) {
+		c.assignOwners(t.Context(), *now)
+		if asked := calls.take(); len(asked) != 1 || asked[0] != "b" {
+			t.Errorf("asked %v, want the host that reaches engines", asked)
+		}
+	})
+	if u := c.Report("b", Report{Incarnation: "1"}); len(u.CutOffHosts) > 0 && u.CutOffHosts[0] != "a" {
+		t.Errorf("hosts are told that %v are cut off", u.CutOffHosts)
+	}
+}
+
+// TestCutOffHostBlamesNoEngine guards against targets being taken for unreachable by all since hosts that have lost their way
+// to all of them say so.
+func TestCutOffHostBlamesNoEngine(t *testing.T) {
+	c := testClient("a", fleet.Host{Name: "a"})
+	cutOff := false
+	c.opts.CutOff = func() bool { return cutOff }
+	c.opts.LocalUse = func() map[string]float64 { return nil }
+	c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()}), fleetView: c.opts.FleetView}
+	c.opts.FleetView.SetTargets(fleet.NewTargets(map[string]fleet.Target{"e1": {ID: "e1"}}))
+	c.opts.FleetView.RecordUnreachable("e1")
+	if r := c.nextReport(); len(r.Unreachable) != 1 || r.CutOff {
+		t.Errorf("a host that reaches others reports %v, cut off %v", r.Unreachable, r.CutOff)
+	}
+	cutOff = true
+	if r := c.nextReport(); len(r.Unreachable) > 0 || !r.CutOff {
+		t.Errorf("a host that is cut off reports %v, cut off %v", r.Unreachable, r.CutOff)
+	}
+}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -54,6 +54,7 @@
 	NewStore      func(eras *platform.Eras, m *observe.Metrics) Store
 	NewEngines    func(onNotice coordinator.NoticeFunc) coordinator.EngineClient
 	Codec         Codec
+	Dial          target.DialFunc // to targets; nil: over TCP, with detection of lost paths
 	ConfigKind    platform.Kind
 	ConfigName    string
 	TargetKind    platform.Kind
@@ -152,8 +153,12 @@
 
 func (h *Host) initGateway() {
 	quotas := gateway.NewQuotas(h.settings.Bounds, h.hostCount, bootclock.Now, rand.Float64)
+	dial := h.adapter.Dial
+	if dial == nil {
+		dial = target.DialContext
+	}
 	h.reach = targetreach.New(targetreach.Options{
-		Addresses: h.targetAddresses, Dial: target.DialContext, Now: bootclock.Now, Log: h.log, OnChange: h.view.RequestReport,
+		Addresses: h.targetAddresses, Dial: dial, Now: bootclock.Now, Log: h.log, OnChange: h.view.RequestReport,
 	})
 	h.client = coordinator.NewClient(coordinator.ClientOptions{
 		Self: h.self, FleetView: h.view, Owner: h.owner, Coordinator: h.coordinator, Calls: h.peerClient, Parts: h.parts, Eras: &h.eras,
