Brittle targets: requests of all hosts together stay within their room

What breaks: hosts that choose by themselves collide at one engine even at half load; an engine that says it is brittle (Server-Brittle) falls over when it has to turn away more than a few requests in a second, and its load goes to the others (LIMIT). Weighed: a fixed part of each engine's slots for each host (24 hosts and 8 slots leave none); a permit for each request, as for targets that name a limit (a call for each of hundreds of requests a second); retrying elsewhere (what happens now). Change (coord/slots): while a service's targets say that they are brittle, in any response, a host sends there only within slots that the coordinator granted. Found on the way: a run of the new test hung once in 5 (a response that the simulated hop between hosts wrote for ever after its reader had left); the simulation was at fault and closes it now.

--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -24,6 +24,7 @@
 	Target       fleet.Target
 	NeedsAdapter bool // the adapter must be loaded first
 	NeedsPermit  bool // the target names a limit; see Client.RequestPermit
+	NeedsSlot    bool // the target is brittle and this host has no free slot of it; see Client.RequestSlot
 	Load         int  // known requests of all hosts at the target
 	Reason       string
 	Deferred     bool // none was chosen, because other waiting requests take the free slots first
@@ -34,6 +35,7 @@
 	zonePenalty        = 4    // another availability zone: traffic between zones costs more than a few additional concurrent requests
 	adapterPenalty     = 6    // the adapter must be loaded first
 	firstEventPenalty  = 8    // per second of the recent time until the first event
+	slotPenalty        = 2    // a slot must be asked for first
 	unreachablePenalty = 1000 // chosen only if all targets of a plain service are unreachable
 	// choiceSpread is the temperature of the random choice. Counts of other hosts are up
 	// to 0.4 s old: if all hosts chose the least loaded target, it would get the requests
@@ -53,6 +55,7 @@
 	defer f.mu.Unlock()
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
+	brittle := f.isBrittle(req.Service)
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
 		if t.Draining || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
@@ -74,7 +77,8 @@
 			}
 		}
 		rate, stale := f.limits.Rate(f.now(), runOf(t))
-		if rate > 0 && f.now() < f.noPermitUntil[id] {
+		needsSlot := brittle && f.load[id] >= f.slotsHeld(id)
+		if (rate > 0 || needsSlot) && f.now() < f.noPermitUntil[id] {
 			continue
 		}
 		if rate == 0 {
@@ -87,7 +91,10 @@
 		if unreachable {
 			score += unreachablePenalty
 		}
-		choice := Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, Load: f.load[id] + f.remoteLoad[id]}
+		if needsSlot {
+			score += slotPenalty
+		}
+		choice := Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, NeedsSlot: needsSlot, Load: f.load[id] + f.remoteLoad[id]}
 		switch {
 		case rate > 0 && !stale:
 			if score < limitedScore {
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -272,6 +272,10 @@
 		return
 	}
 	c.opts.Coordinator.Follow(to)
+	if !u.UnknownHost {
+		c.opts.FleetView.tellBrittle(u.Brittle)
+		c.opts.FleetView.renewSlots(u.SlotLimits)
+	}
 	c.mu.Lock()
 	c.sendFull = c.sendFull || u.UnknownHost
 	c.lastReplyAt = c.opts.Now()
@@ -324,6 +328,13 @@
 		r.Config, c.sentConfig = &newest, newest
 	}
 	c.opts.FleetView.report(&r)
+	r.Brittle = c.opts.FleetView.brittleServices()
+	returned, held := c.opts.FleetView.slotReturns()
+	if r.Full {
+		r.SlotsHeld = held
+	} else {
+		r.SlotsReturned = returned
+	}
 	if r.CutOff = c.opts.CutOff(); r.CutOff {
 		r.Unreachable = nil // what this host sees of targets says something about its own way
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/coord/permit"
+	"buckthornseam.dev/coord/slots"
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
@@ -74,7 +75,9 @@
 
 	readySince map[runKey]time.Duration // by copy, when it became ready
 	storeLimit storeLoadLimit
-	permits    *permit.Issuer // of targets that name a limit
+	permits    *permit.Issuer           // of targets that name a limit
+	slots      *slots.Ledger            // of brittle targets
+	brittleAt  map[string]time.Duration // by service, when a host last said that its targets are brittle
 }
 
 type move struct {
@@ -115,7 +118,7 @@
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
-		permits: permit.NewIssuer(),
+		permits: permit.NewIssuer(), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
 	}
 }
 
@@ -136,6 +139,7 @@
 		return c.Report(from.Name, report), nil
 	})
 	c.registerPermits(r)
+	c.registerSlots(r)
 }
 
 // Report applies a host's report and returns the update for that host.
@@ -183,6 +187,10 @@
 		c.failureTimes[id] = now
 	}
 	c.eras.Learn(r.Era)
+	for _, service := range r.Brittle {
+		c.brittleAt[service] = now
+	}
+	c.applySlots(host, r)
 	if r.Config != nil {
 		c.fleetView.RecordConfig(*r.Config)
 		h.knownConfig = *r.Config
@@ -312,6 +320,8 @@
 		}
 	}
 	c.permits.Expire(now)
+	listed := c.fleetView.Targets().ByID
+	c.slots.Expire(func(target string) bool { _, ok := listed[target]; return ok })
 }
 
 // registerHost adds the host of a full report. Its use before the first report to this
@@ -341,6 +351,7 @@
 		}
 	}
 	c.totals.remove(h)
+	c.slots.Drop(name)
 	delete(c.hosts, name)
 	c.updatesStale = true
 }
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -17,6 +17,12 @@
 
 func (f *FleetView) count(key runKey, n int) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.countLocked(key, n)
+}
+
+// countLocked is count for a caller that holds f.mu.
+func (f *FleetView) countLocked(key runKey, n int) {
 	f.running[key] += n
 	f.load[key.engine] += n
 	if f.running[key] == 0 {
@@ -26,7 +32,6 @@
 		delete(f.load, key.engine)
 	}
 	f.dirty[key] = true
-	f.mu.Unlock()
 }
 
 // RecordArrival counts a new request for a model.
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -21,6 +21,7 @@
 	listed        *fleet.Targets // as registered
 	targets       *fleet.Targets // as registered, but those that leave are marked as draining
 	leaving       leavingTargets
+	brittle       brittleness
 	views         map[string]EngineView // by engine, from the coordinator or this host's own Owner
 	running       map[runKey]int        // this host's requests
 	load          map[string]int        // this host's requests by target
@@ -54,7 +55,7 @@
 // machine was suspended.
 func NewFleetView(zone string, now func() time.Duration) *FleetView {
 	return &FleetView{
-		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}},
+		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(),
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -81,6 +81,9 @@
 		return
 	}
 	f.RecordLimit(t, n.Limit)
+	if n.Brittle > 0 {
+		f.recordBrittle(t.Service)
+	}
 	if n.Leaving {
 		f.RecordLeaving(t)
 	}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -29,6 +29,7 @@
 	methodSwap    = "steer.swap"
 	MethodAdapter = "steer.adapter"
 	methodPermit  = "steer.permit"
+	methodSlot    = "steer.slot"
 )
 
 // codeOwnedElsewhere is the error code of methodOwn if another host may still order the
@@ -110,6 +111,9 @@
 	Parts          *crashcause.Evidence `json:"cp,omitempty"` // parts of prompts that may crash targets
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
+	Brittle        []string             `json:"bs,omitempty"` // services whose targets said lately that they are brittle
+	SlotsHeld      map[string]int       `json:"sh,omitempty"` // of brittle targets; only if Full
+	SlotsReturned  map[string]int       `json:"sr,omitempty"`
 	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 	CutOff         bool                 `json:"k,omitempty"`  // the host has lost its way to all targets; Unreachable is then empty
@@ -159,9 +163,11 @@
 	Parts          *crashcause.Evidence `json:"cp,omitempty"`
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
-	StoreAge       *StoreAge            `json:"v,omitempty"` // only in the reply to a report
-	Coordinator    string               `json:"c,omitempty"` // set by a deputy, which says nothing of the other hosts
-	UnknownHost    bool                 `json:"q,omitempty"` // the next report must be a full one
+	Brittle        []string             `json:"bs,omitempty"` // services whose targets are brittle; only in the reply to a report
+	SlotLimits     map[string]int       `json:"sl,omitempty"` // slots that the host may keep; only in the reply to a report
+	StoreAge       *StoreAge            `json:"v,omitempty"`  // only in the reply to a report
+	Coordinator    string               `json:"c,omitempty"`  // set by a deputy, which says nothing of the other hosts
+	UnknownHost    bool                 `json:"q,omitempty"`  // the next report must be a full one
 }
 
 // SwapCommand tells the owner of an engine to carry out a move.
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -215,6 +215,7 @@
 		return u
 	}
 	u.StoreAge = c.storeAge()
+	u.Brittle, u.SlotLimits = c.brittleNow(), c.slotLimits()
 	if newest := c.fleetView.NewestConfig(); newest != h.knownConfig {
 		u.StoreAge.NewestConfig, h.knownConfig = &newest, newest
 	}
@@ -258,6 +259,20 @@
 	return live
 }
 
+// brittleNow returns the services of which a host said lately that their targets are brittle.
+func (c *Coordinator) brittleNow() []string {
+	var out []string
+	for service, at := range c.brittleAt {
+		if c.now()-at < brittleTTL {
+			out = append(out, service)
+		} else {
+			delete(c.brittleAt, service)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // cutOffHosts returns the hosts that have lost their way to all targets.
 func (c *Coordinator) cutOffHosts() []string {
 	var out []string
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -54,6 +54,9 @@
 	// Limit is the number of requests a second that the target takes from all hosts together; 0: it names none.
 	Limit   float64
 	Leaving bool // the target leaves and takes no new requests
+	// Brittle is the number of requests that the target turns away in a second for want of room without falling over; 0: it
+	// is not brittle.
+	Brittle int
 }
 
 // Relay describes a caller's request that is sent to targets by another host.
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -51,8 +52,13 @@
 	limits   map[string]float64         // that engines name in their responses, by ID
 	arrivals map[string][]time.Duration // of requests at engines that have ever named a limit, from hosts that started a while ago
 	outcomes []outcome
-	cuts     map[string]cutMode // by host, how it is cut off from all engines
-	cutEnds  map[string]chan struct{}
+	// brittle is set while engines have room for slots requests only, and fall over when they turn away more than
+	// brittleRejections in a second.
+	brittle bool
+	slots   int // 0: unlimited
+	falls   int
+	cuts    map[string]cutMode // by host, how it is cut off from all engines
+	cutEnds map[string]chan struct{}
 	// crashingFirst has the crashing part stand before the others, and not in place of the second.
 	crashingFirst bool
 	blamed        int     // failures of engines that hosts reported
@@ -131,13 +137,46 @@
 	return nil
 }
 
+// brittleRejections is the number of requests that a brittle engine turns away in a second without falling over.
+const brittleRejections = 3
+
+// enter takes a place at an engine of limited room, and reports whether there was one.
+func (f *engineFleet) enter(e *simulatedEngine) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.slots == 0 || e.inside < f.slots {
+		e.inside++
+		return true
+	}
+	now := f.now()
+	e.rejected = append(slices.DeleteFunc(e.rejected, func(at time.Duration) bool { return now-at > time.Second }), now)
+	if f.brittle && len(e.rejected) > brittleRejections && f.engines[e.id] != nil {
+		f.falls++
+		go f.crash(e.id)
+	}
+	return false
+}
+
+func (f *engineFleet) leaveEngine(e *simulatedEngine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.inside--
+}
+
 type simulatedEngine struct {
-	id      string
-	crashed chan struct{}
+	id       string
+	inside   int             // requests
+	rejected []time.Duration // requests turned away in the last second
+	crashed  chan struct{}
 }
 
 func newEngineFleet(t *testing.T, hosts, engines int, seed uint64) *engineFleet {
-	f := &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, cuts: map[string]cutMode{}, cutEnds: map[string]chan struct{}{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
+	return newEngineFleetWithSlots(t, hosts, engines, 0, seed)
+}
+
+// newEngineFleetWithSlots starts a fleet whose engines have room for a number of requests; 0: any.
+func newEngineFleetWithSlots(t *testing.T, hosts, engines, slots int, seed uint64) *engineFleet {
+	f := &engineFleet{slots: slots, engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, cuts: map[string]cutMode{}, cutEnds: map[string]chan struct{}{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
 	for range engines {
 		f.startEngine()
 	}
@@ -151,7 +190,7 @@
 	f.started++
 	id := fmt.Sprint("e", f.started)
 	f.engines[id] = &simulatedEngine{id: id, crashed: make(chan struct{})}
-	f.listed[id] = fleet.Target{ID: id, Service: "llm", Address: id, Zone: "z", Slots: 64, StartedMS: int64(f.started), Models: map[string][]string{"m": nil}}
+	f.listed[id] = fleet.Target{ID: id, Service: "llm", Address: id, Zone: "z", Slots: cmp.Or(f.slots, 64), StartedMS: int64(f.started), Models: map[string][]string{"m": nil}}
 }
 
 // list tells all hosts which engines are listed.
@@ -236,7 +275,7 @@
 	h.gateway = New(Options{
 		Codec: testCodec{}, View: h.view, Sender: hostSender{f, h}, Origins: origins, Quotas: h.quotas,
 		Budget:         NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
-		EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit,
+		EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot,
 		ReportEngineFailure: func(id string) {
 			f.mu.Lock()
 			f.blamed++
@@ -272,6 +311,7 @@
 		f.reached = append(f.reached, f.now())
 	}
 	limit, named := f.limits[address]
+	brittle := f.brittle
 	breakShare := f.breakShare
 	if e != nil && named && f.now() > s.host.startedAt+contactTime {
 		f.arrivals[address] = append(f.arrivals[address], f.now())
@@ -280,6 +320,16 @@
 	if e == nil {
 		return nil, &target.UnreachableError{Address: address, Cause: resetError{}}
 	}
+	header := http.Header{"Id": {r.ID}, "Stamp": {"s"}}
+	if brittle {
+		header.Set("Brittle", fmt.Sprint(brittleRejections))
+	}
+	if !f.enter(e) {
+		header.Del("Stamp")
+		header.Set("Not-Run", "1")
+		return &target.ForwardResponse{Status: http.StatusServiceUnavailable, Header: header, Body: http.NoBody}, nil
+	}
+	context.AfterFunc(ctx, func() { f.leaveEngine(e) }) // the context of a send ends with it
 	select {
 	case <-time.After(engineQueueTime):
 	case <-e.crashed:
@@ -301,7 +351,6 @@
 	if rand.Float64() < breakShare {
 		body.breakAfter = 1 + rand.IntN(engineEvents-1)
 	}
-	header := http.Header{"Id": {r.ID}, "Stamp": {"s"}}
 	if limit > 0 {
 		header.Set("Limit", fmt.Sprint(limit))
 	}
@@ -337,6 +386,7 @@
 	case status := <-w.head:
 		return &target.ForwardResponse{Status: status, Header: w.header.Clone(), Length: -1, Framing: target.FramingChunked, Body: pipeReader}, nil
 	case <-ctx.Done():
+		_ = pipeReader.Close() // otherwise the other host would write its response for ever
 		return nil, &target.UnknownOutcomeError{Cause: ctx.Err()}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,10 @@
 	Origins StreamOrigins
 	// RequestPermit is called before a request is sent to a target that names a limit. If it returns false, the View
 	// must not return the target for a time.
-	RequestPermit       func(ctx context.Context, t fleet.Target) bool
+	RequestPermit func(ctx context.Context, t fleet.Target) bool
+	// RequestSlot is called before a request is sent to a brittle target at which all slots of this host are in use.
+	// If it returns false, the View must not return the target for a time.
+	RequestSlot         func(ctx context.Context, t fleet.Target) bool
 	LoadAdapter         func(ctx context.Context, owner string, c coordinator.AdapterCommand) error
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -36,7 +36,8 @@
 
 func (testCodec) ReadResponse(status int, h http.Header) fleet.Response {
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64) // 0 without the header
-	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Notices: fleet.Notices{Limit: limit, Leaving: h.Get("Leaving") != ""}}
+	brittle, _ := strconv.Atoi(h.Get("Brittle"))
+	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Notices: fleet.Notices{Limit: limit, Leaving: h.Get("Leaving") != "", Brittle: brittle}}
 }
 
 func (testCodec) RelayHeader(r fleet.Relay) http.Header {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,6 +32,7 @@
 	notRun                // the target did not run the request
 	mayHaveRun
 	callerLeft
+	noSlot // another request took the last slot of this host at the target; nothing was sent
 )
 
 // run sends a request to targets until one of them has responded or no further
@@ -87,6 +88,7 @@
 			x.log["reason"] = "caller left"
 			g.giveUp(x)
 			return
+		case noSlot:
 		case notRun:
 			avoid[choice.Target.ID] = true
 		case mayHaveRun:
@@ -169,6 +171,9 @@
 			if choice.NeedsPermit && !g.opts.RequestPermit(ctx, choice.Target) {
 				continue // with the other targets
 			}
+			if choice.NeedsSlot && !g.opts.RequestSlot(ctx, choice.Target) {
+				continue
+			}
 			if !choice.NeedsAdapter || g.loadAdapter(ctx, x, choice) {
 				g.logChoice(x, choice)
 				return choice, true
@@ -211,7 +216,7 @@
 	}
 	req.Avoid = nil
 	choice, ok := g.opts.View.Pick(req)
-	if !ok || choice.NeedsAdapter || choice.NeedsPermit && !g.opts.RequestPermit(x.r.Context(), choice.Target) {
+	if !ok || choice.NeedsAdapter || choice.NeedsPermit && !g.opts.RequestPermit(x.r.Context(), choice.Target) || choice.NeedsSlot {
 		return coordinator.Choice{}, false
 	}
 	clear(avoid)
@@ -279,7 +284,11 @@
 		return notRun
 	}
 	g.checkInvariants(x, c)
-	end := g.opts.View.BeginRequest(c.Target.ID, x.call.Model)
+	end, ok := g.opts.View.BeginRequestAt(c.Target, x.call.Model)
+	if !ok { // another request took the slot
+		x.tries--
+		return noSlot
+	}
 	defer end()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
