Targets that ask for quiet: nothing from this host until the time has passed

What waits gets another target; if all targets of a service ask for quiet for longer than a request can wait, it is refused at once with the soonest of their times.

--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -61,6 +61,9 @@
 		if t.Draining || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
 			continue
 		}
+		if f.isQuiet(t) {
+			continue
+		}
 		unreachable := f.unreachable(id)
 		needsAdapter := false
 		if req.Model != "" {
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"reflect"
 	"sync"
 	"time"
@@ -22,10 +23,11 @@
 	targets       *fleet.Targets // as registered, but those that leave are marked as draining
 	leaving       leavingTargets
 	brittle       brittleness
-	views         map[string]EngineView // by engine, from the coordinator or this host's own Owner
-	running       map[runKey]int        // this host's requests
-	load          map[string]int        // this host's requests by target
-	remoteLoad    map[string]int        // other hosts' requests by target, as last reported
+	quietUntil    map[string]time.Duration // by start of a target, until when it wants nothing from this host
+	views         map[string]EngineView    // by engine, from the coordinator or this host's own Owner
+	running       map[runKey]int           // this host's requests
+	load          map[string]int           // this host's requests by target
+	remoteLoad    map[string]int           // other hosts' requests by target, as last reported
 	health        map[string]*health
 	arrivals      map[modelKey]int
 	waiting       map[modelKey]*waitList
@@ -55,7 +57,7 @@
 // machine was suspended.
 func NewFleetView(zone string, now func() time.Duration) *FleetView {
 	return &FleetView{
-		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(),
+		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(), quietUntil: map[string]time.Duration{},
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
@@ -153,6 +155,7 @@
 		}
 	}
 	f.leaving.expire(f.now(), runs)
+	maps.DeleteFunc(f.quietUntil, func(run string, _ time.Duration) bool { return !runs[run] })
 	f.markLeaving()
 	for id := range f.views {
 		if _, ok := t.ByID[id]; !ok {
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -81,6 +81,9 @@
 		return
 	}
 	f.RecordLimit(t, n.Limit)
+	if n.Quiet > 0 {
+		f.RecordQuiet(t, n.Quiet)
+	}
 	if n.Brittle > 0 {
 		f.recordBrittle(t.Service)
 	}
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -57,6 +57,8 @@
 	// Brittle is the number of requests that the target turns away in a second for want of room without falling over; 0: it
 	// is not brittle.
 	Brittle int
+	// Quiet is how long the target wants nothing from this host; 0: it does not ask for that.
+	Quiet time.Duration
 }
 
 // Relay describes a caller's request that is sent to targets by another host.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 	holdEnd           time.Duration   // of the last hold, according to PartFailures
 	heldUntil         time.Duration   // somewhat later than holdEnd
 	retryAfter        time.Duration   // Retry-After of a refusal; 0: the shortest
+	quiet             bool            // retryAfter is the time that targets named, however long
 	relayedBy         string          // host that the caller is connected to; empty: this one
 	helpersTried      map[string]bool // hosts through which the request was tried
 	waitsDirectly     bool            // it was decided that this host sends the request itself
@@ -355,7 +356,9 @@
 		g.opts.Quotas.Refund(x.team, x.taken)
 	}
 	if retry > 0 {
-		retry = min(retry, maxRetryAfter)
+		if !x.quiet {
+			retry = min(retry, maxRetryAfter)
+		}
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
 	}
 	g.fail(x, status)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -186,6 +186,11 @@
 		if ctx.Err() != nil || g.opts.Now() >= until {
 			return coordinator.Choice{}, false
 		}
+		if end, all := view.QuietUntil(x.service); all && end >= until {
+			x.log["reason"] = "all targets ask this host to send nothing"
+			x.retryAfter, x.quiet = end-g.opts.Now(), true
+			return coordinator.Choice{}, false
+		}
 		if x.version != nil && !view.ServesVersion(x.service, *x.version, failedTargets(x, avoid)) {
 			x.log["reason"] = "no target of the stream's software version"
 			return coordinator.Choice{}, false
@@ -340,6 +345,9 @@
 	if n.Leaving {
 		x.log["target_leaving"] = c.Target.ID
 	}
+	if n.Quiet > 0 {
+		x.log["target_quiet_ms"] = n.Quiet.Milliseconds()
+	}
 	switch {
 	case status != http.StatusMisdirectedRequest:
 		g.opts.View.RecordNotices(c.Target.ID, n)
