Test: calls of a fleet after a restore of the store

At 8, 73, 295 and 1,200 hosts a restore costs 1.2 calls a host at most within two seconds: one list of hosts.

--- a/internal/platformhost/fleetcalls_test.go
+++ b/internal/platformhost/fleetcalls_test.go
@@ -20,6 +20,21 @@
 	mu    sync.Mutex
 	down  bool
 	price float64
+	era   platform.Era
+}
+
+// version returns the version of the store's only revision.
+func (s *pricedStore) version() platform.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.Version(s.era)<<40 + 1
+}
+
+// restore begins a new era.
+func (s *pricedStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
 }
 
 // staleShare is the price of an answered call that allows stale data.
@@ -41,10 +56,13 @@
 }
 
 func (s *pricedStore) List(_ context.Context, _ platform.Kind, stale bool) (platform.List, error) {
-	return platform.List{Version: 1}, s.call(stale)
+	return platform.List{Version: s.version()}, s.call(stale)
 }
 
 func (s *pricedStore) Poll(ctx context.Context, _ platform.Kind, after platform.Version, wait time.Duration, stale bool) ([]platform.Event, platform.Version, error) {
+	if after.Era() < s.version().Era() {
+		return nil, 0, &platform.ExpiredError{} // not sent
+	}
 	if err := s.call(stale); err != nil {
 		return nil, 0, err
 	}
@@ -76,7 +94,8 @@
 
 // startCopies runs a host's three copies of the store until ctx ends. The coordinator confirms them
 // from its first reply on, but for the outage.
-func startCopies(ctx context.Context, wait *sync.WaitGroup, store *pricedStore, log logrus.FieldLogger) {
+func startCopies(ctx context.Context, wait *sync.WaitGroup, store *pricedStore, log logrus.FieldLogger) *platform.Eras {
+	eras := &platform.Eras{}
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) + time.Hour }
 	state := func() copyState {
@@ -100,9 +119,10 @@
 		func() storecache.PollPolicy { return targetPolicyOf(state()) },
 		func() storecache.PollPolicy { s := state(); return hostPolicyOf(s.coordinator, 2, s.uptime) },
 	} {
-		m := storecache.New(storecache.Options{Source: store, Outage: outage, StaleStart: i > 0, Policy: policy, Now: now, Log: log, OnChange: func(map[string]platform.Object) {}})
+		m := storecache.New(storecache.Options{Source: store, Outage: outage, Eras: eras, StaleStart: i > 0, Policy: policy, Now: now, Log: log, OnChange: func(map[string]platform.Object) {}})
 		wait.Go(func() { _ = m.Run(ctx) })
 	}
+	return eras
 }
 
 // reportIntervalOfModel is the age of a confirmation in a fleet that works.
@@ -139,3 +159,36 @@
 		})
 	}
 }
+
+// TestCallsAfterARestoreAreFew covers the pattern of a restored store: all hosts hear of the new era within a report interval.
+// Hosts whose copies the coordinator confirms must not all read everything again.
+func TestCallsAfterARestoreAreFew(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, hosts := range []int{8, 73, 295, 1200} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &pricedStore{}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wait sync.WaitGroup
+			var eras []*platform.Eras
+			for range hosts {
+				eras = append(eras, startCopies(ctx, &wait, store, log))
+			}
+			time.Sleep(4 * time.Second)
+			store.takePrice(false)
+			store.restore()
+			for i, e := range eras {
+				go func() {
+					time.Sleep(time.Duration(i%20) * reportIntervalOfModel / 20)
+					e.Learn(1)
+				}()
+			}
+			time.Sleep(2 * time.Second)
+			if price := store.takePrice(false) / float64(hosts); price > 1.2 {
+				t.Errorf("%d hosts: a restore costs %.1f calls a host in 2 s, want one for the list of hosts", hosts, price)
+			}
+			cancel()
+			wait.Wait()
+		})
+	}
+}
