Requests passed on and slots: decisions made once, complete reports of slots

Found by reading. Whether a request goes through another host was drawn twice while a host returns, so one in some hundred would have been refused between the draws; it is drawn once. A granted slot whose response was lost stayed in the coordinator's account until the next full report; hosts now report all slots that they hold, and the account follows. The monitor wakes up five times a second, not twenty; failures are looked at at once as before.

--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -56,19 +56,18 @@
 	return true
 }
 
-// Set records how many slots a node holds, as it reports. A node that holds none is forgotten.
-func (l *Ledger) Set(target, node string, held int) {
-	a := l.account(target)
-	if held > 0 {
-		a.held[node] = held
-	} else {
-		delete(a.held, node)
+// Set records how many slots of each target a node holds, as it reports.
+func (l *Ledger) Set(node string, held map[string]int) {
+	for target, a := range l.targets {
+		if held[target] == 0 {
+			delete(a.held, node)
+		}
+	}
+	for target, n := range held {
+		if n > 0 {
+			l.account(target).held[node] = n
+		}
 	}
-}
-
-// Return records that a node gave slots back.
-func (l *Ledger) Return(target, node string, n int) {
-	l.Set(target, node, l.account(target).held[node]-n)
 }
 
 // Drop forgets a node that is gone.
@@ -168,9 +167,8 @@
 	}
 }
 
-// TakeReturns takes out the slots that are not needed or exceed the limit, but for those in use.
-func (p *Purse) TakeReturns(now time.Duration, inUse func(target string) int) map[string]int {
-	var out map[string]int
+// GiveUp gives up the slots that are not needed or exceed the limit, but for those in use.
+func (p *Purse) GiveUp(now time.Duration, inUse func(target string) int) {
 	for target, h := range p.targets {
 		used, keep := inUse(target), h.held
 		if now-h.neededAt >= keepTime {
@@ -180,18 +178,11 @@
 		if h.limit >= 0 {
 			keep = min(keep, h.limit)
 		}
-		if n := h.held - max(keep, min(used, h.held)); n > 0 {
-			if out == nil {
-				out = map[string]int{}
-			}
-			out[target] = n
-			h.held -= n
-		}
+		h.held = max(keep, min(used, h.held))
 		if h.held == 0 {
 			delete(p.targets, target)
 		}
 	}
-	return out
 }
 
 // All returns the slots held by target.
@@ -202,6 +193,3 @@
 	}
 	return out
 }
-
-// Clear gives up all slots.
-func (p *Purse) Clear() { clear(p.targets) }
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -43,9 +43,8 @@
 				} else {
 					purses[i].SetLimits(nil)
 				}
-				for target, n := range purses[i].TakeReturns(now, func(string) int { return inUse[i] }) {
-					l.Return(target, name, n)
-				}
+				purses[i].GiveUp(now, func(string) int { return inUse[i] })
+				l.Set(name, purses[i].All())
 			}
 			used, held := 0, 0
 			for j := range purses {
@@ -76,9 +75,8 @@
 	}
 	limit := l.Cap(0, "e", 8)
 	busy.SetLimits(map[string]int{"e": limit})
-	for target, n := range busy.TakeReturns(0, func(string) int { return limit }) {
-		l.Return(target, "busy", n)
-	}
+	busy.GiveUp(0, func(string) int { return limit })
+	l.Set("busy", busy.All())
 	got := 0
 	for l.Ask(0, "e", "other", 8) {
 		got++
@@ -91,7 +89,7 @@
 // TestLostNodeFreesItsSlots covers a node that is gone, and a ledger that begins with what nodes report.
 func TestLostNodeFreesItsSlots(t *testing.T) {
 	l := NewLedger()
-	l.Set("e", "a", 3)
+	l.Set("a", map[string]int{"e": 3})
 	if l.Ask(0, "e", "b", 3) {
 		t.Error("a slot that another node holds")
 	}
--- a/internal/coordinator/brittle.go
+++ b/internal/coordinator/brittle.go
@@ -107,12 +107,12 @@
 	f.brittle.usableTo = max(f.brittle.usableTo, f.now()+slotsTTL)
 }
 
-// slotReturns returns what this host gives back, and all that it still holds.
-func (f *FleetView) slotReturns() (returned, held map[string]int) {
+// keptSlots gives up the slots that are not needed and returns the others.
+func (f *FleetView) keptSlots() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	returned = f.brittle.purse.TakeReturns(f.now(), func(target string) int { return f.load[target] })
-	return returned, f.brittle.purse.All()
+	f.brittle.purse.GiveUp(f.now(), func(target string) int { return f.load[target] })
+	return f.brittle.purse.All()
 }
 
 // renewSlots records that the coordinator knows what this host holds, and how much it may keep.
@@ -198,19 +198,6 @@
 	return permitReply{Granted: c.slots.Ask(c.now(), t.ID, host, capacity)}
 }
 
-// applySlots applies what a host reports of its slots. The caller must hold c.mu.
-func (c *Coordinator) applySlots(host string, r Report) {
-	if r.Full {
-		c.slots.Drop(host)
-	}
-	for target, n := range r.SlotsHeld {
-		c.slots.Set(target, host, n)
-	}
-	for target, n := range r.SlotsReturned {
-		c.slots.Return(target, host, n)
-	}
-}
-
 // slotLimits returns how many slots a host may keep of the targets of which others lack some. The caller must hold c.mu.
 func (c *Coordinator) slotLimits() map[string]int {
 	var out map[string]int
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -329,12 +329,7 @@
 	}
 	c.opts.FleetView.report(&r)
 	r.Brittle = c.opts.FleetView.brittleServices()
-	returned, held := c.opts.FleetView.slotReturns()
-	if r.Full {
-		r.SlotsHeld = held
-	} else {
-		r.SlotsReturned = returned
-	}
+	r.SlotsHeld = c.opts.FleetView.keptSlots()
 	if r.CutOff = c.opts.CutOff(); r.CutOff {
 		r.Unreachable = nil // what this host sees of targets says something about its own way
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -190,7 +190,7 @@
 	for _, service := range r.Brittle {
 		c.brittleAt[service] = now
 	}
-	c.applySlots(host, r)
+	c.slots.Set(host, r.SlotsHeld) // a slot granted while the report was on its way counts again from the next one on
 	if r.Config != nil {
 		c.fleetView.RecordConfig(*r.Config)
 		h.knownConfig = *r.Config
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -112,9 +112,8 @@
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets said lately that they are brittle
-	SlotsHeld      map[string]int       `json:"sh,omitempty"` // of brittle targets; only if Full
-	SlotsReturned  map[string]int       `json:"sr,omitempty"`
-	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
+	SlotsHeld      map[string]int       `json:"sh,omitempty"` // of brittle targets, always complete
+	Unreachable    []string             `json:"d,omitempty"`  // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 	CutOff         bool                 `json:"k,omitempty"`  // the host has lost its way to all targets; Unreachable is then empty
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,7 @@
 	quiet             bool            // retryAfter is the time that targets named, however long
 	relayedBy         string          // host that the caller is connected to; empty: this one
 	helpersTried      map[string]bool // hosts through which the request was tried
+	viaHelper         bool            // it is to be sent through another host now
 	waitsDirectly     bool            // it was decided that this host sends the request itself
 }
 
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -83,8 +83,9 @@
 // passOn sends a request to targets through other hosts, and reports whether it was responded to or given up. Otherwise no
 // other host took it and it has not run; this host may try itself.
 func (g *Gateway) passOn(ctx context.Context, x *exchange) bool {
-	if x.taken > 0 { // the other host counts it
-		g.opts.Quotas.Refund(x.team, x.taken)
+	taken := x.taken
+	if taken > 0 { // the other host counts it
+		g.opts.Quotas.Refund(x.team, taken)
 		x.taken = 0
 	}
 	for range maxHelpers {
@@ -116,7 +117,7 @@
 		g.giveUp(x)
 		return true
 	}
-	return false
+	return taken > 0 && !g.takeQuota(x)
 }
 
 func (x *exchange) tryHelper(name string) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -62,10 +62,13 @@
 	avoid := map[string]bool{}
 	for {
 		choice, ok := g.awaitTarget(ctx, x, avoid)
-		if !ok {
-			if g.goesThroughHelper(x) && g.passOn(ctx, x) {
+		if !ok && x.viaHelper {
+			if g.passOn(ctx, x) {
 				return
 			}
+			continue
+		}
+		if !ok {
 			g.giveUp(x)
 			return
 		}
@@ -154,7 +157,7 @@
 		if x.sends == 0 && g.outlastsStop(x) {
 			return coordinator.Choice{}, false
 		}
-		if g.goesThroughHelper(x) {
+		if x.viaHelper = g.goesThroughHelper(x); x.viaHelper {
 			return coordinator.Choice{}, false
 		}
 		until := g.targetWaitEnd(x)
--- a/internal/platformhost/helpers.go
+++ b/internal/platformhost/helpers.go
@@ -12,7 +12,7 @@
 	// yieldAfterShare is the part of the contact time after which it gives up its engines. Other hosts have to wait
 	// before they order them, so a short cut is no reason.
 	yieldAfterShare = 3
-	pollCutOff      = 100 * time.Millisecond
+	pollCutOff      = 300 * time.Millisecond
 )
 
 // yieldEngines gives up the engines of this host when it has lost its way to all of them, until ctx ends.
--- a/internal/targetreach/monitor.go
+++ b/internal/targetreach/monitor.go
@@ -19,8 +19,8 @@
 const (
 	slowDial     = 100 * time.Millisecond // a connection that takes longer counts as a failure; ten times the delay between regions
 	probeTimeout = 300 * time.Millisecond
-	checkPeriod  = 50 * time.Millisecond
-	confirmWait  = time.Second // longer than it takes to find out
+	checkPeriod  = 200 * time.Millisecond // failures are looked at at once
+	confirmWait  = time.Second            // longer than it takes to find out
 )
 
 // Options holds the settings of a Monitor.
