--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -95,7 +95,7 @@
 	var client *coordinator.Client
 	h.quotas = NewQuotas(testBounds(), func() HostCount {
 		together, lately := client.CountedTogether()
-		return HostCount{All: len(f.known), Together: together, Lately: lately}
+		return HostCount{All: len(f.hosts), Together: together, Lately: lately}
 	}, f.now, rand.New(rand.NewPCG(f.random.Uint64(), 5)).Float64)
 	client = coordinator.NewClient(coordinator.ClientOptions{
 		Self: self, FleetView: view, Owner: owner, Coordinator: coord, Calls: h.net, Parts: h.parts, LocalUse: h.quotas.LocalUse,
--- a/internal/storecache/mirror_test.go
+++ b/internal/storecache/mirror_test.go
@@ -50,6 +50,12 @@
 	change(f)
 }
 
+func (f *fakeSource) pollCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polls
+}
+
 func (f *fakeSource) List(_ context.Context, _ platform.Kind, stale bool) (platform.List, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -227,8 +233,8 @@
 		policy := &switchable{policy: PollPolicy{MaxWait: 10 * time.Millisecond, MinInterval: time.Hour}}
 		_, count := start(t, source, func(o *Options) { o.Policy = policy.get })
 		time.Sleep(time.Minute)
-		if source.polls > 1 {
-			t.Errorf("%d polls in a minute, want one at most", source.polls)
+		if polls := source.pollCount(); polls > 1 {
+			t.Errorf("%d polls in a minute, want one at most", polls)
 		}
 		source.put("c")
 		policy.set(PollPolicy{MaxWait: time.Millisecond, MinInterval: 300 * time.Millisecond})
--- a/internal/storecache/outage_test.go
+++ b/internal/storecache/outage_test.go
@@ -18,8 +18,8 @@
 		time.Sleep(2 * time.Second)
 		source.set(func(f *fakeSource) { f.fails, f.polls = true, 0 })
 		time.Sleep(30 * time.Second)
-		if source.polls > 20 {
-			t.Errorf("%d calls in 30 s to a store that refuses them, want 20 at most", source.polls)
+		if polls := source.pollCount(); polls > 20 {
+			t.Errorf("%d calls in 30 s to a store that refuses them, want 20 at most", polls)
 		}
 		source.set(func(f *fakeSource) { f.fails = false })
 		policy.set(PollPolicy{MaxWait: 700 * time.Millisecond})
