Targets: those that left while a host was cut off get nothing at its return

They are kept because the entries of live engines expire together while the store is away. Change: a target that is missing is sent nothing while most targets of its service are listed. Test: TestTargetsMissingAfterACutGetNothing, with the control that all of a service's entries missing together are used as before; it fails without the change (target a is chosen).

--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -58,7 +58,7 @@
 	brittle := f.isBrittle(req.Service)
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
-		if t.Draining || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
+		if t.Draining || t.Missing || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
 			continue
 		}
 		if f.isQuiet(t) {
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -230,7 +230,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t, ok := f.targets.ByID[chosen.ID]
-	return ok && !t.Draining && t.StartedMS == chosen.StartedMS
+	return ok && !t.Draining && !t.Missing && t.StartedMS == chosen.StartedMS
 }
 
 // SetViews stores views of engines.
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -25,6 +25,9 @@
 	OnDisk     []string
 	InMemory   []string
 	Revision   uint64 // store revision of the registration
+	// Missing is set if it is not registered any more, but may be again in a moment, and most targets of its service
+	// are: it is sent nothing meanwhile.
+	Missing bool
 }
 
 // Targets is an immutable set of targets.
--- a/internal/platformhost/join_test.go
+++ b/internal/platformhost/join_test.go
@@ -106,3 +106,38 @@
 		t.Errorf("%d writes 6 s after the entry was last seen, want one", store.puts)
 	}
 }
+
+// TestTargetsMissingAfterACutGetNothing guards against requests at targets that left while a host was cut off: for 2 s after
+// its return it kept them, as it does for entries that expire together while the store is away.
+func TestTargetsMissingAfterACutGetNothing(t *testing.T) {
+	targets := func() map[string]fleet.Target {
+		return map[string]fleet.Target{"a": {ID: "a", Service: "s"}, "b": {ID: "b", Service: "s"}, "c": {ID: "c", Service: "s"}}
+	}
+	view := coordinator.NewFleetView("z", bootclock.Now)
+	picks := func(missing map[string]bool) map[string]bool {
+		byID, out := targets(), map[string]bool{}
+		markMissing(byID, missing)
+		view.SetTargets(fleet.NewTargets(byID))
+		for range 200 {
+			if c, ok := view.Pick(coordinator.Requirements{Service: "s"}); ok {
+				out[c.Target.ID] = true
+			}
+		}
+		return out
+	}
+	if got := picks(map[string]bool{"a": true}); got["a"] || !got["b"] || !got["c"] {
+		t.Errorf("one is missing: chosen %v", got)
+	}
+	if got := picks(map[string]bool{"a": true, "b": true, "c": true}); len(got) != 3 {
+		t.Errorf("all are missing: chosen %v, want all", got)
+	}
+	if got := picks(nil); len(got) != 3 {
+		t.Errorf("none is missing: chosen %v, want all", got)
+	}
+	before := fleet.NewTargets(targets()).Digest
+	byID := targets()
+	markMissing(byID, map[string]bool{"a": true})
+	if fleet.NewTargets(byID).Digest != before {
+		t.Error("the digest of the list changes")
+	}
+}
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -98,7 +98,7 @@
 // targetsChanged applies the registered targets. Entries that can't be decoded
 // are logged and skipped.
 func (h *Host) targetsChanged(objects map[string]platform.Object) {
-	old := h.view.ListedTargets()
+	old, missing := h.view.ListedTargets(), h.targets.Missing()
 	byID := make(map[string]fleet.Target, len(objects))
 	for name, obj := range objects {
 		if known, ok := old.ByID[name]; ok && known.Revision == uint64(obj.Version) {
@@ -112,6 +112,7 @@
 		}
 		byID[name] = t
 	}
+	markMissing(byID, missing)
 	targets := fleet.NewTargets(byID)
 	if len(old.ByID) == 0 {
 		h.log.WithFields(logrus.Fields{"event": "targets_listed", "targets": len(byID), "digest": targets.Digest}).Info("first list of targets")
@@ -121,6 +122,22 @@
 	h.view.SetTargets(targets)
 }
 
+// markMissing marks the targets that are kept although the store does not list them. While the store is away, the entries of
+// most targets expire together and come back; a few that are missing when this host is back have left.
+func markMissing(byID map[string]fleet.Target, missing map[string]bool) {
+	total, gone := map[string]int{}, map[string]int{}
+	for id, t := range byID {
+		total[t.Service]++
+		if missing[id] {
+			gone[t.Service]++
+		}
+	}
+	for id, t := range byID {
+		t.Missing = missing[id] && 2*gone[t.Service] <= total[t.Service]
+		byID[id] = t
+	}
+}
+
 func (h *Host) logTargetChanges(old, next map[string]fleet.Target) {
 	for name, t := range next {
 		if before, known := old[name]; !known || before.Draining != t.Draining {
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -100,6 +100,17 @@
 	return m.confirmed, m.listed
 }
 
+// Missing returns the names of the objects that are kept although the store does not list them.
+func (m *Mirror) Missing() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]bool, len(m.missing))
+	for name := range m.missing {
+		out[name] = true
+	}
+	return out
+}
+
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
