--- a/internal/coordinator/restoredstore_test.go
+++ b/internal/coordinator/restoredstore_test.go
@@ -99,17 +99,17 @@
 
 const orderLease = 3 * time.Second
 
-func (r *orderRule) order(holder string, fence uint64, now time.Duration) error {
+func (r *orderRule) order(holder string, fence uint64, now time.Duration) (violation string) {
 	defer func() { r.holder, r.fence, r.at = holder, fence, now }()
 	switch {
 	case r.holder == "" || r.holder == holder && fence >= r.fence:
-		return nil
+		return ""
 	case fence <= r.fence:
-		return fmt.Errorf("%s orders with token %x after %s with %x", holder, fence, r.holder, r.fence)
+		return fmt.Sprintf("%s orders with token %x after %s with %x", holder, fence, r.holder, r.fence)
 	case now-r.at < orderLease:
-		return fmt.Errorf("%s orders %v after %s", holder, now-r.at, r.holder)
+		return fmt.Sprintf("%s orders %v after %s", holder, now-r.at, r.holder)
 	}
-	return nil
+	return ""
 }
 
 // modelHost is a host with a lease and the engines that it owns.
@@ -197,10 +197,11 @@
 // modelStep is the time between two steps of a leaseModel.
 const modelStep = 100 * time.Millisecond
 
-// step lets a host renew its lease, claim an engine and order those that it owns.
-func (m *leaseModel) step(h *modelHost) error {
+// step lets a host renew its lease, claim an engine and order those that it owns. It returns how the rule was broken; empty: it
+// was not.
+func (m *leaseModel) step(h *modelHost) (violation string) {
 	if m.now < h.downUntil {
-		return nil
+		return ""
 	}
 	ctx := context.Background()
 	if m.now >= h.renewAt {
@@ -227,11 +228,11 @@
 			continue
 		}
 		m.orders++
-		if err := m.rules[name].order(h.name, e.fence, m.now); err != nil {
-			return fmt.Errorf("engine %s: %w", name, err)
+		if v := m.rules[name].order(h.name, e.fence, m.now); v != "" {
+			return "engine " + name + ": " + v
 		}
 	}
-	return nil
+	return ""
 }
 
 // keeps does what Owner does for an engine that it owns.
@@ -259,8 +260,8 @@
 		m.now += modelStep
 		m.disturb()
 		for _, i := range m.rng.Perm(len(m.hosts)) {
-			if err := m.step(m.hosts[i]); err != nil {
-				t.Fatalf("seed %d, %v, era %d: %v", seed, m.now-time.Hour, m.store.era, err)
+			if v := m.step(m.hosts[i]); v != "" {
+				t.Fatalf("seed %d, %v, era %d: %s", seed, m.now-time.Hour, m.store.era, v)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// exchange is one request in progress.
+type exchange struct {
+	call              fleet.Call
+	config            *fleet.Config
+	route             *fleet.Route
+	team              *fleet.Team // nil on a public route
+	service           string
+	body              []byte
+	r                 *http.Request
+	w                 http.ResponseWriter
+	arrived           time.Duration
+	deadline          time.Duration // on the clock of Options.Now
+	taken             float64       // from the team's quota
+	sends             int           // sends after which the target may have run the request
+	tries             int           // sends that may have reached a target
+	sentAt            time.Duration // time of the last send
+	connectFailures   int           // failed connection attempts
+	cachedFingerprint string        // set by fingerprint
+	log               logrus.Fields
+	headWritten       bool // the response head was sent to the caller
+	refused           bool
+	status            int
+	events            eventBuffer
+	version           *string // only version at which the stream may go on; nil: any, as it has not begun
+	noRetryBudget     bool
+	probe             bool            // admitted although a part of its prompt is blocked
+	holdEnd           time.Duration   // of the last hold, according to PartFailures
+	heldUntil         time.Duration   // somewhat later than holdEnd
+	retryAfter        time.Duration   // Retry-After of a refusal; 0: the shortest
+	quiet             bool            // retryAfter is the time that targets named, however long
+	relayedBy         string          // host that the caller is connected to; empty: this one
+	helpersTried      map[string]bool // hosts through which the request was tried
+	viaHelper         bool            // it is to be sent through another host now
+	waitsDirectly     bool            // it was decided that this host sends the request itself
+}
+
+// fingerprint returns a hash that is equal for all attempts of the same request.
+func (x *exchange) fingerprint() string {
+	if x.cachedFingerprint == "" {
+		h := xxhash.New()
+		team := ""
+		if x.team != nil {
+			team = x.team.Name
+		}
+		for _, s := range []string{x.r.Method, x.r.RequestURI, team, x.call.ModelKey()} {
+			_, _ = h.WriteString(s) // never fails
+			_, _ = h.Write([]byte{0})
+		}
+		_, _ = h.Write(x.body)
+		x.cachedFingerprint = strconv.FormatUint(h.Sum64(), 36)
+	}
+	return x.cachedFingerprint
+}
--- a/internal/targetreach/monitor_test.go
+++ b/internal/targetreach/monitor_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,12 +15,10 @@
 
 // network is a network to ten targets that can be cut.
 type network struct {
-	cut   atomic.Pointer[string] // "hang", "refuse" or, to all but one target, "refuse others"; nil: not cut
+	cut   atomic.Pointer[string] // "hang", "refuse", or "refuse one" of the targets; nil or empty: not cut
 	dials atomic.Int64
 }
 
-var errRefused = errors.New("connection refused")
-
 func (n *network) set(cut string) { n.cut.Store(&cut) }
 
 func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
@@ -35,7 +33,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return nil, errRefused
+	return nil, syscall.ECONNREFUSED
 }
 
 // start runs a monitor of the network in a synctest bubble, and uses it thirty times a second until the test ends.
