Requests passed on, claims of engines: two promises that could be wrong

Found by reading. A request that may have run, and that another host then refused, would have been answered with that host's 503, which promises that it has not run; it ends with 502 now. A claim during which the store was restored wrote a record that names the era before, which others take for one of the copy and no claim; it fails now. Tests: TestLostHopIsUnknown (eleven ways a hop may end), TestStreamGoesOnAfterALostHop, TestClaimAcrossARestoreIsNone.

--- a/internal/coordinator/claim.go
+++ b/internal/coordinator/claim.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return 0, false, err
 	}
+	if stored.Version.Era() != era { // the store was restored meanwhile; the record counts as one of the era before
+		return 0, false, &UnsettledEraError{Era: stored.Version.Era()}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.takenOver[engine] = stored.Version
@@ -116,6 +119,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if stored.Version.Era() != era {
+		return 0, &UnsettledEraError{Era: stored.Version.Era()}
+	}
 	return uint64(stored.Version), nil
 }
 
--- a/internal/coordinator/restoredstore_test.go
+++ b/internal/coordinator/restoredstore_test.go
@@ -343,3 +343,35 @@
 		}
 	}
 }
+
+// restoringStore restores the store, of which the host then hears, before the first write of an owner record.
+type restoringStore struct {
+	*hostStore
+	empty    restorableStore
+	restored bool
+}
+
+func (s *restoringStore) Put(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	if obj.Kind == kindOwners && !s.restored {
+		s.restored = true
+		s.store.restore(s.empty)
+		s.eras.Learn(s.store.era)
+	}
+	return s.hostStore.Put(ctx, obj)
+}
+
+// TestClaimAcrossARestoreIsNone guards against a claim whose record names the era before: others would take it for one of the
+// copy and claim the engine too.
+func TestClaimAcrossARestoreIsNone(t *testing.T) {
+	store := &restorableStore{era: 1, objects: map[string]platform.Object{}}
+	eras := &platform.Eras{}
+	way := &restoringStore{hostStore: &hostStore{store: store, eras: eras}, empty: store.clone()}
+	lease := NewLease(LeaseOptions{Holder: "a", Store: way, Eras: eras, FirstBoot: true, Now: func() time.Duration { return time.Hour }, Log: quietLog()})
+	if err := lease.renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var unsettled *UnsettledEraError
+	if fence, _, err := lease.Claim(t.Context(), "e1"); !errors.As(err, &unsettled) {
+		t.Errorf("token %x, error %v", fence, err)
+	}
+}
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -49,6 +49,11 @@
 	headerDeclined  = "Seam-Relay-Declined" // the host cannot send the request either; another one may
 )
 
+// promisesNotRun are the statuses that promise callers that a request has not run and won't run.
+var promisesNotRun = map[int]bool{
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
 // maxHelpers is the number of hosts through which a request is tried at most.
 const maxHelpers = 3
 
@@ -149,6 +154,9 @@
 	if resp.Header.Get(headerDeclined) != "" {
 		return notRun
 	}
+	if x.sends > 0 && promisesNotRun[resp.Status] {
+		return notRun // this host may have had it run before
+	}
 	if x.headWritten && resp.Status != http.StatusOK {
 		return mayHaveRun
 	}
--- /dev/null
+++ b/internal/gateway/helper_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// lostWay is the Reach of a host that has lost its way to all targets.
+type lostWay struct{ alwaysReached }
+
+func (lostWay) CutOff() (time.Duration, bool) { return 0, true }
+func (lostWay) Direct() bool                  { return false }
+
+// scriptedHelpers are hosts that give the nth response to the nth request that is passed on.
+type scriptedHelpers struct{ scriptedSender }
+
+func (s *scriptedHelpers) Choose(tried map[string]bool) (fleet.Host, bool) {
+	for _, name := range []string{"h1", "h2", "h3"} {
+		if !tried[name] {
+			return fleet.Host{Name: name, RelayAddress: name}, true
+		}
+	}
+	return fleet.Host{}, false
+}
+
+func refusedByHost(target.ForwardRequest) (*target.ForwardResponse, error) {
+	return &target.ForwardResponse{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {"0.10"}}, Body: http.NoBody}, nil
+}
+
+func declined(target.ForwardRequest) (*target.ForwardResponse, error) {
+	return &target.ForwardResponse{Status: http.StatusServiceUnavailable, Header: http.Header{headerDeclined: {"1"}}, Body: http.NoBody}, nil
+}
+
+func lostHop(target.ForwardRequest) (*target.ForwardResponse, error) {
+	return nil, &target.UnknownOutcomeError{Cause: resetError{}}
+}
+
+func unreachableHost(target.ForwardRequest) (*target.ForwardResponse, error) {
+	return nil, &target.UnreachableError{Cause: resetError{}}
+}
+
+// TestLostHopIsUnknown guards against telling a caller that a request has not run although a host that was lost may have had
+// it run, and against sending what may not be repeated twice.
+func TestLostHopIsUnknown(t *testing.T) {
+	type responses = []func(target.ForwardRequest) (*target.ForwardResponse, error)
+	for name, c := range map[string]struct {
+		path      string
+		responses responses
+		status    int
+		sends     int
+	}{
+		"served":                        {"/pay/x", responses{respond(200, "ok")}, 200, 1},
+		"declined, then served":         {"/pay/x", responses{declined, respond(200, "ok")}, 200, 2},
+		"unreachable, then served":      {"/pay/x", responses{unreachableHost, respond(200, "ok")}, 200, 2},
+		"refused":                       {"/pay/x", responses{refusedByHost}, 503, 1},
+		"lost, may not be repeated":     {"/pay/x", responses{lostHop, respond(200, "ok")}, 502, 1},
+		"lost, may be repeated":         {"/stream/x", responses{lostHop, respond(200, "id: 1\ndata: a\n\n")}, 200, 2},
+		"lost, then refused":            {"/stream/x", responses{lostHop, refusedByHost, refusedByHost}, 502, 3},
+		"lost within the first event":   {"/stream/x", responses{breakAfter("id: 1\nda"), respond(200, "id: 1\ndata: a\n\n")}, 200, 2},
+		"lost after the first event":    {"/stream/x", responses{breakAfter("id: 1\ndata: a\n\n"), respond(200, "id: 2\ndata: b\n\n")}, 200, 2},
+		"stream may not be repeated":    {"/once/x", responses{breakAfter(""), respond(200, "id: 1\n\n")}, 502, 1},
+		"all decline, then unreachable": {"/pay/x", responses{declined, unreachableHost, declined}, 200, 3},
+	} {
+		direct := &scriptedSender{responses: responses{respond(200, "directly")}}
+		g := testGateway(direct)
+		helpers := &scriptedHelpers{scriptedSender{responses: c.responses}}
+		g.opts.Reach, g.opts.Helpers, g.opts.Self = lostWay{}, helpers, "h0"
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		w := serve(g, newPost(c.path, map[bool]string{true: "", false: "m"}[c.path == "/pay/x"], "a1").WithContext(ctx))
+		cancel()
+		if w.Code != c.status || len(helpers.sent) != c.sends {
+			t.Errorf("%s: status %d after %d sends, want %d after %d", name, w.Code, len(helpers.sent), c.status, c.sends)
+		}
+		if c.status == 200 && len(direct.sent) > 0 && c.sends < 3 {
+			t.Errorf("%s: sent directly too", name)
+		}
+	}
+}
+
+// TestStreamGoesOnAfterALostHop guards against events that are lost or repeated where another host takes a stream over.
+func TestStreamGoesOnAfterALostHop(t *testing.T) {
+	g := testGateway(&scriptedSender{})
+	helpers := &scriptedHelpers{scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
+		breakAfter("id: 1\ndata: a\n\nid: 2\nda"), respond(200, "id: 2\ndata: b\n\n"),
+	}}}
+	g.opts.Reach, g.opts.Helpers, g.opts.Self = lostWay{}, helpers, "h0"
+	w := post(g, "/stream/x", "m")
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; w.Body.String() != want {
+		t.Errorf("got body %q", w.Body.String())
+	}
+	if second := helpers.sent[1].Header; second.Get("From") != "1" || second.Get("Resumes") != "a1" {
+		t.Errorf("the second host was told to go on after %q of %q, want event 1 of a1", second.Get("From"), second.Get("Resumes"))
+	}
+}
