--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -49,7 +49,6 @@
 	return t
 }
 
-// digest sums hashes, so that it does not depend on an order.
 // WithDraining returns the targets with those marked as draining for which drains returns true. The digest stays that of
 // the targets as they are registered.
 func (t *Targets) WithDraining(drains func(Target) bool) *Targets {
@@ -70,6 +69,7 @@
 	return &Targets{ByID: byID, ByService: t.ByService, Digest: t.Digest}
 }
 
+// digest sums hashes, so that it does not depend on an order.
 func (t *Targets) digest() uint64 {
 	var sum uint64
 	onDisk := map[string]bool{}
