Brittle targets: requests from before count against their room

The account of slots began at none while each engine had requests from before; those that hosts have reported now count.

--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -44,10 +44,11 @@
 	return n
 }
 
-// Ask grants a node one more slot of a target if the slots held are below its capacity.
-func (l *Ledger) Ask(now time.Duration, target, node string, capacity int) bool {
+// Ask grants a node one more slot of a target if the slots held, and the requests that are there without a slot, are below
+// its capacity.
+func (l *Ledger) Ask(now time.Duration, target, node string, capacity, withoutSlot int) bool {
 	a := l.account(target)
-	if limit := l.Cap(now, target, capacity); a.sum() >= capacity || limit >= 0 && a.held[node] >= limit {
+	if limit := l.Cap(now, target, capacity); a.sum()+withoutSlot >= capacity || limit >= 0 && a.held[node] >= limit {
 		a.wantedAt[node] = now
 		return false
 	}
@@ -56,6 +57,14 @@
 	return true
 }
 
+// Held returns how many slots of a target a node holds.
+func (l *Ledger) Held(target, node string) int {
+	if a := l.targets[target]; a != nil {
+		return a.held[node]
+	}
+	return 0
+}
+
 // Set records how many slots of each target a node holds, as it reports.
 func (l *Ledger) Set(node string, held map[string]int) {
 	for target, a := range l.targets {
--- a/internal/coordinator/brittle.go
+++ b/internal/coordinator/brittle.go
@@ -195,7 +195,17 @@
 	if reporting := len(c.hosts); reporting < all { // the others may report to another coordinator
 		capacity = max(1, capacity*reporting/all)
 	}
-	return permitReply{Granted: c.slots.Ask(c.now(), t.ID, host, capacity)}
+	return permitReply{Granted: c.slots.Ask(c.now(), t.ID, host, capacity, c.withoutSlot(t.ID))}
+}
+
+// withoutSlot returns how many requests of all hosts are at a target without a slot, as far as hosts have reported: those
+// that were sent before it was brittle. The caller must hold c.mu.
+func (c *Coordinator) withoutSlot(target string) int {
+	n := 0
+	for name, h := range c.hosts {
+		n += max(0, h.load[target]-c.slots.Held(target, name))
+	}
+	return n
 }
 
 // slotLimits returns how many slots a host may keep of the targets of which others lack some. The caller must hold c.mu.
