--- a/coord/slots/slots.go
+++ b/coord/slots/slots.go
@@ -5,7 +5,7 @@
 
 import "time"
 
-// Times of a Ledger and a Purse.
+// Times of a Ledger and a NodeSlots.
 const (
 	// keepTime is how long a node keeps a slot that it does not use.
 	keepTime = 500 * time.Millisecond
@@ -126,8 +126,8 @@
 	}
 }
 
-// Purse holds the slots of one node. It is not safe for concurrent use.
-type Purse struct {
+// NodeSlots holds the slots of one node. It is not safe for concurrent use.
+type NodeSlots struct {
 	targets map[string]*holding
 }
 
@@ -137,11 +137,11 @@
 	neededAt time.Duration // when all held slots were last in use
 }
 
-// NewPurse returns a purse without slots.
-func NewPurse() *Purse { return &Purse{targets: map[string]*holding{}} }
+// NewNodeSlots returns the slots of a node that holds none.
+func NewNodeSlots() *NodeSlots { return &NodeSlots{targets: map[string]*holding{}} }
 
 // Held returns how many slots of a target the node holds.
-func (p *Purse) Held(target string) int {
+func (p *NodeSlots) Held(target string) int {
 	if h := p.targets[target]; h != nil {
 		return h.held
 	}
@@ -149,7 +149,7 @@
 }
 
 // Add adds a slot that was granted.
-func (p *Purse) Add(now time.Duration, target string) {
+func (p *NodeSlots) Add(now time.Duration, target string) {
 	h := p.targets[target]
 	if h == nil {
 		h = &holding{limit: -1}
@@ -160,14 +160,14 @@
 }
 
 // Used records how many requests the node has at a target.
-func (p *Purse) Used(now time.Duration, target string, inUse int) {
+func (p *NodeSlots) Used(now time.Duration, target string, inUse int) {
 	if h := p.targets[target]; h != nil && inUse >= h.held {
 		h.neededAt = now
 	}
 }
 
 // SetLimits records how many slots of each target the node may keep. There is none for the others.
-func (p *Purse) SetLimits(limits map[string]int) {
+func (p *NodeSlots) SetLimits(limits map[string]int) {
 	for target, h := range p.targets {
 		h.limit = -1
 		if n, ok := limits[target]; ok {
@@ -177,7 +177,7 @@
 }
 
 // GiveUp gives up the slots that are not needed or exceed the limit, but for those in use.
-func (p *Purse) GiveUp(now time.Duration, inUse func(target string) int) {
+func (p *NodeSlots) GiveUp(now time.Duration, inUse func(target string) int) {
 	for target, h := range p.targets {
 		used, keep := inUse(target), h.held
 		if now-h.neededAt >= keepTime {
@@ -195,7 +195,7 @@
 }
 
 // All returns the slots held by target.
-func (p *Purse) All() map[string]int {
+func (p *NodeSlots) All() map[string]int {
 	out := make(map[string]int, len(p.targets))
 	for target, h := range p.targets {
 		out[target] = h.held
--- a/coord/slots/slots_test.go
+++ b/coord/slots/slots_test.go
@@ -14,9 +14,9 @@
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		l := NewLedger()
-		purses, inUse := make([]*Purse, nodes), make([]int, nodes)
-		for i := range purses {
-			purses[i] = NewPurse()
+		nodeSlots, inUse := make([]*NodeSlots, nodes), make([]int, nodes)
+		for i := range nodeSlots {
+			nodeSlots[i] = NewNodeSlots()
 		}
 		now, served := time.Duration(0), 0
 		for range steps {
@@ -25,13 +25,13 @@
 			name := fmt.Sprint(i)
 			switch rng.IntN(3) {
 			case 0:
-				if inUse[i] >= purses[i].Held("e") && l.Ask(now, "e", name, capacity, 0) {
-					purses[i].Add(now, "e")
+				if inUse[i] >= nodeSlots[i].Held("e") && l.Ask(now, "e", name, capacity, 0) {
+					nodeSlots[i].Add(now, "e")
 				}
-				if inUse[i] < purses[i].Held("e") {
+				if inUse[i] < nodeSlots[i].Held("e") {
 					inUse[i]++
 					served++
-					purses[i].Used(now, "e", inUse[i])
+					nodeSlots[i].Used(now, "e", inUse[i])
 				}
 			case 1:
 				if inUse[i] > 0 {
@@ -39,19 +39,19 @@
 				}
 			default:
 				if limit := l.Cap(now, "e", capacity); limit >= 0 {
-					purses[i].SetLimits(map[string]int{"e": limit})
+					nodeSlots[i].SetLimits(map[string]int{"e": limit})
 				} else {
-					purses[i].SetLimits(nil)
+					nodeSlots[i].SetLimits(nil)
 				}
-				purses[i].GiveUp(now, func(string) int { return inUse[i] })
-				l.Set(name, purses[i].All())
+				nodeSlots[i].GiveUp(now, func(string) int { return inUse[i] })
+				l.Set(name, nodeSlots[i].All())
 			}
 			used, held := 0, 0
-			for j := range purses {
+			for j := range nodeSlots {
 				used += inUse[j]
-				held += purses[j].Held("e")
-				if inUse[j] > purses[j].Held("e") {
-					t.Fatalf("seed %d: node %d uses %d of %d slots", seed, j, inUse[j], purses[j].Held("e"))
+				held += nodeSlots[j].Held("e")
+				if inUse[j] > nodeSlots[j].Held("e") {
+					t.Fatalf("seed %d: node %d uses %d of %d slots", seed, j, inUse[j], nodeSlots[j].Held("e"))
 				}
 			}
 			if used > capacity || held != l.account("e").sum() {
@@ -66,7 +66,7 @@
 
 // TestNodeThatLacksSlotsGetsSome guards against nodes that keep all slots for as long as they have work.
 func TestNodeThatLacksSlotsGetsSome(t *testing.T) {
-	l, busy := NewLedger(), NewPurse()
+	l, busy := NewLedger(), NewNodeSlots()
 	for l.Ask(0, "e", "busy", 8, 0) {
 		busy.Add(0, "e")
 	}
--- a/internal/coordinator/brittle.go
+++ b/internal/coordinator/brittle.go
@@ -38,12 +38,12 @@
 type brittleness struct {
 	seenAt   map[string]time.Duration // by service, when a target said so to this host
 	toldAt   map[string]time.Duration // by service, when the coordinator last said so
-	purse    *slots.Purse
+	slots    *slots.NodeSlots
 	usableTo time.Duration // the slots held may be used until then
 }
 
 func newBrittleness() brittleness {
-	return brittleness{seenAt: map[string]time.Duration{}, toldAt: map[string]time.Duration{}, purse: slots.NewPurse()}
+	return brittleness{seenAt: map[string]time.Duration{}, toldAt: map[string]time.Duration{}, slots: slots.NewNodeSlots()}
 }
 
 // isBrittle reports whether the targets of a service are brittle. The caller must hold f.mu.
@@ -82,8 +82,8 @@
 	return out
 }
 
-// tellBrittle records what another host said.
-func (f *FleetView) tellBrittle(services []string) {
+// recordBrittleReports records what another host said.
+func (f *FleetView) recordBrittleReports(services []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, service := range services {
@@ -96,14 +96,14 @@
 	if f.now() >= f.brittle.usableTo {
 		return 0
 	}
-	return f.brittle.purse.Held(target)
+	return f.brittle.slots.Held(target)
 }
 
 // addSlot adds a slot that the coordinator granted.
 func (f *FleetView) addSlot(t fleet.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.brittle.purse.Add(f.now(), t.ID)
+	f.brittle.slots.Add(f.now(), t.ID)
 	f.brittle.usableTo = max(f.brittle.usableTo, f.now()+slotsTTL)
 }
 
@@ -111,15 +111,15 @@
 func (f *FleetView) keptSlots() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.brittle.purse.GiveUp(f.now(), func(target string) int { return f.load[target] })
-	return f.brittle.purse.All()
+	f.brittle.slots.GiveUp(f.now(), func(target string) int { return f.load[target] })
+	return f.brittle.slots.All()
 }
 
 // renewSlots records that the coordinator knows what this host holds, and how much it may keep.
 func (f *FleetView) renewSlots(limits map[string]int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.brittle.purse.SetLimits(limits)
+	f.brittle.slots.SetLimits(limits)
 	f.brittle.usableTo = f.now() + slotsTTL
 }
 
@@ -133,7 +133,7 @@
 			f.mu.Unlock()
 			return nil, false
 		}
-		f.brittle.purse.Used(f.now(), t.ID, f.load[t.ID]+1)
+		f.brittle.slots.Used(f.now(), t.ID, f.load[t.ID]+1)
 	}
 	f.countLocked(key, 1)
 	f.mu.Unlock()
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -251,7 +251,7 @@
 	}
 	c.opts.Coordinator.Follow(to)
 	if !u.UnknownHost {
-		c.opts.FleetView.tellBrittle(u.Brittle)
+		c.opts.FleetView.recordBrittleReports(u.Brittle)
 		c.opts.FleetView.renewSlots(u.SlotLimits)
 	}
 	c.mu.Lock()
