Explain: why a target was passed over

Cause: a request that avoids a target since that had asked for quiet, named a limit, left or is brittle had no log line that says so: quiet and brittle were logged only with the request that met them, the lines on leaving were shown for 3 s, those on limits never. The test of explain is over log lines written by hand, not over a fleet's.

--- a/internal/coordinator/brittle.go
+++ b/internal/coordinator/brittle.go
@@ -62,6 +62,9 @@
 	f.mu.Lock()
 	before := f.isBrittle(service)
 	f.brittle.seenAt[service] = f.now()
+	if !before {
+		f.logNotice("service_brittle", logrus.Fields{"service": service}, "targets of a service are brittle; each request needs a slot")
+	}
 	f.mu.Unlock()
 	if !before {
 		f.requestReport()
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -190,7 +190,7 @@
 		c.report(ctx)
 		c.opts.Parts.evaluate()
 		c.logLimits()
-		c.logLeaving()
+		c.logNotices()
 		timer.Reset(reportInterval)
 	}
 }
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -23,6 +23,7 @@
 	targets       *fleet.Targets // as registered, but those that leave are marked as draining
 	leaving       leavingTargets
 	brittle       brittleness
+	noticesToLog  []notice
 	quietUntil    map[string]time.Duration // by start of a target, until when it wants nothing from this host
 	views         map[string]EngineView    // by engine, from the coordinator or this host's own Owner
 	running       map[runKey]int           // this host's requests
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -22,7 +22,6 @@
 type leavingTargets struct {
 	records map[string]leavingRecord
 	version uint64 // increases with each record that is told to other hosts
-	unread  []LeavingTarget
 }
 
 type leavingRecord struct {
@@ -97,7 +96,7 @@
 	if !f.leaving.add(run, since, true) {
 		return false
 	}
-	f.leaving.unread = append(f.leaving.unread, LeavingTarget{Run: run, AgeMS: (f.now() - since).Milliseconds()})
+	f.logNotice("target_leaving", logrus.Fields{"target": run, "age_ms": (f.now() - since).Milliseconds()}, "a target said in a response that it leaves")
 	f.markLeaving()
 	f.notify()
 	return true
@@ -135,19 +134,3 @@
 		f.addLeaving(t.Run, f.now()-time.Duration(t.AgeMS)*time.Millisecond)
 	}
 }
-
-// takeLeaving returns the targets that are newly known to leave.
-func (f *FleetView) takeLeaving() []LeavingTarget {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := f.leaving.unread
-	f.leaving.unread = nil
-	return out
-}
-
-// logLeaving logs the targets that are newly known to leave.
-func (c *Client) logLeaving() {
-	for _, t := range c.opts.FleetView.takeLeaving() {
-		c.opts.Log.WithFields(logrus.Fields{"event": "target_leaving", "target": t.Run, "age_ms": t.AgeMS}).Info("a target said in a response that it leaves")
-	}
-}
--- a/internal/coordinator/quiet.go
+++ b/internal/coordinator/quiet.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
@@ -17,7 +19,11 @@
 func (f *FleetView) RecordQuiet(t fleet.Target, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.quietUntil[runOf(t)] = max(f.quietUntil[runOf(t)], f.now()+d+rand.N(quietSpread))
+	before, end := f.quietUntil[runOf(t)], f.now()+d+rand.N(quietSpread)
+	if end > before+quietReturn { // not for each response that was on its way
+		f.logNotice("target_quiet", logrus.Fields{"target": runOf(t), "quiet_ms": d.Milliseconds()}, "a target asked this host to send it nothing for a time")
+	}
+	f.quietUntil[runOf(t)] = max(before, end)
 }
 
 // isQuiet reports whether a target is not to be chosen since it asked for quiet. After the end of the time, it is chosen for a
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -33,3 +33,27 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestExplainTellsWhyATargetWasPassedOver guards against a story without what targets had said about themselves before the
+// request came: that one leaves, wants quiet, names a limit, or is brittle.
+func TestExplainTellsWhyATargetWasPassedOver(t *testing.T) {
+	const before = `{"event":"target_leaving","host":"h1","target":"e1@0","age_ms":0,"time":"2026-01-01T00:00:10.000Z"}
+{"event":"target_quiet","host":"h1","target":"e2@0","quiet_ms":25000,"time":"2026-01-01T00:00:12.000Z"}
+{"event":"target_limit","host":"h1","target":"e3@0","limit":2,"time":"2026-01-01T00:00:11.000Z"}
+{"event":"service_brittle","host":"h1","service":"llm","time":"2026-01-01T00:00:29.000Z"}
+{"event":"target_quiet","host":"h2","target":"e4@0","quiet_ms":100,"time":"2025-12-31T23:59:00.000Z"}
+{"event":"request","host":"h1","id":"a1","model":"m","status":200,"target":"e5","time":"2026-01-01T00:00:30.000Z","took_ms":100}
+`
+	var out bytes.Buffer
+	if err := Explain(strings.NewReader(before), &out, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"target=e1@0", "target=e2@0", "target=e3@0", "service_brittle"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no line with %s", want)
+		}
+	}
+	if strings.Contains(out.String(), "e4@0") {
+		t.Error("the story has a line of a minute and a half before")
+	}
+}
