Coordinator: one function that begins a request, one that asks for permits and slots

Cause: BeginRequestAt had replaced BeginRequest in the gateway, which only a test still called, so counting had two entrances; the call to the coordinator with its time-out and the local case stood twice, for permits and for slots. Change: BeginRequest takes the target and may refuse; askCoordinator serves both. No behaviour changes.

--- a/internal/coordinator/backlog_test.go
+++ b/internal/coordinator/backlog_test.go
@@ -22,7 +22,7 @@
 			f.SetBacklogs([]Backlog{{Service: "s", Model: "m", InTime: hosts * each}})
 			for range each {
 				if _, ok := f.Pick(Requirements{Service: "s", Model: "m"}); ok {
-					f.BeginRequest("e", "m")
+					f.BeginRequest(fleet.Target{ID: "e", Service: "s"}, "m")
 					sent++
 				}
 			}
--- a/internal/coordinator/brittle.go
+++ b/internal/coordinator/brittle.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -126,23 +125,6 @@
 	f.brittle.usableTo = f.now() + slotsTTL
 }
 
-// BeginRequestAt is BeginRequest for a target that was chosen. It returns false if the target is brittle and all slots of
-// this host are in use.
-func (f *FleetView) BeginRequestAt(t fleet.Target, model string) (end func(), ok bool) {
-	key := runKey{t.ID, model}
-	f.mu.Lock()
-	if f.isBrittle(t.Service) {
-		if f.load[t.ID] >= f.slotsHeld(t.ID) {
-			f.mu.Unlock()
-			return nil, false
-		}
-		f.brittle.slots.Used(f.now(), t.ID, f.load[t.ID]+1)
-	}
-	f.countLocked(key, 1)
-	f.mu.Unlock()
-	return sync.OnceFunc(func() { f.count(key, -1) }), true
-}
-
 // slotRequest asks the coordinator for one more slot of a target.
 type slotRequest struct {
 	Target string `json:"t"`
@@ -151,16 +133,10 @@
 // RequestSlot asks the coordinator for one more slot of a brittle target. If there is none, the target is not chosen for a
 // moment.
 func (c *Client) RequestSlot(ctx context.Context, t fleet.Target) bool {
-	coordinator := c.Coordinator()
-	var reply permitReply
-	var err error
-	if coordinator == c.opts.Self.Name {
-		reply = c.opts.Coordinator.grantSlot(coordinator, slotRequest{Target: t.ID})
-	} else {
-		callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
-		defer cancel()
-		err = c.opts.Calls.Call(callCtx, coordinator, methodSlot, slotRequest{Target: t.ID}, &reply)
-	}
+	request := slotRequest{Target: t.ID}
+	reply, err := c.askCoordinator(ctx, methodSlot, request, func(host string) permitReply {
+		return c.opts.Coordinator.grantSlot(host, request)
+	})
 	switch {
 	case err != nil:
 		c.opts.Log.WithFields(logrus.Fields{"event": "slot_not_requested", "target": t.ID}).Warn(err.Error())
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -5,24 +5,32 @@
 	"slices"
 	"sync"
 	"time"
-)
 
-// BeginRequest counts a request as running at a target until the returned function is
-// called.
-func (f *FleetView) BeginRequest(target, model string) func() {
-	key := runKey{target, model}
-	f.count(key, 1)
-	return sync.OnceFunc(func() { f.count(key, -1) })
-}
+	"buckthornseam.dev/seam/internal/fleet"
+)
 
-func (f *FleetView) count(key runKey, n int) {
+// BeginRequest counts a request as running at a target until end is called. It returns false if the target is brittle and all
+// slots of this host are in use.
+func (f *FleetView) BeginRequest(t fleet.Target, model string) (end func(), ok bool) {
+	key := runKey{t.ID, model}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.countLocked(key, n)
+	if f.isBrittle(t.Service) {
+		if f.load[t.ID] >= f.slotsHeld(t.ID) {
+			return nil, false
+		}
+		f.brittle.slots.Used(f.now(), t.ID, f.load[t.ID]+1)
+	}
+	f.count(key, 1)
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.count(key, -1)
+	}), true
 }
 
-// countLocked is count for a caller that holds f.mu.
-func (f *FleetView) countLocked(key runKey, n int) {
+// count must be called with f.mu held.
+func (f *FleetView) count(key runKey, n int) {
 	f.running[key] += n
 	f.load[key.engine] += n
 	if f.running[key] == 0 {
--- a/internal/coordinator/targetlimits.go
+++ b/internal/coordinator/targetlimits.go
@@ -84,7 +84,10 @@
 // RequestPermit asks the coordinator whether a request may be sent now to a target that names a limit. If not, the
 // target is not chosen for a time.
 func (c *Client) RequestPermit(ctx context.Context, t fleet.Target) bool {
-	reply, err := c.callForPermit(ctx, permitRequest{Target: runOf(t)})
+	request := permitRequest{Target: runOf(t)}
+	reply, err := c.askCoordinator(ctx, methodPermit, request, func(host string) permitReply {
+		return c.opts.Coordinator.issuePermit(host, request)
+	})
 	if err != nil {
 		c.opts.Log.WithFields(logrus.Fields{"event": "permit_not_requested", "target": t.ID}).Warn(err.Error())
 		c.opts.FleetView.avoidWithoutPermit(t.ID, permitRetryWait)
@@ -97,14 +100,16 @@
 	return reply.Granted
 }
 
-func (c *Client) callForPermit(ctx context.Context, r permitRequest) (reply permitReply, err error) {
+// askCoordinator calls a method by which hosts ask for a permit or a slot; local is called instead if this host is the
+// coordinator.
+func (c *Client) askCoordinator(ctx context.Context, method string, request any, local func(host string) permitReply) (reply permitReply, err error) {
 	coordinator := c.Coordinator()
 	if coordinator == c.opts.Self.Name {
-		return c.opts.Coordinator.issuePermit(coordinator, r), nil
+		return local(coordinator), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	err = c.opts.Calls.Call(ctx, coordinator, methodPermit, r, &reply)
+	err = c.opts.Calls.Call(ctx, coordinator, method, request, &reply)
 	return reply, err
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -292,7 +292,7 @@
 		return notRun
 	}
 	g.checkInvariants(x, c)
-	end, ok := g.opts.View.BeginRequestAt(c.Target, x.call.Model)
+	end, ok := g.opts.View.BeginRequest(c.Target, x.call.Model)
 	if !ok { // another request took the slot
 		x.tries--
 		return noSlot
