Gateway: one read of a stream's events

Cause: the read of a stream that another host passes on repeated that of a target's stream: bytes, complete events, the bound of an event. Change: eventBuffer.readFrom. The first event's time, the timers and what follows an end stay where they differ.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 )
 
 // eventBuffer splits a stream of server-sent events into complete events and
@@ -28,6 +29,18 @@
 	return events
 }
 
+// readFrom reads on in a stream and returns the events that are complete by now. It fails with *OversizedResponseError, or
+// as the read did; events may be returned beside an error.
+func (b *eventBuffer) readFrom(body io.Reader, buf []byte) (events []byte, err error) {
+	n, err := body.Read(buf)
+	b.add(buf[:n])
+	events = b.takeComplete()
+	if err == nil && b.partialBytes() > maxEventBytes {
+		err = &OversizedResponseError{Part: "event", Limit: maxEventBytes}
+	}
+	return events, err
+}
+
 // remainder returns the bytes after the last complete event.
 func (b *eventBuffer) remainder() []byte { return b.buf }
 
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -232,18 +232,14 @@
 	buf := make([]byte, copyBufferBytes)
 	began := false
 	for {
-		n, err := resp.Body.Read(buf)
-		x.events.add(buf[:n])
-		if events := x.events.takeComplete(); len(events) > 0 {
+		events, err := x.events.readFrom(resp.Body, buf)
+		if len(events) > 0 {
 			began = true
 			silence.Reset(g.relaySilence(x))
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
 		}
-		if err == nil && x.events.partialBytes() > maxEventBytes {
-			err = &OversizedResponseError{Part: "event", Limit: maxEventBytes}
-		}
 		if err == nil {
 			continue
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -119,24 +119,18 @@
 	x.events.reset()
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			x.events.add(buf[:n])
-			if events := x.events.takeComplete(); len(events) > 0 {
-				silenceTimer.Stop()
-				if sent > 0 {
-					g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
-					sent = 0
-				}
-				g.recordOrigin(x, c)
-				if !g.writeEvents(x, flusher, events, resp) {
-					return callerLeft
-				}
-				silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
+		events, err := x.events.readFrom(resp.Body, buf)
+		if len(events) > 0 {
+			silenceTimer.Stop()
+			if sent > 0 {
+				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
+				sent = 0
 			}
-		}
-		if err == nil && x.events.partialBytes() > maxEventBytes {
-			err = &OversizedResponseError{Part: "event", Limit: maxEventBytes}
+			g.recordOrigin(x, c)
+			if !g.writeEvents(x, flusher, events, resp) {
+				return callerLeft
+			}
+			silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
 		}
 		if err == nil {
 			continue
