--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/invariant"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// try sends a request to one target and relays its response.
+func (g *Gateway) try(ctx context.Context, x *exchange, c coordinator.Choice) result {
+	confirmed, _ := g.opts.ConfigConfirmed()
+	if x.team != nil && !g.configFresh(confirmed) {
+		x.log["reason"] = "the configuration was not confirmed lately"
+		return notRun
+	}
+	if x.team != nil {
+		if t, ok := g.opts.View.Config().TeamOfKey(x.call.Key); !ok || t.Name != x.team.Name {
+			x.log["reason"] = "key was withdrawn"
+			return notRun
+		}
+	}
+	if !g.opts.View.Accepts(c.Target) { // known since it was chosen
+		x.tries--
+		return notRun
+	}
+	g.checkInvariants(x, c)
+	end, ok := g.opts.View.BeginRequest(c.Target, x.call.Model)
+	if !ok { // another request took the slot
+		x.tries--
+		return noSlot
+	}
+	defer end()
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := g.silenceTimeout(x, c.Target.ID)
+	sent := g.opts.Now()
+	x.sentAt = sent
+	silenceTimer := time.AfterFunc(timeout, cancel)
+	defer silenceTimer.Stop()
+	defer g.opts.Reach.OnCutOff(func() { silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID)) })()
+
+	resp, err := g.opts.Sender.Forward(sendCtx, c.Target.Address, g.newForwardRequest(x, c), g.responseID)
+	if err != nil {
+		return g.sendFailed(x, c, err)
+	}
+	defer resp.Body.Close()
+	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
+	g.recordNotices(x, c, resp.Status, response.Notices)
+	if response.NotRun {
+		x.log["shed_by"] = c.Target.ID
+		g.opts.View.RecordOutcome(c.Target.ID, resp.Status == http.StatusMisdirectedRequest || x.call.Model != "")
+		if x.call.Model != "" {
+			g.opts.View.RecordMissingModel(c.Target.ID, x.call.Model)
+		}
+		return notRun
+	}
+	if resp.Status/100 == 5 {
+		g.opts.View.RecordOutcome(c.Target.ID, false)
+		if x.headWritten || (x.route.Kind == fleet.Idempotent && x.sends+1 < x.route.Attempts) {
+			x.log["reason"] = "target failed"
+			return mayHaveRun
+		}
+	}
+	if x.headWritten && resp.Status != http.StatusOK {
+		return mayHaveRun
+	}
+	if resp.Status/100 == 2 && (response.Stamp == "" || response.ID != x.call.ID) {
+		g.opts.View.RecordOutcome(c.Target.ID, false)
+		x.log["reason"] = "answer is not the target's own"
+		return mayHaveRun
+	}
+	return g.relay(ctx, x, c, resp, silenceTimer, sent)
+}
+
+// recordNotices records what a target states about itself.
+func (g *Gateway) recordNotices(x *exchange, c coordinator.Choice, status int, n fleet.Notices) {
+	if n.Limit > 0 {
+		x.log["target_limit"] = n.Limit
+	}
+	if n.Leaving {
+		x.log["target_leaving"] = c.Target.ID
+	}
+	if n.Quiet > 0 {
+		x.log["target_quiet_ms"] = n.Quiet.Milliseconds()
+	}
+	switch {
+	case status != http.StatusMisdirectedRequest:
+		g.opts.View.RecordNotices(c.Target.ID, n)
+	case n.Leaving: // even if another target has this address by now, the one that was chosen is not to be sent to
+		g.opts.View.RecordLeaving(c.Target)
+	}
+}
+
+// checkInvariants checks the invariants that hold whenever a request is sent.
+func (g *Gateway) checkInvariants(x *exchange, c coordinator.Choice) {
+	invariant.Check(x.sends == 0 || x.route.Retryable(), invariant.AtMostOnce, "request %s is sent again after it may have run", x.call.ID)
+	invariant.Check(!c.Target.Draining, invariant.LeavingUnused, "request %s is sent to %s, which is draining", x.call.ID, c.Target.ID)
+	invariant.Check(x.team != nil || x.route.Public || !x.config.HasTeams(), invariant.TeamOfKey, "request %s is sent without a team", x.call.ID)
+}
+
+func (g *Gateway) responseID(status int, h http.Header) string {
+	return g.opts.Codec.ReadResponse(status, h).ID
+}
+
+func (g *Gateway) newForwardRequest(x *exchange, c coordinator.Choice) target.ForwardRequest {
+	priority := x.route.Priority
+	if x.team != nil && x.team.HasPriority {
+		priority = x.team.Priority
+	}
+	team := ""
+	if x.team != nil {
+		team = x.team.Name
+	}
+	return target.ForwardRequest{
+		ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		Header: g.opts.Codec.AttemptHeader(fleet.Attempt{
+			Header: x.r.Header, TargetID: c.Target.ID, Team: team, Deadline: x.deadline - g.opts.Now(),
+			Priority: priority, LastEventID: x.events.lastID,
+		}),
+	}
+}
+
+// Timeouts for a silent target, if another target may run the request.
+const (
+	silenceObjectives      = 3                       // times the route's objective, until the first event or the complete response
+	silenceMin             = 1800 * time.Millisecond // leaves time for another target if the caller waits 3.2 s
+	silenceGaps            = 3                       // times the route's gap objective, between events
+	silenceRecentLatencies = 4                       // times the target's recent latency, so that a slow target doesn't count as silent
+	silenceCutOff          = 500 * time.Millisecond  // of a host that has lost its way to all targets, on whose open connections responses may still come
+)
+
+// silenceTimeout returns how long a target may take for the next event of a stream
+// or for any other complete response. A request that can't be sent again waits
+// until its deadline.
+func (g *Gateway) silenceTimeout(x *exchange, id string) time.Duration {
+	left := x.deadline - g.opts.Now()
+	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts {
+		return left
+	}
+	if _, cutOff := g.opts.Reach.CutOff(); cutOff && x.relayedBy == "" {
+		return min(left, silenceCutOff)
+	}
+	if x.headWritten {
+		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective))
+	}
+	return min(left, max(silenceMin, silenceObjectives*x.route.Objective, silenceRecentLatencies*g.opts.View.FirstEventTime(id)))
+}
+
+// sendFailed classifies a send without a complete response.
+func (g *Gateway) sendFailed(x *exchange, c coordinator.Choice, err error) result {
+	fields := logrus.Fields{"event": "send_failed", "id": x.call.ID, "target": c.Target.ID, "tries": x.tries}
+	g.opts.Log.WithFields(fields).Warn(err.Error())
+	if x.r.Context().Err() != nil {
+		return callerLeft
+	}
+	g.opts.View.RecordOutcome(c.Target.ID, false)
+	x.log["reason"] = err.Error()
+	var unreachable *target.UnreachableError
+	if errors.As(err, &unreachable) {
+		g.opts.View.RecordUnreachable(c.Target.ID)
+		x.tries-- // nothing reached the target, so the next send is no retry
+		x.connectFailures++
+		return notRun
+	}
+	g.reportEngineFailure(x, c, err)
+	return mayHaveRun
+}
--- /dev/null
+++ b/internal/platformhost/servers.go
@@ -0,0 +1,130 @@
+package platformhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+
+	"buckthornseam.dev/seam/internal/bootclock"
+	"buckthornseam.dev/seam/internal/framing"
+)
+
+// server is one HTTP server with its listener.
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s server) run() error {
+	if err := s.Serve(s.listener); err != http.ErrServerClosed {
+		return &ServeError{Address: s.listener.Addr().String(), Cause: err}
+	}
+	return nil
+}
+
+// closeServers ends the servers, after a short time for responses on their way.
+func closeServers(servers []server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, s := range servers {
+		group.Go(func() error {
+			if s.Shutdown(ctx) != nil {
+				return s.Close()
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the sockets are closed all the same
+}
+
+// ServeError reports a server that could not start or has failed.
+type ServeError struct {
+	Address string
+	Cause   error
+}
+
+func (e *ServeError) Error() string { return "server at " + e.Address + " ended: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ServeError) Unwrap() error { return e.Cause }
+
+// Limits of the HTTP servers, which are above those of any configuration.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// endpoint is an address with what serves it.
+type endpoint struct {
+	address      string
+	handler      http.Handler
+	checkFraming bool // of requests, before they are parsed
+}
+
+func (h *Host) servers() ([]server, error) {
+	ready, directory, metrics := mux.NewRouter(), mux.NewRouter(), mux.NewRouter()
+	ready.HandleFunc(h.adapter.ReadyPath, h.serveReady).Methods(http.MethodGet)
+	directory.HandleFunc(h.adapter.DirectoryPath, h.serveDirectory).Methods(http.MethodGet)
+	metrics.Handle(h.adapter.MetricsPath, h.metrics.Handler).Methods(http.MethodGet)
+	var out []server
+	endpoints := []endpoint{
+		{h.settings.Listen.Callers, h.gateway, true},
+		{h.settings.Listen.Ready, ready, false},
+		{h.settings.Listen.Directory, directory, false},
+		{net.JoinHostPort(h.settings.IP, strconv.Itoa(h.settings.MetricsPort)), metrics, false},
+	}
+	if h.self.RelayAddress != "" {
+		endpoints = append(endpoints, endpoint{h.self.RelayAddress, h.gateway.RelayHandler(), true})
+	}
+	for _, s := range endpoints {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return nil, &ServeError{Address: s.address, Cause: err}
+		}
+		if s.checkFraming {
+			l = framing.Listener{Listener: l, MaxHeaderBytes: maxHeaderBytes}
+		}
+		out = append(out, server{&http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}, l})
+	}
+	return out, nil
+}
+
+func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !h.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ready reports whether callers may use this host.
+func (h *Host) ready() bool {
+	select {
+	case <-h.stopping:
+		return false
+	default:
+	}
+	confirmed, ok := h.configConfirmed()
+	return ok && h.view.Config().Version > 0 && len(h.view.Targets().ByID) > 0 && bootclock.Now()-confirmed < h.settings.Bounds.Revoke
+}
+
+// directoryTTL is the TTL of directory responses. Some callers keep a response
+// for three times its TTL, and none of these may still list a stopping host when
+// its grace period ends.
+const directoryTTL = 2 * time.Second
+
+func (h *Host) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	ttl := directoryTTL
+	if limit := h.settings.Bounds.DirectoryTTLMax; limit > 0 {
+		ttl = min(ttl, limit)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(h.adapter.Codec.DirectoryResponse(h.directory.Addresses(h.adapter.Codec.DirectoryZone(r)), ttl))
+}
