--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -57,54 +57,21 @@
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	brittle := f.isBrittle(req.Service)
 	for _, id := range f.targets.ByService[req.Service] {
-		t := f.targets.ByID[id]
-		if t.Draining || t.Missing || req.Avoid[id] || f.now() < f.unusableUntil[id] || req.Version != nil && t.Version != *req.Version {
-			continue
-		}
-		if f.isQuiet(t) {
-			continue
-		}
-		unreachable := f.unreachable(id)
-		needsAdapter := false
-		if req.Model != "" {
-			if unreachable || f.freeSlots(t, req.Late) <= 0 {
-				continue // the request waits, which tells the coordinator that another copy is needed
-			}
-			m, ok := f.view(t).Models[req.Model]
-			if !ok || m.State != swap.Ready || f.now() < f.missingUntil[runKey{id, req.Model}] {
-				continue
-			}
-			needsAdapter = req.Adapter != "" && !slices.Contains(m.Adapters, req.Adapter)
-			if needsAdapter && (f.views[id].Owner == "" || f.now() < f.missingUntil[runKey{id, req.Model + "/" + req.Adapter}]) {
-				continue
-			}
-		}
-		rate, stale := f.limits.Rate(f.now(), runOf(t))
-		needsSlot := brittle && f.load[id] >= f.slotsHeld(id)
-		if (rate > 0 || needsSlot) && f.now() < f.noPermitUntil[id] {
+		c, ok := f.candidate(f.targets.ByID[id], req, brittle)
+		if !ok {
 			continue
 		}
-		if rate == 0 {
-			free += f.freeSlots(t, req.Late)
-		}
-		score := f.score(t) - noise()
-		if needsAdapter {
-			score += adapterPenalty
-		}
-		if unreachable {
-			score += unreachablePenalty
-		}
-		if needsSlot {
-			score += slotPenalty
+		if !c.NeedsPermit {
+			free += f.freeSlots(c.Target, req.Late)
 		}
-		choice := Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, NeedsSlot: needsSlot, Load: f.load[id] + f.remoteLoad[id]}
+		score := c.score - noise()
 		switch {
-		case rate > 0 && !stale:
+		case c.NeedsPermit && !c.limitStale:
 			if score < limitedScore {
-				limited, limitedScore = choice, score
+				limited, limitedScore = c.Choice, score
 			}
 		case !found || score < bestScore:
-			found, bestScore, best = true, score, choice
+			found, bestScore, best = true, score, c.Choice
 		}
 	}
 	if !found && limited.NeedsPermit {
@@ -116,6 +83,72 @@
 	return best, found
 }
 
+// candidate is a target that can take a request now.
+type candidate struct {
+	Choice
+	score      float64 // without noise; lower is better
+	limitStale bool    // the limit that the target named may no longer hold
+}
+
+// candidate returns how a target can take a request, and whether it can. The caller must hold f.mu.
+func (f *FleetView) candidate(t fleet.Target, req Requirements, brittle bool) (candidate, bool) {
+	if !f.usable(t, req) {
+		return candidate{}, false
+	}
+	unreachable := f.unreachable(t.ID)
+	needsAdapter := false
+	if req.Model != "" {
+		// If no target has the model and a free slot, the request waits, which tells the coordinator that another copy is needed.
+		if unreachable || f.freeSlots(t, req.Late) <= 0 || !f.holds(t, req.Model) {
+			return candidate{}, false
+		}
+		needsAdapter = req.Adapter != "" && !slices.Contains(f.view(t).Models[req.Model].Adapters, req.Adapter)
+		if needsAdapter && !f.mayLoadAdapter(t, req) {
+			return candidate{}, false
+		}
+	}
+	rate, stale := f.limits.Rate(f.now(), runOf(t))
+	needsSlot := brittle && f.load[t.ID] >= f.slotsHeld(t.ID)
+	if (rate > 0 || needsSlot) && f.now() < f.noPermitUntil[t.ID] {
+		return candidate{}, false
+	}
+	c := candidate{
+		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, NeedsSlot: needsSlot, Load: f.load[t.ID] + f.remoteLoad[t.ID]},
+		score:      f.score(t),
+		limitStale: stale,
+	}
+	if needsAdapter {
+		c.score += adapterPenalty
+	}
+	if unreachable {
+		c.score += unreachablePenalty
+	}
+	if needsSlot {
+		c.score += slotPenalty
+	}
+	return c, true
+}
+
+// usable reports whether a target may be sent a request, whatever it holds. The caller must hold f.mu.
+func (f *FleetView) usable(t fleet.Target, req Requirements) bool {
+	if t.Draining || t.Missing || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version {
+		return false
+	}
+	return !f.isQuiet(t)
+}
+
+// holds reports whether a model is ready at a target. The caller must hold f.mu.
+func (f *FleetView) holds(t fleet.Target, model string) bool {
+	m, ok := f.view(t).Models[model]
+	return ok && m.State == swap.Ready && f.now() >= f.missingUntil[runKey{t.ID, model}]
+}
+
+// mayLoadAdapter reports whether the owner of an engine can be asked to load the adapter of a request. The caller must
+// hold f.mu.
+func (f *FleetView) mayLoadAdapter(t fleet.Target, req Requirements) bool {
+	return f.views[t.ID].Owner != "" && f.now() >= f.missingUntil[runKey{t.ID, req.Model + "/" + req.Adapter}]
+}
+
 // timelyShare is the share of an engine's slots that late requests leave to those that can
 // begin in time. With a lower share, all requests of a hot model become late as soon as
 // more arrive than its copies can serve.
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -19,7 +19,10 @@
 	Resumes     string // ID of the attempt that brought the first event of the resumed stream; empty: not stated
 	// SharedParts are the IDs of the parts of the prompt that other requests may have too, in order.
 	// The last part of a prompt is the request's own and is left out.
-	SharedParts []string
+	SharedParts  []string
+	SharedTokens int // tokens of the shared parts
+	// LengthHint is the caller's estimate of the generated tokens, which is often far off; 0: not stated.
+	LengthHint int
 }
 
 // ModelKey returns the requested model, or MODEL/ADAPTER if an adapter is
@@ -59,6 +62,7 @@
 	Brittle int
 	// Quiet is how long the target wants nothing from this host; 0: it does not ask for that.
 	Quiet time.Duration
+	Cold  time.Duration // for how long the target stays cold; 0: not stated
 }
 
 // Relay describes a caller's request that is sent to targets by another host.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -36,10 +36,11 @@
 	GapObjective time.Duration // objective for the longest time between two events of a stream
 	Priority     int           // 0 is most urgent
 	Destinations []Destination
-	Attempts     int  // limit of the targets that may be sent one attempt
-	Public       bool // needs no key
-	Sticky       bool // requests have common prompt prefixes
-	Resumable    bool // a stream may be resumed at another target
+	Attempts     int      // limit of the targets that may be sent one attempt
+	Public       bool     // needs no key
+	Sticky       bool     // requests have common prompt prefixes
+	Resumable    bool     // a stream may be resumed at another target
+	Homes        []string // regions in which requests may be served; empty: all
 }
 
 // Retryable reports whether a request may run more than once.
@@ -74,6 +75,13 @@
 	HealthPath     string
 	MaxConnections int         // per target, over all hosts
 	Engine         *EngineSpec // nil for plain services
+	Cold           *ColdLimit  // nil: cold targets take as many requests as others
+}
+
+// ColdLimit describes the targets of a service that are cold.
+type ColdLimit struct {
+	Time time.Duration // after the start of a target
+	Rate float64       // requests a second that a cold target takes from all hosts together; 0 or less: none
 }
 
 // Team is a tenant with API keys and a quota.
@@ -82,9 +90,10 @@
 	Keys          []string
 	Priority      int // overrides the route's, if HasPriority
 	HasPriority   bool
-	ByTokens      bool    // Rate and Burst count tokens, otherwise requests
-	DefaultTokens float64 // charged for a request that states no token counts
-	Rate          float64 // per second over all hosts; 0: unlimited
+	Homes         []string // regions in which its requests may be served; empty: all
+	ByTokens      bool     // Rate and Burst count tokens, otherwise requests
+	DefaultTokens float64  // charged for a request that states no token counts
+	Rate          float64  // per second over all hosts; 0: unlimited
 	Burst         float64
 }
 
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -9,7 +9,8 @@
 	IP        string
 	Zone      string
 	Region    string
-	FirstBoot bool // the deployment starts for the first time
+	Regions   map[string]string // region of each availability zone
+	FirstBoot bool              // the deployment starts for the first time
 
 	Listen      Listen
 	PeerPort    int // for traffic between hosts
@@ -50,4 +51,8 @@
 	CeilingOverage  float64
 	DirectoryTTLMax time.Duration // limit for the TTL of directory responses
 	Recover         time.Duration
+	Evacuate        time.Duration // until the targets of an evacuated zone get no requests
+	MaxStretch      time.Duration // by which bounds grow while the store refuses some hosts
+	ColdOverage     float64       // a cold target gets at most its rate times this, plus ColdSlack, in a second
+	ColdSlack       float64       // requests
 }
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -49,16 +49,18 @@
 
 // Adapter holds what is specific to the platform.
 type Adapter struct {
-	NewStore      func(eras *platform.Eras, m *observe.Metrics) Store
-	NewEngines    func(onNotice coordinator.NoticeFunc) coordinator.EngineClient
-	Codec         Codec
-	Dial          target.DialFunc // to targets; nil: over TCP, with detection of lost paths
-	ConfigKind    platform.Kind
-	ConfigName    string
-	TargetKind    platform.Kind
-	ReadyPath     string
-	DirectoryPath string
-	MetricsPath   string
+	NewStore   func(eras *platform.Eras, m *observe.Metrics) Store
+	NewEngines func(onNotice coordinator.NoticeFunc) coordinator.EngineClient
+	Codec      Codec
+	Dial       target.DialFunc // to targets; nil: over TCP, with detection of lost paths
+	ConfigKind platform.Kind
+	ConfigName string
+	TargetKind platform.Kind
+	// EvacuationKind is the kind of the objects that name the zones whose targets are to get nothing; empty: there are none.
+	EvacuationKind platform.Kind
+	ReadyPath      string
+	DirectoryPath  string
+	MetricsPath    string
 }
 
 // kindHosts is the kind of the hosts' own entries, one object per host.
