Owner: send a load after the shortest recent unload, not every 40 ms from the start

Cause: an engine refuses the load of a swap until its unload is done. The owner sent the load at once and every 40 ms, so an unload of 300 ms cost 8 refused orders; 60 to 68% of all orders were refused on a fleet with two models per engine. Ruled out: 409 for a wrong order count, 400 and lack of room, which cannot come from this loop, as it sends one order with the same expected count until it is accepted. Waiting for the mean unload time would delay swaps of idle models.

--- a/internal/coordinator/fake_test.go
+++ b/internal/coordinator/fake_test.go
@@ -21,6 +21,7 @@
 	mu               sync.Mutex
 	orders           int64
 	received         int // orders and requests for a report
+	refused          int // orders answered as busy
 	models           map[string]bool
 	loading          string
 	loadedAt         time.Time
@@ -36,6 +37,16 @@
 	unloading        map[string]bool      // adapters to unload once no request uses them
 }
 
+// fakeLoadTime is how long a fakeEngine takes for a load.
+const fakeLoadTime = 500 * time.Millisecond
+
+// refusedOrders returns the number of orders that were answered as busy.
+func (f *fakeEngine) refusedOrders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
 // exceeded reports whether the engine was ever ordered to hold more than its capacity.
 func (f *fakeEngine) exceeded() bool {
 	f.mu.Lock()
@@ -107,6 +118,7 @@
 		return fleet.OrderAlreadyDone
 	}
 	if f.loading != "" || time.Now().Before(f.idleAt) || (o.ExpectedOrders >= 0 && o.ExpectedOrders != f.orders) {
+		f.refused++
 		return fleet.OrderBusy
 	}
 	f.orders++
@@ -119,7 +131,7 @@
 		f.idleAt = time.Now().Add(f.drainTime)
 		return fleet.OrderAccepted
 	}
-	f.loading, f.loadedAt = o.Model, time.Now().Add(500*time.Millisecond)
+	f.loading, f.loadedAt = o.Model, time.Now().Add(fakeLoadTime)
 	if len(f.models)+1 > f.capacity {
 		f.exceededCapacity = true
 	}
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -14,7 +14,9 @@
 	if len(c.Unload) > 0 {
 		time.Sleep(drainDelay)
 	}
+	var unloadAt time.Duration // when the last unload was accepted; 0: none
 	for _, model := range c.Unload {
+		o.awaitUnload(e, unloadAt)
 		outcome, err := o.orderUntilAccepted(ctx, e, fleet.Order{Kind: fleet.UnloadModel, Model: model}, unloadTimeout)
 		if err == nil && outcome == fleet.OrderAlreadyDone {
 			// The engine does not hold the model, so its memory is used by something else.
@@ -24,17 +26,22 @@
 			o.rereadContent(ctx, e)
 			return err
 		}
+		unloadAt = o.now()
 		o.updateView(e, func(v *EngineView) { delete(v.Models, model) })
 	}
 	if c.Load == "" {
 		return nil
 	}
+	o.awaitUnload(e, unloadAt)
 	// The engine accepts the load only after its unloads are done, and only if they
 	// were its last orders. So it never holds more than it has room for.
 	if _, err := o.orderUntilAccepted(ctx, e, fleet.Order{Kind: fleet.LoadModel, Model: c.Load}, unloadTimeout); err != nil {
 		o.rereadContent(ctx, e)
 		return err
 	}
+	if unloadAt > 0 {
+		o.unloads.record(o.serviceOf(e), o.now()-unloadAt)
+	}
 	o.updateView(e, func(v *EngineView) { v.Models[c.Load] = ModelView{State: swap.Loading} })
 	if err := o.awaitLoad(ctx, e, c); err != nil {
 		o.rereadContent(ctx, e)
@@ -44,6 +51,18 @@
 	return nil
 }
 
+// awaitUnload waits as long as an unload that was accepted at a time takes at least; 0: there was none.
+func (o *Owner) awaitUnload(e *ownedEngine, acceptedAt time.Duration) {
+	if acceptedAt > 0 {
+		time.Sleep(o.unloads.least(o.serviceOf(e)) - (o.now() - acceptedAt))
+	}
+}
+
+func (o *Owner) serviceOf(e *ownedEngine) string {
+	t, _ := o.fleetView.Target(e.id)
+	return t.Service
+}
+
 // order sends one order if this host still owns the engine and holds its lease.
 func (o *Owner) order(ctx context.Context, e *ownedEngine, ord fleet.Order) (fleet.OrderOutcome, error) {
 	t, ok := o.fleetView.Target(e.id)
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -49,6 +49,7 @@
 	now       func() time.Duration
 	log       logrus.FieldLogger
 	changed   func() // called after each change of an owned engine
+	unloads   unloadTimes
 
 	mu      sync.Mutex
 	owned   map[string]*ownedEngine
