seamctl config check: faults of a configuration before it is sent

Cause: the store takes any valid document; that a route never matches, a model fits no engine or a quota is below one request shows only once it is in force. Change: internal/configcheck checks the types of package fleet and compares with the version in force; platform/ reads the file with its lines and names. Keys are counted, never printed.

--- a/cmd/seamctl/main.go
+++ b/cmd/seamctl/main.go
@@ -9,6 +9,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"buckthornseam.dev/seam/internal/ctl"
+	"buckthornseam.dev/seam/platform"
 )
 
 func main() {
@@ -16,7 +17,7 @@
 }
 
 func run(args []string) int {
-	parser, err := ctl.NewParser(os.Stdin, os.Stdout)
+	parser, err := ctl.NewParser(os.Stdin, os.Stdout, platform.ConfigFiles{})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ctl.ExitFailed
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -12,6 +12,7 @@
 
 	"buckthornseam.dev/seam/internal/adminclient"
 	"buckthornseam.dev/seam/internal/config"
+	"buckthornseam.dev/seam/internal/configcheck"
 	"buckthornseam.dev/seam/internal/demo"
 	"buckthornseam.dev/seam/internal/settings"
 )
@@ -35,10 +36,11 @@
 	var file *FileError
 	var mismatch *demo.MismatchError
 	var deviation *DeviationError
+	var faulty *FaultyConfigError
 	var problem *adminclient.ProblemError
 	var call *adminclient.CallError
 	switch {
-	case errors.As(err, &usage), errors.As(err, &invalid), errors.As(err, &instance), errors.As(err, &file):
+	case errors.As(err, &usage), errors.As(err, &invalid), errors.As(err, &instance), errors.As(err, &file), errors.As(err, &faulty):
 		return ExitUsage
 	case errors.As(err, &mismatch), errors.As(err, &deviation):
 		return ExitOutcome
@@ -84,8 +86,8 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 }
 
-// NewParser returns the command line of seamctl.
-func NewParser(in io.Reader, out io.Writer) (*flags.Parser, error) {
+// NewParser returns the command line of seamctl. configs is the format of the configurations that operators send.
+func NewParser(in io.Reader, out io.Writer, configs configcheck.Format) (*flags.Parser, error) {
 	base := command{in: in, out: out}
 	p := flags.NewNamedParser("seamctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.ShortDescription = "operates and tests buckthornseam"
@@ -113,5 +115,11 @@
 			return nil, err
 		}
 	}
-	return p, nil
+	group, err := p.AddCommand("config", "check a configuration", "Checks a configuration before it is sent.", &struct{}{})
+	if err != nil {
+		return nil, err
+	}
+	const short = "report errors, entries that never match, contradictions and differences from the version in force"
+	_, err = group.AddCommand("check", short, short, &configCheckCommand{command: base, format: configs})
+	return p, err
 }
