--- a/internal/configcheck/diff.go
+++ b/internal/configcheck/diff.go
@@ -82,9 +82,7 @@
 		case field == "Keys":
 			out = append(out, shown+": "+diffKeys(x.Interface().([]string), y.Interface().([]string)))
 		case x.Kind() == reflect.Pointer && !x.IsNil() && !y.IsNil():
-			for _, inner := range d.fields(x.Interface(), y.Interface()) {
-				out = append(out, inner)
-			}
+			out = append(out, d.fields(x.Interface(), y.Interface())...)
 		case x.Kind() == reflect.Map:
 			out = append(out, d.maps(shown, x, y)...)
 		default:
