Planner: a hot model keeps the copies that its load needs; reserve copies leave room

Besides, in a burst 167 models counted as hot and were to have two copies each: 556 of 1,392 loads. Change: a needed copy is evicted only if more requests wait than those that it serves and that wait for it; reserve copies of hot models take at most half of all engines' memory, the most requested first. The simulation counts requests whose objective ends after it, measures rates as the product does, and has a fleet of two models per engine.

--- a/coord/swap/model_test.go
+++ b/coord/swap/model_test.go
@@ -1,7 +1,9 @@
 package swap
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -18,20 +20,23 @@
 	rareBurst                                       float64   // factor of the rare rate from 3 to 6 s; 0: none
 	limitedEngines                                  int       // engines that take limit requests a second from 3 s on
 	limit                                           float64
+	hotPerDisk                                      int           // models on an engine's disk at the start that are hot or that it holds, at least
+	slots                                           int           // of an engine, which queue nothing beyond; 0: any number of requests run
+	requestTime, rareObjective                      time.Duration // 0: the usual ones
 }
 
 // Times and sizes, as on the first site of the users.
 const (
-	simStep       = 20 * time.Millisecond
-	simDuration   = 12 * time.Second
-	requestTime   = 400 * time.Millisecond
-	rareObjective = 2 * time.Second
-	hotObjective  = 400 * time.Millisecond
-	diskLoadTime  = 600 * time.Millisecond
-	storeLoadTime = 6 * time.Second
-	rateWindow    = 2 * time.Second
-	engineSlots   = 64
-	modelSizeMB   = 70
+	simStep            = 20 * time.Millisecond
+	simDuration        = 12 * time.Second // in which the requests come that count; it goes on until they are served or late
+	usualRequestTime   = 400 * time.Millisecond
+	usualRareObjective = 2 * time.Second
+	hotObjective       = 400 * time.Millisecond
+	diskLoadTime       = 600 * time.Millisecond
+	storeLoadTime      = 6 * time.Second
+	rateWindow         = 2 * time.Second
+	engineSlots        = 64
+	modelSizeMB        = 70
 )
 
 // simulation is the state of a scenario that is being simulated.
@@ -41,6 +46,7 @@
 	state    State
 	rates    []float64
 	waiting  map[string][]time.Duration // arrival times by model
+	arrivals map[string]int             // by model, in the current step
 	busy     map[string]time.Duration   // engine ID to the end of its load
 	running  []run
 	permits  []float64 // by engine, of those that take few requests
@@ -55,7 +61,8 @@
 }
 
 func newSimulation(s scenario, seed uint64) *simulation {
-	sim := &simulation{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[string][]time.Duration{}, busy: map[string]time.Duration{}, rates: make([]float64, s.models), permits: make([]float64, s.engines)}
+	s.requestTime, s.rareObjective = cmp.Or(s.requestTime, usualRequestTime), cmp.Or(s.rareObjective, usualRareObjective)
+	sim := &simulation{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[string][]time.Duration{}, arrivals: map[string]int{}, busy: map[string]time.Duration{}, rates: make([]float64, s.models), permits: make([]float64, s.engines)}
 	sim.state = State{Models: map[string]Model{}, Demands: map[string]Demand{}}
 	for i := range s.models {
 		sim.state.Models[sim.name(i)] = Model{SizeMB: modelSizeMB, Load: [3]time.Duration{diskLoadTime, diskLoadTime, storeLoadTime}}
@@ -65,11 +72,14 @@
 		}
 	}
 	for e := range s.engines {
-		engine := Engine{ID: fmt.Sprintf("e%d", e), CapacityMB: float64(s.copiesPerEngine)*modelSizeMB + 5, Slots: engineSlots, Serves: true, Copies: map[string]Copy{}, OnDisk: map[string]bool{}, InMemory: map[string]bool{}}
+		engine := Engine{ID: fmt.Sprintf("e%d", e), CapacityMB: float64(s.copiesPerEngine)*modelSizeMB + 5, Slots: cmp.Or(s.slots, engineSlots), Serves: true, Copies: map[string]Copy{}, OnDisk: map[string]bool{}, InMemory: map[string]bool{}}
 		for p := range s.copiesPerEngine {
 			engine.Copies[sim.name((e*s.copiesPerEngine+p)%s.models)] = Copy{}
 			engine.OnDisk[sim.name((e*s.copiesPerEngine+p)%s.models)] = true
 		}
+		for len(engine.OnDisk) < min(s.hotPerDisk, len(s.hotRates)) {
+			engine.OnDisk[sim.name(sim.random.IntN(len(s.hotRates)))] = true
+		}
 		for len(engine.OnDisk) < s.modelsPerDisk {
 			engine.OnDisk[sim.name(sim.random.IntN(s.models))] = true
 		}
@@ -113,9 +123,12 @@
 		if !hot && sim.rareBurst > 0 && now >= 3*time.Second && now < 6*time.Second {
 			rate *= sim.rareBurst
 		}
-		if sim.random.Float64() < rate*simStep.Seconds() {
+		for n := rate * simStep.Seconds(); sim.random.Float64() < n; n-- {
 			sim.waiting[sim.name(i)] = append(sim.waiting[sim.name(i)], now)
-			sim.requests[classIndex(hot)]++
+			sim.arrivals[sim.name(i)]++
+			if now < simDuration {
+				sim.requests[classIndex(hot)]++
+			}
 		}
 	}
 }
@@ -164,7 +177,12 @@
 				continue
 			}
 			var denied []time.Duration
+			started := 0
 			for _, arrival := range sim.waiting[name] {
+				if sim.slots > 0 && sim.load(e)+started >= sim.slots {
+					denied = append(denied, arrival)
+					continue
+				}
 				if sim.state.Engines[e].Limit > 0 {
 					if sim.permits[e] < 1 {
 						denied = append(denied, arrival)
@@ -173,12 +191,13 @@
 					sim.permits[e]--
 				}
 				c.Running++
-				sim.running = append(sim.running, run{e, name, now + requestTime})
-				limit := rareObjective
+				started++
+				sim.running = append(sim.running, run{e, name, now + sim.requestTime})
+				limit := sim.rareObjective
 				if hot {
 					limit = hotObjective
 				}
-				if now-arrival <= limit {
+				if now-arrival <= limit && arrival < simDuration {
 					sim.inTime[classIndex(hot)]++
 				}
 			}
@@ -188,6 +207,23 @@
 	}
 }
 
+// load returns the number of requests that run at an engine.
+func (sim *simulation) load(engine int) int {
+	n := 0
+	for _, c := range sim.state.Engines[engine].Copies {
+		n += c.Running
+	}
+	return n
+}
+
+// objective returns the time until a request for a model of a rate should begin.
+func (sim *simulation) objective(rate float64) time.Duration {
+	if rate > sim.rareRate/float64(sim.models-len(sim.hotRates)) {
+		return hotObjective
+	}
+	return sim.rareObjective
+}
+
 // enginesByChoice returns the engines in the order in which requests choose them: those that name a limit last.
 func (sim *simulation) enginesByChoice() []int {
 	var free, limited []int
@@ -212,14 +248,14 @@
 	for i, rate := range sim.rates {
 		name := sim.name(i)
 		d := sim.state.Demands[name]
-		share := simStep.Seconds() / rateWindow.Seconds()
-		d.Rate += (rate - d.Rate) * share
+		d.Rate = d.Rate*math.Exp(-simStep.Seconds()/rateWindow.Seconds()) + float64(sim.arrivals[name])/rateWindow.Seconds()
 		if now == 0 {
 			d.Rate = rate
 		}
+		sim.arrivals[name] = 0
 		d.Waiting, d.Due = len(sim.waiting[name]), 0
 		if d.Waiting > 0 {
-			d.Due = sim.waiting[name][0] + rareObjective
+			d.Due = sim.waiting[name][0] + sim.objective(rate)
 		}
 		sim.state.Demands[name] = d
 	}
@@ -256,6 +292,10 @@
 	return float64(n) / float64(sim.models-len(sim.hotRates))
 }
 
+// fullFleetHotRates are the rates of the hot models of a fleet whose engines hold two models each. The largest one
+// alone needs three engines' slots.
+var fullFleetHotRates = []float64{90, 38, 30, 25, 20, 16, 13, 11, 9, 7, 6, 5, 4, 4, 3, 3, 2, 2, 2, 2}
+
 // TestHeavyPatterns simulates the users' heavy load patterns. The oracle knows all future
 // requests and has each reachable model loaded in time. The planner must serve 0.9 of the
 // oracle's share of rare requests in time, and 0.97 of all hot requests.
@@ -270,6 +310,8 @@
 		"hot set moves":                          {engines: 9, copiesPerEngine: 3, models: 51, modelsPerDisk: 21, hotRates: hot, rareRate: 10.5, hotSetMoves: true},
 		"grown fleet":                            {engines: 60, copiesPerEngine: 3, models: 353, modelsPerDisk: 21, hotRates: []float64{90, 70, 60, 50, 30, 20, 12, 8, 6, 5, 4, 3}, rareRate: 79},
 		"grown fleet of two copies":              {engines: 90, copiesPerEngine: 2, models: 274, modelsPerDisk: 11, hotRates: []float64{70, 60, 50, 40, 30, 20, 12, 8, 6, 5, 4, 3}, rareRate: 50},
+		"patient rare class on a full fleet": {engines: 60, copiesPerEngine: 2, models: 195, modelsPerDisk: 13, hotPerDisk: 5, hotRates: fullFleetHotRates, rareRate: 139, rareBurst: 2,
+			slots: 24, requestTime: 550 * time.Millisecond, rareObjective: 5 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var share [2]float64
@@ -277,7 +319,7 @@
 			const seeds = 3
 			for seed := range uint64(seeds) {
 				sim := newSimulation(s, seed)
-				for now := time.Duration(0); now < simDuration; now += simStep {
+				for now := time.Duration(0); now < simDuration+sim.rareObjective; now += simStep {
 					sim.step(now)
 				}
 				oracle += sim.reachableShare() / seeds
--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -52,6 +52,8 @@
 	ready    map[string]int
 	running  map[string]int
 	assigned map[string]bool // engines that have a move in this plan
+	// reserveRate is the rate from which a hot model keeps at least two copies.
+	reserveRate float64
 	// uncounted holds the models by engine whose copies there are not in the counts.
 	uncounted map[string]map[string]bool
 }
@@ -77,9 +79,38 @@
 			p.running[model] += c.Running
 		}
 	}
+	p.reserveRate = p.reserveRateOf()
 	return p
 }
 
+// reserveShare is the part of all engines' memory that the copies of hot models may take before the less hot ones keep no
+// reserve copy. In a burst, each of hundreds of rare models may be asked for a few times within a second; if all of them
+// kept two copies, no memory would be left for the others.
+const reserveShare = 0.5
+
+// reserveRateOf returns the rate from which a hot model keeps at least two copies.
+func (p *planner) reserveRateOf() float64 {
+	roomMB := 0.0
+	for i := range p.Engines {
+		if p.Engines[i].Serves {
+			roomMB += reserveShare * p.Engines[i].CapacityMB
+		}
+	}
+	var hot []string
+	for model := range p.Demands {
+		if _, known := p.Models[model]; known && p.hot(model) {
+			hot = append(hot, model)
+		}
+	}
+	slices.SortFunc(hot, func(a, b string) int { return cmp.Compare(p.Demands[b].Rate, p.Demands[a].Rate) })
+	for _, model := range hot {
+		if roomMB -= p.Models[model].SizeMB * float64(max(2, p.copiesForLoad(model))); roomMB < 0 {
+			return math.Nextafter(p.Demands[model].Rate, math.Inf(1))
+		}
+	}
+	return p.opts.HotRate
+}
+
 func (p *planner) setUncounted(engine, model string) {
 	if p.uncounted[engine] == nil {
 		p.uncounted[engine] = map[string]bool{}
@@ -89,8 +120,11 @@
 
 // wantedCopies returns the number of copies that a model should have.
 func (p *planner) wantedCopies(model string) int {
-	if p.Demands[model].Rate < p.opts.HotRate {
+	switch rate := p.Demands[model].Rate; {
+	case rate < p.opts.HotRate:
 		return 1
+	case rate < p.reserveRate:
+		return max(1, p.copiesForLoad(model))
 	}
 	return max(2, p.copiesForLoad(model))
 }
--- a/coord/swap/room.go
+++ b/coord/swap/room.go
@@ -66,6 +66,18 @@
 	return p.copies[r.model] == 0 && float64(r.requests) > victim.Rate*reloadTime.Seconds()
 }
 
+// needed reports whether the load of a hot model needs a copy beside its others.
+func (p *planner) needed(model string, others int) bool {
+	return p.hot(model) && others < p.copiesForLoad(model)
+}
+
+// outweighs reports whether a load helps more requests than the eviction of a copy that is needed delays: those that wait
+// for the copy's model, and those that would come to the copy during reloadTime.
+func (p *planner) outweighs(r loadRequest, victim string, others int) bool {
+	d := p.Demands[victim]
+	return float64(r.requests) > float64(d.Waiting)+d.Rate/float64(others+1)*reloadTime.Seconds()
+}
+
 // evictionCost returns the cost of evicting a copy, and whether it may be evicted at all.
 func (p *planner) evictionCost(e *Engine, model string, c Copy, r loadRequest) (float64, bool) {
 	if c.State != Ready || p.Now < c.ReadyAt+p.opts.MinResidence {
@@ -79,6 +91,9 @@
 	if others <= 0 && d.Waiting > 0 {
 		return 0, false
 	}
+	if p.needed(model, others) && !p.outweighs(r, model, others) {
+		return 0, false
+	}
 	reserve := 0.0
 	if d.Rate >= p.opts.HotRate && others < p.wantedCopies(model) && !(r.waiting && others >= 2) {
 		evictable := r.mayTakeReserve && others >= max(1, p.copiesForLoad(model)) || r.waiting && p.outnumbersArrivals(r, d)
