Planner: demand that is bound to regions

Cause: a copy anywhere counted for all waiting requests, so that those with homes waited until their deadline while the model's only copy was in another region; reserve copies of hot models went to any region, and the last copy of a region was evicted. Change: Demand.Bound lists what only engines in some regions may serve; Engine.Region. Without it, plans are as before.

--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"buckthornseam.dev/coord/homes"
 )
 
 // A model gets one copy for each requestsPerCopy concurrent requests, or for each
@@ -25,9 +27,10 @@
 	// no engine can load the model from its disk or memory without that, and the
 	// waiting requests can still begin in time.
 	mayTakeReserve bool
-	version        *string // only engines of this software version; nil: any
-	overloaded     bool    // the model is hot, and requests wait for it or its copies are nearly full
-	requests       int     // waiting requests if waiting is set, otherwise arrivals per second
+	version        *string  // only engines of this software version; nil: any
+	regions        []string // only engines in these regions; nil: any
+	overloaded     bool     // the model is hot, and requests wait for it or its copies are nearly full
+	requests       int      // waiting requests if waiting is set, otherwise arrivals per second
 }
 
 // Plan returns the moves to begin now, at most one for each engine.
@@ -38,6 +41,9 @@
 	p := newPlanner(s, opts)
 	var moves []Move
 	for _, r := range p.loadRequests() {
+		if p.servedByPlan(r) {
+			continue
+		}
 		if m, ok := p.chooseMove(r); ok {
 			moves = append(moves, m)
 		}
@@ -52,6 +58,7 @@
 	ready    map[string]int
 	running  map[string]int
 	assigned map[string]bool // engines that have a move in this plan
+	loads    []Move          // of this plan
 	// uncounted holds the models by engine whose copies there are not in the counts.
 	uncounted map[string]map[string]bool
 }
@@ -100,8 +107,11 @@
 func (p *planner) copiesForLoad(model string) int {
 	d := p.Demands[model]
 	atOnce := max(d.Rate*p.opts.RunTime.Seconds(), float64(p.running[model]+d.Waiting))
-	perCopy := max(requestsPerCopy, slotSharePerCopy*float64(p.Engines[0].Slots))
-	return int(math.Ceil(atOnce / perCopy))
+	return int(math.Ceil(atOnce / p.requestsPerCopy()))
+}
+
+func (p *planner) requestsPerCopy() float64 {
+	return max(requestsPerCopy, slotSharePerCopy*float64(p.Engines[0].Slots))
 }
 
 // nearlyFullShare is the share of used slots from which a hot model urgently needs
@@ -130,15 +140,16 @@
 				out = append(out, loadRequest{model: model, due: d.Due, waiting: true, late: late, requests: n, version: &version})
 			}
 		}
+		out = append(out, p.boundRequests(model, d, late)...)
 		switch {
 		case d.anyVersion() > 0 && have == 0:
 			out = append(out, loadRequest{model: model, due: d.Due, waiting: true, late: late, overloaded: d.Rate >= p.opts.HotRate, requests: d.Waiting})
-		case d.Rate >= p.opts.HotRate && have < p.wantedCopies(model):
+		case d.Rate >= p.opts.HotRate && have < p.wantedCopies(model) && p.wantedAnywhere(d):
 			out = append(out, loadRequest{model: model, due: p.Now, overloaded: d.Waiting > 0 || p.nearlyFull(model), requests: int(d.Rate)})
 		}
 	}
 	slices.SortFunc(out, func(a, b loadRequest) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.due, b.due), cmp.Compare(b.requests, a.requests), cmp.Compare(a.model, b.model), cmp.Compare(a.versionName(), b.versionName()))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.due, b.due), cmp.Compare(len(b.regions), len(a.regions)), cmp.Compare(b.requests, a.requests), cmp.Compare(a.model, b.model), cmp.Compare(a.versionName(), b.versionName()), cmp.Compare(a.regionNames(), b.regionNames()))
 	})
 	return out
 }
@@ -159,7 +170,9 @@
 }
 
 // allows reports whether the requested copy may be at an engine.
-func (r loadRequest) allows(e *Engine) bool { return r.version == nil || *r.version == e.Version }
+func (r loadRequest) allows(e *Engine) bool {
+	return (r.version == nil || *r.version == e.Version) && homes.Allows(r.regions, e.Region)
+}
 
 func (r loadRequest) rank() int {
 	switch {
@@ -228,6 +241,7 @@
 // plan takes it into account.
 func (p *planner) apply(m Move) {
 	p.assigned[m.Engine] = true
+	p.loads = append(p.loads, m)
 	p.copies[m.Load]++
 	if m.Source == FromStore {
 		p.StoreLoads++
--- a/coord/swap/room.go
+++ b/coord/swap/room.go
@@ -76,7 +76,7 @@
 	}
 	d := p.Demands[model]
 	others := p.ready[model] - 1
-	if others <= 0 && d.Waiting > 0 {
+	if others <= 0 && d.Waiting > 0 || p.lastOfBound(e, model, r) {
 		return 0, false
 	}
 	reserve := 0.0
--- a/coord/swap/swap.go
+++ b/coord/swap/swap.go
@@ -50,6 +50,7 @@
 type Engine struct {
 	ID         string
 	Version    string // of its software; see Demand.WaitingAt
+	Region     string // see Demand.Bound; empty: none
 	CapacityMB float64
 	Slots      int // concurrent requests
 	Copies     map[string]Copy
@@ -66,6 +67,7 @@
 	Waiting int // requests that no copy has taken yet
 	// WaitingAt counts those of Waiting that only engines of one software version may serve.
 	WaitingAt map[string]int
+	Bound     []Bound       // what only engines in some regions may serve
 	Due       time.Duration // earliest time by which one of them should begin
 	Rate      float64       // recent arrivals per second
 }
@@ -73,6 +75,9 @@
 // anyVersion returns the number of waiting requests that any engine may serve.
 func (d Demand) anyVersion() int {
 	n := d.Waiting
+	for _, b := range d.Bound {
+		n -= b.Waiting
+	}
 	for _, bound := range d.WaitingAt {
 		n -= bound
 	}
