Requests keep to the home regions of their route and team; the directory names hosts in them

Cause: home_regions and [zones] were decoded and not used: any target could get any request, and any host could be asked to pass one on. Change: the binding is decided once, at admission, and goes into Requirements.Regions. The directory names hosts of the caller's region and of the common homes of the routes of the name.

--- a/internal/coordinator/backlog.go
+++ b/internal/coordinator/backlog.go
@@ -34,6 +34,7 @@
 }
 
 func (t *totals) addWaiting(w WaitingRequests, sign int) {
+	t.addBoundWaiting(w, sign)
 	key := modelKey{w.Service, w.Model}
 	b := t.backlogs[key]
 	b.InTime += sign * (w.Count - w.Late)
@@ -59,7 +60,8 @@
 // seenBacklog is a backlog as last reported.
 type seenBacklog struct {
 	Backlog
-	at time.Duration
+	at    time.Duration
+	bound []RegionCount // what of it is bound to regions
 }
 
 // SetBacklogs updates the backlogs of models and drops old ones.
@@ -73,22 +75,19 @@
 		}
 	}
 	for _, b := range backlogs {
-		f.backlogs[modelKey{b.Service, b.Model}] = seenBacklog{b, now}
+		f.backlogs[modelKey{b.Service, b.Model}] = seenBacklog{Backlog: b, at: now}
 	}
 }
 
 // admit reports whether a waiting request may take one of the free slots of a model's
 // engines now. It decides at random if there are too few slots: all hosts learn of new
-// slots at the same time, and engines shed the requests that do not fit. The caller must
-// hold f.mu.
-func (f *FleetView) admit(req Requirements, free int) bool {
+// slots at the same time, and engines shed the requests that do not fit. The free slots are
+// in the regions freeIn. The caller must hold f.mu.
+func (f *FleetView) admit(req Requirements, free int, freeIn []string) bool {
 	b, ok := f.backlogs[modelKey{req.Service, req.Model}]
 	if !ok || f.now()-b.at > backlogTTL {
 		return true
 	}
-	competing := b.InTime
-	if req.Late {
-		competing += b.Late
-	}
+	competing := b.competing(req.Late, freeIn)
 	return competing <= free || rand.Float64()*float64(competing) < admitShare*float64(free)
 }
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -15,6 +15,7 @@
 	Model   string // empty for a plain service
 	Adapter string
 	Version *string         // software version of the target; nil: any
+	Regions []string        // in which the target may be, as homes.Bind returns them; nil: any
 	Avoid   map[string]bool // targets that were tried before
 	Late    bool            // the request missed its objective and yields to requests that can still begin in time
 }
@@ -54,6 +55,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
+	var freeIn []string                            // regions with free slots
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	brittle := f.isBrittle(req.Service)
 	for _, id := range f.targets.ByService[req.Service] {
@@ -63,6 +65,9 @@
 		}
 		if !c.NeedsPermit {
 			free += f.freeSlots(c.Target, req.Late)
+			if region := f.regions[c.Target.Zone]; req.Model != "" && region != "" && !slices.Contains(freeIn, region) {
+				freeIn = append(freeIn, region)
+			}
 		}
 		score := c.score - noise()
 		switch {
@@ -77,7 +82,7 @@
 	if !found && limited.NeedsPermit {
 		return limited, true
 	}
-	if found && req.Model != "" && !best.NeedsPermit && !f.admit(req, free) {
+	if found && req.Model != "" && !best.NeedsPermit && !f.admit(req, free, freeIn) {
 		return Choice{Deferred: true}, false
 	}
 	return best, found
@@ -131,7 +136,7 @@
 
 // usable reports whether a target may be sent a request, whatever it holds. The caller must hold f.mu.
 func (f *FleetView) usable(t fleet.Target, req Requirements) bool {
-	if t.Draining || t.Missing || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version {
+	if t.Draining || t.Missing || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version || !f.inRegions(t, req.Regions) {
 		return false
 	}
 	return !f.isQuiet(t)
@@ -181,28 +186,30 @@
 	return score
 }
 
-// ServesVersion reports whether a target of the given software version is registered, does not leave and is
-// not one to avoid.
-func (f *FleetView) ServesVersion(service, version string, avoid map[string]bool) bool {
+// ServesVersion reports whether a target of the given software version is registered in the given regions (nil:
+// all), does not leave and is not one to avoid.
+func (f *FleetView) ServesVersion(service, version string, regions []string, avoid map[string]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.targets.ByService[service], func(id string) bool {
 		t := f.targets.ByID[id]
-		return t.Version == version && !t.Draining && !avoid[id]
+		return t.Version == version && !t.Draining && !avoid[id] && f.inRegions(t, regions)
 	})
 }
 
-// HasLocalWeights reports whether some engine of the given software version holds a model, or
-// has its weights on its disk or in its memory. A nil version means any. It returns true while no
-// engine of the service is known.
-func (f *FleetView) HasLocalWeights(service, model string, version *string) bool {
+// HasLocalWeights reports whether some engine of the given software version and in the given regions holds
+// a model, or has its weights on its disk or in its memory. nil means any. It returns true while no
+// engine of the service is known there.
+func (f *FleetView) HasLocalWeights(service, model string, version *string, regions []string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.targets.ByService[service]) == 0 {
-		return true
-	}
+	known := false
 	for _, id := range f.targets.ByService[service] {
 		t := f.targets.ByID[id]
+		if !f.inRegions(t, regions) {
+			continue
+		}
+		known = true
 		if t.Draining || version != nil && t.Version != *version {
 			continue
 		}
@@ -210,5 +217,5 @@
 			return true
 		}
 	}
-	return false
+	return !known
 }
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -319,6 +319,7 @@
 	c.opts.FleetView.mergeLimits(u.Limits, true)
 	c.opts.FleetView.mergeLeaving(u.LeavingTargets)
 	c.opts.FleetView.SetBacklogs(u.Backlogs) // first, since the engine updates below wake the waiting requests
+	c.opts.FleetView.setBoundBacklogs(u.BoundBacklogs)
 	complete := len(u.Engines) == 0 || c.opts.FleetView.ApplyUpdates(c.opts.Self.Name, u.Engines...)
 	if len(u.Load) > 0 {
 		c.opts.FleetView.SetRemoteLoad(u.Load)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -55,6 +55,7 @@
 	hosts        map[string]*hostState
 	moves        map[string]*move // by engine
 	rates        map[modelKey]*rate
+	boundRates   boundRates
 	holders      map[string]string        // by engine, the host that owns it according to the store; asked next
 	ownAskedAt   map[string]time.Duration // by engine, when a host was last asked to own it
 	released     map[string]release       // engines whose owner released them in a planned stop
@@ -115,7 +116,7 @@
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
 		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, eras: &platform.Eras{}, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, parts: parts, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
-		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
+		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{}, boundRates: boundRates{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
 		permits: permit.NewIssuer(), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
@@ -166,6 +167,7 @@
 	}
 	for _, a := range r.Arrivals {
 		c.rate(modelKey{a.Service, a.Model}).add(a.N, now)
+		c.boundRates.add(modelKey{a.Service, a.Model}, a.Bound, now)
 	}
 	for team, n := range r.LocalUse {
 		c.totals.addUse(h, team, n)
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"buckthornseam.dev/coord/homes"
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
@@ -42,10 +43,11 @@
 	f.dirty[key] = true
 }
 
-// RecordArrival counts a new request for a model.
-func (f *FleetView) RecordArrival(service, model string) {
+// RecordArrival counts a new request for a model that may be served in the given regions; nil: in all.
+func (f *FleetView) RecordArrival(service, model string, regions []string) {
 	f.mu.Lock()
 	f.arrivals[modelKey{service, model}]++
+	f.recordBoundArrival(modelKey{service, model}, regions)
 	f.mu.Unlock()
 }
 
@@ -62,9 +64,9 @@
 }
 
 // BeginWait counts a request as waiting for a model until the returned function is
-// called. The request should begin by due, at a target of the given software version; nil
-// means any.
-func (f *FleetView) BeginWait(service, model string, version *string, due time.Duration) func() {
+// called. The request should begin by due, at a target of the given software version and in the given
+// regions; nil means any.
+func (f *FleetView) BeginWait(service, model string, version *string, regions []string, due time.Duration) func() {
 	key := modelKey{service, model}
 	f.mu.Lock()
 	w := f.waiting[key]
@@ -74,6 +76,7 @@
 	}
 	w.dues = append(w.dues, due)
 	w.addAt(version, 1)
+	w.addBound(regions, version, due)
 	f.mu.Unlock()
 	f.requestReport()
 	return sync.OnceFunc(func() {
@@ -81,6 +84,7 @@
 		if i := slices.Index(w.dues, due); i >= 0 {
 			w.dues = slices.Delete(w.dues, i, i+1)
 			w.addAt(version, -1)
+			w.removeBound(regions, version, due)
 		}
 		if len(w.dues) == 0 && f.waiting[key] == w {
 			delete(f.waiting, key)
@@ -104,17 +108,23 @@
 // so that the coordinator has time to begin its load.
 const refusedTTL = 2 * time.Second
 
+// refusedKey identifies requests for a model that was refused, by the regions to which they are bound.
+type refusedKey struct {
+	model   modelKey
+	regions string // homes.Key
+}
+
 // RecordUnloadable records that a request was refused because no engine can load its model
 // in time. The model counts as requested for refusedTTL, so that it is loaded for later
-// requests.
-func (f *FleetView) RecordUnloadable(service, model string, due time.Duration) {
-	key := modelKey{service, model}
+// requests. The regions are those in which the request may be served; nil: all.
+func (f *FleetView) RecordUnloadable(service, model string, regions []string, due time.Duration) {
+	key := refusedKey{modelKey{service, model}, homes.Key(regions)}
 	f.mu.Lock()
 	known := f.now() < f.refusedUntil[key]
 	f.refusedUntil[key] = f.now() + refusedTTL
 	f.mu.Unlock()
 	if !known {
-		time.AfterFunc(refusedTTL, f.BeginWait(service, model, nil, due))
+		time.AfterFunc(refusedTTL, f.BeginWait(service, model, nil, regions, due))
 	}
 }
 
@@ -130,8 +140,12 @@
 
 // late returns the number of requests that are past their due time.
 func (w *waitList) late(now time.Duration) int {
+	return countLate(w.dues, now)
+}
+
+func countLate(dues []time.Duration, now time.Duration) int {
 	n := 0
-	for _, due := range w.dues {
+	for _, due := range dues {
 		if due < now {
 			n++
 		}
@@ -145,7 +159,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	for key, w := range f.waiting {
-		r.Waiting = append(r.Waiting, WaitingRequests{Service: key.service, Model: key.model, Count: len(w.dues), Late: w.late(now), DueMS: (slices.Min(w.dues) - now).Milliseconds(), CountAt: maps.Clone(w.countAt)})
+		r.Waiting = append(r.Waiting, WaitingRequests{Service: key.service, Model: key.model, Count: len(w.dues), Late: w.late(now), DueMS: (slices.Min(w.dues) - now).Milliseconds(), CountAt: maps.Clone(w.countAt), Bound: w.boundCounts(now)})
 	}
 	if r.Full {
 		for key, n := range f.running {
@@ -163,7 +177,7 @@
 		}
 	}
 	for key, n := range f.arrivals {
-		r.Arrivals = append(r.Arrivals, Arrivals{key.service, key.model, n})
+		r.Arrivals = append(r.Arrivals, Arrivals{key.service, key.model, n, f.takeBoundArrivals(key)})
 	}
 	clear(f.arrivals)
 }
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -31,17 +31,19 @@
 	remoteLoad    map[string]int           // other hosts' requests by target, as last reported
 	health        map[string]*health
 	arrivals      map[modelKey]int
+	regions       map[string]string           // of availability zones
+	boundArrivals map[modelKey]map[string]int // those of arrivals that are bound to regions, by homes.Key
 	waiting       map[modelKey]*waitList
 	dirty         map[runKey]bool
 	changed       chan struct{}
 	requestReport func()
 	hosts         map[string]fleet.Host
-	unusableUntil map[string]time.Duration   // targets that leave or have been removed, and when this expires
-	refusedUntil  map[modelKey]time.Duration // refused models, until when they still count as requested
-	backlogs      map[modelKey]seenBacklog   // as last reported
-	missingUntil  map[runKey]time.Duration   // set by RecordMissingModel, and when this expires
-	limits        *permit.Limits             // that targets name
-	noPermitUntil map[string]time.Duration   // by target, when a permit is asked for again
+	unusableUntil map[string]time.Duration     // targets that leave or have been removed, and when this expires
+	refusedUntil  map[refusedKey]time.Duration // refused models, until when they still count as requested
+	backlogs      map[modelKey]seenBacklog     // as last reported
+	missingUntil  map[runKey]time.Duration     // set by RecordMissingModel, and when this expires
+	limits        *permit.Limits               // that targets name
+	noPermitUntil map[string]time.Duration     // by target, when a permit is asked for again
 }
 
 type runKey struct{ engine, model string }
@@ -51,7 +53,8 @@
 // waitList holds the due times of this host's requests that wait for a model.
 type waitList struct {
 	dues    []time.Duration
-	countAt map[string]int // those that only targets of one software version may serve
+	countAt map[string]int               // those that only targets of one software version may serve
+	bound   map[boundKey][]time.Duration // due times of those that only targets in some regions may serve
 }
 
 // NewFleetView returns an empty view. The clock now must include time during which the
@@ -62,7 +65,7 @@
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
-		missingUntil: map[runKey]time.Duration{}, unusableUntil: map[string]time.Duration{}, refusedUntil: map[modelKey]time.Duration{},
+		missingUntil: map[runKey]time.Duration{}, unusableUntil: map[string]time.Duration{}, refusedUntil: map[refusedKey]time.Duration{},
 		backlogs: map[modelKey]seenBacklog{}, limits: permit.NewLimits(), noPermitUntil: map[string]time.Duration{},
 	}
 }
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -52,10 +52,11 @@
 
 // totals are sums over all reporting hosts.
 type totals struct {
-	running  map[runKey]int
-	load     map[string]int       // by target
-	use      map[string]float64   // by team, since the first report of each host to this coordinator
-	backlogs map[modelKey]Backlog // waiting requests by model
+	running       map[runKey]int
+	load          map[string]int                      // by target
+	use           map[string]float64                  // by team, since the first report of each host to this coordinator
+	backlogs      map[modelKey]Backlog                // waiting requests by model
+	boundBacklogs map[modelKey]map[string]RegionCount // those that are bound to regions, by homes.Key
 }
 
 func newTotals() totals {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -81,6 +81,7 @@
 	DueMS   int64  `json:"d"`           // time until the earliest should begin; negative if it is late
 	// CountAt counts those of Count that only targets of one software version may serve.
 	CountAt map[string]int `json:"v,omitempty"`
+	Bound   []RegionCount  `json:"g,omitempty"` // those of Count that only targets in some regions may serve
 }
 
 // RunningCount is the number of requests of a host that run at an engine.
@@ -95,6 +96,8 @@
 	Service string `json:"s"`
 	Model   string `json:"m"`
 	N       int    `json:"n"`
+	// Bound counts those of N that only targets in some regions may serve.
+	Bound []RegionCount `json:"g,omitempty"`
 }
 
 // Report is what a host reports to the coordinator: its whole state if Full is set,
@@ -158,6 +161,7 @@
 	CutOffHosts    []string             `json:"ko,omitempty"` // hosts that have lost their way to all targets; with LiveHosts
 	Load           map[string]int       `json:"r,omitempty"`  // other hosts' requests by target, if changed by more than one or to 0
 	Backlogs       []Backlog            `json:"k,omitempty"`  // of the models that the host's requests wait for
+	BoundBacklogs  []BoundBacklog       `json:"kb,omitempty"` // what of Backlogs is bound to regions
 	EngineFailures []string             `json:"x,omitempty"`
 	Parts          *crashcause.Evidence `json:"cp,omitempty"`
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -211,6 +211,7 @@
 		u.LeavingTargets, h.sentTargets = c.fleetView.leavingChanges(h.sentTargets)
 	}
 	u.Backlogs = c.totals.backlogsOf(h)
+	u.BoundBacklogs = c.totals.boundBacklogsOf(u.Backlogs)
 	if !counts {
 		return u
 	}
--- a/internal/coordinator/versiondemand_test.go
+++ b/internal/coordinator/versiondemand_test.go
@@ -10,8 +10,8 @@
 func TestWaitForVersionIsReported(t *testing.T) {
 	f := NewFleetView("z", func() time.Duration { return time.Hour })
 	v1 := "v1"
-	endFirst := f.BeginWait("s", "m", &v1, time.Hour)
-	f.BeginWait("s", "m", nil, time.Hour)
+	endFirst := f.BeginWait("s", "m", &v1, nil, time.Hour)
+	f.BeginWait("s", "m", nil, nil, time.Hour)
 	var r Report
 	f.report(&r)
 	if w := r.Waiting[0]; w.Count != 2 || len(w.CountAt) != 1 || w.CountAt[v1] != 1 {
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -73,6 +73,13 @@
 	Resumes     string        // ID of the attempt that brought the stream's first event; empty: not stated
 }
 
+// Lookup is a caller's request for addresses of hosts.
+type Lookup struct {
+	Name   string // host name of the routes that the caller is about to use; empty: not stated
+	Region string // of the caller; empty: not stated
+	Zone   string // of the caller; empty: not stated
+}
+
 // Codec translates between calls and the platform's HTTP headers.
 type Codec interface {
 	// ReadCall fails with *BadCallError.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -148,6 +148,9 @@
 	return nil, false
 }
 
+// RoutesOf returns the routes of a host name. They must not be modified.
+func (c *Config) RoutesOf(host string) []*Route { return c.byHost[host] }
+
 // TeamOfKey returns the team of an API key.
 func (c *Config) TeamOfKey(key string) (*Team, bool) {
 	t, ok := c.byKey[key]
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -7,6 +7,9 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 )
@@ -21,11 +24,14 @@
 
 // Directory returns the hosts that callers may connect to.
 type Directory struct {
-	View   *coordinator.FleetView
-	Client LiveHosts
-	Self   fleet.Host
+	View    *coordinator.FleetView
+	Client  LiveHosts
+	Self    fleet.Host
+	Log     logrus.FieldLogger // nil: nothing is logged
+	Metrics tally.Scope        // nil: nothing is counted
 
 	leaving atomic.Bool
+	homes   homesDirectory
 }
 
 // Leave removes this host from the addresses, unless no other host can be named.
@@ -34,10 +40,11 @@
 // maxAddresses is the largest number of addresses that callers accept.
 const maxAddresses = 64
 
-// Addresses returns the addresses, for callers in a zone, of the hosts that serve and do not
-// leave. While all hosts leave, those that leave last are named, since callers without an
-// address would keep using the hosts that leave first. Addresses is never empty.
-func (d *Directory) Addresses(zone string) []string {
+// Addresses returns the addresses, for a caller, of the hosts that serve and do not leave. While
+// all hosts leave, those that leave last are named, since callers without an address would keep
+// using the hosts that leave first. Of these hosts, it names those that the homes of the routes
+// of the name suggest, if there are any. Addresses is never empty.
+func (d *Directory) Addresses(q fleet.Lookup) []string {
 	hosts := d.staying()
 	if len(hosts) == 0 {
 		hosts = d.lastLeaving()
@@ -45,7 +52,7 @@
 	if len(hosts) == 0 {
 		hosts = []fleet.Host{d.Self}
 	}
-	hosts = choose(hosts, zone)
+	hosts = choose(d.inHomes(hosts, q), q.Zone)
 	out := make([]string, 0, len(hosts))
 	for _, h := range hosts {
 		out = append(out, h.Address)
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -50,7 +50,7 @@
 		if c.leaving {
 			d.Leave()
 		}
-		got := d.Addresses("z")
+		got := d.Addresses(fleet.Lookup{Zone: "z"})
 		slices.Sort(got)
 		slices.Sort(c.want)
 		if !slices.Equal(got, c.want) {
@@ -77,7 +77,7 @@
 	named := map[string]int{}
 	for range 200 {
 		inZone := 0
-		addresses := d.Addresses("z3")
+		addresses := d.Addresses(fleet.Lookup{Zone: "z3"})
 		for _, a := range addresses {
 			named[a]++
 			if hosts[a].Zone == "z3" {
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, zone := range []string{"", "elsewhere"} {
-		if n := len(d.Addresses(zone)); n != maxAddresses {
+		if n := len(d.Addresses(fleet.Lookup{Zone: zone})); n != maxAddresses {
 			t.Errorf("%d addresses for zone %q, want %d", n, zone, maxAddresses)
 		}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"buckthornseam.dev/coord/homes"
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
@@ -18,6 +19,7 @@
 	route             *fleet.Route
 	team              *fleet.Team // nil on a public route
 	service           string
+	homes             homes.Binding // regions to which the request is bound
 	body              []byte
 	r                 *http.Request
 	w                 http.ResponseWriter
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,7 +181,7 @@
 			return g.refuse(x, http.StatusUnauthorized, "unknown key", 0)
 		}
 	}
-	return g.readBody(x) && g.takeQuota(x)
+	return g.bindToHomes(x) && g.readBody(x) && g.takeQuota(x)
 }
 
 // Times that apply after the start of a host.
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -37,8 +37,8 @@
 
 // Helpers are the hosts through which requests can be sent to targets.
 type Helpers interface {
-	// Choose returns a host that is not among those tried and reaches targets.
-	Choose(tried map[string]bool) (fleet.Host, bool)
+	// Choose returns a host that is not among those tried, reaches targets and is in one of the regions; nil: in any.
+	Choose(tried map[string]bool, regions []string) (fleet.Host, bool)
 	// Forward sends a request to a host's relay address. It fails like Sender.Forward.
 	Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error)
 }
@@ -81,7 +81,7 @@
 		x.waitsDirectly = true // decided once, unless the way is lost later
 		return false
 	}
-	_, ok := g.opts.Helpers.Choose(x.helpersTried)
+	_, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
 	return ok
 }
 
@@ -94,7 +94,7 @@
 		x.taken = 0
 	}
 	for range maxHelpers {
-		helper, ok := g.opts.Helpers.Choose(x.helpersTried)
+		helper, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
 		if !ok || ctx.Err() != nil {
 			break
 		}
@@ -103,6 +103,7 @@
 			break
 		}
 		x.tryHelper(helper.Name)
+		g.recordHelperRegion(x, helper)
 		switch g.sendThrough(ctx, x, helper) {
 		case relayed:
 			return true
--- a/internal/gateway/helper_test.go
+++ b/internal/gateway/helper_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"buckthornseam.dev/coord/homes"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -17,11 +18,14 @@
 func (lostWay) Direct() bool                  { return false }
 
 // scriptedHelpers are hosts that give the nth response to the nth request that is passed on.
-type scriptedHelpers struct{ scriptedSender }
+type scriptedHelpers struct {
+	scriptedSender
+	region string // of all of them
+}
 
-func (s *scriptedHelpers) Choose(tried map[string]bool) (fleet.Host, bool) {
+func (s *scriptedHelpers) Choose(tried map[string]bool, regions []string) (fleet.Host, bool) {
 	for _, name := range []string{"h1", "h2", "h3"} {
-		if !tried[name] {
+		if !tried[name] && homes.Allows(regions, s.region) {
 			return fleet.Host{Name: name, RelayAddress: name}, true
 		}
 	}
@@ -68,7 +72,7 @@
 	} {
 		direct := &scriptedSender{responses: responses{respond(200, "directly")}}
 		g := testGateway(direct)
-		helpers := &scriptedHelpers{scriptedSender{responses: c.responses}}
+		helpers := &scriptedHelpers{scriptedSender: scriptedSender{responses: c.responses}}
 		g.opts.Reach, g.opts.Helpers, g.opts.Self = lostWay{}, helpers, "h0"
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		w := serve(g, newPost(c.path, map[bool]string{true: "", false: "m"}[c.path == "/pay/x"], "a1").WithContext(ctx))
@@ -85,7 +89,7 @@
 // TestStreamGoesOnAfterALostHop guards against events that are lost or repeated where another host takes a stream over.
 func TestStreamGoesOnAfterALostHop(t *testing.T) {
 	g := testGateway(&scriptedSender{})
-	helpers := &scriptedHelpers{scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
+	helpers := &scriptedHelpers{scriptedSender: scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
 		breakAfter("id: 1\ndata: a\n\nid: 2\nda"), respond(200, "id: 2\ndata: b\n\n"),
 	}}}
 	g.opts.Reach, g.opts.Helpers, g.opts.Self = lostWay{}, helpers, "h0"
--- a/internal/gateway/helperchoice.go
+++ b/internal/gateway/helperchoice.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"buckthornseam.dev/coord/homes"
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
@@ -31,10 +32,10 @@
 }
 
 // Choose implements Helpers.
-func (h *HelperHosts) Choose(tried map[string]bool) (fleet.Host, bool) {
+func (h *HelperHosts) Choose(tried map[string]bool, regions []string) (fleet.Host, bool) {
 	live, known := h.Client.LiveHosts()
 	return chooseHelper(helperChoice{
-		self: h.Self, hosts: h.View.Hosts(), live: live, known: known, cutOff: h.Client.CutOffHosts(), tried: tried,
+		self: h.Self, hosts: h.View.Hosts(), live: live, known: known, cutOff: h.Client.CutOffHosts(), tried: tried, regions: regions, regionOf: h.View.Region,
 	}, rand.Float64)
 }
 
@@ -46,12 +47,19 @@
 	known  bool
 	cutOff []string // hosts that have lost their way to all targets
 	tried  map[string]bool
+	// regions are those in which the helper may be; nil: all.
+	regions  []string
+	regionOf func(zone string) string // only if regions is not nil
 }
 
 // zoneShare is the least processor time of the helpers in this host's zone, as a share of that of the hosts there that
 // need one, for which they are preferred: traffic between zones is dear, but helpers have callers of their own.
 const zoneShare = 0.5
 
+func (c helperChoice) inRegions(h fleet.Host) bool {
+	return c.regions == nil || homes.Allows(c.regions, c.regionOf(h.Zone))
+}
+
 // chooseHelper draws one of the hosts that reach targets, by their processor time.
 func chooseHelper(c helperChoice, random func() float64) (fleet.Host, bool) {
 	var near, all []fleet.Host
@@ -61,7 +69,7 @@
 		if cutOff && host.Zone == c.self.Zone && name != c.self.Name {
 			nearNeed += host.Weight
 		}
-		if name == c.self.Name || cutOff || c.tried[name] || host.Leaving || host.RelayAddress == "" || c.known && !slices.Contains(c.live, name) {
+		if name == c.self.Name || cutOff || c.tried[name] || host.Leaving || host.RelayAddress == "" || c.known && !slices.Contains(c.live, name) || !c.inRegions(host) {
 			continue
 		}
 		all, allWeight = append(all, host), allWeight+host.Weight
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -50,7 +50,7 @@
 	}
 	g.opts.Budget.CountRequest(x.service)
 	if x.call.Model != "" {
-		g.opts.View.RecordArrival(x.service, x.call.Model)
+		g.opts.View.RecordArrival(x.service, x.call.Model, x.homes.Regions)
 	}
 	if !g.findVersion(ctx, x) {
 		return
@@ -142,7 +142,7 @@
 // awaitTarget waits until a target can run the request, and chooses it.
 func (g *Gateway) awaitTarget(ctx context.Context, x *exchange, avoid map[string]bool) (coordinator.Choice, bool) {
 	view := g.opts.View
-	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Avoid: avoid}
+	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Regions: x.homes.Regions, Avoid: avoid}
 	var endWait func()
 	defer func() {
 		if endWait != nil {
@@ -156,6 +156,9 @@
 		if x.viaHelper = g.goesThroughHelper(x); x.viaHelper {
 			return coordinator.Choice{}, false
 		}
+		if g.homesLeaveNoHelper(x) {
+			return coordinator.Choice{}, false
+		}
 		until := g.targetWaitEnd(x)
 		req.Late = endWait != nil && g.opts.Now() > x.arrived+x.route.Objective
 		changed := view.Changed()
@@ -185,12 +188,12 @@
 		if ctx.Err() != nil || g.opts.Now() >= until {
 			return coordinator.Choice{}, false
 		}
-		if end, all := view.QuietUntil(x.service); all && end >= until {
+		if end, all := view.QuietUntil(x.service, x.homes.Regions); all && end >= until {
 			x.log["reason"] = "all targets ask this host to send nothing"
 			x.retryAfter, x.quiet = end-g.opts.Now(), true
 			return coordinator.Choice{}, false
 		}
-		if x.version != nil && !view.ServesVersion(x.service, *x.version, failedTargets(x, avoid)) {
+		if x.version != nil && !view.ServesVersion(x.service, *x.version, x.homes.Regions, failedTargets(x, avoid)) {
 			x.log["reason"] = "no target of the stream's software version"
 			return coordinator.Choice{}, false
 		}
@@ -201,7 +204,7 @@
 			}
 			if endWait == nil {
 				x.log["waited"] = true
-				endWait = view.BeginWait(x.service, x.call.Model, x.version, x.arrived+x.route.Objective)
+				endWait = view.BeginWait(x.service, x.call.Model, x.version, x.homes.Regions, x.arrived+x.route.Objective)
 			}
 		}
 		if choice.Deferred {
@@ -240,9 +243,9 @@
 		return "model is not offered"
 	}
 	left := x.deadline - g.opts.Now()
-	if !g.opts.View.HasLocalWeights(x.service, x.call.Model, x.version) && left < m.StoreLoad+streamRunTime {
+	if !g.opts.View.HasLocalWeights(x.service, x.call.Model, x.version, x.homes.Regions) && left < m.StoreLoad+streamRunTime {
 		x.retryAfter = maxRetryAfter
-		g.opts.View.RecordUnloadable(x.service, x.call.Model, g.opts.Now()+m.StoreLoad)
+		g.opts.View.RecordUnloadable(x.service, x.call.Model, x.homes.Regions, g.opts.Now()+m.StoreLoad)
 		return "model is on no disk, and its load takes longer than the caller waits"
 	}
 	return ""
@@ -267,5 +270,6 @@
 
 func (g *Gateway) logChoice(x *exchange, c coordinator.Choice) {
 	x.log["target"], x.log["target_version"], x.log["target_load"] = c.Target.ID, c.Target.Version, c.Load
+	g.logHomes(x, c)
 	x.log["chosen_ms"] = (g.opts.Now() - x.arrived).Milliseconds()
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"buckthornseam.dev/coord/homes"
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/invariant"
@@ -103,6 +104,7 @@
 func (g *Gateway) checkInvariants(x *exchange, c coordinator.Choice) {
 	invariant.Check(x.sends == 0 || x.route.Retryable(), invariant.AtMostOnce, "request %s is sent again after it may have run", x.call.ID)
 	invariant.Check(!c.Target.Draining, invariant.LeavingUnused, "request %s is sent to %s, which is draining", x.call.ID, c.Target.ID)
+	invariant.Check(homes.Allows(x.homes.Regions, g.opts.View.Region(c.Target.Zone)), invariant.InHomes, "request %s is sent to %s, which is outside its homes", x.call.ID, c.Target.ID)
 	invariant.Check(x.team != nil || x.route.Public || !x.config.HasTeams(), invariant.TeamOfKey, "request %s is sent without a team", x.call.ID)
 }
 
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -28,6 +28,7 @@
 	AtMostOnce        Name = "at_most_once"        // a non-repeatable request runs at most once
 	LeavingUnused     Name = "leaving_unused"      // a leaving target gets no new work
 	ShutdownGraceful  Name = "shutdown_graceful"   // a planned stop aborts no request
+	InHomes           Name = "in_homes"            // a request with homes reaches only targets in them
 	ConfigMonotonic   Name = "config_monotonic"    // an accepted configuration never reverts
 )
 
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -42,8 +42,7 @@
 	fleet.Codec
 	Config(obj platform.Object) (*fleet.Config, error)
 	Target(obj platform.Object) (fleet.Target, error)
-	// DirectoryZone returns the availability zone of the caller of a look-up.
-	DirectoryZone(r *http.Request) string
+	DirectoryLookup(r *http.Request) fleet.Lookup
 	DirectoryResponse(addresses []string, ttl time.Duration) []byte
 }
 
@@ -123,6 +122,7 @@
 		h.self.RelayAddress = net.JoinHostPort(settings.IP, strconv.Itoa(settings.RelayPort))
 	}
 	h.view = coordinator.NewFleetView(settings.Zone, bootclock.Now)
+	h.view.SetRegions(settings.Regions)
 	h.view.SetHosts(map[string]fleet.Host{h.self.Name: h.self})
 	h.store = adapter.NewStore(&h.eras, h.metrics)
 	h.initSteering()
@@ -174,7 +174,7 @@
 	h.client.Register(h.peerServer)
 	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
 	h.origins.Register(h.peerServer)
-	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self}
+	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self, Log: h.log, Metrics: h.metrics.Scope}
 	h.gateway = gateway.New(gateway.Options{
 		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClientWithDialer(h.reach.Dial), Quotas: quotas,
 		Reach: h.reach, Helpers: &gateway.HelperHosts{Self: h.self, View: h.view, Client: h.client, Sender: target.NewClient()}, Self: h.self.Name,
--- a/internal/platformhost/servers.go
+++ b/internal/platformhost/servers.go
@@ -126,5 +126,5 @@
 		ttl = min(ttl, limit)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(h.adapter.Codec.DirectoryResponse(h.directory.Addresses(h.adapter.Codec.DirectoryZone(r)), ttl))
+	w.Write(h.adapter.Codec.DirectoryResponse(h.directory.Addresses(h.adapter.Codec.DirectoryLookup(r)), ttl))
 }
