Directory: hosts that are gone are not named

Cause: without a coordinator's reply for 1.2 s a host named all entries, whose hosts may have gone long ago; so did a host that had just started, and the last hosts of a planned stop of all. A coordinator that was suspended listed hosts that had gone meanwhile, and 'unknown host' renewed the list of a client. Change: without a reply, the last list is used until it is the contact time and 1.4 s old, and then this host names itself. Coordinators list hosts by the time of their last report, and only the host that asks for 0.5 s after a suspension. A list's age counts from the report that it answers.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -51,6 +51,8 @@
 	liveHosts          []string
 	cutOffHosts        []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
+	listConfirmedAt    time.Duration // when a coordinator last sent liveHosts and lastLeaving, or left them as they were
+	listAsOf           time.Duration // not later than the time at which the coordinator took that list
 	lastReplyAt        time.Duration // when a coordinator last replied
 	coordinatorSince   time.Duration // when currentCoordinator last changed
 	reporting          int           // number of hosts that report to the coordinator, with those that leave
@@ -121,7 +123,7 @@
 func (c *Client) LiveHosts() ([]string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.liveHosts, c.opts.Now()-c.lastReplyAt < hostTimeout && len(c.liveHosts)+len(c.lastLeaving) > 0
+	return c.liveHosts, c.opts.Now()-c.listConfirmedAt < hostTimeout && len(c.liveHosts)+len(c.lastLeaving) > 0
 }
 
 // CutOffHosts returns the hosts that have lost their way to all targets, as the coordinator last told.
@@ -257,6 +259,9 @@
 	c.mu.Lock()
 	c.sendFull = c.sendFull || u.UnknownHost
 	c.lastReplyAt = c.opts.Now()
+	if !u.UnknownHost {
+		c.listConfirmedAt, c.listAsOf = c.lastReplyAt, began // an update without a list means that the last one still holds
+	}
 	c.mu.Unlock()
 	if u.UnknownHost {
 		c.wake()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -56,6 +55,7 @@
 	moves        map[string]*move // by engine
 	rates        map[modelKey]*rate
 	boundRates   boundRates
+	activity     activity
 	holders      map[string]string        // by engine, the host that owns it according to the store; asked next
 	ownAskedAt   map[string]time.Duration // by engine, when a host was last asked to own it
 	released     map[string]release       // engines whose owner released them in a planned stop
@@ -93,21 +93,6 @@
 	concurrent    int           // highest number of such loads at the same time
 }
 
-// rate is an exponential moving average of arrivals per second.
-type rate struct {
-	perSecond float64
-	at        time.Duration
-}
-
-func (r *rate) add(n int, now time.Duration) {
-	r.perSecond = r.value(now) + float64(n)/rateWindow.Seconds()
-	r.at = now
-}
-
-func (r *rate) value(now time.Duration) float64 {
-	return r.perSecond * math.Exp(-(now-r.at).Seconds()/rateWindow.Seconds())
-}
-
 // FreshnessFunc returns the revision of a host's copy of the configuration, when that was
 // last known to be in force, and when its list of targets was last known to be complete.
 type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
@@ -147,7 +132,7 @@
 func (c *Coordinator) Report(host string, r Report) Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	now := c.activity.tick(c.now())
 	h := c.hosts[host]
 	if h == nil || h.incarnation != r.Incarnation || r.Full {
 		if !r.Full {
@@ -206,15 +191,6 @@
 	return c.updateFor(host, h, true)
 }
 
-func (c *Coordinator) rate(key modelKey) *rate {
-	r := c.rates[key]
-	if r == nil {
-		r = &rate{}
-		c.rates[key] = r
-	}
-	return r
-}
-
 func (c *Coordinator) wake() {
 	select {
 	case c.wakeup <- struct{}{}:
@@ -263,7 +239,7 @@
 func (c *Coordinator) step(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	now := c.activity.tick(c.now())
 	c.expire(now)
 	c.trackRemovedTargets(now)
 	if len(c.hosts) == 0 {
--- a/internal/coordinator/hostorder.go
+++ b/internal/coordinator/hostorder.go
@@ -31,9 +31,12 @@
 
 // lastLeaving returns the half of the hosts that leaves last, the last one first, if all
 // hosts leave. The others stop before callers would reach them.
-func (c *Coordinator) lastLeaving() []string {
+func (c *Coordinator) lastLeaving(asked string) []string {
 	names := make([]string, 0, len(c.hosts))
 	for name, h := range c.hosts {
+		if !c.runs(name, h, asked) {
+			continue
+		}
 		if !h.leaving {
 			return nil
 		}
--- /dev/null
+++ b/internal/coordinator/livehosts_test.go
@@ -0,0 +1,78 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/platform"
+)
+
+// TestSuspendedCoordinatorListsNoSilentHosts guards against a coordinator that was suspended naming, to the first hosts that
+// report afterwards, those that have gone meanwhile, also if reports from before its suspension are read then. The control are
+// hosts that report in time.
+func TestSuspendedCoordinatorListsNoSilentHosts(t *testing.T) {
+	c, now := testCoordinator()
+	for _, name := range []string{"a", "b", "c"} {
+		c.Report(name, Report{Incarnation: name, Full: true})
+	}
+	*now += hostTimeout / 2
+	if got := c.Report("a", Report{Incarnation: "a", Full: true}).LiveHosts; !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("hosts %v are listed, want all", got)
+	}
+	*now += 20 * time.Second
+	if got := c.Report("a", Report{Incarnation: "a", Full: true}).LiveHosts; !slices.Equal(got, []string{"a"}) {
+		t.Errorf("after 20 s hosts %v are listed, want a alone", got)
+	}
+	c.Report("b", Report{Incarnation: "b", Full: true}) // had been waiting to be read
+	*now += settleTime + time.Millisecond
+	c.Report("c", Report{Incarnation: "c", Full: true})
+	if got := c.Report("a", Report{Incarnation: "a"}).LiveHosts; !slices.Equal(got, []string{"a", "c"}) {
+		t.Errorf("after 20 s and reports of all, hosts %v are listed, want a and c", got)
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		c.Report(name, Report{Incarnation: name, Full: true, Leaving: true})
+	}
+	*now += 20 * time.Second
+	if got := c.Report("a", Report{Incarnation: "a", Full: true, Leaving: true}).LastLeaving; !slices.Equal(got, []string{"a"}) {
+		t.Errorf("after 20 s hosts %v are listed as leaving last, want a alone", got)
+	}
+}
+
+// replies answers each report with the next update.
+type replies struct{ updates []Update }
+
+func (r *replies) Call(_ context.Context, _, _ string, _, result any) error {
+	data, err := json.Marshal(r.updates[0])
+	if err != nil {
+		return err
+	}
+	r.updates = r.updates[1:]
+	return json.Unmarshal(data, result)
+}
+
+// TestAgeOfTheListOfHosts guards against an old list that passes for a new one since its host got replies without one: from a
+// coordinator that has restarted, and from deputies. The control is a reply of the coordinator, which confirms the list.
+func TestAgeOfTheListOfHosts(t *testing.T) {
+	c := testClient("a", fleet.Host{Name: "a"}, fleet.Host{Name: "b", Weight: 2, CreateRevision: 1})
+	now := time.Hour
+	c.opts.Now = func() time.Duration { return now }
+	c.opts.LocalUse = func() map[string]float64 { return nil }
+	c.opts.Coordinator, _ = testCoordinator()
+	c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()})}
+	c.opts.Calls = &replies{[]Update{{LiveHosts: []string{"a", "b"}}, {}, {UnknownHost: true}, {Coordinator: "other"}, {UnknownHost: true}}}
+	for i, want := range []time.Duration{0, 0, time.Second, 2 * time.Second, 3 * time.Second} {
+		c.report(t.Context())
+		hosts, age, ok := c.LastKnownHosts()
+		if !ok || !slices.Equal(hosts, []string{"a", "b"}) || age != want {
+			t.Errorf("after reply %d: hosts %v of %v before, want a and b of %v before", i, hosts, age, want)
+		}
+		if _, known := c.LiveHosts(); known != (want < hostTimeout) {
+			t.Errorf("after reply %d: the list counts as recent: %v", i, known)
+		}
+		now += time.Second
+	}
+}
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -227,7 +227,7 @@
 	c.addUse(&u, name, h)
 	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
-	live, leaving, cutOff := c.liveHosts(), c.lastLeaving(), c.cutOffHosts()
+	live, leaving, cutOff := c.liveHosts(name), c.lastLeaving(name), c.cutOffHosts()
 	if !slices.Equal(live, h.sentLiveHosts) || !slices.Equal(leaving, h.sentLeaving) || !slices.Equal(cutOff, h.sentCutOff) {
 		u.LiveHosts, u.LastLeaving, u.CutOffHosts = live, leaving, cutOff
 		h.sentLiveHosts, h.sentLeaving, h.sentCutOff = live, leaving, cutOff
@@ -249,17 +249,6 @@
 	}
 }
 
-func (c *Coordinator) liveHosts() []string {
-	live := make([]string, 0, len(c.hosts))
-	for host, h := range c.hosts {
-		if !h.leaving {
-			live = append(live, host)
-		}
-	}
-	slices.Sort(live)
-	return live
-}
-
 // brittleNow returns the services of which a host said lately that their targets are brittle.
 func (c *Coordinator) brittleNow() []string {
 	var out []string
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -20,13 +21,18 @@
 	LiveHosts() ([]string, bool)
 	// LastLeaving returns the hosts that leave last if all hosts leave, the last one first.
 	LastLeaving() []string
+	// LastKnownHosts returns all hosts in the last list, and how old it is. It returns false if there has been none.
+	LastKnownHosts() (hosts []string, age time.Duration, ok bool)
 }
 
 // Directory returns the hosts that callers may connect to.
 type Directory struct {
-	View    *coordinator.FleetView
-	Client  LiveHosts
-	Self    fleet.Host
+	View   *coordinator.FleetView
+	Client LiveHosts
+	Self   fleet.Host
+	// Contact is the contact time of the deployment. The last list of hosts is used for somewhat longer after the coordinator
+	// has fallen silent.
+	Contact time.Duration
 	Log     logrus.FieldLogger // nil: nothing is logged
 	Metrics tally.Scope        // nil: nothing is counted
 
@@ -94,10 +100,21 @@
 	return slices.ContainsFunc(d.staying(), func(h fleet.Host) bool { return h.Name != d.Self.Name })
 }
 
-// staying returns the hosts that do not leave. If the coordinator has not
-// replied recently, these are all hosts with an entry.
+// listMargin is for how long after the contact time the last list of hosts is used. It may name hosts that had then been silent
+// for 1.2 s, and at a coordinator of the previous version for the 0.1 s until it drops them; hosts that have been gone for the
+// contact time and 3 s must not be named.
+const listMargin = 1400 * time.Millisecond
+
+// defaultContact is the contact time of a deployment that states none.
+const defaultContact = 4 * time.Second
+
+// staying returns the hosts that do not leave, as the coordinator last told. After the contact time without a list, this is this
+// host alone: the entries of other hosts tell nothing of whether they run.
 func (d *Directory) staying() []fleet.Host {
 	live, known := d.Client.LiveHosts()
+	if !known && !d.listIsYoung() {
+		live = nil
+	}
 	alive := make(map[string]bool, len(live))
 	for _, name := range live {
 		alive[name] = true
@@ -109,15 +126,21 @@
 			if !d.leaving.Load() {
 				out = append(out, h)
 			}
-		case alive[name] || (!known && !h.Leaving):
+		case alive[name] && (known || !h.Leaving):
 			out = append(out, h)
 		}
 	}
 	return out
 }
 
-// lastLeaving returns the half of the hosts that leaves last, as the coordinator reports them,
-// or else by the order in which they marked their entries.
+// listIsYoung reports whether the hosts in the last list may be named although the coordinator is silent.
+func (d *Directory) listIsYoung() bool {
+	_, age, ok := d.Client.LastKnownHosts()
+	return ok && age < cmp.Or(d.Contact, defaultContact)+listMargin
+}
+
+// lastLeaving returns the half of the hosts that leaves last, as the coordinator reports them, or else, of those in its last list,
+// by the order in which they marked their entries.
 func (d *Directory) lastLeaving() []fleet.Host {
 	hosts := d.View.Hosts()
 	var leaving []fleet.Host
@@ -129,8 +152,12 @@
 		}
 		return leaving
 	}
-	for _, h := range hosts {
-		if h.Leaving {
+	known, _, _ := d.Client.LastKnownHosts()
+	if !d.listIsYoung() {
+		known = nil
+	}
+	for name, h := range hosts {
+		if h.Leaving && (name == d.Self.Name || slices.Contains(known, name)) {
 			leaving = append(leaving, h)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/directoryfleet_test.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// goneLimit is how long a host may have been gone that is named, by the users' rule: the contact time and 3 s.
+const goneLimit = contactTime + 3*time.Second
+
+// directoryFleet is a fleet whose hosts answer look-ups.
+type directoryFleet struct {
+	*reportingFleet
+	regions map[string]string // by zone
+	diedAt  map[string]time.Duration
+	homes   []string // of the route of the name "homed"
+	outside int      // addresses of hosts outside the homes and the caller's region, while others run
+	named   int
+}
+
+func newDirectoryFleet(t *testing.T, hosts, regions int) *directoryFleet {
+	d := &directoryFleet{regions: map[string]string{}, diedAt: map[string]time.Duration{}, homes: []string{"r0"}}
+	for i := range 3 {
+		d.regions[fmt.Sprint("z", i)] = fmt.Sprint("r", i%regions)
+	}
+	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "a", Host: "homed", PathPrefix: "/a/", Homes: d.homes}, {Name: "b", Host: "homed", PathPrefix: "/b/"}, {Name: "c", Host: "free", PathPrefix: "/"}}}
+	config.Index()
+	d.reportingFleet = startReportingFleet(t, hosts, 1, func(f *reportingFleet, h *reportingHost) {
+		for name, host := range f.known { // of all hosts alike, whenever they start
+			var i int
+			_, _ = fmt.Sscanf(name, "h%d", &i)
+			host.Zone, host.Address = fmt.Sprint("z", i%3), name
+			f.known[name] = host
+		}
+		h.view.SetRegions(d.regions)
+		h.view.SetConfig(config)
+		h.view.SetHosts(maps.Clone(f.known))
+	})
+	return d
+}
+
+func (d *directoryFleet) kill(hosts ...int) {
+	for _, i := range hosts {
+		d.killHost(i)
+		d.diedAt[fmt.Sprint("h", i)] = d.now()
+	}
+}
+
+func (d *directoryFleet) restart(hosts ...int) {
+	for _, i := range hosts {
+		d.startHost(i)
+		delete(d.diedAt, fmt.Sprint("h", i))
+	}
+}
+
+// play has each host that runs look up addresses every 200 ms, and checks them.
+func (d *directoryFleet) play(span time.Duration) {
+	d.t.Helper()
+	for end := d.now() + span; d.now() < end; time.Sleep(200 * time.Millisecond) {
+		for i, h := range d.hosts {
+			if h.kill != nil {
+				d.check(i, h, fleet.Lookup{Name: []string{"homed", "free"}[d.random.IntN(2)], Region: fmt.Sprint("r", d.random.IntN(3)), Zone: fmt.Sprint("z", d.random.IntN(3))})
+			}
+		}
+	}
+}
+
+func (d *directoryFleet) check(i int, h *reportingHost, q fleet.Lookup) {
+	d.t.Helper()
+	name := fmt.Sprint("h", i)
+	directory := Directory{View: h.view, Client: h.client, Self: d.known[name], Contact: contactTime}
+	addresses := directory.Addresses(q)
+	if len(addresses) == 0 {
+		d.t.Fatalf("%s names nobody", name)
+	}
+	within := func(host string) bool {
+		region := d.regions[d.known[host].Zone]
+		return q.Name != "homed" || region == q.Region || slices.Contains(d.homes, region)
+	}
+	anyWithin := slices.ContainsFunc(directory.staying(), func(h fleet.Host) bool { return within(h.Name) })
+	for _, a := range addresses {
+		if at, dead := d.diedAt[a]; dead && d.now()-at > goneLimit {
+			d.t.Fatalf("%s names %s, which has been gone for %v", name, a, d.now()-at)
+		}
+		d.named++
+		if anyWithin && !within(a) {
+			d.outside++
+		}
+	}
+}
+
+// checkLive fails the test unless all hosts name at least the given share of those that run: up to maxAddresses.
+func (d *directoryFleet) checkLive(share float64) {
+	d.t.Helper()
+	for i, h := range d.hosts {
+		if h.kill == nil {
+			continue
+		}
+		staying := (&Directory{View: h.view, Client: h.client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}).staying()
+		if running := len(d.hosts) - len(d.diedAt); float64(len(staying)) < share*float64(running) {
+			d.t.Fatalf("h%d knows %d hosts that run, of %d", i, len(staying), running)
+		}
+	}
+}
+
+func upTo(from, to int) []int {
+	var out []int
+	for i := from; i < to; i++ {
+		out = append(out, i)
+	}
+	return out
+}
+
+// TestDirectoryNamesNoHostThatIsGone plays restarts, cuts, hosts that hear nobody and a change of coordinators. It guards against
+// addresses of hosts that are gone for longer than the rule allows, empty answers, and callers sent outside the homes. The
+// control is that hosts name those that run.
+func TestDirectoryNamesNoHostThatIsGone(t *testing.T) {
+	for _, c := range []struct{ hosts, regions int }{{8, 1}, {8, 2}, {8, 3}, {70, 3}, {295, 2}} {
+		t.Run(fmt.Sprint(c.hosts, " hosts, ", c.regions, " regions"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDirectoryFleet(t, c.hosts, c.regions)
+				d.play(3 * time.Second)
+				d.checkLive(1)
+				last, few := c.hosts-1, c.hosts/4
+				d.hosts[last].net.SetDown(true) // it hears nobody from now on
+				d.play(time.Second)
+				d.kill(upTo(0, few)...) // with the coordinator
+				d.play(10 * time.Second)
+				d.hosts[last].net.SetDown(false)
+				d.restart(upTo(few/2, few)...)
+				d.play(5 * time.Second)
+				d.checkLive(0.95)
+				d.kill(upTo(few, c.hosts)...) // all of them restart, some do not come back, and all entries stay
+				time.Sleep(goneLimit + time.Second)
+				d.kill(upTo(few/2, few)...)
+				d.restart(upTo(few, c.hosts)...)
+				d.play(10 * time.Second)
+				d.checkLive(0.95)
+				if d.outside > 0 {
+					t.Errorf("%d of %d addresses are outside the homes and the caller's region", d.outside, d.named)
+				}
+			})
+		})
+	}
+}
+
+// TestDirectoryOfSplitFleet guards against a part of a fleet that was cut off naming hosts of the other part that are gone.
+func TestDirectoryOfSplitFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectoryFleet(t, 8, 2)
+		d.play(3 * time.Second)
+		for i := range 4 {
+			for j := 4; j < 8; j++ {
+				d.network.SetBlocked(fmt.Sprint("h", i), fmt.Sprint("h", j), true)
+			}
+		}
+		d.play(time.Second)
+		d.kill(1, 5)
+		d.play(12 * time.Second)
+		for i := range 4 {
+			for j := 4; j < 8; j++ {
+				d.network.SetBlocked(fmt.Sprint("h", i), fmt.Sprint("h", j), false)
+			}
+		}
+		d.play(6 * time.Second)
+		d.checkLive(1)
+	})
+}
+
+// TestDirectoryAtTheEndOfAPlannedStopOfAll guards against the last hosts of a planned stop of all naming those that have left
+// long before, by the marks on their entries.
+func TestDirectoryAtTheEndOfAPlannedStopOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectoryFleet(t, 8, 2)
+		d.play(3 * time.Second)
+		d.leave()
+		for i := range 7 {
+			d.kill(7 - i)
+			d.play(2 * time.Second)
+		}
+		d.play(8 * time.Second)
+	})
+}
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -174,7 +174,7 @@
 	h.client.Register(h.peerServer)
 	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
 	h.origins.Register(h.peerServer)
-	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self, Log: h.log, Metrics: h.metrics.Scope}
+	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self, Contact: h.settings.Bounds.Contact, Log: h.log, Metrics: h.metrics.Scope}
 	h.gateway = gateway.New(gateway.Options{
 		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClientWithDialer(h.reach.Dial), Quotas: quotas,
 		Reach: h.reach, Helpers: &gateway.HelperHosts{Self: h.self, View: h.view, Client: h.client, Sender: target.NewClient()}, Self: h.self.Name,
