--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -99,6 +99,7 @@
 	config      *storecache.Mirror
 	targets     *storecache.Mirror
 	startedAt   time.Duration
+	homesLog    homesLog
 	// targetsSameAt is when the list of targets was last known to be the coordinator's, in nanoseconds.
 	targetsSameAt atomic.Int64
 	hostsListed   sync.Once
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -76,6 +76,7 @@
 		return
 	}
 	h.view.SetConfig(c)
+	h.logUnknownHomes(c)
 	h.log.WithFields(logrus.Fields{"event": "config_taken", "version": c.Version, "revision": c.Revision, "before": old.Version, "routes": len(c.Routes)}).Info("configuration in force")
 }
 
@@ -114,6 +115,7 @@
 		byID[name] = t
 	}
 	markMissing(byID, missing)
+	h.logZonesWithoutRegion(byID)
 	targets := fleet.NewTargets(byID)
 	if len(old.ByID) == 0 {
 		h.log.WithFields(logrus.Fields{"event": "targets_listed", "targets": len(byID), "digest": targets.Digest}).Info("first list of targets")
