--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -97,8 +97,11 @@
 // scope holds the model, the targets and the time range of a request.
 type scope struct {
 	id, model string
-	targets   map[string]bool
-	from, to  time.Time
+	// route and team are those of the request if it is bound to homes.
+	route, team string
+	hosts       map[string]bool // that had the request
+	targets     map[string]bool
+	from, to    time.Time
 }
 
 func scopeOf(all []record, id string) *scope {
@@ -108,9 +111,10 @@
 			continue
 		}
 		if s == nil {
-			s = &scope{id: id, targets: map[string]bool{}, from: r.at, to: r.at}
+			s = &scope{id: id, targets: map[string]bool{}, hosts: map[string]bool{}, from: r.at, to: r.at}
 		}
 		s.to = r.at
+		s.hosts[r.host] = true
 		if took, ok := r.fields["took_ms"].(json.Number); ok {
 			ms, _ := took.Int64() // 0 if it is not an integer
 			if start := r.at.Add(-time.Duration(ms) * time.Millisecond); start.Before(s.from) {
@@ -120,6 +124,9 @@
 		if m := r.text("model"); m != "" {
 			s.model, _, _ = strings.Cut(m, "/")
 		}
+		if r.text("homes_of") != "" {
+			s.route, s.team = r.text("route"), r.text("team")
+		}
 		for _, field := range []string{"target", "engine", "shed_by"} {
 			if t := r.text(field); t != "" {
 				s.targets[t] = true
@@ -141,12 +148,20 @@
 const noticeTime = time.Minute
 
 // noticeEvents are the events on what targets say about themselves.
-var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle"}
+var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle", "directory_outside_homes"}
+
+// homesEvent is the event on homes of a route or a team that name no region of the deployment. It is logged once, when the configuration
+// is taken, and holds until the configuration changes.
+const homesEvent = "homes_unknown"
 
 func (s *scope) includes(r record) bool {
 	if r.text("id") == s.id {
 		return true
 	}
+	if r.event == homesEvent {
+		ofRequest := s.route != "" && r.text("route") == s.route || s.team != "" && r.text("team") == s.team
+		return ofRequest && s.hosts[r.host] && !r.at.After(s.to)
+	}
 	if slices.Contains(noticeEvents, r.event) {
 		return !r.at.Before(s.from.Add(-noticeTime)) && !r.at.After(s.to)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,3 +57,24 @@
 		t.Error("the story has a line of a minute and a half before")
 	}
 }
+
+// TestExplainTellsWhichHomesBoundARequest guards against a story without the reason of a detour to another region or of a refusal. The
+// control are the homes of other routes, and what other hosts logged of the same one.
+func TestExplainTellsWhichHomesBoundARequest(t *testing.T) {
+	const lines = `{"event":"homes_unknown","host":"h1","route":"r1","homes":"eu,mars","unknown":"mars","time":"2026-01-01T00:00:01.000Z"}
+{"event":"homes_unknown","host":"h1","route":"r2","homes":"venus","unknown":"venus","time":"2026-01-01T00:00:01.000Z"}
+{"event":"homes_unknown","host":"h2","route":"r1","homes":"eu,mars","unknown":"moon","time":"2026-01-01T00:00:01.000Z"}
+{"event":"directory_outside_homes","host":"h1","name":"n","homes":"eu","outside":true,"time":"2026-01-01T00:01:20.000Z"}
+{"event":"request","host":"h1","id":"a1","route":"r1","model":"m","status":200,"homes":"eu,mars","homes_of":"route","target":"e5","target_region":"eu","time":"2026-01-01T00:02:00.000Z","took_ms":100}
+{"event":"request","host":"h1","id":"a2","route":"r1","model":"m","status":200,"target":"e5","time":"2026-01-01T00:02:00.000Z","took_ms":100}
+`
+	var out bytes.Buffer
+	if err := Explain(strings.NewReader(lines), &out, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]bool{"unknown=mars": true, "outside=true": true, "homes_of=route": true, "target_region=eu": true, "unknown=venus": false, "unknown=moon": false} {
+		if strings.Contains(out.String(), text) != want {
+			t.Errorf("the story has %s: %v", text, !want)
+		}
+	}
+}
