Planner: counts of bound demand are kept, not searched; homes fleet test at 70 and 295 hosts

Cause: whether a copy is the last one of its regions was found by a walk over all engines for each copy of each engine and request. Change: counts by bound demand, taken once per plan and kept through its moves; of bound requests of the same urgency, those that fewest regions serve come first, since their copy may serve the others too. Pick looks at regions of free slots only if a backlog is bound.

--- a/coord/swap/bound.go
+++ b/coord/swap/bound.go
@@ -23,14 +23,14 @@
 // boundRequests returns the loads that the bound demand for a model needs. A copy elsewhere does not serve it.
 func (p *planner) boundRequests(model string, d Demand, late bool) []loadRequest {
 	var out []loadRequest
-	for _, b := range d.Bound {
-		have, running, slots := p.copiesIn(model, b)
+	for i, b := range d.Bound {
+		n := p.boundCountOf(model, i)
 		r := loadRequest{model: model, due: d.Due, version: b.Version, regions: b.Regions, requests: b.Waiting}
 		switch {
-		case b.Waiting > 0 && have == 0:
+		case b.Waiting > 0 && n.copies == 0:
 			r.waiting, r.late, r.overloaded = true, late && b.Rate < p.opts.HotRate, b.Rate >= p.opts.HotRate
-		case p.hot(model) && have < p.wantedIn(b, running):
-			r.due, r.overloaded = p.Now, b.Waiting > 0 || float64(running) >= nearlyFullShare*float64(slots)
+		case p.hot(model) && n.copies < p.wantedIn(b, n.running):
+			r.due, r.overloaded = p.Now, b.Waiting > 0 || float64(n.running) >= nearlyFullShare*float64(n.slots)
 		default:
 			continue
 		}
@@ -39,24 +39,63 @@
 	return out
 }
 
-// copiesIn returns the copies of a model that serve bound demand, the requests that run there, and the slots of those that are
-// ready.
-func (p *planner) copiesIn(model string, b Bound) (copies, running, slots int) {
-	for i := range p.Engines {
-		e := &p.Engines[i]
-		c, there := e.Copies[model]
-		if !there || !e.Serves || !b.allows(e) || p.uncounted[e.ID][model] {
+// boundCount counts the copies of a model that serve bound demand.
+type boundCount struct {
+	copies, ready int // as in planner
+	running       int
+	slots         int // of the engines with ready copies
+}
+
+// countBound adds a copy to the counts of the bound demand that it serves.
+func (p *planner) countBound(e *Engine, model string, c Copy) {
+	demand := p.Demands[model].Bound
+	if len(demand) == 0 {
+		return
+	}
+	if p.bound[model] == nil {
+		p.bound[model] = make([]boundCount, len(demand))
+	}
+	for i, b := range demand {
+		if !b.allows(e) {
 			continue
 		}
-		running += c.Running
+		n := &p.bound[model][i]
+		n.running += c.Running
 		if c.State != Draining {
-			copies++
+			n.copies++
 		}
 		if c.State == Ready {
-			slots += e.Slots
+			n.ready++
+			n.slots += e.Slots
 		}
 	}
-	return copies, running, slots
+}
+
+// boundCountOf returns the count for the bound demand i of a model.
+func (p *planner) boundCountOf(model string, i int) boundCount {
+	if counts := p.bound[model]; counts != nil {
+		return counts[i]
+	}
+	return boundCount{}
+}
+
+// applyBound updates the counts of bound demand by a move of an engine.
+func (p *planner) applyBound(e *Engine, m Move) {
+	p.loads = append(p.loads, plannedLoad{m.Load, e})
+	for _, model := range m.Unload {
+		for i, b := range p.Demands[model].Bound {
+			if p.bound[model] != nil && !p.uncounted[e.ID][model] && b.allows(e) {
+				p.bound[model][i].copies--
+				p.bound[model][i].ready--
+			}
+		}
+	}
+}
+
+// plannedLoad is a load of this plan.
+type plannedLoad struct {
+	model  string
+	engine *Engine
 }
 
 // wantedIn returns the number of copies that bound demand for a hot model needs in its regions.
@@ -89,28 +128,30 @@
 	if len(p.Demands[r.model].Bound) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(p.loads, func(m Move) bool {
-		return m.Load == r.model && slices.ContainsFunc(p.Engines, func(e Engine) bool { return e.ID == m.Engine && r.allows(&e) })
-	})
+	return slices.ContainsFunc(p.loads, func(l plannedLoad) bool { return l.model == r.model && r.allows(l.engine) })
 }
 
 // lastOfBound reports whether the ready copy of a model at an engine is the last one in its regions for requests that are bound
 // to them, and may not be evicted for another load.
 func (p *planner) lastOfBound(e *Engine, model string, r loadRequest) bool {
-	return slices.ContainsFunc(p.Demands[model].Bound, func(b Bound) bool {
-		if !b.allows(e) || b.Waiting == 0 && b.Rate < p.opts.HotRate {
-			return false
-		}
-		ready := 0
-		for i := range p.Engines {
-			other := &p.Engines[i]
-			if c, there := other.Copies[model]; there && c.State == Ready && other.Serves && b.allows(other) {
-				ready++
-			}
+	for i, b := range p.Demands[model].Bound {
+		if !b.allows(e) || b.Waiting == 0 && b.Rate < p.opts.HotRate || p.boundCountOf(model, i).ready > 1 {
+			continue
 		}
 		outnumbered := r.waiting && float64(r.requests) > b.Rate*reloadTime.Seconds()
-		return ready <= 1 && (b.Waiting > 0 || !outnumbered)
-	})
+		if b.Waiting > 0 || !outnumbered {
+			return true
+		}
+	}
+	return false
+}
+
+// regionRank orders requests of the same urgency: those that fewest regions serve come first, as their copy may serve the others too.
+func (r loadRequest) regionRank() int {
+	if r.regions == nil {
+		return math.MaxInt
+	}
+	return len(r.regions)
 }
 
 func (r loadRequest) regionNames() string { return strings.Join(r.regions, ",") }
--- a/coord/swap/bound_test.go
+++ b/coord/swap/bound_test.go
@@ -31,6 +31,10 @@
 	if got := Plan(s, DefaultOptions()); !reflect.DeepEqual(got, want) {
 		t.Errorf("without any copy: got %+v, want %+v alone", got, want)
 	}
+	s.Demands["m"] = Demand{Waiting: 4, Bound: []Bound{{Regions: []string{"eu", "us"}, Waiting: 3}, {Regions: eu, Waiting: 1}}, Due: now + time.Second}
+	if got := Plan(s, DefaultOptions()); !reflect.DeepEqual(got, want) {
+		t.Errorf("requests that are bound to one and to two regions: got %+v, want %+v alone", got, want)
+	}
 	s.Engines[3].Copies["m"] = Copy{State: Loading}
 	if got := Plan(s, DefaultOptions()); len(got) != 0 {
 		t.Errorf("got %+v while the copy is loading, want none", got)
--- a/coord/swap/plan.go
+++ b/coord/swap/plan.go
@@ -58,13 +58,14 @@
 	ready    map[string]int
 	running  map[string]int
 	assigned map[string]bool // engines that have a move in this plan
-	loads    []Move          // of this plan
+	loads    []plannedLoad
+	bound    map[string][]boundCount // by model, for each of Demand.Bound
 	// uncounted holds the models by engine whose copies there are not in the counts.
 	uncounted map[string]map[string]bool
 }
 
 func newPlanner(s State, opts Options) *planner {
-	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, running: map[string]int{}, assigned: map[string]bool{}, uncounted: map[string]map[string]bool{}}
+	p := &planner{State: s, opts: opts, copies: map[string]int{}, ready: map[string]int{}, running: map[string]int{}, assigned: map[string]bool{}, uncounted: map[string]map[string]bool{}, bound: map[string][]boundCount{}}
 	for i := range s.Engines {
 		e := &s.Engines[i]
 		if !e.Serves {
@@ -82,6 +83,7 @@
 				p.ready[model]++
 			}
 			p.running[model] += c.Running
+			p.countBound(e, model, c)
 		}
 	}
 	return p
@@ -149,7 +151,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b loadRequest) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.due, b.due), cmp.Compare(len(b.regions), len(a.regions)), cmp.Compare(b.requests, a.requests), cmp.Compare(a.model, b.model), cmp.Compare(a.versionName(), b.versionName()), cmp.Compare(a.regionNames(), b.regionNames()))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.due, b.due), cmp.Compare(a.regionRank(), b.regionRank()), cmp.Compare(b.requests, a.requests), cmp.Compare(a.model, b.model), cmp.Compare(a.versionName(), b.versionName()), cmp.Compare(a.regionNames(), b.regionNames()))
 	})
 	return out
 }
@@ -189,6 +191,7 @@
 // chooseMove returns the cheapest move that loads a model, if any engine can load it now.
 func (p *planner) chooseMove(r loadRequest) (Move, bool) {
 	best, bestCost := Move{}, math.Inf(1)
+	var bestEngine *Engine
 	local := p.loadableLocally(r)
 	if !local && r.waiting && !p.hot(r.model) && p.hasLimitedCopy(r) {
 		return Move{}, false // the few requests that it takes are served sooner than by a load from the weight store
@@ -219,13 +222,14 @@
 			cost += storeLoadWeight
 		}
 		if cost < bestCost {
-			best, bestCost = Move{Engine: e.ID, Unload: unload, Load: r.model, Source: source}, cost
+			best, bestCost, bestEngine = Move{Engine: e.ID, Unload: unload, Load: r.model, Source: source}, cost, e
 		}
 	}
 	if math.IsInf(bestCost, 1) {
 		return Move{}, false
 	}
 	p.apply(best)
+	p.applyBound(bestEngine, best)
 	return best, true
 }
 
@@ -241,7 +245,6 @@
 // plan takes it into account.
 func (p *planner) apply(m Move) {
 	p.assigned[m.Engine] = true
-	p.loads = append(p.loads, m)
 	p.copies[m.Load]++
 	if m.Source == FromStore {
 		p.StoreLoads++
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -55,7 +55,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
-	var freeIn []string                            // regions with free slots
+	var freeIn []string // regions with free slots, if they matter
+	byRegion := len(f.backlogs[modelKey{req.Service, req.Model}].bound) > 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	brittle := f.isBrittle(req.Service)
 	for _, id := range f.targets.ByService[req.Service] {
@@ -65,7 +66,7 @@
 		}
 		if !c.NeedsPermit {
 			free += f.freeSlots(c.Target, req.Late)
-			if region := f.regions[c.Target.Zone]; req.Model != "" && region != "" && !slices.Contains(freeIn, region) {
+			if region := f.regions[c.Target.Zone]; byRegion && region != "" && !slices.Contains(freeIn, region) {
 				freeIn = append(freeIn, region)
 			}
 		}
--- a/internal/gateway/homes_test.go
+++ b/internal/gateway/homes_test.go
@@ -216,11 +216,16 @@
 // TestHomesOverCutsAndRestarts plays a fleet whose hosts of one region lose all engines, one hears nobody and others restart, and guards against
 // any send or hop outside the homes. The control is that requests, with and without homes, are served.
 func TestHomesOverCutsAndRestarts(t *testing.T) {
-	for regions := 1; regions <= 3; regions++ {
+	for _, c := range []struct{ hosts, regions int }{{8, 1}, {8, 2}, {8, 3}, {70, 3}, {295, 2}} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newHomesFleet(t, 8, regions)
+			regions := c.regions
+			f := newHomesFleet(t, c.hosts, regions)
 			f.play(4*time.Second, 60, 0, "")
-			f.cutOff(cutRefuse, 1, 4, 7) // the hosts of the second zone, and one of its relays
+			var cut []int
+			for i := 1; i < c.hosts; i += 3 { // the hosts of the second zone
+				cut = append(cut, i)
+			}
+			f.cutOff(cutRefuse, cut...)
 			f.play(2*time.Second, 60, 0, "")
 			f.hosts[6].net.SetDown(true)
 			f.killHost(0)
