Directory: what its answers rest on is logged; zones of hosts without a region too

Cause: a host that named itself alone, or hosts outside the homes, left no trace but the addresses. Change: directory_source at each change between the coordinator's list, the last one and this host alone; zone_without_region for hosts.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -37,6 +37,7 @@
 	Metrics tally.Scope        // nil: nothing is counted
 
 	leaving atomic.Bool
+	source  atomic.Int32 // what the last answer rested on
 	homes   homesDirectory
 }
 
@@ -112,9 +113,14 @@
 // host alone: the entries of other hosts tell nothing of whether they run.
 func (d *Directory) staying() []fleet.Host {
 	live, known := d.Client.LiveHosts()
-	if !known && !d.listIsYoung() {
-		live = nil
+	source := fromCoordinator
+	if !known {
+		source = fromLastList
+		if !d.listIsYoung() {
+			live, source = nil, fromNobody
+		}
 	}
+	d.recordSource(source)
 	alive := make(map[string]bool, len(live))
 	for _, name := range live {
 		alive[name] = true
@@ -133,6 +139,29 @@
 	return out
 }
 
+// listSource is what answers rest on.
+type listSource int32
+
+// The sources. Before the first answer there is none.
+const (
+	noSource        listSource = iota
+	fromCoordinator            // a list that the coordinator has just sent or confirmed
+	fromLastList               // its last list, while it is silent
+	fromNobody                 // nothing is known of other hosts; this one alone is named
+)
+
+func (s listSource) String() string {
+	return [...]string{"none", "coordinator", "last list", "this host alone"}[s]
+}
+
+// recordSource logs when answers begin to rest on something else.
+func (d *Directory) recordSource(s listSource) {
+	before := listSource(d.source.Swap(int32(s)))
+	if before != s && d.Log != nil {
+		d.Log.WithFields(logrus.Fields{"event": "directory_source", "from": before.String(), "to": s.String()}).Info("the directory names hosts by another source")
+	}
+}
+
 // listIsYoung reports whether the hosts in the last list may be named although the coordinator is silent.
 func (d *Directory) listIsYoung() bool {
 	_, age, ok := d.Client.LastKnownHosts()
--- a/internal/platformhost/homes.go
+++ b/internal/platformhost/homes.go
@@ -60,8 +60,22 @@
 		return
 	}
 	for id, t := range targets {
-		if h.settings.Regions[t.Zone] == "" && h.homesLog.once("zone", t.Zone) {
-			h.log.WithFields(logrus.Fields{"event": "zone_without_region", "zone": t.Zone, "target": id}).Warn("the settings give no region for this zone; requests with homes are not sent there")
-		}
+		h.logZone(t.Zone, "target", id)
+	}
+}
+
+// logHostZones is logZonesWithoutRegion for hosts.
+func (h *Host) logHostZones(hosts map[string]fleet.Host) {
+	if len(h.settings.Regions) == 0 {
+		return
+	}
+	for name, host := range hosts {
+		h.logZone(host.Zone, "peer", name)
+	}
+}
+
+func (h *Host) logZone(zone, kind, name string) {
+	if h.settings.Regions[zone] == "" && h.homesLog.once("zone", zone) {
+		h.log.WithFields(logrus.Fields{"event": "zone_without_region", "zone": zone, kind: name}).Warn("the settings give no region for this zone; requests with homes are not sent there")
 	}
 }
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -171,6 +171,7 @@
 		hosts[h.self.Name] = h.self
 	}
 	h.view.SetHosts(hosts)
+	h.logHostZones(hosts)
 	h.hostsListed.Do(func() { close(h.knowsHosts) })
 }
 
