Directory: a reply that is read long after its report confirms no list

Cause: a host that is suspended between its report and the reply reads a list of hosts as old as the suspension, and took it for new. Change: the age of the list bounds its use also while the coordinator answers. Result: two new cases of TestDirectoryDuringPlannedStops fail before (hosts named by a list of 30 s of age) and pass.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -114,11 +114,11 @@
 func (d *Directory) staying() []fleet.Host {
 	live, known := d.Client.LiveHosts()
 	source := fromCoordinator
-	if !known {
+	switch {
+	case !d.listIsYoung(): // also in a reply that this host read only after it had been suspended
+		live, source = nil, fromNobody
+	case !known:
 		source = fromLastList
-		if !d.listIsYoung() {
-			live, source = nil, fromNobody
-		}
 	}
 	d.recordSource(source)
 	alive := make(map[string]bool, len(live))
@@ -162,7 +162,7 @@
 	}
 }
 
-// listIsYoung reports whether the hosts in the last list may be named although the coordinator is silent.
+// listIsYoung reports whether the hosts in the last list may be named.
 func (d *Directory) listIsYoung() bool {
 	_, age, ok := d.Client.LastKnownHosts()
 	return ok && age < cmp.Or(d.Contact, defaultContact)+listMargin
@@ -173,7 +173,7 @@
 func (d *Directory) lastLeaving() []fleet.Host {
 	hosts := d.View.Hosts()
 	var leaving []fleet.Host
-	if _, known := d.Client.LiveHosts(); known {
+	if _, known := d.Client.LiveHosts(); known && d.listIsYoung() {
 		for _, name := range d.Client.LastLeaving() {
 			if h, ok := hosts[name]; ok {
 				leaving = append(leaving, h)
@@ -181,9 +181,9 @@
 		}
 		return leaving
 	}
-	known, _, _ := d.Client.LastKnownHosts()
-	if !d.listIsYoung() {
-		known = nil
+	var known []string
+	if d.listIsYoung() {
+		known, _, _ = d.Client.LastKnownHosts()
 	}
 	for name, h := range hosts {
 		if h.Leaving && (name == d.Self.Name || slices.Contains(known, name)) {
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -53,6 +53,8 @@
 		{"all leave, list of those that leave last too old", entries("a", "b", "c", "d"), reportedHosts{lastLeaving: []string{"d", "c"}, age: 6 * time.Second}, true, []string{"a"}, false},
 		{"all leave, no list yet", entries("a", "b", "c", "d"), reportedHosts{}, true, []string{"a"}, false},
 		{"coordinator silent", entries("b"), reportedHosts{live: []string{"a", "b", "c", "d"}, age: 5 * time.Second}, false, []string{"a", "c", "d"}, true},
+		{"reply read long after it was sent", entries(), reportedHosts{live: []string{"a", "b"}, known: true, age: 30 * time.Second}, false, []string{"a"}, false},
+		{"the same while all leave", entries("a", "b", "c", "d"), reportedHosts{lastLeaving: []string{"d", "c"}, known: true, age: 30 * time.Second}, true, []string{"a"}, false},
 		{"coordinator silent, one gone before", entries(), reportedHosts{live: []string{"a", "b", "c"}, age: 5 * time.Second}, false, []string{"a", "b", "c"}, true},
 		{"list too old", entries("b"), reportedHosts{live: []string{"a", "b", "c", "d"}, age: 5400 * time.Millisecond}, false, []string{"a"}, false},
 		{"no list yet", entries(), reportedHosts{}, false, []string{"a"}, false},
