--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -55,6 +54,8 @@
 	hosts        map[string]*hostState
 	moves        map[string]*move // by engine
 	rates        map[modelKey]*rate
+	boundRates   boundRates
+	activity     activity
 	holders      map[string]string        // by engine, the host that owns it according to the store; asked next
 	ownAskedAt   map[string]time.Duration // by engine, when a host was last asked to own it
 	released     map[string]release       // engines whose owner released them in a planned stop
@@ -92,21 +93,6 @@
 	concurrent    int           // highest number of such loads at the same time
 }
 
-// rate is an exponential moving average of arrivals per second.
-type rate struct {
-	perSecond float64
-	at        time.Duration
-}
-
-func (r *rate) add(n int, now time.Duration) {
-	r.perSecond = r.value(now) + float64(n)/rateWindow.Seconds()
-	r.at = now
-}
-
-func (r *rate) value(now time.Duration) float64 {
-	return r.perSecond * math.Exp(-(now-r.at).Seconds()/rateWindow.Seconds())
-}
-
 // FreshnessFunc returns the revision of a host's copy of the configuration, when that was
 // last known to be in force, and when its list of targets was last known to be complete.
 type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
@@ -115,7 +101,7 @@
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
 		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, eras: &platform.Eras{}, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, parts: parts, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
-		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
+		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{}, boundRates: boundRates{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
 		permits: permit.NewIssuer(), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
@@ -146,7 +132,7 @@
 func (c *Coordinator) Report(host string, r Report) Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	now := c.activity.tick(c.now())
 	h := c.hosts[host]
 	if h == nil || h.incarnation != r.Incarnation || r.Full {
 		if !r.Full {
@@ -166,6 +152,7 @@
 	}
 	for _, a := range r.Arrivals {
 		c.rate(modelKey{a.Service, a.Model}).add(a.N, now)
+		c.boundRates.add(modelKey{a.Service, a.Model}, a.Bound, now)
 	}
 	for team, n := range r.LocalUse {
 		c.totals.addUse(h, team, n)
@@ -204,15 +191,6 @@
 	return c.updateFor(host, h, true)
 }
 
-func (c *Coordinator) rate(key modelKey) *rate {
-	r := c.rates[key]
-	if r == nil {
-		r = &rate{}
-		c.rates[key] = r
-	}
-	return r
-}
-
 func (c *Coordinator) wake() {
 	select {
 	case c.wakeup <- struct{}{}:
@@ -261,7 +239,7 @@
 func (c *Coordinator) step(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	now := c.activity.tick(c.now())
 	c.expire(now)
 	c.trackRemovedTargets(now)
 	if len(c.hosts) == 0 {
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/uber-go/tally/v4"
+
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 )
@@ -13,13 +16,18 @@
 type reportedHosts struct {
 	live, lastLeaving []string
 	known             bool
+	age               time.Duration // of the last list
 }
 
 func (r reportedHosts) LiveHosts() ([]string, bool) { return r.live, r.known }
-func (r reportedHosts) LastLeaving() []string       { return r.lastLeaving }
+func (r reportedHosts) LastKnownHosts() ([]string, time.Duration, bool) {
+	return slices.Concat(r.live, r.lastLeaving), r.age, len(r.live)+len(r.lastLeaving) > 0
+}
+func (r reportedHosts) LastLeaving() []string { return r.lastLeaving }
 
 // TestDirectoryDuringPlannedStops covers look-ups while some or all hosts leave. A look-up
-// without an address would leave callers with the hosts that stop first.
+// without an address would leave callers with the hosts that stop first. Hosts of which nobody has told for the contact time are
+// not named, whatever their entries say: they may be gone.
 func TestDirectoryDuringPlannedStops(t *testing.T) {
 	entries := func(leaving ...string) map[string]fleet.Host {
 		out := map[string]fleet.Host{}
@@ -36,21 +44,29 @@
 		want     []string
 		others   bool
 	}{
-		{"nobody leaves", entries(), reportedHosts{[]string{"a", "b"}, nil, true}, false, []string{"a", "b"}, true},
-		{"this host leaves", entries("a"), reportedHosts{[]string{"a", "b"}, nil, true}, true, []string{"b"}, true},
-		{"all leave", entries(), reportedHosts{nil, []string{"d", "c"}, true}, true, []string{"d", "c"}, false},
-		{"all leave, this host last", entries(), reportedHosts{nil, []string{"a", "d"}, true}, true, []string{"a", "d"}, false},
-		{"all leave, coordinator silent", entries("a", "b", "c", "d"), reportedHosts{}, true, []string{"d", "c"}, false},
-		{"coordinator silent", entries("b"), reportedHosts{}, false, []string{"a", "c", "d"}, true},
+		{"nobody leaves", entries(), reportedHosts{live: []string{"a", "b"}, known: true}, false, []string{"a", "b"}, true},
+		{"this host leaves", entries("a"), reportedHosts{live: []string{"a", "b"}, known: true}, true, []string{"b"}, true},
+		{"all leave", entries(), reportedHosts{lastLeaving: []string{"d", "c"}, known: true}, true, []string{"d", "c"}, false},
+		{"all leave, this host last", entries(), reportedHosts{lastLeaving: []string{"a", "d"}, known: true}, true, []string{"a", "d"}, false},
+		{"all leave, coordinator silent", entries("a", "b", "c", "d"), reportedHosts{live: []string{"a", "b", "c", "d"}, age: 5 * time.Second}, true, []string{"d", "c"}, false},
+		{"all leave, list too old", entries("a", "b", "c", "d"), reportedHosts{live: []string{"a", "b", "c", "d"}, age: 6 * time.Second}, true, []string{"a"}, false},
+		{"all leave, list of those that leave last too old", entries("a", "b", "c", "d"), reportedHosts{lastLeaving: []string{"d", "c"}, age: 6 * time.Second}, true, []string{"a"}, false},
+		{"all leave, no list yet", entries("a", "b", "c", "d"), reportedHosts{}, true, []string{"a"}, false},
+		{"coordinator silent", entries("b"), reportedHosts{live: []string{"a", "b", "c", "d"}, age: 5 * time.Second}, false, []string{"a", "c", "d"}, true},
+		{"reply read long after it was sent", entries(), reportedHosts{live: []string{"a", "b"}, known: true, age: 30 * time.Second}, false, []string{"a"}, false},
+		{"the same while all leave", entries("a", "b", "c", "d"), reportedHosts{lastLeaving: []string{"d", "c"}, known: true, age: 30 * time.Second}, true, []string{"a"}, false},
+		{"coordinator silent, one gone before", entries(), reportedHosts{live: []string{"a", "b", "c"}, age: 5 * time.Second}, false, []string{"a", "b", "c"}, true},
+		{"list too old", entries("b"), reportedHosts{live: []string{"a", "b", "c", "d"}, age: 5400 * time.Millisecond}, false, []string{"a"}, false},
+		{"no list yet", entries(), reportedHosts{}, false, []string{"a"}, false},
 		{"alone and leaving", map[string]fleet.Host{"a": {Name: "a", Address: "a"}}, reportedHosts{}, true, []string{"a"}, false},
 	} {
 		view := coordinator.NewFleetView("z", func() time.Duration { return 0 })
 		view.SetHosts(c.hosts)
-		d := &Directory{View: view, Client: c.reported, Self: c.hosts["a"]}
+		d := &Directory{View: view, Client: c.reported, Self: c.hosts["a"], Contact: 4 * time.Second}
 		if c.leaving {
 			d.Leave()
 		}
-		got := d.Addresses("z")
+		got := d.Addresses(fleet.Lookup{Zone: "z"})
 		slices.Sort(got)
 		slices.Sort(c.want)
 		if !slices.Equal(got, c.want) {
@@ -73,11 +89,11 @@
 		live = append(live, name)
 	}
 	view.SetHosts(hosts)
-	d := &Directory{View: view, Client: reportedHosts{live, nil, true}, Self: hosts["h0"]}
+	d := &Directory{View: view, Client: reportedHosts{live: live, known: true}, Self: hosts["h0"]}
 	named := map[string]int{}
 	for range 200 {
 		inZone := 0
-		addresses := d.Addresses("z3")
+		addresses := d.Addresses(fleet.Lookup{Zone: "z3"})
 		for _, a := range addresses {
 			named[a]++
 			if hosts[a].Zone == "z3" {
@@ -94,8 +110,73 @@
 		}
 	}
 	for _, zone := range []string{"", "elsewhere"} {
-		if n := len(d.Addresses(zone)); n != maxAddresses {
+		if n := len(d.Addresses(fleet.Lookup{Zone: zone})); n != maxAddresses {
 			t.Errorf("%d addresses for zone %q, want %d", n, zone, maxAddresses)
 		}
 	}
 }
+
+// TestSourceOfTheDirectoryIsLogged guards against a host that names itself alone without a trace, and against a line for each answer.
+func TestSourceOfTheDirectoryIsLogged(t *testing.T) {
+	view := coordinator.NewFleetView("z", func() time.Duration { return 0 })
+	view.SetHosts(map[string]fleet.Host{"a": {Name: "a", Address: "a"}, "b": {Name: "b", Address: "b"}})
+	log, hook := logrustest.NewNullLogger()
+	d := &Directory{View: view, Self: fleet.Host{Name: "a", Address: "a"}, Contact: 4 * time.Second, Log: log}
+	for _, r := range []reportedHosts{{}, {live: []string{"a", "b"}, known: true}, {live: []string{"a", "b"}, age: 2 * time.Second}, {live: []string{"a", "b"}, age: 9 * time.Second}} {
+		for range 3 {
+			d.Client = r
+			d.Addresses(fleet.Lookup{})
+		}
+	}
+	var got []string
+	for _, e := range hook.AllEntries() {
+		got = append(got, fmt.Sprint(e.Data["to"]))
+	}
+	if want := []string{"this host alone", "coordinator", "last list", "this host alone"}; !slices.Equal(got, want) {
+		t.Errorf("logged %q, want %q", got, want)
+	}
+}
+
+// TestDirectoryOutsideHomesIsLoggedAndCounted guards against callers who are sent outside the homes without a trace, while none of the hosts
+// there runs, and against metrics by whatever region callers state.
+func TestDirectoryOutsideHomesIsLoggedAndCounted(t *testing.T) {
+	view := coordinator.NewFleetView("z", func() time.Duration { return 0 })
+	view.SetRegions(map[string]string{"z0": "eu", "z1": "us"})
+	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Host: "n", PathPrefix: "/", Homes: []string{"eu"}}}}
+	config.Index()
+	view.SetConfig(config)
+	view.SetHosts(map[string]fleet.Host{"a": {Name: "a", Address: "a", Zone: "z1"}, "b": {Name: "b", Address: "b", Zone: "z0"}, "c": {Name: "c", Address: "c", Zone: "elsewhere"}})
+	log, hook := logrustest.NewNullLogger()
+	scope := tally.NewTestScope("", nil)
+	d := &Directory{View: view, Self: fleet.Host{Name: "a", Address: "a", Zone: "z1"}, Log: log, Metrics: scope}
+	for _, c := range []struct {
+		live   []string
+		region string
+		want   []string
+	}{
+		{[]string{"a", "b", "c"}, "us", []string{"a", "b"}}, {[]string{"a", "b", "c"}, "made up", []string{"b"}}, {[]string{"a", "b", "c"}, "", []string{"b"}},
+		{[]string{"a", "c"}, "made up", []string{"a", "c"}}, {[]string{"a", "c"}, "made up", []string{"a", "c"}}, {[]string{"a", "b", "c"}, "eu", []string{"b"}},
+	} {
+		d.Client = reportedHosts{live: c.live, known: true}
+		got := d.Addresses(fleet.Lookup{Name: "n", Region: c.region})
+		if slices.Sort(got); !slices.Equal(got, c.want) {
+			t.Errorf("hosts %v run, caller in %q: got %v, want %v", c.live, c.region, got, c.want)
+		}
+	}
+	var outside []any
+	for _, e := range hook.AllEntries() {
+		if e.Data["event"] == "directory_outside_homes" {
+			outside = append(outside, e.Data["outside"])
+		}
+	}
+	if fmt.Sprint(outside) != "[true false]" {
+		t.Errorf("logged changes %v, want one to outside and one back", outside)
+	}
+	counts := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		counts[c.Tags()["region"]+" "+c.Tags()["named"]] = c.Value()
+	}
+	if fmt.Sprint(counts) != "map[eu home:1 unknown home:2 unknown other:2 us home:1]" {
+		t.Errorf("counted %v", counts)
+	}
+}
