Evacuations: a restored store decides once a list is complete; polls by rank

Change: kept and withheld zones last until a list is known to be complete after their time. The first three hosts poll at 0.34 of the bound, the others at 0.64 of it.

--- a/coord/evacuation/evacuation.go
+++ b/coord/evacuation/evacuation.go
@@ -12,7 +12,8 @@
 	Zones   map[string]uint64 `json:"z,omitempty"` // by zone, the version of its object
 }
 
-// Times after a restore of the store.
+// Times after a restore of the store. What a host keeps or withholds ends with the first list that is known to be complete after
+// that time: without one, the host may not have heard yet that an operator repeated the change.
 const (
 	KeepMissing   = 3 * time.Second  // for which an evacuation that the copy lacks stays in force; operators write it again by then
 	Withhold      = 5 * time.Second  // for which a removed evacuation that the copy has is left out; operators remove it again by then
@@ -39,8 +40,8 @@
 
 // withheldZone is a zone of a restored list that had been removed before.
 type withheldZone struct {
-	version uint64 // of its object in the restored list
-	until   time.Duration
+	version uint64        // of its object in the restored list
+	until   time.Duration // or later, until a list is complete at this time
 }
 
 // Core holds what one host knows of the evacuated zones.
@@ -49,7 +50,7 @@
 	list        List
 	known       bool
 	confirmedAt time.Duration
-	kept        map[string]time.Duration // zones that a restored list lacks, and until when they are kept
+	kept        map[string]time.Duration // zones that a restored list lacks, kept until a list is complete at this time
 	withheld    map[string]withheldZone
 	removed     map[string]time.Duration // zones that were removed lately, and when
 	evacuated   map[string]bool
@@ -102,7 +103,7 @@
 		c.listed(now, zone, version, restored)
 	}
 	c.list, c.known = l, true
-	return true, c.Step(now)
+	return true, c.update(now)
 }
 
 // unlisted handles a zone that a newer list lacks.
@@ -132,16 +133,24 @@
 
 // Step ends what lasts for a time, and returns the evacuations that began or ended.
 func (c *Core) Step(now time.Duration) []Change {
+	if len(c.kept)+len(c.withheld) == 0 {
+		return nil
+	}
+	return c.update(now)
+}
+
+// update recomputes what is in force.
+func (c *Core) update(now time.Duration) []Change {
 	ended := map[string]Cause{}
 	for zone, until := range c.kept {
-		if now >= until {
+		if c.confirmedAt >= until {
 			delete(c.kept, zone)
 			c.removed[zone], ended[zone] = now, CauseNotRewritten
 		}
 	}
 	began := map[string]Cause{}
 	for zone, w := range c.withheld {
-		if now >= w.until {
+		if c.confirmedAt >= w.until {
 			delete(c.withheld, zone)
 			delete(c.removed, zone)
 			began[zone] = CauseNotRemoved
@@ -151,11 +160,11 @@
 		_, withheld := c.withheld[zone]
 		return !withheld && now-at >= removalMemory
 	})
-	return c.update(now, began, ended)
+	return c.apply(now, began, ended)
 }
 
-// update recomputes the evacuated zones. The causes are those other than a change of the list.
-func (c *Core) update(now time.Duration, began, ended map[string]Cause) []Change {
+// apply recomputes the evacuated zones. The causes are those other than a change of the list.
+func (c *Core) apply(now time.Duration, began, ended map[string]Cause) []Change {
 	next := map[string]bool{}
 	for zone := range c.list.Zones {
 		if _, withheld := c.withheld[zone]; !withheld {
--- a/coord/evacuation/poll.go
+++ b/coord/evacuation/poll.go
@@ -7,12 +7,12 @@
 
 // Polls of hosts other than the coordinator, as shares of the bound.
 const (
-	// pollShare is the age of the list from which a host polls the store. It is longer than three report intervals and a
-	// poll of the coordinator.
-	pollShare = 0.46
-	// laterShare is how much later the hosts after the first ones poll: twice as long as the first ones' result takes
-	// to reach them by the coordinator, which is a report interval at most.
-	laterShare = 0.18
+	// firstShare is the age of the list from which the first hosts poll the store. It is longer than a poll of the
+	// coordinator and two report intervals.
+	firstShare = 0.34
+	// laterShare is the age from which the other hosts poll. The first ones poll again after firstShare, and what they
+	// find reaches the others by the coordinator within another 0.2, so that the others need not poll.
+	laterShare = 0.64
 )
 
 // FirstPollers is the number of hosts that poll first if the coordinator no longer confirms the list. One of them may be the
@@ -28,11 +28,11 @@
 }
 
 // PollAge returns the age of the list from which a host polls the store. The rank is the host's place among the hosts that
-// report to the coordinator, 0 if it hears from none.
+// report to the coordinator. A host that hears from none has no one to poll for and takes FirstPollers.
 func PollAge(bound time.Duration, rank int) time.Duration {
-	share := pollShare
+	share := firstShare
 	if rank >= FirstPollers {
-		share += laterShare
+		share = laterShare
 	}
 	return time.Duration(share * float64(Bound(bound)))
 }
