Coordinator: evacuated zones in reports, updates, the choice and the plan

Cause: a zone's targets were chosen and loaded as long as they were registered; nothing told hosts of an evacuation. Change: hosts and the coordinator tell each other the newest list and how old it is, in optional fields.

--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -131,7 +131,7 @@
 
 // usable reports whether a target may be sent a request, whatever it holds. The caller must hold f.mu.
 func (f *FleetView) usable(t fleet.Target, req Requirements) bool {
-	if t.Draining || t.Missing || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version {
+	if t.Draining || t.Missing || f.evacuated(t.Zone) || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version {
 		return false
 	}
 	return !f.isQuiet(t)
@@ -181,18 +181,18 @@
 	return score
 }
 
-// ServesVersion reports whether a target of the given software version is registered, does not leave and is
-// not one to avoid.
+// ServesVersion reports whether a target of the given software version is registered, does not leave, is not in
+// an evacuated zone and not one to avoid.
 func (f *FleetView) ServesVersion(service, version string, avoid map[string]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.targets.ByService[service], func(id string) bool {
 		t := f.targets.ByID[id]
-		return t.Version == version && !t.Draining && !avoid[id]
+		return t.Version == version && !t.Draining && !f.evacuations.core.Evacuated(t.Zone) && !avoid[id]
 	})
 }
 
-// HasLocalWeights reports whether some engine of the given software version holds a model, or
+// HasLocalWeights reports whether some engine of the given software version, outside evacuated zones, holds a model, or
 // has its weights on its disk or in its memory. A nil version means any. It returns true while no
 // engine of the service is known.
 func (f *FleetView) HasLocalWeights(service, model string, version *string) bool {
@@ -203,7 +203,7 @@
 	}
 	for _, id := range f.targets.ByService[service] {
 		t := f.targets.ByID[id]
-		if t.Draining || version != nil && t.Version != *version {
+		if t.Draining || f.evacuations.core.Evacuated(t.Zone) || version != nil && t.Version != *version {
 			continue
 		}
 		if _, there := f.view(t).Models[model]; there || slices.Contains(t.OnDisk, model) || slices.Contains(t.InMemory, model) {
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -48,6 +48,7 @@
 	sentLimits         uint64 // version of the limits that the coordinator was sent
 	sentTargets        uint64 // version of the leaving targets that the coordinator was sent
 	sentConfig         ConfigVersion
+	sentEvacuations    uint64 // version of the list that the coordinator was sent, or has sent
 	liveHosts          []string
 	cutOffHosts        []string
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
@@ -190,6 +191,7 @@
 		c.report(ctx)
 		c.opts.Parts.evaluate()
 		c.logLimits()
+		c.opts.FleetView.stepEvacuations()
 		c.logNotices()
 		timer.Reset(reportInterval)
 	}
@@ -199,11 +201,15 @@
 // report in full to a coordinator that is new to them at about the same time, and if those whose
 // report takes long changed to another one, they would take its time as well.
 func (c *Client) timeoutOf(r Report) time.Duration {
+	return timeoutOf(r, len(c.opts.FleetView.Hosts()))
+}
+
+func timeoutOf(r Report, hosts int) time.Duration {
 	perHost := reportTime
 	if r.Full {
 		perHost = fullReportTime
 	}
-	return reportTimeout + time.Duration(len(c.opts.FleetView.Hosts()))*perHost
+	return reportTimeout + time.Duration(hosts)*perHost
 }
 
 func (c *Client) report(ctx context.Context) {
@@ -270,7 +276,7 @@
 	if c.sendFull {
 		clear(c.sentUse)
 		clear(c.sentOwned)
-		c.sentParts, c.sentLimits, c.sentTargets, c.sentConfig = crashcause.Cursor{}, 0, 0, ConfigVersion{}
+		c.sentParts, c.sentLimits, c.sentTargets, c.sentConfig, c.sentEvacuations = crashcause.Cursor{}, 0, 0, ConfigVersion{}, 0
 		c.sendFull = false
 	}
 	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures and FleetView
@@ -281,6 +287,7 @@
 	if newest := c.opts.FleetView.NewestConfig(); newest != c.sentConfig {
 		r.Config, c.sentConfig = &newest, newest
 	}
+	c.addEvacuations(&r)
 	c.opts.FleetView.report(&r)
 	r.Brittle = c.opts.FleetView.brittleServices()
 	r.SlotsHeld = c.opts.FleetView.keptSlots()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -187,6 +187,7 @@
 		c.failureTimes[id] = now
 	}
 	c.eras.Learn(r.Era)
+	c.takeEvacuations(host, h, r)
 	for _, service := range r.Brittle {
 		c.brittleAt[service] = now
 	}
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -23,6 +23,7 @@
 	targets       *fleet.Targets // as registered, but those that leave are marked as draining
 	leaving       leavingTargets
 	brittle       brittleness
+	evacuations   evacuations
 	noticesToLog  []notice
 	quietUntil    map[string]time.Duration // by start of a target, until when it wants nothing from this host
 	views         map[string]EngineView    // by engine, from the coordinator or this host's own Owner
@@ -58,7 +59,7 @@
 // machine was suspended.
 func NewFleetView(zone string, now func() time.Duration) *FleetView {
 	return &FleetView{
-		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(), quietUntil: map[string]time.Duration{},
+		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(), evacuations: newEvacuations(), quietUntil: map[string]time.Duration{},
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
@@ -226,12 +227,13 @@
 	return f.listed
 }
 
-// Accepts reports whether a target that was chosen still takes requests: it is registered and does not leave.
+// Accepts reports whether a target that was chosen still takes requests: it is registered, does not leave and is not in an
+// evacuated zone.
 func (f *FleetView) Accepts(chosen fleet.Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t, ok := f.targets.ByID[chosen.ID]
-	return ok && !t.Draining && !t.Missing && t.StartedMS == chosen.StartedMS
+	return ok && !t.Draining && !t.Missing && t.StartedMS == chosen.StartedMS && !f.evacuated(t.Zone)
 }
 
 // SetViews stores views of engines.
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -41,6 +41,8 @@
 	sentTargets   uint64        // version of the leaving targets that it was sent
 	knownConfig   ConfigVersion // the newest one that it has reported or was sent
 	pushing       bool
+	// knownEvacuations is the version of the list of evacuated zones that it has reported or was sent.
+	knownEvacuations uint64
 }
 
 func newHostState(incarnation string) *hostState {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -118,6 +118,7 @@
 	CutOff         bool                 `json:"k,omitempty"`  // the host has lost its way to all targets; Unreachable is then empty
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
 	Era            platform.Era         `json:"e,omitempty"`  // of the store, as far as the host knows
+	EvacuationNews
 }
 
 // EngineUpdate is what a host needs to know to send requests to an engine.
@@ -144,6 +145,7 @@
 	Era         platform.Era `json:"e,omitempty"` // of the store
 	// NewestConfig is the newest configuration that the coordinator has heard of; nil: as last sent.
 	NewestConfig *ConfigVersion `json:"n,omitempty"`
+	EvacuationNews
 }
 
 // Update is what the coordinator sends to a host: the changes since the last update.
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -53,6 +53,9 @@
 	if t.Draining {
 		return fleet.OrderNotSent, &LeavingEngineError{Engine: e.id}
 	}
+	if ord.Kind == fleet.LoadModel && o.fleetView.Evacuated(t.Zone) {
+		return fleet.OrderNotSent, &EvacuatedEngineError{Engine: e.id, Zone: t.Zone}
+	}
 	e.fenceLock.RLock()
 	defer e.fenceLock.RUnlock()
 	ord.TargetID, ord.Holder, ord.Fence = e.id, o.holder, e.fence
@@ -281,3 +284,10 @@
 	m := s.Engine.Models[c.Load]
 	return [...]time.Duration{m.MemoryLoad, m.DiskLoad, m.StoreLoad}[c.Source]
 }
+
+// EvacuatedEngineError reports an engine in an evacuated zone, to which no load is sent.
+type EvacuatedEngineError struct{ Engine, Zone string }
+
+func (e *EvacuatedEngineError) Error() string {
+	return "engine " + e.Engine + " is in the evacuated zone " + e.Zone
+}
--- a/internal/coordinator/quiet.go
+++ b/internal/coordinator/quiet.go
@@ -41,14 +41,14 @@
 	return since < 0 || rand.Float64() > float64(since)/float64(quietReturn)
 }
 
-// QuietUntil returns when the first of the targets of a service that do not leave can be sent to, if all of them asked this
+// QuietUntil returns when the first of the targets of a service that do not leave and are not in evacuated zones can be sent to, if all of them asked this
 // host for quiet.
 func (f *FleetView) QuietUntil(service string) (until time.Duration, all bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range f.targets.ByService[service] {
 		t := f.targets.ByID[id]
-		if t.Draining {
+		if t.Draining || f.evacuations.core.Evacuated(t.Zone) {
 			continue
 		}
 		end, asked := f.quietUntil[runOf(t)]
--- a/internal/coordinator/storefreshness.go
+++ b/internal/coordinator/storefreshness.go
@@ -34,6 +34,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.applyEvacuations(age.EvacuationNews, began)
 	configAt := began - time.Duration(age.ConfigAgeMS)*time.Millisecond
 	targetsAt := began - time.Duration(age.TargetAgeMS)*time.Millisecond
 	if age.Config > c.freshness.Config {
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -215,6 +215,7 @@
 		return u
 	}
 	u.StoreAge = c.storeAge()
+	c.addEvacuations(u.StoreAge, name, h)
 	u.Brittle, u.SlotLimits = c.brittleNow(), c.slotLimits()
 	if newest := c.fleetView.NewestConfig(); newest != h.knownConfig {
 		u.StoreAge.NewestConfig, h.knownConfig = &newest, newest
