Hosts: a copy of the evacuated zones, and when to read the store for it

Cause: hosts read no objects of the kind evacuations. Change: a mirror with policies of its own: strict at the coordinator, no calls while the coordinator confirms the list, a poll where it does not. The mirror is raw; what a restore took back is decided by the core. Targets of evacuated zones are not probed for the way to targets.

--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -99,6 +99,7 @@
 	outage      storecache.Outage // of the store, as seen by this host
 	config      *storecache.Mirror
 	targets     *storecache.Mirror
+	evacuations *storecache.Mirror // nil: the platform has no such kind
 	startedAt   time.Duration
 	// targetsSameAt is when the list of targets was last known to be the coordinator's, in nanoseconds.
 	targetsSameAt atomic.Int64
@@ -135,6 +136,7 @@
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.TargetKind, Policy: h.bounded(h.targetPolicy),
 		StaleStart: true, KeepMissing: targetKeepMissing, WithholdRemoved: targetWithhold, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
 	})
+	h.initEvacuations()
 	return h
 }
 
@@ -186,11 +188,11 @@
 	})
 }
 
-// targetAddresses returns the addresses of all targets that do not leave.
+// targetAddresses returns the addresses of all targets that do not leave and are not in evacuated zones.
 func (h *Host) targetAddresses() []string {
 	var out []string
 	for _, t := range h.view.Targets().ByID {
-		if !t.Draining {
+		if !t.Draining && !h.view.Evacuated(t.Zone) {
 			out = append(out, t.Address)
 		}
 	}
@@ -289,6 +291,7 @@
 		func() error { return h.logEras(ctx) },
 		func() error { return h.config.Run(ctx) },
 		func() error { return h.targets.Run(ctx) },
+		func() error { return h.runEvacuations(ctx) },
 		func() error { return hosts.Run(ctx) },
 		func() error { return h.join(ctx) },
 		func() error { return h.lease.Run(ctx) },
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -101,6 +101,13 @@
 	return m.confirmed, m.listed
 }
 
+// Version returns the version of the store that the copy was last brought up to; 0: the history after the copy is gone.
+func (m *Mirror) Version() platform.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // Missing returns the names of the objects that are kept although the store does not list them.
 func (m *Mirror) Missing() map[string]bool {
 	m.mu.Lock()
