Gateway: requests refused at once while all zones of a service are evacuated

Cause: with every target in an evacuated zone, a request waited for its deadline. The line of a request names the evacuated zones.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 	if len(x.call.SharedParts) > 0 {
 		x.log["prompt_parts"] = strings.Join(x.call.SharedParts, ",")
 	}
+	g.logEvacuations(x)
 	if x.route != nil {
 		x.log["route"], x.log["service"], x.log["model"] = x.route.Name, x.service, x.call.ModelKey()
 		if x.team != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -156,6 +156,9 @@
 		if x.viaHelper = g.goesThroughHelper(x); x.viaHelper {
 			return coordinator.Choice{}, false
 		}
+		if g.allEvacuated(x) {
+			return coordinator.Choice{}, false
+		}
 		until := g.targetWaitEnd(x)
 		req.Late = endWait != nil && g.opts.Now() > x.arrived+x.route.Objective
 		changed := view.Changed()
