Explain: evacuations in force when a request came

Cause: an evacuation may have begun long before the request that it turns away from a target. Change: the story names, for each host, the evacuations that had begun and not ended when the request came, and changes during it. Result: TestExplainNamesEvacuationsInForce passes.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -39,8 +40,8 @@
 }
 
 // Explain reads logs and writes the lines that concern a request, ordered by time:
-// its own lines, the swaps of its model, the orders to its target, and changes in
-// the state of hosts during that time. It ignores any text before the JSON object
+// its own lines, the swaps of its model, the orders to its target, changes in
+// the state of hosts during that time, and the evacuations of zones then in force. It ignores any text before the JSON object
 // of a line. It fails with *NotFoundError or a read error.
 func Explain(logs io.Reader, out io.Writer, id string) error {
 	all, err := read(logs)
@@ -51,8 +52,9 @@
 	if s == nil {
 		return &NotFoundError{ID: id, Lines: len(all)}
 	}
-	for _, r := range all {
-		if s.includes(r) {
+	evacuations := s.evacuationsBefore(all)
+	for i, r := range all {
+		if evacuations[i] || s.includes(r) {
 			fmt.Fprintln(out, r.line())
 		}
 	}
@@ -134,7 +136,7 @@
 var decisionEvents = []string{"move_planned", "move_done", "move_failed", "move_refused", "move_forgotten", "order", "engine_owned", "engine_differs", "orders_recounted", "target_changed", "target_gone", "permit_not_requested", "slot_not_requested"}
 
 // hostEvents are the events about the state of a host itself.
-var hostEvents = []string{"store_lost", "store_regained", "coordinator_changed", "coordinator_lost", "deputy_replied", "lease_lost", "lease_ended", "lease_not_renewed", "config_taken", "config_ignored", "store_era", "target_reach", "engines_yielded", "targets_listed", "host_silent", "host_stopping", "host_started", "log_dropped"}
+var hostEvents = []string{"store_lost", "store_regained", "coordinator_changed", "coordinator_lost", "deputy_replied", "lease_lost", "lease_ended", "lease_not_renewed", "config_taken", "config_ignored", "store_era", "target_reach", "engines_yielded", "targets_listed", "host_silent", "host_stopping", "host_started", "log_dropped", evacuationBegan, evacuationEnded}
 
 // noticeTime is how long before a request a target may have said why it was passed over. Quiet and limits are over by
 // then unless they are named again, and a target that leaves is usually gone.
@@ -143,6 +145,35 @@
 // noticeEvents are the events on what targets say about themselves.
 var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle"}
 
+// evacuationEvents are the beginning and the end of the evacuation of a zone at a host.
+const (
+	evacuationBegan = "evacuation_began"
+	evacuationEnded = "evacuation_ended"
+)
+
+// evacuationsBefore returns the beginnings of the evacuations that were in force at hosts when a request came, however long
+// before that was.
+func (s *scope) evacuationsBefore(all []record) map[int]bool {
+	last := map[[2]string]int{}
+	for i, r := range all {
+		key := [2]string{r.host, r.text("zone")}
+		switch {
+		case r.at.After(s.from):
+		case r.event == evacuationBegan:
+			last[key] = i
+		case r.event == evacuationEnded:
+			delete(last, key)
+		case r.event == "host_started": // it logs the evacuations that it learns of
+			maps.DeleteFunc(last, func(k [2]string, _ int) bool { return k[0] == r.host })
+		}
+	}
+	out := map[int]bool{}
+	for _, i := range last {
+		out[i] = true
+	}
+	return out
+}
+
 func (s *scope) includes(r record) bool {
 	if r.text("id") == s.id {
 		return true
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,3 +57,25 @@
 		t.Error("the story has a line of a minute and a half before")
 	}
 }
+
+// TestExplainNamesEvacuationsInForce guards against a story without the cause of a detour or a refusal that began long before,
+// and against one that names evacuations that were over.
+func TestExplainNamesEvacuationsInForce(t *testing.T) {
+	const before = `{"event":"evacuation_began","host":"h1","zone":"over","time":"2026-01-01T00:00:01.000Z"}
+{"event":"evacuation_began","host":"h2","zone":"restarted","time":"2026-01-01T00:00:01.000Z"}
+{"event":"evacuation_began","host":"h1","zone":"lasting","time":"2026-01-01T00:00:02.000Z"}
+{"event":"evacuation_ended","host":"h1","zone":"over","time":"2026-01-01T00:00:03.000Z"}
+{"event":"host_started","host":"h2","time":"2026-01-01T00:00:04.000Z"}
+{"event":"evacuation_ended","host":"h1","zone":"during","time":"2026-01-01T01:00:00.000Z"}
+{"event":"request","host":"h1","id":"a1","model":"m","status":200,"target":"e5","time":"2026-01-01T01:00:00.100Z","took_ms":200}
+`
+	var out bytes.Buffer
+	if err := Explain(strings.NewReader(before), &out, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	for zone, want := range map[string]bool{"lasting": true, "during": true, "over": false, "restarted": false} {
+		if strings.Contains(out.String(), "zone="+zone) != want {
+			t.Errorf("zone %s: named %v, want %v", zone, !want, want)
+		}
+	}
+}
