Store copies: a policy may ask for the confirmation in a new era

Cause: found with TestEvacuationSurvivesARestore, which hung for 10 minutes: inEarlierEra called the policy with the mirror's lock held, and the policy of the targets asks the mirror when its copy was confirmed. A host that learned of a restore while it waited for its next poll never read the targets again. The fault is older than the evacuations. Change: the policy is called without the lock. Result: TestPolicyMayAskForTheConfirmation fails before (hangs), passes now.

--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -173,8 +173,9 @@
 // confirmed in another way, its objects are those of the new era, and the next call will list them.
 func (m *Mirror) inEarlierEra() bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.listed && m.version > 0 && m.version.Era() < m.opts.Eras.Current() && !m.opts.Policy().Confirmed
+	earlier := m.listed && m.version > 0 && m.version.Era() < m.opts.Eras.Current()
+	m.mu.Unlock()
+	return earlier && !m.opts.Policy().Confirmed // without the lock, since a policy may ask the mirror for its confirmation
 }
 
 // probeWait is the wait of a poll after a failed call.
--- a/internal/storecache/restore_test.go
+++ b/internal/storecache/restore_test.go
@@ -132,3 +132,26 @@
 		}
 	})
 }
+
+// TestPolicyMayAskForTheConfirmation guards against a copy that hangs for ever when the store is restored while it waits for its
+// next poll: the policy of the targets asks the mirror when the copy was confirmed.
+func TestPolicyMayAskForTheConfirmation(t *testing.T) {
+	eras := &platform.Eras{}
+	var m *Mirror
+	m = New(Options{Eras: eras, Now: func() time.Duration { return time.Hour }, OnChange: func(map[string]platform.Object) {}, Policy: func() PollPolicy {
+		_, _ = m.Confirmed()
+		return PollPolicy{MinInterval: time.Hour}
+	}})
+	m.applyList(platform.List{Version: 1<<40 + 1}, 1)
+	eras.Learn(2)
+	done := make(chan bool)
+	go func() { done <- m.inEarlierEra() }()
+	select {
+	case earlier := <-done:
+		if !earlier {
+			t.Error("the copy of an earlier era is not listed again")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the mirror hangs")
+	}
+}
