--- a/coord/evacuation/poll.go
+++ b/coord/evacuation/poll.go
@@ -28,7 +28,8 @@
 }
 
 // PollAge returns the age of the list from which a host polls the store. The rank is the host's place among the hosts that
-// report to the coordinator. A host that hears from none has no one to poll for and takes FirstPollers.
+// report to the coordinator. A host that hears from none, or to which no other host
+// reports, has no one to poll for and takes FirstPollers.
 func PollAge(bound time.Duration, rank int) time.Duration {
 	share := firstShare
 	if rank >= FirstPollers {
--- a/internal/coordinator/evacuationmessages.go
+++ b/internal/coordinator/evacuationmessages.go
@@ -78,7 +78,7 @@
 // EvacuationPollAge returns the age of the list of evacuated zones from which this host reads it from the store.
 func (c *Client) EvacuationPollAge(bound time.Duration) time.Duration {
 	hosts, recent := c.LiveHosts()
-	if !recent {
+	if !recent || len(hosts) <= 1 {
 		return evacuation.PollAge(bound, evacuation.FirstPollers)
 	}
 	rank := 0
--- a/internal/platformhost/evacuations.go
+++ b/internal/platformhost/evacuations.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/coord/evacuation"
 	"buckthornseam.dev/seam/internal/bootclock"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/platform"
@@ -41,8 +44,11 @@
 		h.view.ConfirmEvacuations(at)
 	}
 	_, confirmedAt, _ := h.view.Evacuations()
-	now := bootclock.Now()
-	return evacuationPolicyOf(copyState{coordinator: h.coordinatorState(), uptime: now - h.startedAt, confirmedAgo: now - confirmedAt},
+	now, state := bootclock.Now(), h.coordinatorState()
+	if together, _ := h.client.CountedTogether(); state == coordinatorSelf && together <= 1 {
+		state = coordinatorReplied // nobody else relies on this host: it is cut off, like perhaps many others
+	}
+	return evacuationPolicyOf(copyState{coordinator: state, uptime: now - h.startedAt, confirmedAgo: now - confirmedAt},
 		h.client.EvacuationPollAge(h.settings.Bounds.Evacuate))
 }
 
@@ -51,6 +57,9 @@
 	if h.adapter.EvacuationKind == "" {
 		return
 	}
+	if bound := h.settings.Bounds.Evacuate; bound < 0 {
+		h.log.WithFields(logrus.Fields{"event": "evacuate_bound_ignored", "evacuate_ms": bound.Milliseconds(), "used_ms": evacuation.DefaultBound.Milliseconds()}).Warn("the bound of evacuations in the settings is negative")
+	}
 	h.view.AwaitEvacuations(evacuationsWait)
 	h.view.OnEvacuation(func(zone string, began bool) {
 		name := "evacuations_ended"
