Owners: a move to an evacuated engine is refused before its unloads

Cause: an owner refused only the load, so that a move planned just before the evacuation unloaded a model for nothing. Change: the move fails before its first order and the engine's content is read again. The log lines of evacuations are checked.

--- a/coord/evacuation/fleet_test.go
+++ b/coord/evacuation/fleet_test.go
@@ -21,7 +21,7 @@
 // simHost is a host that has a Core, reports to a coordinator and polls the store.
 type simHost struct {
 	core        *Core
-	id, zone    int
+	id          int
 	startedAt   time.Duration
 	coordinator int           // -1: none that it hears
 	heardAt     time.Duration // from a coordinator
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"buckthornseam.dev/coord/evacuation"
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
 )
@@ -41,6 +42,11 @@
 		a, _ := f.Target("a")
 		b, _ := f.Target("b")
 		f.SetEvacuations(evacuate(5, "x", "unknown"))
+		for i, n := range f.takeNoticesToLog() { // in the order of the names
+			if want := []string{"unknown", "x"}[i]; n.event != "evacuation_began" || n.fields["zone"] != want || n.fields["targets"] != i || n.fields["cause"] != evacuation.CauseListed {
+				t.Errorf("logged %s %v", n.event, n.fields)
+			}
+		}
 		if n := picks(f); n > 0 || f.Accepts(a) {
 			t.Errorf("the evacuated target is chosen %d times of 100, accepted %v", n, f.Accepts(a))
 		}
@@ -248,8 +254,16 @@
 		if !errors.As(err, &evacuated) || engine.orderCount() != before {
 			t.Errorf("adapter: %v, %d orders", err, engine.orderCount()-before)
 		}
-		if len(o.Owned()) != 1 {
-			t.Error("the engine is given up")
+		if err := o.Swap(SwapCommand{Move: 1, Engine: "e1", Unload: []string{"a"}, Load: "c"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		owned := o.Owned()
+		if engine.orderCount() != before || len(owned) != 1 {
+			t.Fatalf("a move: %d orders, owned %v", engine.orderCount()-before, owned)
+		}
+		if a, there := owned[0].Models["a"]; !there || a.State != swap.Ready || owned[0].Busy {
+			t.Errorf("the engine's view after a move that was not carried out: %+v", owned[0])
 		}
 		f.SetEvacuations(evacuate(4))
 		if err := o.LoadAdapter(t.Context(), AdapterCommand{Engine: "e1", Model: "b", Adapter: "a1"}); err != nil {
--- a/internal/coordinator/moves.go
+++ b/internal/coordinator/moves.go
@@ -11,6 +11,10 @@
 )
 
 func (o *Owner) carryOut(ctx context.Context, e *ownedEngine, c SwapCommand) error {
+	if t, ok := o.fleetView.Target(e.id); ok && c.Load != "" && o.fleetView.Evacuated(t.Zone) { // before its unloads
+		o.rereadContent(ctx, e)
+		return &EvacuatedEngineError{Engine: e.id, Zone: t.Zone}
+	}
 	if len(c.Unload) > 0 {
 		time.Sleep(drainDelay)
 	}
