--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -137,7 +137,7 @@
 
 // usable reports whether a target may be sent a request, whatever it holds. The caller must hold f.mu.
 func (f *FleetView) usable(t fleet.Target, req Requirements) bool {
-	if t.Draining || t.Missing || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version || !f.inRegions(t, req.Regions) {
+	if t.Draining || t.Missing || f.evacuated(t.Zone) || req.Avoid[t.ID] || f.now() < f.unusableUntil[t.ID] || req.Version != nil && t.Version != *req.Version || !f.inRegions(t, req.Regions) {
 		return false
 	}
 	return !f.isQuiet(t)
@@ -188,19 +188,19 @@
 }
 
 // ServesVersion reports whether a target of the given software version is registered in the given regions (nil:
-// all), does not leave and is not one to avoid.
+// all), does not leave, is not in an evacuated zone and not one to avoid.
 func (f *FleetView) ServesVersion(service, version string, regions []string, avoid map[string]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.targets.ByService[service], func(id string) bool {
 		t := f.targets.ByID[id]
-		return t.Version == version && !t.Draining && !avoid[id] && f.inRegions(t, regions)
+		return t.Version == version && !t.Draining && !f.evacuations.core.Evacuated(t.Zone) && !avoid[id] && f.inRegions(t, regions)
 	})
 }
 
-// HasLocalWeights reports whether some engine of the given software version and in the given regions holds
-// a model, or has its weights on its disk or in its memory. nil means any. It returns true while no
-// engine of the service is known there.
+// HasLocalWeights reports whether some engine of the given software version and in the given regions, outside evacuated
+// zones, holds a model, or has its weights on its disk or in its memory. nil means any. It returns true while no engine of
+// the service is known there.
 func (f *FleetView) HasLocalWeights(service, model string, version *string, regions []string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -211,7 +211,7 @@
 			continue
 		}
 		known = true
-		if t.Draining || version != nil && t.Version != *version {
+		if t.Draining || f.evacuations.core.Evacuated(t.Zone) || version != nil && t.Version != *version {
 			continue
 		}
 		if _, there := f.view(t).Models[model]; there || slices.Contains(t.OnDisk, model) || slices.Contains(t.InMemory, model) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -156,7 +156,7 @@
 		if x.viaHelper = g.goesThroughHelper(x); x.viaHelper {
 			return coordinator.Choice{}, false
 		}
-		if g.homesLeaveNoHelper(x) {
+		if g.homesLeaveNoHelper(x) || g.allEvacuated(x) {
 			return coordinator.Choice{}, false
 		}
 		until := g.targetWaitEnd(x)
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -101,6 +101,13 @@
 	return m.confirmed, m.listed
 }
 
+// Version returns the version of the store that the copy was last brought up to; 0: the history after the copy is gone.
+func (m *Mirror) Version() platform.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // Missing returns the names of the objects that are kept although the store does not list them.
 func (m *Mirror) Missing() map[string]bool {
 	m.mu.Lock()
@@ -166,8 +173,9 @@
 // confirmed in another way, its objects are those of the new era, and the next call will list them.
 func (m *Mirror) inEarlierEra() bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.listed && m.version > 0 && m.version.Era() < m.opts.Eras.Current() && !m.opts.Policy().Confirmed
+	earlier := m.listed && m.version > 0 && m.version.Era() < m.opts.Eras.Current()
+	m.mu.Unlock()
+	return earlier && !m.opts.Policy().Confirmed // without the lock, since a policy may ask the mirror for its confirmation
 }
 
 // probeWait is the wait of a poll after a failed call.
