--- a/internal/platformhost/evacuations.go
+++ b/internal/platformhost/evacuations.go
@@ -52,9 +52,10 @@
 		h.client.EvacuationPollAge(h.settings.Bounds.Evacuate))
 }
 
-// initEvacuations creates the copy of the evacuated zones if the platform has this kind.
+// initEvacuations creates the copy of the evacuated zones if the platform has this kind and the settings state a bound for
+// evacuations. Other deployments have none, and are spared the calls.
 func (h *Host) initEvacuations() {
-	if h.adapter.EvacuationKind == "" {
+	if h.adapter.EvacuationKind == "" || h.settings.Bounds.Evacuate == 0 {
 		return
 	}
 	if bound := h.settings.Bounds.Evacuate; bound < 0 {
