Cold targets: permits by urgency, in parts that hold in any second; warm targets first

Cause: hosts send to a target that is cold as to any other, each for itself, and the issuer of permits for named limits lets every group of hosts issue one request at once, so that no bound holds in a second. Change: permit.Issuer takes rate and burst apart, keeps permits for more urgent requests that will ask again, and shrinks with its part; permit.Members counts a host at one issuer only; permit.Cold keeps what is cold. FleetView learns it from registrations, responses, reports and updates (field ct); Pick takes cold targets last, one permit request names up to eight of them; MaySend checks before the send. Requests that no permit can reach in time are refused at once. A target that has become warm counts as loaded for 6 s. The method of permits has new optional fields. Adapters are loaded before the permit is asked for, as it is void after 100 ms. Tests of coord/permit, internal/coordinator, platformhost, explain and coord/swap pass.

--- a/coord/permit/permit_test.go
+++ b/coord/permit/permit_test.go
@@ -23,9 +23,9 @@
 						continue
 					}
 					asked++
-					ok, wait := i.Ask(now, "target", fmt.Sprint(h), rate)
-					next[h] = now + time.Duration(float64(wait)*(0.75+0.5*random.Float64()))
-					if ok {
+					a := i.Ask(now, Request{Target: "target", Host: fmt.Sprint(h)}, Named(rate, 1))
+					next[h] = now + time.Duration(float64(a.Wait)*(0.75+0.5*random.Float64()))
+					if a.Granted {
 						granted++
 					}
 				}
@@ -42,11 +42,12 @@
 
 // TestNewIssuerHasNoPermits guards against a change of coordinating hosts giving each a burst.
 func TestNewIssuerHasNoPermits(t *testing.T) {
-	if ok, wait := NewIssuer().Ask(start, "target", "a", 2); ok || wait != time.Second/2 {
-		t.Errorf("granted %v, wait %v, want none for half a second", ok, wait)
+	r := Request{Target: "target", Host: "a"}
+	if a := NewIssuer().Ask(start, r, Named(2, 1)); a.Granted || a.Wait != time.Second/2 {
+		t.Errorf("granted %v, wait %v, want none for half a second", a.Granted, a.Wait)
 	}
-	if ok, wait := NewIssuer().Ask(start, "target", "a", 0); ok || wait != maxWait {
-		t.Errorf("granted %v, wait %v without a rate", ok, wait)
+	if a := NewIssuer().Ask(start, r, Named(0, 1)); a.Granted || a.Wait != maxWait {
+		t.Errorf("granted %v, wait %v without a rate", a.Granted, a.Wait)
 	}
 }
 
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
@@ -17,15 +18,19 @@
 	Version *string         // software version of the target; nil: any
 	Avoid   map[string]bool // targets that were tried before
 	Late    bool            // the request missed its objective and yields to requests that can still begin in time
+	Urgency Urgency         // for permits
 }
 
 // Choice is the result of Pick.
 type Choice struct {
 	Target       fleet.Target
-	NeedsAdapter bool // the adapter must be loaded first
-	NeedsPermit  bool // the target names a limit; see Client.RequestPermit
-	NeedsSlot    bool // the target is brittle and this host has no free slot of it; see Client.RequestSlot
-	Load         int  // known requests of all hosts at the target
+	NeedsAdapter bool           // the adapter must be loaded first
+	NeedsPermit  bool           // the target names a limit or is cold; see Client.RequestPermit
+	NeedsSlot    bool           // the target is brittle and this host has no free slot of it; see Client.RequestSlot
+	Load         int            // known requests of all hosts at the target
+	Cold         bool           // the target is cold and limited
+	PermitUntil  time.Duration  // before which the request must be sent, once a permit was granted; see FleetView.MaySend
+	Others       []fleet.Target // further cold targets that can take the request as it is, at most maxOthers
 	Reason       string
 	Deferred     bool // none was chosen, because other waiting requests take the free slots first
 }
@@ -48,14 +53,15 @@
 // of e for each choiceSpread by which its score is higher.
 func noise() float64 { return -choiceSpread * math.Log(rand.ExpFloat64()) }
 
-// Pick chooses a target. It returns false if no target can take the request now. Targets that name a limit are
+// Pick chooses a target. It returns false if no target can take the request now. Targets that name a limit or are cold are
 // left to requests that no other target can take, but for one now and then to learn whether they still do.
 func (f *FleetView) Pick(req Requirements) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
-	brittle := f.isBrittle(req.Service)
+	var others []fleet.Target
+	brittle, lowLoad := f.isBrittle(req.Service), f.lowWarmLoad(req)
 	for _, id := range f.targets.ByService[req.Service] {
 		c, ok := f.candidate(f.targets.ByID[id], req, brittle)
 		if !ok {
@@ -64,9 +70,12 @@
 		if !c.NeedsPermit {
 			free += f.freeSlots(c.Target, req.Late)
 		}
-		score := c.score - noise()
+		score := c.score + f.warmingScore(c.Target, lowLoad) - noise()
 		switch {
 		case c.NeedsPermit && !c.limitStale:
+			if c.Cold && !c.NeedsAdapter && !c.NeedsSlot {
+				others = addOther(others, c.Target)
+			}
 			if score < limitedScore {
 				limited, limitedScore = c.Choice, score
 			}
@@ -74,10 +83,14 @@
 			found, bestScore, best = true, score, c.Choice
 		}
 	}
-	if !found && limited.NeedsPermit {
+	limited.addOthers(others)
+	if limited.NeedsPermit && (!found || limited.Cold && f.nearlyFull(best.Target)) {
 		return limited, true
 	}
 	if found && req.Model != "" && !best.NeedsPermit && !f.admit(req, free) {
+		if limited.Cold { // it needs no slot that others wait for
+			return limited, true
+		}
 		return Choice{Deferred: true}, false
 	}
 	return best, found
@@ -108,14 +121,20 @@
 		}
 	}
 	rate, stale := f.limits.Rate(f.now(), runOf(t))
-	needsSlot := brittle && f.load[t.ID] >= f.slotsHeld(t.ID)
-	if (rate > 0 || needsSlot) && f.now() < f.noPermitUntil[t.ID] {
+	coldRate, cold := f.coldRate(t)
+	if cold && coldRate <= 0 {
 		return candidate{}, false
 	}
+	needsSlot := brittle && f.load[t.ID] >= f.slotsHeld(t.ID)
+	if rate > 0 || cold || needsSlot {
+		if _, denied := f.noPermit[t.ID].of(f.now(), req.Urgency.level()); denied {
+			return candidate{}, false
+		}
+	}
 	c := candidate{
-		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, NeedsSlot: needsSlot, Load: f.load[t.ID] + f.remoteLoad[t.ID]},
+		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0 || cold, Cold: cold, NeedsSlot: needsSlot, Load: f.load[t.ID] + f.remoteLoad[t.ID]},
 		score:      f.score(t),
-		limitStale: stale,
+		limitStale: stale && !cold,
 	}
 	if needsAdapter {
 		c.score += adapterPenalty
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -47,6 +47,7 @@
 	sentParts          crashcause.Cursor
 	sentLimits         uint64 // version of the limits that the coordinator was sent
 	sentTargets        uint64 // version of the leaving targets that the coordinator was sent
+	sentCold           uint64 // version of the cold targets that the coordinator was sent
 	sentConfig         ConfigVersion
 	liveHosts          []string
 	cutOffHosts        []string
@@ -190,6 +191,7 @@
 		c.report(ctx)
 		c.opts.Parts.evaluate()
 		c.logLimits()
+		c.logCold()
 		c.logNotices()
 		timer.Reset(reportInterval)
 	}
@@ -270,13 +272,14 @@
 	if c.sendFull {
 		clear(c.sentUse)
 		clear(c.sentOwned)
-		c.sentParts, c.sentLimits, c.sentTargets, c.sentConfig = crashcause.Cursor{}, 0, 0, ConfigVersion{}
+		c.sentParts, c.sentLimits, c.sentTargets, c.sentCold, c.sentConfig = crashcause.Cursor{}, 0, 0, 0, ConfigVersion{}
 		c.sendFull = false
 	}
 	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures and FleetView
 		r.Parts = c.opts.Parts.changes(&c.sentParts, crashcause.ToCoordinator)
 		r.Limits, c.sentLimits = c.opts.FleetView.limitChanges(c.sentLimits, permit.ToCoordinator)
 		r.LeavingTargets, c.sentTargets = c.opts.FleetView.leavingChanges(c.sentTargets)
+		r.Cold, c.sentCold = c.opts.FleetView.coldChanges(c.sentCold, permit.ToCoordinator)
 	}
 	if newest := c.opts.FleetView.NewestConfig(); newest != c.sentConfig {
 		r.Config, c.sentConfig = &newest, newest
@@ -318,6 +321,7 @@
 	c.opts.Parts.mergeUpdate(u.Parts)
 	c.opts.FleetView.mergeLimits(u.Limits, true)
 	c.opts.FleetView.mergeLeaving(u.LeavingTargets)
+	c.opts.FleetView.mergeCold(u.Cold, permit.FromCoordinator)
 	c.opts.FleetView.SetBacklogs(u.Backlogs) // first, since the engine updates below wake the waiting requests
 	complete := len(u.Engines) == 0 || c.opts.FleetView.ApplyUpdates(c.opts.Self.Name, u.Engines...)
 	if len(u.Load) > 0 {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -75,7 +75,7 @@
 
 	readySince map[runKey]time.Duration // by copy, when it became ready
 	storeLimit storeLoadLimit
-	permits    *permit.Issuer           // of targets that name a limit
+	permits    permitIssuer             // of targets that name a limit or are cold
 	slots      *slots.Ledger            // of brittle targets
 	brittleAt  map[string]time.Duration // by service, when a host last said that its targets are brittle
 }
@@ -118,7 +118,7 @@
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
-		permits: permit.NewIssuer(), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
+		permits: newPermitIssuer(now()), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
 	}
 }
 
@@ -199,7 +199,9 @@
 		c.parts.mergeReport(host, r.Parts)
 		c.fleetView.mergeLimits(r.Limits, false)
 		c.fleetView.mergeLeaving(r.LeavingTargets)
+		c.fleetView.mergeCold(r.Cold, permit.FromHost)
 	}
+	c.permits.members.Report(now, host, r.Full)
 	c.wake()
 	return c.updateFor(host, h, true)
 }
@@ -264,6 +266,7 @@
 	now := c.now()
 	c.expire(now)
 	c.trackRemovedTargets(now)
+	c.listMembers(now)
 	if len(c.hosts) == 0 {
 		c.activeSince = now
 		return
@@ -319,7 +322,7 @@
 			delete(c.failureTimes, id)
 		}
 	}
-	c.permits.Expire(now)
+	c.permits.issuer.Expire(now)
 	listed := c.fleetView.Targets().ByID
 	c.slots.Expire(func(target string) bool { _, ok := listed[target]; return ok })
 }
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -41,7 +41,8 @@
 	backlogs      map[modelKey]seenBacklog   // as last reported
 	missingUntil  map[runKey]time.Duration   // set by RecordMissingModel, and when this expires
 	limits        *permit.Limits             // that targets name
-	noPermitUntil map[string]time.Duration   // by target, when a permit is asked for again
+	noPermit      map[string]denials         // by target, when a permit is asked for again
+	cold          coldTargets
 }
 
 type runKey struct{ engine, model string }
@@ -63,7 +64,7 @@
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
 		missingUntil: map[runKey]time.Duration{}, unusableUntil: map[string]time.Duration{}, refusedUntil: map[modelKey]time.Duration{},
-		backlogs: map[modelKey]seenBacklog{}, limits: permit.NewLimits(), noPermitUntil: map[string]time.Duration{},
+		backlogs: map[modelKey]seenBacklog{}, limits: permit.NewLimits(), noPermit: map[string]denials{}, cold: newColdTargets(),
 	}
 }
 
@@ -147,6 +148,7 @@
 func (f *FleetView) SetTargets(t *fleet.Targets) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordRegistrations(t)
 	f.listed = t
 	runs := make(map[string]bool, len(t.ByID))
 	for _, target := range t.ByID {
@@ -168,9 +170,9 @@
 			delete(f.health, id)
 		}
 	}
-	for id := range f.noPermitUntil {
+	for id := range f.noPermit {
 		if _, ok := t.ByID[id]; !ok {
-			delete(f.noPermitUntil, id)
+			delete(f.noPermit, id)
 		}
 	}
 	f.notify()
@@ -180,7 +182,7 @@
 func (f *FleetView) SetHosts(hosts map[string]fleet.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hosts = hosts
+	f.hosts, f.cold.hostsListed = hosts, true
 }
 
 // Hosts returns the known hosts by name.
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -39,6 +39,7 @@
 	sentParts     crashcause.Cursor
 	sentLimits    uint64        // version of the limits that it was sent
 	sentTargets   uint64        // version of the leaving targets that it was sent
+	sentCold      uint64        // version of the cold targets that it was sent
 	knownConfig   ConfigVersion // the newest one that it has reported or was sent
 	pushing       bool
 }
--- a/internal/coordinator/leaving.go
+++ b/internal/coordinator/leaving.go
@@ -80,6 +80,9 @@
 		return
 	}
 	f.RecordLimit(t, n.Limit)
+	if n.Cold > 0 {
+		f.recordCold(t, n.Cold)
+	}
 	if n.Quiet > 0 {
 		f.RecordQuiet(t, n.Quiet)
 	}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -110,6 +110,7 @@
 	EngineFailures []string             `json:"x,omitempty"`  // IDs of failures of engines during requests
 	Parts          *crashcause.Evidence `json:"cp,omitempty"` // parts of prompts that may crash targets
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
+	Cold           []permit.ColdRecord  `json:"ct,omitempty"` // cold targets of which the host learned
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets said lately that they are brittle
 	SlotsHeld      map[string]int       `json:"sh,omitempty"` // of brittle targets, always complete
@@ -161,6 +162,7 @@
 	EngineFailures []string             `json:"x,omitempty"`
 	Parts          *crashcause.Evidence `json:"cp,omitempty"`
 	Limits         []permit.Record      `json:"tl,omitempty"` // that targets name
+	Cold           []permit.ColdRecord  `json:"ct,omitempty"` // targets that are cold, if new or for longer
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets are brittle; only in the reply to a report
 	SlotLimits     map[string]int       `json:"sl,omitempty"` // slots that the host may keep; only in the reply to a report
--- a/internal/coordinator/partfailures.go
+++ b/internal/coordinator/partfailures.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 // runOf names one start of a target.
 func runOf(t fleet.Target) string { return t.ID + "@" + strconv.FormatInt(t.StartedMS, 36) }
 
+// targetOfRun returns the ID of the target in a result of runOf.
+func targetOfRun(run string) string { return run[:max(0, strings.LastIndexByte(run, '@'))] }
+
 // RecordFailure records that a target broke off a request whose prompt has the given parts.
 func (p *PartFailures) RecordFailure(parts []string, t fleet.Target, sent time.Duration) {
 	if len(parts) == 0 {
--- a/internal/coordinator/planning.go
+++ b/internal/coordinator/planning.go
@@ -183,7 +183,7 @@
 		}
 		v := c.view(t, owners)
 		e := swap.Engine{
-			ID: id, Version: t.Version, CapacityMB: spec.Engine.CapacityMB - adapterMemory(spec.Engine), Slots: spec.Engine.Slots, Serves: !unreachable[id], Limit: c.fleetView.limited(runOf(t)),
+			ID: id, Version: t.Version, CapacityMB: spec.Engine.CapacityMB - adapterMemory(spec.Engine), Slots: spec.Engine.Slots, Serves: !unreachable[id], Limit: c.fleetView.plannerLimit(t),
 			Copies: map[string]swap.Copy{}, OnDisk: toSet(t.OnDisk), InMemory: toSet(t.InMemory),
 			Busy: v.Busy || owners[id] == "",
 		}
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -140,7 +140,7 @@
 			if err != nil {
 				clear(h.sentVersions) // the host may have received none of it
 				clear(h.sentFailures)
-				h.sentParts, h.sentLimits, h.sentTargets = crashcause.Cursor{}, 0, 0
+				h.sentParts, h.sentLimits, h.sentTargets, h.sentCold = crashcause.Cursor{}, 0, 0, 0
 				h.updateVersion = 0
 			}
 		}()
@@ -209,6 +209,7 @@
 		u.Parts = c.parts.changes(&h.sentParts, crashcause.ToHost)
 		u.Limits, h.sentLimits = c.fleetView.limitChanges(h.sentLimits, permit.ToHost)
 		u.LeavingTargets, h.sentTargets = c.fleetView.leavingChanges(h.sentTargets)
+		u.Cold, h.sentCold = c.fleetView.coldChanges(h.sentCold, permit.ToHost)
 	}
 	u.Backlogs = c.totals.backlogsOf(h)
 	if !counts {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -141,7 +141,7 @@
 const noticeTime = time.Minute
 
 // noticeEvents are the events on what targets say about themselves.
-var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle"}
+var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle", "target_cold", "target_warm", "cold_rate_invalid"}
 
 func (s *scope) includes(r record) bool {
 	if r.text("id") == s.id {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,7 @@
 	heldUntil         time.Duration   // somewhat later than holdEnd
 	retryAfter        time.Duration   // Retry-After of a refusal; 0: the shortest
 	quiet             bool            // retryAfter is the time that targets named, however long
+	permitsDenied     int             // by the coordinator, for targets that name a limit or are cold
 	relayedBy         string          // host that the caller is connected to; empty: this one
 	helpersTried      map[string]bool // hosts through which the request was tried
 	viaHelper         bool            // it is to be sent through another host now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,9 +45,9 @@
 	Quotas  *Quotas
 	Budget  *RetryBudget
 	Origins StreamOrigins
-	// RequestPermit is called before a request is sent to a target that names a limit. If it returns false, the View
+	// RequestPermit is called before a request is sent to a target that names a limit or is cold. If it grants none, the View
 	// must not return the target for a time.
-	RequestPermit func(ctx context.Context, t fleet.Target) bool
+	RequestPermit func(ctx context.Context, r coordinator.PermitRequest) coordinator.Permit
 	// RequestSlot is called before a request is sent to a brittle target at which all slots of this host are in use.
 	// If it returns false, the View must not return the target for a time.
 	RequestSlot         func(ctx context.Context, t fleet.Target) bool
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -157,6 +157,7 @@
 			return coordinator.Choice{}, false
 		}
 		until := g.targetWaitEnd(x)
+		req.Urgency = g.urgency(x)
 		req.Late = endWait != nil && g.opts.Now() > x.arrived+x.route.Objective
 		changed := view.Changed()
 		if g.onHold(x) {
@@ -167,13 +168,13 @@
 		}
 		choice, ok := view.Pick(req)
 		if ok {
-			if choice.NeedsPermit && !g.opts.RequestPermit(ctx, choice.Target) {
-				continue // with the other targets
-			}
 			if choice.NeedsSlot && !g.opts.RequestSlot(ctx, choice.Target) {
-				continue
+				continue // with the other targets
 			}
 			if !choice.NeedsAdapter || g.loadAdapter(ctx, x, choice) {
+				if choice.NeedsPermit && !g.requestPermit(ctx, x, &choice) { // last, as it must be used at once
+					continue
+				}
 				g.logChoice(x, choice)
 				return choice, true
 			}
@@ -190,6 +191,9 @@
 			x.retryAfter, x.quiet = end-g.opts.Now(), true
 			return coordinator.Choice{}, false
 		}
+		if g.refusedAsCold(x, req, until) {
+			return coordinator.Choice{}, false
+		}
 		if x.version != nil && !view.ServesVersion(x.service, *x.version, failedTargets(x, avoid)) {
 			x.log["reason"] = "no target of the stream's software version"
 			return coordinator.Choice{}, false
@@ -220,11 +224,14 @@
 	}
 	req.Avoid = nil
 	choice, ok := g.opts.View.Pick(req)
-	if !ok || choice.NeedsAdapter || choice.NeedsPermit && !g.opts.RequestPermit(x.r.Context(), choice.Target) || choice.NeedsSlot {
+	if !ok || choice.NeedsAdapter || choice.NeedsSlot {
 		return coordinator.Choice{}, false
 	}
-	clear(avoid)
 	time.Sleep(shedRetryDelay * time.Duration(1+min(x.connectFailures, maxCountedConnectFailures)))
+	if choice.NeedsPermit && !g.requestPermit(x.r.Context(), x, &choice) {
+		return coordinator.Choice{}, false
+	}
+	clear(avoid)
 	return choice, true
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -31,6 +31,11 @@
 		x.tries--
 		return notRun
 	}
+	if !g.opts.View.MaySend(c) { // the target has become cold, or the permit is too old
+		x.tries--
+		g.countCold(c.Target, "void")
+		return noSlot
+	}
 	g.checkInvariants(x, c)
 	end, ok := g.opts.View.BeginRequest(c.Target, x.call.Model)
 	if !ok { // another request took the slot
@@ -88,6 +93,9 @@
 	if n.Leaving {
 		x.log["target_leaving"] = c.Target.ID
 	}
+	if n.Cold > 0 {
+		x.log["target_cold_ms"] = n.Cold.Milliseconds()
+	}
 	if n.Quiet > 0 {
 		x.log["target_quiet_ms"] = n.Quiet.Milliseconds()
 	}
@@ -111,10 +119,6 @@
 }
 
 func (g *Gateway) newForwardRequest(x *exchange, c coordinator.Choice) target.ForwardRequest {
-	priority := x.route.Priority
-	if x.team != nil && x.team.HasPriority {
-		priority = x.team.Priority
-	}
 	team := ""
 	if x.team != nil {
 		team = x.team.Name
@@ -123,7 +127,7 @@
 		ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		Header: g.opts.Codec.AttemptHeader(fleet.Attempt{
 			Header: x.r.Header, TargetID: c.Target.ID, Team: team, Deadline: x.deadline - g.opts.Now(),
-			Priority: priority, LastEventID: x.events.lastID,
+			Priority: g.priority(x), LastEventID: x.events.lastID,
 		}),
 	}
 }
--- a/internal/gateway/targetlimit_test.go
+++ b/internal/gateway/targetlimit_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -174,9 +174,9 @@
 		s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){misdirected, respond(http.StatusOK, firstEvent)}}
 		g := testGateway(s)
 		setEngines(g, map[string]string{"e1": "v1"})
-		g.opts.RequestPermit = func(_ context.Context, to fleet.Target) bool {
-			t.Errorf("a permit is requested for %s", to.ID)
-			return true
+		g.opts.RequestPermit = func(_ context.Context, r coordinator.PermitRequest) coordinator.Permit {
+			t.Errorf("a permit is requested for %s", r.Target.ID)
+			return coordinator.Permit{Granted: true}
 		}
 		if w := post(g, "/stream/x", "m"); w.Code != http.StatusOK {
 			t.Errorf("status %d, want 200", w.Code)
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -123,7 +123,7 @@
 		h.self.RelayAddress = net.JoinHostPort(settings.IP, strconv.Itoa(settings.RelayPort))
 	}
 	h.view = coordinator.NewFleetView(settings.Zone, bootclock.Now)
-	h.view.SetHosts(map[string]fleet.Host{h.self.Name: h.self})
+	h.view.SetOwnHost(h.self)
 	h.store = adapter.NewStore(&h.eras, h.metrics)
 	h.initSteering()
 	h.initGateway()
@@ -169,6 +169,7 @@
 	})
 	h.coordinator.ShareBalances(quotas.Balances)
 	h.coordinator.ShareEras(&h.eras)
+	h.coordinator.BoundCold(h.settings.Bounds)
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
