--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -61,6 +61,7 @@
 	blamed        int     // failures of engines that hosts reported
 	relayed       int     // requests that a host sent through another one
 	breakShare    float64 // of the responses that break off while their engine goes on
+	cold          coldEngines
 	requests      sync.WaitGroup
 }
 
@@ -189,7 +190,7 @@
 	route := fleet.Route{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: fleet.Streaming, Resumable: true, Attempts: 2, Timeout: 5 * time.Second,
 		Objective: 400 * time.Millisecond, GapObjective: 400 * time.Millisecond, Destinations: []fleet.Destination{{Service: "llm", Weight: 1}}}
 	config := &fleet.Config{Version: 1, Revision: 1, Teams: []fleet.Team{{Name: "t", Keys: []string{"k"}}}, Routes: []fleet.Route{route},
-		Services: map[string]fleet.Service{"llm": {Engine: &fleet.EngineSpec{Models: map[string]fleet.Model{"m": {StoreLoad: 20 * time.Second}}}}}}
+		Services: map[string]fleet.Service{"llm": {Cold: f.cold.limit, Engine: &fleet.EngineSpec{Models: map[string]fleet.Model{"m": {StoreLoad: 20 * time.Second}}}}}}
 	config.Index()
 	h.view.SetConfig(config)
 	f.mu.Lock()
--- a/internal/gateway/enginefleetsender_test.go
+++ b/internal/gateway/enginefleetsender_test.go
@@ -46,6 +46,7 @@
 		return nil, &target.UnreachableError{Address: address, Cause: resetError{}}
 	}
 	header := http.Header{"Id": {r.ID}, "Stamp": {"s"}}
+	f.arriveAtCold(e, header)
 	if brittle {
 		header.Set("Brittle", fmt.Sprint(brittleRejections))
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,7 +37,8 @@
 func (testCodec) ReadResponse(status int, h http.Header) fleet.Response {
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64) // 0 without the header
 	brittle, _ := strconv.Atoi(h.Get("Brittle"))
-	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Notices: fleet.Notices{Limit: limit, Leaving: h.Get("Leaving") != "", Brittle: brittle, Quiet: quietOfTest(status, h)}}
+	cold, _ := time.ParseDuration(h.Get("Cold")) // 0 without the header
+	return fleet.Response{ID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != "", Notices: fleet.Notices{Limit: limit, Leaving: h.Get("Leaving") != "", Brittle: brittle, Cold: cold, Quiet: quietOfTest(status, h)}}
 }
 
 // quietOfTest returns the time for which a response asks for quiet.
