--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -35,11 +35,14 @@
 }
 
 // TestExplainTellsWhyATargetWasPassedOver guards against a story without what targets had said about themselves before the
-// request came: that one leaves, wants quiet, names a limit, or is brittle.
+// request came: that one leaves, wants quiet, names a limit, is brittle or
+// cold, and that a permit was denied.
 func TestExplainTellsWhyATargetWasPassedOver(t *testing.T) {
 	const before = `{"event":"target_leaving","host":"h1","target":"e1@0","age_ms":0,"time":"2026-01-01T00:00:10.000Z"}
 {"event":"target_quiet","host":"h1","target":"e2@0","quiet_ms":25000,"time":"2026-01-01T00:00:12.000Z"}
 {"event":"target_limit","host":"h1","target":"e3@0","limit":2,"time":"2026-01-01T00:00:11.000Z"}
+{"event":"target_cold","host":"h1","target":"e6@0","cold_ms":3000,"time":"2026-01-01T00:00:28.000Z"}
+{"event":"permit_denied","host":"h1","id":"a1","target":"e6","cause":"short","time":"2026-01-01T00:00:29.950Z"}
 {"event":"service_brittle","host":"h1","service":"llm","time":"2026-01-01T00:00:29.000Z"}
 {"event":"target_quiet","host":"h2","target":"e4@0","quiet_ms":100,"time":"2025-12-31T23:59:00.000Z"}
 {"event":"request","host":"h1","id":"a1","model":"m","status":200,"target":"e5","time":"2026-01-01T00:00:30.000Z","took_ms":100}
@@ -48,7 +51,7 @@
 	if err := Explain(strings.NewReader(before), &out, "a1"); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"target=e1@0", "target=e2@0", "target=e3@0", "service_brittle"} {
+	for _, want := range []string{"target=e1@0", "target=e2@0", "target=e3@0", "service_brittle", "target=e6@0", "cause=short"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no line with %s", want)
 		}
