--- a/coord/permit/cold.go
+++ b/coord/permit/cold.go
@@ -70,6 +70,7 @@
 type ColdChange struct {
 	Target string
 	Left   time.Duration // 0: it is warm
+	Lasted time.Duration // how long it was cold, once it is warm
 	Source Source
 }
 
@@ -88,7 +89,7 @@
 	case k == nil || now >= k.until:
 		k = &coldTarget{since: now, until: until}
 		c.known[target] = k
-		c.changes = append(c.changes, ColdChange{target, until - now, source})
+		c.changes = append(c.changes, ColdChange{Target: target, Left: until - now, Source: source})
 	case until <= k.until:
 		return false
 	default:
@@ -110,9 +111,6 @@
 	return 0
 }
 
-// Since returns since when a target has been cold. It must be cold.
-func (c *Cold) Since(target string) time.Duration { return c.known[target].since }
-
 // Warming returns which part of WarmingTime is left of a target that has been cold; 0: none.
 func (c *Cold) Warming(now time.Duration, target string) float64 {
 	k := c.known[target]
@@ -131,7 +129,7 @@
 	for target, k := range c.known {
 		if now >= k.until && !k.ended {
 			k.ended = true
-			c.changes = append(c.changes, ColdChange{Target: target})
+			c.changes = append(c.changes, ColdChange{Target: target, Lasted: k.until - k.since})
 		}
 		if now >= k.until+WarmingTime {
 			delete(c.known, target)
--- a/coord/permit/cold_test.go
+++ b/coord/permit/cold_test.go
@@ -25,7 +25,6 @@
 	up         bool
 	to         int // host that it reports to; -1: none
 	nextAt     time.Duration
-	full       bool
 	issuer     *Issuer
 	members    *Members
 	share      float64
--- a/internal/coordinator/coldtargets.go
+++ b/internal/coordinator/coldtargets.go
@@ -265,6 +265,13 @@
 	return true
 }
 
+// Load returns the known number of requests of all hosts at a target.
+func (f *FleetView) Load(target string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load[target] + f.remoteLoad[target]
+}
+
 // ColdWait is when requests can be sent to a service whose targets are all cold.
 type ColdWait struct {
 	Possible time.Duration // before then none can
@@ -321,7 +328,7 @@
 		if change.Left > 0 {
 			log.WithFields(logrus.Fields{"event": "target_cold", "cold_ms": change.Left.Milliseconds(), "source": coldSources[change.Source]}).Info("a target is cold and takes few requests")
 		} else {
-			log.WithField("event", "target_warm").Info("a target is warm again")
+			log.WithFields(logrus.Fields{"event": "target_warm", "cold_for_ms": change.Lasted.Milliseconds()}).Info("a target is warm again")
 		}
 	}
 }
--- a/internal/coordinator/coldtargets_test.go
+++ b/internal/coordinator/coldtargets_test.go
@@ -208,3 +208,22 @@
 		}
 	})
 }
+
+// TestPlannerLimitOfColdEngines guards against the planner counting on a cold engine for hot models, or on one that gets nothing.
+func TestPlannerLimitOfColdEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for rate, want := range map[float64]float64{20: 3, 2: 2, -1: leastPlannedRate} {
+			f := runningView(rate)
+			setColdTargets(f, 3*time.Second, 2)
+			a, _ := f.Target("a")
+			b, _ := f.Target("b")
+			f.RecordLimit(a, 3)
+			if got := f.plannerLimit(a); got != want {
+				t.Errorf("rate %v beside a named limit of 3: limit %v, want %v", rate, got, want)
+			}
+			if got := f.plannerLimit(b); got != 0 {
+				t.Errorf("a warm engine has limit %v", got)
+			}
+		}
+	})
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -107,10 +107,6 @@
 	return r.perSecond * math.Exp(-(now-r.at).Seconds()/rateWindow.Seconds())
 }
 
-// FreshnessFunc returns the revision of a host's copy of the configuration, when that was
-// last known to be in force, and when its list of targets was last known to be complete.
-type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
-
 // NewCoordinator returns a coordinator that is inactive until a host reports to it.
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
--- a/internal/coordinator/storefreshness.go
+++ b/internal/coordinator/storefreshness.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// FreshnessFunc returns the revision of a host's copy of the configuration, when that was
+// last known to be in force, and when its list of targets was last known to be complete.
+type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
+
 // StoreFreshness tells how recent the coordinator's copies of the store are, by this
 // host's clock.
 type StoreFreshness struct {
--- a/internal/gateway/coldtargets.go
+++ b/internal/gateway/coldtargets.go
@@ -29,7 +29,10 @@
 	urgency := g.urgency(x)
 	p := g.opts.RequestPermit(ctx, coordinator.PermitRequest{Target: c.Target, Others: c.Others, Urgency: urgency})
 	if p.Granted {
-		c.Target, c.PermitUntil = p.Target, p.Until
+		if p.Target.ID != c.Target.ID {
+			c.Target, c.Load = p.Target, g.opts.View.Load(p.Target.ID)
+		}
+		c.PermitUntil = p.Until
 		if c.Cold {
 			x.log["target_cold"] = true
 			g.countCold(c.Target, "granted")
