Tests: a host of this version under an earlier coordinator, and a cold target

Cause: the test of both versions named this case and did not play it. Change: a coordinator that answers with the earlier reply; the host sends nothing to the cold target, does not ask at once again, and uses the warm one.

--- a/internal/coordinator/coldtargets_test.go
+++ b/internal/coordinator/coldtargets_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"testing"
@@ -136,8 +137,36 @@
 	return c.issuePermit("h1", r)
 }
 
-// TestColdTargetsBesideEarlierVersions guards against hosts of the earlier version being refused, and against one of this version
-// sending to a cold target that an earlier coordinator knows nothing of.
+// earlierCoordinator answers requests for permits like a coordinator of the earlier version that knows of no limit.
+type earlierCoordinator struct{}
+
+func (earlierCoordinator) Call(_ context.Context, _, _ string, _, reply any) error {
+	return json.Unmarshal([]byte(`{"w":2000}`), reply)
+}
+
+// TestColdTargetsUnderAnEarlierCoordinator guards against a host sending to a cold target of which an earlier coordinator knows
+// nothing, and against its asking over and over.
+func TestColdTargetsUnderAnEarlierCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testClient("h1", fleet.Host{Name: "h1"}, fleet.Host{Name: "h0"})
+		f := runningView(20)
+		client.opts.FleetView, client.opts.Calls, client.currentCoordinator = f, earlierCoordinator{}, "h0"
+		setColdTargets(f, 3*time.Second, 2)
+		c, _ := f.Pick(Requirements{Service: "s", Avoid: map[string]bool{"b": true}})
+		if p := client.RequestPermit(t.Context(), PermitRequest{Target: c.Target}); p.Granted || p.Cause != permit.Unknown {
+			t.Errorf("got %+v", p)
+		}
+		if c, ok := f.Pick(Requirements{Service: "s", Avoid: map[string]bool{"b": true}}); ok {
+			t.Errorf("chose %s right after the denial", c.Target.ID)
+		}
+		if c, ok := f.Pick(Requirements{Service: "s"}); !ok || c.Target.ID != "b" {
+			t.Error("the warm target is not chosen")
+		}
+	})
+}
+
+// TestColdTargetsBesideEarlierVersions guards against hosts of the earlier version being refused permits, and against an update
+// without the new field being taken for news of cold targets.
 func TestColdTargetsBesideEarlierVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := reportingCoordinator(t)
