--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -47,6 +47,7 @@
 	sentParts          crashcause.Cursor
 	sentLimits         uint64 // version of the limits that the coordinator was sent
 	sentTargets        uint64 // version of the leaving targets that the coordinator was sent
+	sentCold           uint64 // version of the cold targets that the coordinator was sent
 	sentConfig         ConfigVersion
 	sentEvacuations    uint64 // version of the list that the coordinator was sent, or has sent
 	liveHosts          []string
@@ -194,6 +195,7 @@
 		c.opts.Parts.evaluate()
 		c.logLimits()
 		c.opts.FleetView.stepEvacuations()
+		c.logCold()
 		c.logNotices()
 		timer.Reset(reportInterval)
 	}
@@ -281,13 +283,14 @@
 	if c.sendFull {
 		clear(c.sentUse)
 		clear(c.sentOwned)
-		c.sentParts, c.sentLimits, c.sentTargets, c.sentConfig, c.sentEvacuations = crashcause.Cursor{}, 0, 0, ConfigVersion{}, 0
+		c.sentParts, c.sentLimits, c.sentTargets, c.sentCold, c.sentConfig, c.sentEvacuations = crashcause.Cursor{}, 0, 0, 0, ConfigVersion{}, 0
 		c.sendFull = false
 	}
 	if c.currentCoordinator != c.opts.Self.Name { // the coordinator of this host has the same PartFailures and FleetView
 		r.Parts = c.opts.Parts.changes(&c.sentParts, crashcause.ToCoordinator)
 		r.Limits, c.sentLimits = c.opts.FleetView.limitChanges(c.sentLimits, permit.ToCoordinator)
 		r.LeavingTargets, c.sentTargets = c.opts.FleetView.leavingChanges(c.sentTargets)
+		r.Cold, c.sentCold = c.opts.FleetView.coldChanges(c.sentCold, permit.ToCoordinator)
 	}
 	if newest := c.opts.FleetView.NewestConfig(); newest != c.sentConfig {
 		r.Config, c.sentConfig = &newest, newest
@@ -330,6 +333,7 @@
 	c.opts.Parts.mergeUpdate(u.Parts)
 	c.opts.FleetView.mergeLimits(u.Limits, true)
 	c.opts.FleetView.mergeLeaving(u.LeavingTargets)
+	c.opts.FleetView.mergeCold(u.Cold, permit.FromCoordinator)
 	c.opts.FleetView.SetBacklogs(u.Backlogs) // first, since the engine updates below wake the waiting requests
 	c.opts.FleetView.setBoundBacklogs(u.BoundBacklogs)
 	complete := len(u.Engines) == 0 || c.opts.FleetView.ApplyUpdates(c.opts.Self.Name, u.Engines...)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -76,7 +76,7 @@
 
 	readySince map[runKey]time.Duration // by copy, when it became ready
 	storeLimit storeLoadLimit
-	permits    *permit.Issuer           // of targets that name a limit
+	permits    permitIssuer             // of targets that name a limit or are cold
 	slots      *slots.Ledger            // of brittle targets
 	brittleAt  map[string]time.Duration // by service, when a host last said that its targets are brittle
 }
@@ -93,10 +93,6 @@
 	concurrent    int           // highest number of such loads at the same time
 }
 
-// FreshnessFunc returns the revision of a host's copy of the configuration, when that was
-// last known to be in force, and when its list of targets was last known to be complete.
-type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
-
 // NewCoordinator returns a coordinator that is inactive until a host reports to it.
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
@@ -104,7 +100,7 @@
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{}, boundRates: boundRates{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
 		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
-		permits: permit.NewIssuer(), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
+		permits: newPermitIssuer(now()), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
 	}
 }
 
@@ -187,7 +183,9 @@
 		c.parts.mergeReport(host, r.Parts)
 		c.fleetView.mergeLimits(r.Limits, false)
 		c.fleetView.mergeLeaving(r.LeavingTargets)
+		c.fleetView.mergeCold(r.Cold, permit.FromHost)
 	}
+	c.permits.members.Report(now, host, r.Full)
 	c.wake()
 	return c.updateFor(host, h, true)
 }
@@ -243,6 +241,7 @@
 	now := c.activity.tick(c.now())
 	c.expire(now)
 	c.trackRemovedTargets(now)
+	c.listMembers(now)
 	if len(c.hosts) == 0 {
 		c.activeSince = now
 		return
@@ -298,7 +297,7 @@
 			delete(c.failureTimes, id)
 		}
 	}
-	c.permits.Expire(now)
+	c.permits.issuer.Expire(now)
 	listed := c.fleetView.Targets().ByID
 	c.slots.Expire(func(target string) bool { _, ok := listed[target]; return ok })
 }
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -44,7 +44,8 @@
 	backlogs      map[modelKey]seenBacklog     // as last reported
 	missingUntil  map[runKey]time.Duration     // set by RecordMissingModel, and when this expires
 	limits        *permit.Limits               // that targets name
-	noPermitUntil map[string]time.Duration     // by target, when a permit is asked for again
+	noPermit      map[string]denials           // by target, when a permit is asked for again
+	cold          coldTargets
 }
 
 type runKey struct{ engine, model string }
@@ -61,14 +62,16 @@
 // NewFleetView returns an empty view. The clock now must include time during which the
 // machine was suspended.
 func NewFleetView(zone string, now func() time.Duration) *FleetView {
-	return &FleetView{
+	f := &FleetView{
 		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(), evacuations: newEvacuations(), quietUntil: map[string]time.Duration{},
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
 		missingUntil: map[runKey]time.Duration{}, unusableUntil: map[string]time.Duration{}, refusedUntil: map[refusedKey]time.Duration{},
-		backlogs: map[modelKey]seenBacklog{}, limits: permit.NewLimits(), noPermitUntil: map[string]time.Duration{},
+		backlogs: map[modelKey]seenBacklog{}, limits: permit.NewLimits(), noPermit: map[string]denials{}, cold: newColdTargets(),
 	}
+	f.cold.evacuationEnded = f.evacuations.core.EndedAt
+	return f
 }
 
 // Changed returns a channel that is closed at the next change of the view.
@@ -151,6 +154,7 @@
 func (f *FleetView) SetTargets(t *fleet.Targets) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordRegistrations(t)
 	f.listed = t
 	runs := make(map[string]bool, len(t.ByID))
 	for _, target := range t.ByID {
@@ -172,9 +176,9 @@
 			delete(f.health, id)
 		}
 	}
-	for id := range f.noPermitUntil {
+	for id := range f.noPermit {
 		if _, ok := t.ByID[id]; !ok {
-			delete(f.noPermitUntil, id)
+			delete(f.noPermit, id)
 		}
 	}
 	f.notify()
@@ -184,7 +188,7 @@
 func (f *FleetView) SetHosts(hosts map[string]fleet.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hosts = hosts
+	f.hosts, f.cold.hostsListed = hosts, true
 }
 
 // Hosts returns the known hosts by name.
--- a/internal/coordinator/planning.go
+++ b/internal/coordinator/planning.go
@@ -184,7 +184,7 @@
 		v := c.view(t, owners)
 		e := swap.Engine{
 			ID: id, Version: t.Version, Region: c.fleetView.Region(t.Zone), CapacityMB: spec.Engine.CapacityMB - adapterMemory(spec.Engine), Slots: spec.Engine.Slots,
-			Serves: !unreachable[id] && !c.fleetView.Evacuated(t.Zone), Limit: c.fleetView.limited(runOf(t)),
+			Serves: !unreachable[id] && !c.fleetView.Evacuated(t.Zone), Limit: c.fleetView.plannerLimit(t),
 			Copies: map[string]swap.Copy{}, OnDisk: toSet(t.OnDisk), InMemory: toSet(t.InMemory),
 			Busy: v.Busy || owners[id] == "",
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -150,7 +150,7 @@
 const noticeTime = time.Minute
 
 // noticeEvents are the events on what targets say about themselves.
-var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle", "directory_outside_homes"}
+var noticeEvents = []string{"target_leaving", "target_quiet", "target_limit", "service_brittle", "directory_outside_homes", "target_cold", "target_warm", "cold_rate_invalid"}
 
 // homesEvent is the event on homes of a route or a team that name no region of the deployment. It is logged once, when the configuration
 // is taken, and holds until the configuration changes.
