Soak: an evacuated zone and an engine that comes back cold

Cause: the soak had neither. Change: the first engine has a zone of its own, which is evacuated during the planned work; afterwards it is cold and crashes if it gets more in a second than all hosts together may send.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -51,7 +51,10 @@
 	leavingSince       time.Time
 	toldLeaving        int               // hosts that had such a response
 	lastFences         map[string]uint64 // by engine
-	drainWithoutFaults bool              // no fault was active when the last drain began
+	evacuatedEngine    string            // its zone is evacuated from evacuatedAt on
+	evacuatedAt        time.Time
+	evacuationEnd      time.Time // zero: not ended
+	drainWithoutFaults bool      // no fault was active when the last drain began
 }
 
 func newChecker() *checker {
@@ -77,6 +80,7 @@
 	if r.Tenant == "t2" && !c.revokedAt.IsZero() && r.At.After(c.revokedAt.Add(revokeBound+timingTolerance)) && !c.heldUp(r) {
 		c.addViolation("revocation: %s ran %v after its key was revoked", r.Attempt, r.At.Sub(c.revokedAt))
 	}
+	c.checkEvacuation(r)
 	if at, draining := c.drainStartedAt[r.Engine]; draining && c.drainWithoutFaults && r.At.After(at.Add(drainBound+timingTolerance)) {
 		c.addViolation("drain: %s ran at %s %v after the target began to drain", r.Attempt, r.Engine, r.At.Sub(at))
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -50,7 +50,7 @@
  {"name":"draft","host":"h.example","path_prefix":"/draft/","type":"streaming","timeout_ms":5000,"goal_ms":400,"service":"llm","attempts":2,"resumable":true,"gap_goal_ms":400},
  {"name":"pay","host":"h.example","path_prefix":"/pay/","type":"non_idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":1},
  {"name":"read","host":"h.example","path_prefix":"/read/","type":"idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":2}],
- "services":[{"name":"llm","engine":{"slots":16,"weights_mb":150,"adapter_slots":2,"models":[%[2]s]}},{"name":"app"}],
+ "services":[{"name":"llm","cold_s":%[6]v,"cold_per_s":%[7]d,"engine":{"slots":16,"weights_mb":150,"adapter_slots":2,"models":[%[2]s]}},{"name":"app"}],
  "tenants":[{"name":"t1","api_keys":["k1"],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
   {"name":"t2","api_keys":[%[3]s],"unit":"token_rate","plain_tokens":200,"rate_per_s":900000,"burst":900000},
   {"name":"t3","api_keys":["k7"],"unit":"token_rate","plain_tokens":200,"rate_per_s":%[4]d,"burst":%[5]d}],
@@ -69,7 +69,7 @@
 	for _, m := range models {
 		list = append(list, fmt.Sprintf(`{"name":%q,"weights_mb":70,"load_s":1,"warm_s":0.1,"disk_s":0.1}`, m))
 	}
-	return standin.RawJSON(fmt.Sprintf(configTemplate, version, strings.Join(list, ","), t2Keys, quotaRate, quotaBurst))
+	return standin.RawJSON(fmt.Sprintf(configTemplate, version, strings.Join(list, ","), t2Keys, quotaRate, quotaBurst, coldTime.Seconds(), coldRate))
 }
 
 // process is a daemon that runs as a child process.
@@ -172,8 +172,8 @@
 	for _, m := range f.engines[i].Models {
 		loaded = append(loaded, fmt.Sprintf(`{"name":%q,"version":1,"adapters":[]}`, m))
 	}
-	f.store.Put("servers", f.engines[i].ID, standin.RawJSON(fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","slots":16,"state":%q,"born":%d,
-		"models":[%s],"available":{"on_disk":["%s"],"in_memory":[]}}`, f.targetProxies[i].address, state, i+1, strings.Join(loaded, ","), strings.Join(models, `","`))))
+	f.store.Put("servers", f.engines[i].ID, standin.RawJSON(fmt.Sprintf(`{"service":"llm","address":%q,"zone":%q,"slots":16,"state":%q,"born":%d,"cold_left_ms":%d,
+		"models":[%s],"available":{"on_disk":["%s"],"in_memory":[]}}`, f.targetProxies[i].address, zoneOf(i), state, i+1, f.engines[i].ColdLeftMS(), strings.Join(loaded, ","), strings.Join(models, `","`))))
 }
 
 func (f *fleet) registerPlainTarget(i int, state string) {
@@ -215,6 +215,9 @@
 revoke_ms=5000
 lease_ms=3000
 recover_s=12
+evacuate_ms=%d
+cold_overage=%v
+cold_slack=%v
 retry_budget_ratio=0.2
 budget_window_s=10
 budget_extra_retries=50
@@ -223,7 +226,7 @@
 quota_slack=%d
 [platform]
 address=%q
-`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
+`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, evacuateBound.Milliseconds(), coldOverage, coldSlack, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -92,12 +92,14 @@
 		c := &caller{id: callerCount + n, hot: true, random: rand.New(rand.NewPCG(seed, uint64(n)+1000)), fleet: s.fleet, checker: checker, phase: &phase}
 		callers.Go(func() { c.run(ctx) })
 	}
+	s.evacuate()
 	s.plannedWork()
 	s.plannedStopsOfAll()
 	phase.Store(int32(phaseFaults))
 	time.Sleep(longTimeout) // until requests from the planned work have ended
 	s.checker.recordDrainEnd(s.plainTargets[0].ID)
 	s.restartPlainTarget(0)
+	s.endEvacuation()
 	endLimit := s.limitEngine()
 	s.leaveTarget()
 	s.injectFaults()
@@ -118,6 +120,7 @@
 		t.Errorf("recovery: only %d requests were served after the faults", served[phaseRecovered])
 	}
 	s.checkCrashes()
+	s.checkCold()
 	for _, e := range s.engines {
 		if e.ExceededCapacity() {
 			t.Errorf("memory: %s was ordered to load more models than it has capacity for", e.ID)
