Slow callers: a bounded buffer below the HTTP server, for each connection and for the host

Cause: a write to a caller that does not read blocked the handler, and with it the response of the engine, which cuts off what stays unread; the kernel held up to 4 MB for each such connection. A body that a caller sent byte by byte was waited for without end.

Change: internal/callerconn tries each write without blocking; only what the socket does not take is copied, up to 1 MB a connection and an eighth of the host's memory, and sent by a goroutine that runs while something is held. With a full buffer for 2 s, or with less than 32 KB read in 4 s after the deadline, the connection is reset and logged as caller_stalled. A planned stop waits for what is held. The HTTP server resets write deadlines at the end of a request; the connection ignores that. Bodies are read until the deadline, then 408.

--- /dev/null
+++ b/internal/callerconn/conn.go
@@ -0,0 +1,387 @@
+package callerconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Times for which callers may read nothing.
+const (
+	roomWait = 2 * time.Second // with a full buffer, for the next chunk; engines cut off responses that stay unread for some seconds
+	lateWait = 4 * time.Second // after the deadline of the request, for minLateBytes; a receive window may open in steps of 64 KB
+	minIdle  = time.Second     // before the connection is reset in favour of others
+	roomPoll = 20 * time.Millisecond
+)
+
+// minLateBytes is what a caller has to read in each lateWait, so that one that reads a byte now and then comes to an end.
+const minLateBytes = 32 << 10
+
+// Reasons of a StalledError.
+const (
+	reasonFull     = "caller does not read: its buffer is full"
+	reasonLate     = "caller does not read: the deadline has passed"
+	reasonHostFull = "caller does not read: the buffers of the host are full"
+	reasonStopped  = "caller does not read: the host stops"
+)
+
+// StalledError reports a connection that was reset since its caller did not read on.
+type StalledError struct {
+	Reason string
+}
+
+func (e *StalledError) Error() string { return e.Reason }
+
+// Conn is a connection to a caller. Write and Close do not wait for the caller until the buffer is full. Close sends what is held first.
+type Conn struct {
+	net.Conn
+	raw  syscall.RawConn
+	pool *Pool
+
+	mu       sync.Mutex
+	chunks   [][]byte // held, in order; only the last one may have room
+	sending  bool     // send runs, and alone writes to the socket
+	closing  bool
+	err      error // of all further writes
+	progress chan struct{}
+	lastRead atomic.Int64 // when the caller last made room, in nanoseconds; set while send runs
+	most     int          // bytes held at most during the request
+	id       string
+	deadline time.Time
+	// Arguments and results of writeOnce, which is one allocation for all writes.
+	attempt    []byte
+	attempted  int
+	attemptErr error
+	once       func(fd uintptr) bool
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return 0, c.err
+	}
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	n := 0
+	if !c.sending {
+		var err error
+		if n, err = c.writeNow(p); err != nil || n == len(p) {
+			return n, err
+		}
+	}
+	held, err := c.hold(p[n:])
+	return n + held, err
+}
+
+// writeNow writes what the socket takes without waiting. The caller must hold c.mu.
+func (c *Conn) writeNow(p []byte) (int, error) {
+	c.attempt, c.attempted, c.attemptErr = p, 0, nil
+	err := c.raw.Write(c.once)
+	c.attempt = nil
+	if err == nil {
+		err = c.attemptErr
+	}
+	return c.attempted, err
+}
+
+// writeOnce is called by syscall.RawConn.Write. It always returns true: the socket is not waited for.
+func (c *Conn) writeOnce(fd uintptr) bool {
+	for c.attempted < len(c.attempt) {
+		n, err := syscall.Write(int(fd), c.attempt[c.attempted:])
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN):
+			return true
+		case err != nil:
+			c.attemptErr = os.NewSyscallError("write", err)
+			return true
+		}
+		c.attempted += n
+	}
+	return true
+}
+
+// hold copies p to the buffer, and waits for room if it is full. The caller must hold c.mu, which is released meanwhile.
+func (c *Conn) hold(p []byte) (int, error) {
+	n, added, end := 0, 0, time.Now().Add(roomWait)
+	for n < len(p) {
+		last := len(c.chunks) - 1
+		if last < 0 || len(c.chunks[last]) == cap(c.chunks[last]) {
+			if !c.pool.take(int64(len(c.chunks)) * chunkBytes) {
+				if !c.awaitRoom(end) {
+					return n, c.err
+				}
+				continue
+			}
+			c.chunks = append(c.chunks, make([]byte, 0, chunkBytes))
+			last++
+		}
+		m := min(len(p)-n, cap(c.chunks[last])-len(c.chunks[last]))
+		c.chunks[last] = append(c.chunks[last], p[n:n+m]...)
+		if n, added = n+m, added+m; added >= chunkBytes {
+			added, end = 0, time.Now().Add(roomWait)
+		}
+		c.most = max(c.most, c.held())
+		if !c.startSending() {
+			return n, c.err
+		}
+	}
+	return n, nil
+}
+
+// held returns the number of bytes in the buffer. The caller must hold c.mu.
+func (c *Conn) held() int {
+	if len(c.chunks) == 0 {
+		return 0
+	}
+	return (len(c.chunks)-1)*chunkBytes + len(c.chunks[len(c.chunks)-1])
+}
+
+// awaitRoom waits until there may be room, and returns false if the connection has failed. The caller must hold c.mu, which
+// is released meanwhile.
+func (c *Conn) awaitRoom(end time.Time) bool {
+	left := time.Until(end)
+	if left <= 0 {
+		c.stallLocked(reasonFull)
+		return false
+	}
+	held := int64(len(c.chunks)) * chunkBytes
+	c.mu.Unlock()
+	c.pool.makeRoom(c, held, time.Now())
+	timer := time.NewTimer(min(left, roomPoll)) // other connections may make room
+	select {
+	case <-c.progress:
+	case <-timer.C:
+	}
+	timer.Stop()
+	c.mu.Lock()
+	return c.err == nil
+}
+
+// startSending starts send if it does not run. It returns false if the connection has failed. The caller must hold c.mu.
+func (c *Conn) startSending() bool {
+	if c.sending {
+		return true
+	}
+	if !c.pool.add(c) {
+		c.stallLocked(reasonStopped)
+		return false
+	}
+	c.lastRead.Store(time.Now().UnixNano())
+	c.pool.scope.Counter("callers_slow").Inc(1)
+	c.sending = true
+	go c.send()
+	return true
+}
+
+// send sends what is held until nothing is left or the connection has failed.
+func (c *Conn) send() {
+	for {
+		c.mu.Lock()
+		if c.err != nil || len(c.chunks) == 0 {
+			c.endSending()
+			c.mu.Unlock()
+			return
+		}
+		chunk := c.chunks[0]
+		if len(c.chunks) == 1 { // further bytes go to another chunk, as this one is sent without the lock
+			c.chunks[0] = chunk[:len(chunk):len(chunk)]
+		}
+		c.mu.Unlock()
+		err := c.sendChunk(chunk)
+		c.mu.Lock()
+		switch {
+		case c.err != nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.stallLocked(reasonLate)
+		case err != nil:
+			c.fail(err)
+		default:
+			c.chunks[0] = nil
+			c.chunks = c.chunks[1:]
+			c.pool.release(1)
+			c.lastRead.Store(time.Now().UnixNano())
+		}
+		c.mu.Unlock()
+		select {
+		case c.progress <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// sendChunk writes a chunk. It fails with os.ErrDeadlineExceeded if the caller reads too little after the deadline.
+func (c *Conn) sendChunk(chunk []byte) error {
+	for {
+		unacked := c.unacked()
+		c.mu.Lock()
+		end := c.deadline // that of the next request, if one has begun on the connection
+		c.mu.Unlock()
+		late := time.Now().Add(lateWait)
+		if end.Before(late) {
+			end = late
+		}
+		_ = c.Conn.SetWriteDeadline(end) // fails only on a closed connection, as the write does
+		n, err := c.Conn.Write(chunk)
+		chunk = chunk[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) || unacked+n-c.unacked() < minLateBytes && time.Now().After(late) {
+			return err
+		}
+	}
+}
+
+// unacked returns the number of bytes in the kernel that the caller's has not acknowledged.
+func (c *Conn) unacked() int {
+	n := 0
+	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed connection
+		_, _, _ = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	})
+	return n
+}
+
+// endSending ends send. The caller must hold c.mu.
+func (c *Conn) endSending() {
+	c.sending = false
+	c.pool.remove(c)
+	if c.err == nil {
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // as above
+	}
+	if c.closing { // the server has ended the connection
+		_ = c.Conn.Close() // closing twice is harmless
+	}
+}
+
+// fail makes all writes fail and frees the buffer. The caller must hold c.mu.
+func (c *Conn) fail(err error) {
+	c.err = err
+	c.pool.release(len(c.chunks))
+	c.chunks = nil
+}
+
+// stall resets the connection because its caller does not read.
+func (c *Conn) stall(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stallLocked(reason)
+}
+
+func (c *Conn) stallLocked(reason string) {
+	if c.err != nil {
+		return
+	}
+	unread := c.held()
+	c.fail(&StalledError{Reason: reason})
+	c.setReset(true)
+	_ = c.Conn.Close() // its error changes nothing
+	c.pool.scope.Tagged(map[string]string{"reason": reason}).Counter("callers_stalled").Inc(1)
+	c.pool.log.WithFields(logrus.Fields{"event": "caller_stalled", "id": c.id, "unread_bytes": unread, "buffers_bytes": c.pool.Used()}).Warn(reason)
+}
+
+// Close implements net.Conn. What is held is sent first, as if the connection were still open.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	if c.sending && c.err == nil {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// SetWriteDeadline implements net.Conn. It does nothing: the HTTP server would replace the deadline that send sets.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetDeadline implements net.Conn. It sets the deadline of reads only.
+func (c *Conn) SetDeadline(t time.Time) error { return c.Conn.SetReadDeadline(t) }
+
+func (c *Conn) closeSocket() error { return c.Conn.Close() }
+
+// setReset sets whether the end of the connection is a reset, also that by the end of the process. The caller must hold c.mu.
+func (c *Conn) setReset(on bool) {
+	seconds := -1
+	if on {
+		seconds = 0
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	}
+}
+
+type contextKey struct{}
+
+// NewContext returns a context that carries the connection below c, if there is one. It is for http.Server.ConnContext.
+func NewContext(ctx context.Context, c net.Conn) context.Context {
+	for {
+		switch conn := c.(type) {
+		case *Conn:
+			return context.WithValue(ctx, contextKey{}, conn)
+		case interface{ NetConn() net.Conn }:
+			c = conn.NetConn()
+		default:
+			return ctx
+		}
+	}
+}
+
+// FromContext returns the connection that a context carries, or nil. All methods named below accept nil.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
+
+// BeginRequest names the request that is served, and until when its caller may read nothing.
+func (c *Conn) BeginRequest(id string, deadline time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.id, c.deadline, c.most = id, deadline, c.held()
+}
+
+// MostHeld returns the most bytes that the caller had not read during the request, without those in the kernel.
+func (c *Conn) MostHeld() int {
+	if c == nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.most
+}
+
+// Stalled returns why the connection was reset; empty: it was not.
+func (c *Conn) Stalled() string {
+	if c == nil {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var stalled *StalledError
+	if errors.As(c.err, &stalled) {
+		return stalled.Reason
+	}
+	return ""
+}
+
+// ResetAtEnd sets whether the connection ends with a reset. A response that is delimited by the end of its connection then
+// does not look complete, also if this process ends.
+func (c *Conn) ResetAtEnd(on bool) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReset(on)
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -58,6 +58,9 @@
 // the connection.
 var malformedHeader = []byte("\x00\r\n\r\n")
 
+// NetConn returns the connection whose bytes are checked.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // readSize is the buffer size of a read from the connection.
 const readSize = 8 << 10
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"buckthornseam.dev/seam/internal/callerconn"
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
@@ -21,6 +22,7 @@
 	body              []byte
 	r                 *http.Request
 	w                 http.ResponseWriter
+	conn              *callerconn.Conn // of the caller; nil in some tests
 	arrived           time.Duration
 	deadline          time.Duration // on the clock of Options.Now
 	taken             float64       // from the team's quota
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -145,6 +145,7 @@
 			x.log["tokens_in"], x.log["tokens_out"] = x.call.TokensIn, x.call.TokensOut
 		}
 	}
+	x.logSlowCaller()
 	g.opts.Log.WithFields(x.log).Info("request ended")
 	class := strconv.Itoa(x.status/100) + "xx"
 	scope := g.opts.Metrics.Tagged(map[string]string{"class": class})
@@ -173,6 +174,7 @@
 	}
 	x.service = pickService(x.route, x.call.ID)
 	x.deadline = deadlineOf(x)
+	x.beginResponse(g.opts.Now())
 	if x.config.HasTeams() && !x.route.Public {
 		if !g.configFresh(confirmed) {
 			return g.refuse(x, http.StatusServiceUnavailable, "the configuration was not confirmed lately", shortRetryAfter)
@@ -256,7 +258,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := g.readUntilDeadline(x, http.MaxBytesReader(x.w, x.r.Body, limit))
 	if err == nil {
 		x.body = body
 		return true
@@ -266,6 +268,9 @@
 		return g.refuse(x, http.StatusRequestEntityTooLarge, "body is too large", 0)
 	}
 	x.w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return g.refuse(x, http.StatusRequestTimeout, "body did not come by the deadline", 0)
+	}
 	return g.refuse(x, http.StatusBadRequest, "body did not come whole", 0)
 }
 
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornseam.dev/seam/internal/bootclock"
+	"buckthornseam.dev/seam/internal/callerconn"
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/gateway"
@@ -95,6 +96,7 @@
 	peerClient  *peer.Client
 	peerServer  *peer.Server
 	gateway     *gateway.Gateway
+	callers     *callerconn.Pool // buffers of slow callers
 	directory   *gateway.Directory
 	outage      storecache.Outage // of the store, as seen by this host
 	config      *storecache.Mirror
@@ -125,6 +127,7 @@
 	h.view = coordinator.NewFleetView(settings.Zone, bootclock.Now)
 	h.view.SetHosts(map[string]fleet.Host{h.self.Name: h.self})
 	h.store = adapter.NewStore(&h.eras, h.metrics)
+	h.callers = callerconn.NewPool(callerconn.Bound(settings.MemoryMB), h.log, h.metrics.Scope)
 	h.initSteering()
 	h.initGateway()
 	h.config = storecache.New(storecache.Options{
@@ -275,6 +278,7 @@
 			h.drain(ctx)
 		}
 		closeServers(servers)
+		h.callers.Close()
 		cancel()
 		return nil
 	})
--- a/internal/platformhost/servers.go
+++ b/internal/platformhost/servers.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornseam.dev/seam/internal/bootclock"
+	"buckthornseam.dev/seam/internal/callerconn"
 	"buckthornseam.dev/seam/internal/framing"
 )
 
@@ -89,10 +90,10 @@
 			return nil, &ServeError{Address: s.address, Cause: err}
 		}
 		if s.checkFraming {
-			l = framing.Listener{Listener: l, MaxHeaderBytes: maxHeaderBytes}
+			l = framing.Listener{Listener: callerconn.Listener{Listener: l, Pool: h.callers}, MaxHeaderBytes: maxHeaderBytes}
 		}
 		out = append(out, server{&http.Server{
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: callerconn.NewContext,
 		}, l})
 	}
 	return out, nil
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -39,12 +39,15 @@
 	h.serveUntilStop(ctx, start, end.Add(-handover))
 	h.releaseEngines(ctx, end)
 	h.gateway.Close()
-	for h.gateway.Running() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+	for h.busy() && time.Now().Before(end) && ctx.Err() == nil {
 		ctxsleep.Sleep(ctx, stopCheckPeriod)
 	}
-	h.log.WithFields(logrus.Fields{"event": "host_stopped", "running": h.gateway.Running(), "took_ms": time.Since(start).Milliseconds()}).Info("host stopped")
+	h.log.WithFields(logrus.Fields{"event": "host_stopped", "running": h.gateway.Running(), "unread_bytes": h.callers.Used(), "took_ms": time.Since(start).Milliseconds()}).Info("host stopped")
 }
 
+// busy reports whether requests are in progress or slow callers have not read their responses yet.
+func (h *Host) busy() bool { return h.gateway.Running() > 0 || h.callers.Used() > 0 }
+
 // serveUntilStop returns when callers have moved to other hosts, or when the host accepts
 // no more long requests and none is in progress: callers are then served sooner by other
 // hosts and by the next process on this machine.
@@ -52,7 +55,7 @@
 	lastRunning := time.Now()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		ctxsleep.Sleep(ctx, stopCheckPeriod)
-		if h.gateway.Running() > 0 {
+		if h.busy() {
 			lastRunning = time.Now()
 			continue
 		}
