HTTP/1.0: a stream that breaks off ends with a reset

Cause: HTTP/1.0 has no chunks, so a stream ends with its connection, and a broken one was closed like a complete one.

Change: the connection is set to end with a reset before the head is sent, and back once the stream is complete. So it also does when the process ends in the middle.

--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -253,6 +253,7 @@
 		if !g.writeEvents(x, flusher, x.events.remainder(), resp) {
 			return callerLeft
 		}
+		x.endResponse()
 		return relayed
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -146,6 +146,7 @@
 		if !g.writeEvents(x, flusher, x.events.remainder(), resp) {
 			return callerLeft
 		}
+		x.endResponse()
 		g.opts.Origins.Completed(x.call.ID)
 		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
 		return relayed
@@ -192,6 +193,7 @@
 		x.log["first_ms"] = (g.opts.Now() - x.arrived).Milliseconds()
 		g.copyHeader(x, resp)
 		x.w.Header().Del("Content-Length")
+		x.guardUndelimited()
 		x.w.WriteHeader(resp.Status)
 	}
 	if len(events) > 0 {
