Planned stops: requests that have arrived are answered

Cause: http.Server drops each request that it reads once Shutdown has begun, and closes connections that it takes for idle although a request has arrived on them; connections that wait to be accepted are reset with the listener. On a busy machine these are many of those of the last milliseconds.

Change: the callers' servers wait until the accept queue is empty (TCP_INFO of the listener), close the listener and the idle connections, leave open those on which bytes have arrived, and end when these have their response, after 150 ms at most as before. The gateway refuses such requests as not run.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-	"unsafe"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 // Times for which callers may read nothing.
@@ -45,11 +45,13 @@
 	net.Conn
 	raw  syscall.RawConn
 	pool *Pool
+	used atomic.Bool // bytes of a request were read
 
 	mu       sync.Mutex
 	chunks   [][]byte // held, in order; only the last one may have room
 	sending  bool     // send runs, and alone writes to the socket
 	closing  bool
+	spared   bool  // the first Close had no effect
 	err      error // of all further writes
 	progress chan struct{}
 	lastRead atomic.Int64 // when the caller last made room, in nanoseconds; set while send runs
@@ -63,6 +65,15 @@
 	once       func(fd uintptr) bool
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.used.Load() {
+		c.used.Store(true)
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -243,10 +254,15 @@
 }
 
 // unacked returns the number of bytes in the kernel that the caller's has not acknowledged.
-func (c *Conn) unacked() int {
+func (c *Conn) unacked() int { return c.queued(unix.SIOCOUTQ) }
+
+// arrived returns the number of bytes in the kernel that the server has not read.
+func (c *Conn) arrived() int { return c.queued(unix.SIOCINQ) }
+
+func (c *Conn) queued(request uint) int {
 	n := 0
 	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed connection
-		_, _, _ = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+		n, _ = unix.IoctlGetInt(int(fd), request) // as above
 	})
 	return n
 }
@@ -289,10 +305,16 @@
 	c.pool.log.WithFields(logrus.Fields{"event": "caller_stalled", "id": c.id, "unread_bytes": unread, "buffers_bytes": c.pool.Used()}).Warn(reason)
 }
 
-// Close implements net.Conn. What is held is sent first, as if the connection were still open.
+// Close implements net.Conn. What is held is sent first, as if the connection were still open. During a planned stop, the first
+// call leaves a connection open on which a request has arrived; the server closes it again after its response.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.closing && !c.spared && c.pool.spares(c) {
+		c.spared = true
+		return nil
+	}
+	c.pool.forget(c)
 	c.closing = true
 	if c.sending && c.err == nil {
 		return nil
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -36,5 +36,6 @@
 	})
 	c := &Conn{Conn: tcp, raw: raw, pool: l.Pool, progress: make(chan struct{}, 1)}
 	c.once = c.writeOnce
+	l.Pool.opened(c)
 	return c, nil
 }
--- a/internal/callerconn/pool.go
+++ b/internal/callerconn/pool.go
@@ -39,11 +39,13 @@
 	mu     sync.Mutex
 	conns  map[*Conn]bool // that hold bytes
 	closed bool
+	stops  bool           // a planned stop closes the connections
+	open   map[*Conn]bool // that the server has not closed
 }
 
 // NewPool returns a pool of bound bytes.
 func NewPool(bound int64, log logrus.FieldLogger, scope tally.Scope) *Pool {
-	return &Pool{bound: bound, log: log, scope: scope, conns: map[*Conn]bool{}}
+	return &Pool{bound: bound, log: log, scope: scope, conns: map[*Conn]bool{}, open: map[*Conn]bool{}}
 }
 
 // Used returns the bytes that are held for slow callers.
@@ -107,6 +109,46 @@
 	}
 }
 
+// BeginStop is called before the server closes idle connections. On some of them, a request may just have arrived.
+func (p *Pool) BeginStop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stops = true
+}
+
+// spares reports whether a connection is to be left open, as a request has arrived on it.
+func (p *Pool) spares(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stops && c.arrived() > 0
+}
+
+// Busy returns the number of open connections on which a request has arrived.
+func (p *Pool) Busy() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for c := range p.open {
+		if c.used.Load() || c.arrived() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Pool) opened(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[c] = true
+}
+
+// forget removes a connection that the server has closed.
+func (p *Pool) forget(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+}
+
 // Close resets all connections that still hold bytes. It is called at the end of the process, when the kernel would close
 // them as if their responses were complete.
 func (p *Pool) Close() {
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -277,7 +277,7 @@
 		case <-h.stop:
 			h.drain(ctx)
 		}
-		closeServers(servers)
+		closeServers(servers, h.callers)
 		h.callers.Close()
 		cancel()
 		return nil
--- a/internal/platformhost/servers.go
+++ b/internal/platformhost/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,10 +10,12 @@
 
 	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"buckthornseam.dev/seam/internal/acceptretry"
 	"buckthornseam.dev/seam/internal/bootclock"
 	"buckthornseam.dev/seam/internal/callerconn"
+	"buckthornseam.dev/seam/internal/ctxsleep"
 	"buckthornseam.dev/seam/internal/framing"
 )
 
@@ -20,31 +23,71 @@
 type server struct {
 	*http.Server
 	listener net.Listener
+	tcp      net.Listener // the innermost one
+	// ofCallers is set if the connections belong to the pool of those of callers.
+	ofCallers bool
 }
 
 func (s server) run() error {
-	if err := s.Serve(s.listener); err != http.ErrServerClosed {
+	if err := s.Serve(s.listener); err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
 		return &ServeError{Address: s.listener.Addr().String(), Cause: err}
 	}
 	return nil
 }
 
-// closeServers ends the servers, after a short time for responses on their way.
-func closeServers(servers []server) {
+// closeServers ends the servers, after a short time for connections that wait to be accepted, for requests that have just
+// arrived and for responses on their way.
+func closeServers(servers []server, callers *callerconn.Pool) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	callers.BeginStop()
 	var group errgroup.Group
 	for _, s := range servers {
 		group.Go(func() error {
-			if s.Shutdown(ctx) != nil {
+			if !s.ofCallers {
+				if s.Shutdown(ctx) == nil {
+					return nil
+				}
 				return s.Close()
 			}
-			return nil
+			for waitingConns(s.tcp) > 0 && ctxsleep.Sleep(ctx, acceptCheckPeriod) {
+			}
+			_ = s.listener.Close() // the server closes it too
+			// Shutdown would have the server drop the requests that it reads from now on.
+			s.SetKeepAlivesEnabled(false)
+			for callers.Busy() > 0 && ctxsleep.Sleep(ctx, busyCheckPeriod) {
+			}
+			return s.Close()
 		})
 	}
 	_ = group.Wait() // the sockets are closed all the same
 }
 
+// busyCheckPeriod is a fraction of shutdownTimeout.
+const busyCheckPeriod = 2 * time.Millisecond
+
+// acceptCheckPeriod is a fraction of the time that the kernel takes for a connection between hosts.
+const acceptCheckPeriod = 200 * time.Microsecond
+
+// waitingConns returns the number of connections that wait to be accepted; the kernel resets them when the listener is closed.
+func waitingConns(l net.Listener) int {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0 // closed
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed listener
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int(info.Unacked) // of a listener: the length of the accept queue
+		}
+	})
+	return n
+}
+
 // ServeError reports a server that could not start or has failed.
 type ServeError struct {
 	Address string
@@ -90,13 +133,14 @@
 		if err != nil {
 			return nil, &ServeError{Address: s.address, Cause: err}
 		}
+		tcp := l
 		l = acceptretry.Listener{Listener: l, Log: h.log}
 		if s.checkFraming {
 			l = framing.Listener{Listener: callerconn.Listener{Listener: l, Pool: h.callers}, MaxHeaderBytes: maxHeaderBytes}
 		}
 		out = append(out, server{&http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: callerconn.NewContext,
-		}, l})
+		}, l, tcp, s.checkFraming})
 	}
 	return out, nil
 }
