Streams: blank lines and comments do not count as progress

Cause: the time limit for a silent target restarted with anything that ended with a blank line. A stalled target that sends blank lines or comments now and then kept a stream until its deadline, 5 s in the test, and its caller got nothing more.

Change: only events with a field restart the limit, also for streams from another host. They are relayed as before.

Measured: TestStalledStreamThatSendsBytesIsResumedElsewhere failed before (second send after 5 s) and passes; its control, a healthy stream with 0.45 s between the pieces of its events, passed before and after.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -63,6 +63,16 @@
 	return end
 }
 
+// hasField reports whether events have a field. Blank lines and comments, which a stalled target may go on sending, have none.
+func hasField(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // lastID returns the value of the last id field; empty if there is none.
 func lastID(events []byte) string {
 	id := ""
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -235,7 +235,9 @@
 		events, err := x.events.readFrom(resp.Body, buf)
 		if len(events) > 0 {
 			began = true
-			silence.Reset(g.relaySilence(x))
+			if hasField(events) {
+				silence.Reset(g.relaySilence(x))
+			}
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -121,7 +121,10 @@
 	for {
 		events, err := x.events.readFrom(resp.Body, buf)
 		if len(events) > 0 {
-			silenceTimer.Stop()
+			progress := hasField(events)
+			if progress {
+				silenceTimer.Stop()
+			}
 			if sent > 0 {
 				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
 				sent = 0
@@ -130,7 +133,9 @@
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
-			silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
+			if progress {
+				silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
+			}
 		}
 		if err == nil {
 			continue
