Coordinator: moves of a silent owner count as in progress for 3 s

Cause: the moves of a host that did not report for 1.2 s were dropped with it. The engine goes on with its load, and the planner ordered the same model at another engine, in the place of another model.

Change: such moves count for 3 s after the last report, a second less than the contact time, and again as usual once the host reports. A lost owner's moves are planned again after 3 s instead of 1.2 s. Requests of silent hosts were not started again before: they are held by the host and its callers alone. Their count at engines is dropped with the host, as before.

Measured: TestMoveOfSilentOwnerIsNotStartedAgain, silent for 2 s: in progress for 1.2 s before, until its end now; lost: 1.2 s and 3 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -81,18 +81,6 @@
 	brittleAt  map[string]time.Duration // by service, when a host last said that its targets are brittle
 }
 
-type move struct {
-	id      uint64
-	owner   string
-	command SwapCommand
-	expires time.Duration
-
-	// For loads from the weight store:
-	began         time.Duration
-	fullSpeedTime time.Duration // duration of the load at full speed
-	concurrent    int           // highest number of such loads at the same time
-}
-
 // rate is an exponential moving average of arrivals per second.
 type rate struct {
 	perSecond float64
@@ -305,12 +293,12 @@
 	for name, h := range c.hosts {
 		if now-h.reportedAt > hostTimeout {
 			c.dropHost(name)
-			maps.DeleteFunc(c.moves, func(_ string, m *move) bool { return m.owner == name })
+			c.keepMovesOf(name, h.reportedAt+silentMoveTime)
 			c.log.WithFields(logrus.Fields{"event": "host_silent", "peer": name, "silent_ms": (now - h.reportedAt).Milliseconds()}).Warn("host stopped reporting")
 		}
 	}
 	for engine, m := range c.moves {
-		if now > m.expires {
+		if now > m.expires || m.silentUntil > 0 && now > m.silentUntil {
 			delete(c.moves, engine)
 			c.updatesStale = true
 			c.log.WithFields(logrus.Fields{"event": "move_forgotten", "move": m.id, "engine": engine}).Warn("owner did not report the end of the move")
@@ -337,6 +325,7 @@
 	}
 	c.dropHost(host)
 	c.hosts[host] = h
+	c.keepMovesOf(host, 0)
 	c.updatesStale = true
 	return h
 }
