--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,3 +57,26 @@
 		t.Error("the story has a line of a minute and a half before")
 	}
 }
+
+// TestExplainTellsWhyACallerWasBrokenOff guards against a story of a stalled caller, or of a request during a failure of its host,
+// without the line that says so.
+func TestExplainTellsWhyACallerWasBrokenOff(t *testing.T) {
+	const lines = `{"event":"caller_stalled","host":"h1","id":"a1","unread_bytes":9,"msg":"caller does not read: its buffer is full","time":"2026-01-01T00:00:29.990Z"}
+{"event":"caller_stalled","host":"h1","id":"a2","unread_bytes":7,"time":"2026-01-01T00:00:29.990Z"}
+{"event":"panic","host":"h1","in":"planning","time":"2026-01-01T00:00:29.000Z"}
+{"event":"accept_failed","host":"h1","failed":1,"time":"2026-01-01T00:00:29.000Z"}
+{"event":"request","host":"h1","id":"a1","model":"m","status":499,"caller_unread_bytes":9,"time":"2026-01-01T00:00:30.000Z","took_ms":100}
+`
+	var out bytes.Buffer
+	if err := Explain(strings.NewReader(lines), &out, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"buffer is full", "unread_bytes=9", "in=planning", "accept_failed"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no line with %s", want)
+		}
+	}
+	if strings.Contains(out.String(), "unread_bytes=7") {
+		t.Error("the story has a line of another request")
+	}
+}
