--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -328,8 +328,6 @@
 // SetDeadline implements net.Conn. It sets the deadline of reads only.
 func (c *Conn) SetDeadline(t time.Time) error { return c.Conn.SetReadDeadline(t) }
 
-func (c *Conn) closeSocket() error { return c.Conn.Close() }
-
 // setReset sets whether the end of the connection is a reset, also that by the end of the process. The caller must hold c.mu.
 func (c *Conn) setReset(on bool) {
 	seconds := -1
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -187,37 +187,37 @@
 	}
 }
 
-// BenchmarkWrite measures a write of one event to a caller that reads at once.
-func BenchmarkWrite(b *testing.B) {
+// BenchmarkStream measures a stream of 50 events to a caller that reads at once, over the HTTP server.
+func BenchmarkStream(b *testing.B) {
+	event := bytes.Repeat([]byte("e"), 200)
 	for _, buffered := range []bool{false, true} {
-		name := map[bool]string{false: "plain", true: "callerconn"}[buffered]
-		b.Run(name, func(b *testing.B) {
+		b.Run(map[bool]string{false: "plain", true: "callerconn"}[buffered], func(b *testing.B) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
 			}
-			defer l.Close()
-			go func() {
-				c, err := net.Dial("tcp", l.Addr().String())
-				if err == nil {
-					_, _ = io.Copy(io.Discard, c) // ends with the benchmark
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				for range 50 {
+					_, _ = w.Write(event) // the caller does not leave
+					_ = http.NewResponseController(w).Flush()
 				}
-			}()
+			})}
+			defer func() { _ = server.Close() }()
 			from := l
 			if buffered {
 				from = Listener{Listener: l, Pool: NewPool(1<<24, logrus.New(), tally.NoopScope)}
 			}
-			c, err := from.Accept()
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer c.Close()
-			event := bytes.Repeat([]byte("e"), 200)
+			go func() { _ = server.Serve(from) }() // ends with Close
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := c.Write(event); err != nil {
+				resp, err := http.Get("http://" + l.Addr().String())
+				if err != nil {
 					b.Fatal(err)
 				}
+				if n, err := io.Copy(io.Discard, resp.Body); n != 50*200 || err != nil {
+					b.Fatal(n, err)
+				}
+				_ = resp.Body.Close() // read to its end
 			}
 		})
 	}
