Gateway: no race between a lost way to targets and the end of a send

Cause: the function that a lost way to all targets calls read the request's count of sends and whether its head was written, from another goroutine and perhaps after the send. Found by the race detector in TestCrashingPartWhileHostsRestart.

Change: what it needs is fixed when the send begins.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,7 +45,7 @@
 	x.sentAt = sent
 	silenceTimer := time.AfterFunc(timeout, cancel)
 	defer silenceTimer.Stop()
-	defer g.opts.Reach.OnCutOff(func() { silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID)) })()
+	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silenceTimer))()
 
 	resp, err := g.opts.Sender.Forward(sendCtx, c.Target.Address, g.newForwardRequest(x, c), g.responseID)
 	if err != nil {
@@ -173,3 +173,13 @@
 	g.reportEngineFailure(x, c, err)
 	return mayHaveRun
 }
+
+// shortenSilence returns what to do when this host loses its way to all targets. It is called by another goroutine, perhaps even after
+// the send, so it uses nothing of the request that may change meanwhile.
+func (g *Gateway) shortenSilence(x *exchange, silenceTimer *time.Timer) func() {
+	deadline := x.deadline
+	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts || x.relayedBy != "" {
+		return func() {}
+	}
+	return func() { silenceTimer.Reset(min(deadline-g.opts.Now(), silenceCutOff)) }
+}
