--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -153,12 +153,25 @@
 	}
 }
 
+// InvalidEntryError reports an entry that names another host than its object, or no address.
+type InvalidEntryError struct {
+	Name string // that it names
+}
+
+func (e *InvalidEntryError) Error() string {
+	return "entry of host \"" + e.Name + "\" has another name or no address"
+}
+
 // hostsChanged applies the entries of the hosts that have joined.
 func (h *Host) hostsChanged(objects map[string]platform.Object) {
 	hosts := map[string]fleet.Host{}
 	for name, obj := range objects {
 		var host fleet.Host
-		if err := json.Unmarshal(obj.Data, &host); err != nil {
+		err := json.Unmarshal(obj.Data, &host)
+		if err == nil && (host.Name != name || host.Address == "") {
+			err = &InvalidEntryError{Name: host.Name}
+		}
+		if err != nil {
 			h.log.WithFields(logrus.Fields{"event": "host_unreadable", "peer": name}).Warn(err.Error())
 			continue
 		}
