--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,7 +1,6 @@
 package callerconn
 
 import (
-	"context"
 	"errors"
 	"net"
 	"os"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 )
 
 // Times for which callers may read nothing.
@@ -197,76 +195,6 @@
 	return true
 }
 
-// send sends what is held until nothing is left or the connection has failed.
-func (c *Conn) send() {
-	for {
-		c.mu.Lock()
-		if c.err != nil || len(c.chunks) == 0 {
-			c.endSending()
-			c.mu.Unlock()
-			return
-		}
-		chunk := c.chunks[0]
-		if len(c.chunks) == 1 { // further bytes go to another chunk, as this one is sent without the lock
-			c.chunks[0] = chunk[:len(chunk):len(chunk)]
-		}
-		c.mu.Unlock()
-		err := c.sendChunk(chunk)
-		c.mu.Lock()
-		switch {
-		case c.err != nil:
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			c.stallLocked(reasonLate)
-		case err != nil:
-			c.fail(err)
-		default:
-			c.chunks[0] = nil
-			c.chunks = c.chunks[1:]
-			c.pool.release(1)
-			c.lastRead.Store(time.Now().UnixNano())
-		}
-		c.mu.Unlock()
-		select {
-		case c.progress <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// sendChunk writes a chunk. It fails with os.ErrDeadlineExceeded if the caller reads too little after the deadline.
-func (c *Conn) sendChunk(chunk []byte) error {
-	for {
-		unacked := c.unacked()
-		c.mu.Lock()
-		end := c.deadline // that of the next request, if one has begun on the connection
-		c.mu.Unlock()
-		late := time.Now().Add(lateWait)
-		if end.Before(late) {
-			end = late
-		}
-		_ = c.Conn.SetWriteDeadline(end) // fails only on a closed connection, as the write does
-		n, err := c.Conn.Write(chunk)
-		chunk = chunk[n:]
-		if !errors.Is(err, os.ErrDeadlineExceeded) || unacked+n-c.unacked() < minLateBytes && time.Now().After(late) {
-			return err
-		}
-	}
-}
-
-// unacked returns the number of bytes in the kernel that the caller's has not acknowledged.
-func (c *Conn) unacked() int { return c.queued(unix.SIOCOUTQ) }
-
-// arrived returns the number of bytes in the kernel that the server has not read.
-func (c *Conn) arrived() int { return c.queued(unix.SIOCINQ) }
-
-func (c *Conn) queued(request uint) int {
-	n := 0
-	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed connection
-		n, _ = unix.IoctlGetInt(int(fd), request) // as above
-	})
-	return n
-}
-
 // endSending ends send. The caller must hold c.mu.
 func (c *Conn) endSending() {
 	c.sending = false
@@ -338,70 +266,3 @@
 		_ = tcp.SetLinger(seconds) // fails only on a closed connection
 	}
 }
-
-type contextKey struct{}
-
-// NewContext returns a context that carries the connection below c, if there is one. It is for http.Server.ConnContext.
-func NewContext(ctx context.Context, c net.Conn) context.Context {
-	for {
-		switch conn := c.(type) {
-		case *Conn:
-			return context.WithValue(ctx, contextKey{}, conn)
-		case interface{ NetConn() net.Conn }:
-			c = conn.NetConn()
-		default:
-			return ctx
-		}
-	}
-}
-
-// FromContext returns the connection that a context carries, or nil. All methods named below accept nil.
-func FromContext(ctx context.Context) *Conn {
-	c, _ := ctx.Value(contextKey{}).(*Conn)
-	return c
-}
-
-// BeginRequest names the request that is served, and until when its caller may read nothing.
-func (c *Conn) BeginRequest(id string, deadline time.Time) {
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.id, c.deadline, c.most = id, deadline, c.held()
-}
-
-// MostHeld returns the most bytes that the caller had not read during the request, without those in the kernel.
-func (c *Conn) MostHeld() int {
-	if c == nil {
-		return 0
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.most
-}
-
-// Stalled returns why the connection was reset; empty: it was not.
-func (c *Conn) Stalled() string {
-	if c == nil {
-		return ""
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var stalled *StalledError
-	if errors.As(c.err, &stalled) {
-		return stalled.Reason
-	}
-	return ""
-}
-
-// ResetAtEnd sets whether the connection ends with a reset. A response that is delimited by the end of its connection then
-// does not look complete, also if this process ends.
-func (c *Conn) ResetAtEnd(on bool) {
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setReset(on)
-}
