--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"buckthornseam.dev/coord/slots"
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/panics"
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/platform"
 )
@@ -81,18 +82,6 @@
 	brittleAt  map[string]time.Duration // by service, when a host last said that its targets are brittle
 }
 
-type move struct {
-	id      uint64
-	owner   string
-	command SwapCommand
-	expires time.Duration
-
-	// For loads from the weight store:
-	began         time.Duration
-	fullSpeedTime time.Duration // duration of the load at full speed
-	concurrent    int           // highest number of such loads at the same time
-}
-
 // NewCoordinator returns a coordinator that is inactive until a host reports to it.
 func NewCoordinator(self string, fleetView *FleetView, calls peer.Caller, parts *PartFailures, freshness FreshnessFunc, firstBoot bool, now func() time.Duration, log logrus.FieldLogger) *Coordinator {
 	return &Coordinator{
@@ -238,6 +227,7 @@
 func (c *Coordinator) step(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer panics.Recover(c.log, "planning", nil) // what hosts report may be wrong in a way that was not thought of
 	now := c.activity.tick(c.now())
 	c.expire(now)
 	c.trackRemovedTargets(now)
@@ -281,12 +271,12 @@
 	for name, h := range c.hosts {
 		if now-h.reportedAt > hostTimeout {
 			c.dropHost(name)
-			maps.DeleteFunc(c.moves, func(_ string, m *move) bool { return m.owner == name })
+			c.keepMovesOf(name, h.reportedAt+silentMoveTime)
 			c.log.WithFields(logrus.Fields{"event": "host_silent", "peer": name, "silent_ms": (now - h.reportedAt).Milliseconds()}).Warn("host stopped reporting")
 		}
 	}
 	for engine, m := range c.moves {
-		if now > m.expires {
+		if now > m.expires || m.silentUntil > 0 && now > m.silentUntil {
 			delete(c.moves, engine)
 			c.updatesStale = true
 			c.log.WithFields(logrus.Fields{"event": "move_forgotten", "move": m.id, "engine": engine}).Warn("owner did not report the end of the move")
@@ -313,6 +303,7 @@
 	}
 	c.dropHost(host)
 	c.hosts[host] = h
+	c.keepMovesOf(host, 0)
 	c.updatesStale = true
 	return h
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -121,7 +121,10 @@
 	for {
 		events, err := x.events.readFrom(resp.Body, buf)
 		if len(events) > 0 {
-			silenceTimer.Stop()
+			progress := hasField(events)
+			if progress {
+				silenceTimer.Stop()
+			}
 			if sent > 0 {
 				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
 				sent = 0
@@ -130,7 +133,9 @@
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
-			silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
+			if progress {
+				silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
+			}
 		}
 		if err == nil {
 			continue
@@ -146,6 +151,7 @@
 		if !g.writeEvents(x, flusher, x.events.remainder(), resp) {
 			return callerLeft
 		}
+		x.endResponse()
 		g.opts.Origins.Completed(x.call.ID)
 		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
 		return relayed
@@ -192,6 +198,7 @@
 		x.log["first_ms"] = (g.opts.Now() - x.arrived).Milliseconds()
 		g.copyHeader(x, resp)
 		x.w.Header().Del("Content-Length")
+		x.guardUndelimited()
 		x.w.WriteHeader(resp.Status)
 	}
 	if len(events) > 0 {
