Memory of engines: large requests need a reservation from the coordinator

Cause: hosts choose engines by counts of requests that are up to 0.8 s old and know nothing of tokens, so bursts of long prompts exceed an engine's memory, which crashes it with all its streams. Change: coord/kvmemory keeps a ledger of reservations at the coordinator; a witness knows each one before it is granted. Method steer.memory and steer.memorycopy; Report.Memory, Update.MemoryEpoch and LacksCopies are optional fields. Requests up to a quarter of the memory over the slots make no call. Services without kv_capacity or slots, and requests without tokens, are served as before. Ruled out: counts of all hosts (old), a part for each host (holds no long prompt), waiting for the longest deadline at each change of coordinators (starves long prompts for 30 s).

--- /dev/null
+++ b/coord/kvmemory/ask.go
@@ -0,0 +1,158 @@
+package kvmemory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Request asks for memory at one of several engines.
+type Request struct {
+	Key
+	ID      string   // of the caller's request, which may ask again with another number
+	Engines []string // the preferred one first
+	Tokens  int64
+	Due     time.Duration // when it should begin
+	Until   time.Duration // its deadline
+}
+
+// Reason tells why a request gets no memory.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNode   Reason = "host does not report here" // or gave up on the request
+	ReasonPaused Reason = "coordinator changed"       // what others hold may not be known
+	ReasonRoom   Reason = "no room"
+	ReasonOrder  Reason = "others are due earlier"
+)
+
+// Answer is the answer to a Request.
+type Answer struct {
+	Granted bool
+	Engine  string
+	Reason  Reason // if not granted
+	// Free is when enough memory is expected to be free at one of the engines; 0: unknown.
+	Free time.Duration
+}
+
+// waiterKey identifies a request that waits.
+type waiterKey struct{ node, id string }
+
+// waiter is a request that was denied for want of room. It sets an engine aside.
+type waiter struct {
+	tokens  int64
+	due     time.Duration
+	askedAt time.Duration
+}
+
+// Ask grants memory at the first engine that has room. all is the number of nodes known, of which some may report to another
+// ledger; room returns what large requests may take of an engine. An answer to the same request is repeated.
+func (l *Ledger) Ask(now time.Duration, r Request, all int, room func(engine string) Room) Answer {
+	n := l.nodes[r.Node]
+	if n == nil || n.incarnation != r.Incarnation || r.Seq <= n.asked && !n.pending[r.Seq] {
+		return Answer{Reason: ReasonNode}
+	}
+	if engine, ok := l.byRun[r.run()][r.Seq]; ok {
+		return Answer{Granted: true, Engine: engine}
+	}
+	share, free := l.share(now, all)
+	if free > now {
+		return Answer{Reason: ReasonPaused, Free: free}
+	}
+	l.stopWaiting(waiterKey{r.Node, r.ID})
+	answer := Answer{Reason: ReasonRoom}
+	aside := ""
+	for _, engine := range r.Engines {
+		space := room(engine).scaled(share)
+		if l.fits(now, engine, r.Tokens, space) {
+			if !l.setAside(now, engine, r, space) {
+				l.add(Reservation{Key: r.Key, Engine: engine, Tokens: r.Tokens, Until: r.Until, at: now})
+				return Answer{Granted: true, Engine: engine}
+			}
+			answer.Reason = ReasonOrder
+			continue
+		}
+		if at, ok := l.release(now, engine, r.Tokens, space); ok && (answer.Free == 0 || at < answer.Free) {
+			answer.Free, aside = at, engine
+		}
+	}
+	if aside != "" {
+		if l.waiting[aside] == nil {
+			l.waiting[aside] = map[waiterKey]waiter{}
+		}
+		l.waiting[aside][waiterKey{r.Node, r.ID}] = waiter{tokens: r.Tokens, due: r.Due, askedAt: now}
+	}
+	return answer
+}
+
+// share returns the part of the memory that the nodes which report here may be granted, or until when nothing is granted.
+func (l *Ledger) share(now time.Duration, all int) (share float64, pausedTo time.Duration) {
+	pausedTo = l.pausedTo
+	for _, until := range l.uncovered {
+		pausedTo = max(pausedTo, until)
+	}
+	counted, firstJoin := 0, time.Duration(-1)
+	for _, n := range l.nodes {
+		if now-n.joinedAt >= joinTime && now-n.seenAt <= NodeTimeout {
+			counted++
+		}
+		if firstJoin < 0 || n.joinedAt < firstJoin {
+			firstJoin = n.joinedAt
+		}
+	}
+	if counted == 0 || all == 0 {
+		pausedTo = max(pausedTo, firstJoin+joinTime, now+1)
+	}
+	return min(1, float64(counted)/float64(max(1, all))), pausedTo
+}
+
+// fits reports whether a reservation fits at an engine now.
+func (l *Ledger) fits(now time.Duration, engine string, tokens int64, space Room) bool {
+	used, n := l.Used(now, engine)
+	return fitsBeside(used, n, tokens, space)
+}
+
+func fitsBeside(used int64, n int, tokens int64, space Room) bool {
+	return used+tokens <= space.Together || n == 0 && tokens <= space.Alone
+}
+
+// setAside reports whether an engine is set aside for a waiting request that is due earlier and would not fit beside r.
+func (l *Ledger) setAside(now time.Duration, engine string, r Request, space Room) bool {
+	used, n := l.Used(now, engine)
+	for _, w := range l.waiting[engine] {
+		if w.due < r.Due && now-w.askedAt <= waitTTL && !fitsBeside(used+r.Tokens, n+1, w.tokens, space) {
+			return true
+		}
+	}
+	return false
+}
+
+// release returns when a reservation is expected to fit at an engine, if nothing else is granted there.
+func (l *Ledger) release(now time.Duration, engine string, tokens int64, space Room) (time.Duration, bool) {
+	held := make([]Reservation, 0, len(l.byEngine[engine]))
+	for _, r := range l.byEngine[engine] {
+		if now < r.Until {
+			held = append(held, r)
+		}
+	}
+	slices.SortFunc(held, func(a, b Reservation) int { return cmp.Compare(l.endOf(now, a), l.endOf(now, b)) })
+	used, n := l.Used(now, engine)
+	for _, r := range held {
+		used, n = used-r.Tokens, n-1
+		if fitsBeside(used, n, tokens, space) {
+			return l.endOf(now, r), true
+		}
+	}
+	return 0, false
+}
+
+func (l *Ledger) stopWaiting(k waiterKey) {
+	for engine, waiters := range l.waiting {
+		if _, ok := waiters[k]; ok {
+			if delete(waiters, k); len(waiters) == 0 {
+				delete(l.waiting, engine)
+			}
+		}
+	}
+}
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -16,16 +17,19 @@
 	Adapter string
 	Version *string         // software version of the target; nil: any
 	Avoid   map[string]bool // targets that were tried before
+	Tokens  int64           // of the prompt and of the longest response; 0: not stated
 	Late    bool            // the request missed its objective and yields to requests that can still begin in time
 }
 
 // Choice is the result of Pick.
 type Choice struct {
 	Target       fleet.Target
-	NeedsAdapter bool // the adapter must be loaded first
-	NeedsPermit  bool // the target names a limit; see Client.RequestPermit
-	NeedsSlot    bool // the target is brittle and this host has no free slot of it; see Client.RequestSlot
-	Load         int  // known requests of all hosts at the target
+	NeedsAdapter bool     // the adapter must be loaded first
+	NeedsPermit  bool     // the target names a limit; see Client.RequestPermit
+	NeedsSlot    bool     // the target is brittle and this host has no free slot of it; see Client.RequestSlot
+	NeedsMemory  bool     // a reservation must be granted first; see Client.RequestMemory
+	Others       []Choice // with NeedsMemory, other engines that can take the request, the best first
+	Load         int      // known requests of all hosts at the target
 	Reason       string
 	Deferred     bool // none was chosen, because other waiting requests take the free slots first
 }
@@ -56,6 +60,7 @@
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	brittle := f.isBrittle(req.Service)
+	var ranked []candidate // that need a reservation
 	for _, id := range f.targets.ByService[req.Service] {
 		c, ok := f.candidate(f.targets.ByID[id], req, brittle)
 		if !ok {
@@ -65,6 +70,9 @@
 			free += f.freeSlots(c.Target, req.Late)
 		}
 		score := c.score - noise()
+		if c.NeedsMemory && !(c.NeedsPermit && !c.limitStale) {
+			ranked = append(ranked, candidate{Choice: c.Choice, score: score})
+		}
 		switch {
 		case c.NeedsPermit && !c.limitStale:
 			if score < limitedScore {
@@ -80,9 +88,25 @@
 	if found && req.Model != "" && !best.NeedsPermit && !f.admit(req, free) {
 		return Choice{Deferred: true}, false
 	}
+	best.Others = othersOf(best, ranked)
 	return best, found
 }
 
+// othersOf returns the targets that can take a request instead of the best one, which all need a reservation.
+func othersOf(best Choice, ranked []candidate) []Choice {
+	if !best.NeedsMemory {
+		return nil
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	var out []Choice
+	for _, c := range ranked {
+		if c.Target.ID != best.Target.ID && len(out) < maxMemoryEngines-1 {
+			out = append(out, c.Choice)
+		}
+	}
+	return out
+}
+
 // candidate is a target that can take a request now.
 type candidate struct {
 	Choice
@@ -113,7 +137,7 @@
 		return candidate{}, false
 	}
 	c := candidate{
-		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, NeedsSlot: needsSlot, Load: f.load[t.ID] + f.remoteLoad[t.ID]},
+		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0, NeedsSlot: needsSlot, NeedsMemory: f.needsMemory(t, req), Load: f.load[t.ID] + f.remoteLoad[t.ID]},
 		score:      f.score(t),
 		limitStale: stale,
 	}
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -253,6 +253,7 @@
 	if !u.UnknownHost {
 		c.opts.FleetView.recordBrittleReports(u.Brittle)
 		c.opts.FleetView.renewSlots(u.SlotLimits)
+		c.applyMemory(u)
 	}
 	c.mu.Lock()
 	c.sendFull = c.sendFull || u.UnknownHost
@@ -284,6 +285,7 @@
 	c.opts.FleetView.report(&r)
 	r.Brittle = c.opts.FleetView.brittleServices()
 	r.SlotsHeld = c.opts.FleetView.keptSlots()
+	r.Memory = c.memoryReport()
 	if r.CutOff = c.opts.CutOff(); r.CutOff {
 		r.Unreachable = nil // what this host sees of targets says something about its own way
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -75,8 +75,9 @@
 
 	readySince map[runKey]time.Duration // by copy, when it became ready
 	storeLimit storeLoadLimit
-	permits    *permit.Issuer           // of targets that name a limit
-	slots      *slots.Ledger            // of brittle targets
+	permits    *permit.Issuer // of targets that name a limit
+	slots      *slots.Ledger  // of brittle targets
+	memory     memoryLedger
 	brittleAt  map[string]time.Duration // by service, when a host last said that its targets are brittle
 }
 
@@ -117,8 +118,7 @@
 		self: self, freshness: freshness, balances: func() map[string]float64 { return nil }, eras: &platform.Eras{}, firstBoot: firstBoot, removedTargets: map[string]time.Duration{}, listedTargets: map[string]bool{}, fleetView: fleetView, calls: calls, parts: parts, now: now, log: log, wakeup: make(chan struct{}, 1), activeSince: now(),
 		hosts: map[string]*hostState{}, moves: map[string]*move{}, rates: map[modelKey]*rate{},
 		holders: map[string]string{}, ownAskedAt: map[string]time.Duration{}, released: map[string]release{}, failureTimes: map[string]time.Duration{}, moveIDBase: rand.Uint64() &^ (1<<24 - 1),
-		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{},
-		permits: permit.NewIssuer(), slots: slots.NewLedger(), brittleAt: map[string]time.Duration{},
+		storeLimit: newStoreLoadLimit(), readySince: map[runKey]time.Duration{}, totals: newTotals(), engineUpdates: map[string]versionedUpdate{}, permits: permit.NewIssuer(), slots: slots.NewLedger(), memory: newMemoryLedger(), brittleAt: map[string]time.Duration{},
 	}
 }
 
@@ -140,6 +140,7 @@
 	})
 	c.registerPermits(r)
 	c.registerSlots(r)
+	c.registerMemory(r)
 }
 
 // Report applies a host's report and returns the update for that host.
@@ -191,6 +192,7 @@
 		c.brittleAt[service] = now
 	}
 	c.slots.Set(host, r.SlotsHeld) // a slot granted while the report was on its way counts again from the next one on
+	c.reportMemory(host, r)
 	if r.Config != nil {
 		c.fleetView.RecordConfig(*r.Config)
 		h.knownConfig = *r.Config
@@ -274,6 +276,7 @@
 	if c.isDeputy() {
 		c.activeSince = now
 	}
+	c.stepMemory(ctx, now)
 	if now-c.activeSince > c.ownershipDelay() {
 		c.assignOwners(ctx, now)
 	}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -22,14 +22,16 @@
 
 // Methods of the peer protocol.
 const (
-	methodReport  = "steer.report"
-	methodUpdate  = "steer.news"
-	methodOwn     = "steer.own"
-	methodPing    = "steer.ping"
-	methodSwap    = "steer.swap"
-	MethodAdapter = "steer.adapter"
-	methodPermit  = "steer.permit"
-	methodSlot    = "steer.slot"
+	methodReport     = "steer.report"
+	methodUpdate     = "steer.news"
+	methodOwn        = "steer.own"
+	methodPing       = "steer.ping"
+	methodSwap       = "steer.swap"
+	MethodAdapter    = "steer.adapter"
+	methodPermit     = "steer.permit"
+	methodSlot       = "steer.slot"
+	methodMemory     = "steer.memory"
+	methodMemoryCopy = "steer.memorycopy"
 )
 
 // codeOwnedElsewhere is the error code of methodOwn if another host may still order the
@@ -113,7 +115,8 @@
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets said lately that they are brittle
 	SlotsHeld      map[string]int       `json:"sh,omitempty"` // of brittle targets, always complete
-	Unreachable    []string             `json:"d,omitempty"`  // unreachable targets, always complete
+	Memory         *MemoryReport        `json:"mr,omitempty"`
+	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 	CutOff         bool                 `json:"k,omitempty"`  // the host has lost its way to all targets; Unreachable is then empty
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
@@ -164,6 +167,8 @@
 	LeavingTargets []LeavingTarget      `json:"lt,omitempty"`
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets are brittle; only in the reply to a report
 	SlotLimits     map[string]int       `json:"sl,omitempty"` // slots that the host may keep; only in the reply to a report
+	MemoryEpoch    uint64               `json:"me,omitempty"` // of the coordinator's ledger; only in the reply to a report
+	LacksCopies    bool                 `json:"mc,omitempty"` // the next report must have the copies of other ledgers
 	StoreAge       *StoreAge            `json:"v,omitempty"`  // only in the reply to a report
 	Coordinator    string               `json:"c,omitempty"`  // set by a deputy, which says nothing of the other hosts
 	UnknownHost    bool                 `json:"q,omitempty"`  // the next report must be a full one
--- a/internal/coordinator/targetlimits.go
+++ b/internal/coordinator/targetlimits.go
@@ -103,14 +103,7 @@
 // askCoordinator calls a method by which hosts ask for a permit or a slot; local is called instead if this host is the
 // coordinator.
 func (c *Client) askCoordinator(ctx context.Context, method string, request any, local func(host string) permitReply) (reply permitReply, err error) {
-	coordinator := c.Coordinator()
-	if coordinator == c.opts.Self.Name {
-		return local(coordinator), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	err = c.opts.Calls.Call(ctx, coordinator, method, request, &reply)
-	return reply, err
+	return call(ctx, c, method, request, local)
 }
 
 // logLimits logs the limits that are new to this host, differ or have ended.
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -224,6 +224,7 @@
 		return u
 	}
 	c.addUse(&u, name, h)
+	c.addMemory(&u)
 	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
 	live, leaving, cutOff := c.liveHosts(), c.lastLeaving(), c.cutOffHosts()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -131,10 +131,10 @@
 
 // decisionEvents are the events about an engine or a model that may have affected
 // a request.
-var decisionEvents = []string{"move_planned", "move_done", "move_failed", "move_refused", "move_forgotten", "order", "engine_owned", "engine_differs", "orders_recounted", "target_changed", "target_gone", "permit_not_requested", "slot_not_requested"}
+var decisionEvents = []string{"move_planned", "move_done", "move_failed", "move_refused", "move_forgotten", "order", "engine_owned", "engine_differs", "orders_recounted", "target_changed", "target_gone", "permit_not_requested", "slot_not_requested", "memory_not_requested"}
 
 // hostEvents are the events about the state of a host itself.
-var hostEvents = []string{"store_lost", "store_regained", "coordinator_changed", "coordinator_lost", "deputy_replied", "lease_lost", "lease_ended", "lease_not_renewed", "config_taken", "config_ignored", "store_era", "target_reach", "engines_yielded", "targets_listed", "host_silent", "host_stopping", "host_started", "log_dropped"}
+var hostEvents = []string{"store_lost", "store_regained", "coordinator_changed", "coordinator_lost", "deputy_replied", "lease_lost", "lease_ended", "lease_not_renewed", "config_taken", "config_ignored", "store_era", "target_reach", "engines_yielded", "targets_listed", "host_silent", "memory_witness_lost", "host_stopping", "host_started", "log_dropped"}
 
 // noticeTime is how long before a request a target may have said why it was passed over. Quiet and limits are over by
 // then unless they are named again, and a target that leaves is usually gone.
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -52,7 +52,9 @@
 	// they turn away more than brittleRejections in a second; by the users' rule, from the contact time on.
 	brittle      bool
 	brittleSince time.Duration
-	slots        int // 0: unlimited
+	slots        int   // 0: unlimited
+	kv           int64 // tokens of memory; 0: unknown
+	mostTokens   int64 // that an engine held at once
 	falls        int
 	cuts         map[string]cutMode // by host, how it is cut off from all engines
 	cutEnds      map[string]chan struct{}
@@ -108,6 +110,7 @@
 type simulatedEngine struct {
 	id       string
 	inside   int             // requests
+	tokens   int64           // of these requests
 	rejected []time.Duration // requests turned away in the last second
 	crashed  chan struct{}
 }
@@ -118,7 +121,12 @@
 
 // newEngineFleetWithSlots starts a fleet whose engines have room for a number of requests; 0: any.
 func newEngineFleetWithSlots(t *testing.T, hosts, engines, slots int, seed uint64) *engineFleet {
-	f := &engineFleet{slots: slots, engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, cuts: map[string]cutMode{}, cutEnds: map[string]chan struct{}{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
+	return newEngineFleetWithMemory(t, hosts, engines, slots, 0, seed)
+}
+
+// newEngineFleetWithMemory starts a fleet whose engines also have memory for a number of tokens; 0: unknown.
+func newEngineFleetWithMemory(t *testing.T, hosts, engines, slots int, kv int64, seed uint64) *engineFleet {
+	f := &engineFleet{slots: slots, kv: kv, engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, cuts: map[string]cutMode{}, cutEnds: map[string]chan struct{}{}, limits: map[string]float64{}, arrivals: map[string][]time.Duration{}}
 	for range engines {
 		f.startEngine()
 	}
@@ -189,7 +197,7 @@
 	route := fleet.Route{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: fleet.Streaming, Resumable: true, Attempts: 2, Timeout: 5 * time.Second,
 		Objective: 400 * time.Millisecond, GapObjective: 400 * time.Millisecond, Destinations: []fleet.Destination{{Service: "llm", Weight: 1}}}
 	config := &fleet.Config{Version: 1, Revision: 1, Teams: []fleet.Team{{Name: "t", Keys: []string{"k"}}}, Routes: []fleet.Route{route},
-		Services: map[string]fleet.Service{"llm": {Engine: &fleet.EngineSpec{Models: map[string]fleet.Model{"m": {StoreLoad: 20 * time.Second}}}}}}
+		Services: map[string]fleet.Service{"llm": {Engine: &fleet.EngineSpec{KVTokens: f.kv, Slots: f.slots, Models: map[string]fleet.Model{"m": {StoreLoad: 20 * time.Second}}}}}}
 	config.Index()
 	h.view.SetConfig(config)
 	f.mu.Lock()
@@ -217,7 +225,7 @@
 	h.gateway = New(Options{
 		Codec: testCodec{}, View: h.view, Sender: hostSender{f, h}, Origins: origins, Quotas: h.quotas,
 		Budget:         NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
-		EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot,
+		EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot, RequestMemory: h.client.RequestMemory,
 		ReportEngineFailure: func(id string) {
 			f.mu.Lock()
 			f.blamed++
--- a/internal/gateway/enginefleetsender_test.go
+++ b/internal/gateway/enginefleetsender_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -54,7 +55,12 @@
 		header.Set("Not-Run", "1")
 		return &target.ForwardResponse{Status: http.StatusServiceUnavailable, Header: header, Body: http.NoBody}, nil
 	}
-	context.AfterFunc(ctx, func() { f.leaveEngine(e) }) // the context of a send ends with it
+	tokens, _ := strconv.ParseInt(r.Header.Get("Tokens-Out"), 10, 64) // 0 without the header
+	f.hold(e, tokens)
+	context.AfterFunc(ctx, func() { // the context of a send ends with it
+		f.hold(e, -tokens)
+		f.leaveEngine(e)
+	})
 	select {
 	case <-time.After(engineQueueTime):
 	case <-e.crashed:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,10 +36,11 @@
 	events            eventBuffer
 	version           *string // only version at which the stream may go on; nil: any, as it has not begun
 	noRetryBudget     bool
-	probe             bool            // admitted although a part of its prompt is blocked
-	holdEnd           time.Duration   // of the last hold, according to PartFailures
-	heldUntil         time.Duration   // somewhat later than holdEnd
-	retryAfter        time.Duration   // Retry-After of a refusal; 0: the shortest
+	probe             bool          // admitted although a part of its prompt is blocked
+	holdEnd           time.Duration // of the last hold, according to PartFailures
+	heldUntil         time.Duration // somewhat later than holdEnd
+	retryAfter        time.Duration // Retry-After of a refusal; 0: the shortest
+	memory            memoryUse
 	quiet             bool            // retryAfter is the time that targets named, however long
 	relayedBy         string          // host that the caller is connected to; empty: this one
 	helpersTried      map[string]bool // hosts through which the request was tried
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,9 @@
 	RequestPermit func(ctx context.Context, t fleet.Target) bool
 	// RequestSlot is called before a request is sent to a brittle target at which all slots of this host are in use.
 	// If it returns false, the View must not return the target for a time.
-	RequestSlot         func(ctx context.Context, t fleet.Target) bool
+	RequestSlot func(ctx context.Context, t fleet.Target) bool
+	// RequestMemory is called before a large request is sent to an engine whose memory is known; nil: none is needed.
+	RequestMemory       func(ctx context.Context, c coordinator.Choice, r coordinator.MemoryRequest) coordinator.MemoryGrant
 	LoadAdapter         func(ctx context.Context, owner string, c coordinator.AdapterCommand) error
 	ReportEngineFailure func(failureID string)
 	EngineFailures      func(fingerprint string) int
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,7 +31,7 @@
 }
 
 func (testCodec) AttemptHeader(a fleet.Attempt) http.Header {
-	return http.Header{"From": {a.LastEventID}, "Team": {a.Team}, "Parts": {a.Header.Get("Parts")}}
+	return http.Header{"From": {a.LastEventID}, "Team": {a.Team}, "Parts": {a.Header.Get("Parts")}, "Tokens-Out": {a.Header.Get("Tokens-Out")}}
 }
 
 func (testCodec) ReadResponse(status int, h http.Header) fleet.Response {
--- /dev/null
+++ b/internal/gateway/memory_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// hold adds tokens to those that an engine holds.
+func (f *engineFleet) hold(e *simulatedEngine, tokens int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.tokens += tokens
+	f.mostTokens = max(f.mostTokens, e.tokens)
+}
+
+// sizeCount counts requests of one size.
+type sizeCount struct{ sent, began int }
+
+// playSizes sends small requests and large ones for a time, and returns how many of each began.
+func (f *engineFleet) playSizes(d time.Duration, smallPerSecond, largePerSecond float64, largeTokens func() int) (small, large *sizeCount) {
+	const step = 10 * time.Millisecond
+	small, large = &sizeCount{}, &sizeCount{}
+	send := func(tokens int, count *sizeCount) {
+		h := f.hosts[f.random.IntN(len(f.hosts))]
+		if h.kill == nil {
+			return
+		}
+		id := fmt.Sprint("r", f.random.Uint64())
+		f.requests.Go(func() {
+			r := newPost("/stream/"+id, "m", id)
+			r.Header.Set("Tokens-Out", fmt.Sprint(tokens))
+			w := serve(h.gateway, r)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if count.sent++; w.Code == http.StatusOK {
+				count.began++
+			}
+		})
+	}
+	for end := f.now() + d; f.now() < end; time.Sleep(step) {
+		for p := smallPerSecond * step.Seconds(); p > f.random.Float64(); p-- {
+			send(800, small)
+		}
+		for p := largePerSecond * step.Seconds(); p > f.random.Float64(); p-- {
+			send(largeTokens(), large)
+		}
+	}
+	f.requests.Wait()
+	return small, large
+}
+
+func (c *sizeCount) share() float64 { return float64(c.began) / float64(max(1, c.sent)) }
+
+// TestMemoryOfEnginesIsKept guards against engines that crash because hosts send them more long prompts than they have memory for,
+// with bursts, restarts and cuts, at the smallest memory and at that of the deployments. Sound phases are the control.
+func TestMemoryOfEnginesIsKept(t *testing.T) {
+	for _, kv := range []int64{60_000, 208_516} {
+		t.Run(fmt.Sprint(kv), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newEngineFleetWithMemory(t, 8, 6, 12, kv, 1)
+				tokens := func() int { return int(kv/40 + f.random.Int64N(kv/2)) }
+				time.Sleep(4 * time.Second)
+				small, large := f.playSizes(8*time.Second, 60, 9, tokens)
+				t.Logf("without faults: %d of %d small and %d of %d large requests began, %d tokens at most", small.began, small.sent, large.began, large.sent, f.mostTokens)
+				if small.share() < 0.98 || large.share() < 0.95 {
+					t.Errorf("without faults %.3f of the small and %.3f of the large requests began", small.share(), large.share())
+				}
+				small, large = f.playSizes(5*time.Second, 60, 54, tokens)
+				t.Logf("at six times the rate: %d of %d small and %d of %d large requests began", small.began, small.sent, large.began, large.sent)
+				if small.share() < 0.9 || large.share() < small.share()/2 {
+					t.Errorf("at six times the rate %.3f of the small and %.3f of the large requests began", small.share(), large.share())
+				}
+				for i := range 3 { // the coordinator, and perhaps its witness
+					f.killHost(i)
+					f.playSizes(time.Second, 60, 60, tokens)
+					f.startHost(i)
+					for a := range 4 {
+						f.network.SetBlocked(fmt.Sprint("h", a), fmt.Sprint("h", 4+a), i%2 == 0)
+					}
+					f.playSizes(2*time.Second, 60, 60, tokens)
+				}
+				if f.mostTokens > kv {
+					t.Errorf("an engine held %d tokens, its memory is %d", f.mostTokens, kv)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -55,6 +55,7 @@
 	if !g.findVersion(ctx, x) {
 		return
 	}
+	defer g.releaseMemory(x, true) // if the response is broken off
 	avoid := map[string]bool{}
 	for {
 		choice, ok := g.awaitTarget(ctx, x, avoid)
@@ -69,17 +70,21 @@
 			return
 		}
 		if g.hasBlockedPart(x) { // found out while the request waited
+			g.releaseMemory(x, false)
 			g.giveUp(x)
 			return
 		}
 		if x.tries > 0 && !g.opts.Budget.AllowRetry(x.service) {
 			x.noRetryBudget = true
+			g.releaseMemory(x, false)
 			g.giveUp(x)
 			return
 		}
 		x.tries++
 		began := g.opts.Now()
-		switch g.try(ctx, x, choice) {
+		outcome := g.try(ctx, x, choice)
+		g.releaseMemory(x, outcome == mayHaveRun || outcome == callerLeft)
+		switch outcome {
 		case relayed:
 			g.runTimes.record(x, g.opts.Now()-began, g.opts.Now())
 			return
@@ -121,6 +126,9 @@
 		g.fail(x, http.StatusBadGateway)
 	default:
 		retry := max(shortRetryAfter, x.retryAfter)
+		if x.memory.never {
+			retry = 0
+		}
 		switch {
 		case x.noRetryBudget:
 			reason = "no budget to repeat"
@@ -142,7 +150,10 @@
 // awaitTarget waits until a target can run the request, and chooses it.
 func (g *Gateway) awaitTarget(ctx context.Context, x *exchange, avoid map[string]bool) (coordinator.Choice, bool) {
 	view := g.opts.View
-	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Avoid: avoid}
+	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Avoid: avoid, Tokens: tokensOf(x)}
+	if g.fitsNowhere(x, req) {
+		return coordinator.Choice{}, false
+	}
 	var endWait func()
 	defer func() {
 		if endWait != nil {
@@ -166,17 +177,26 @@
 			continue
 		}
 		choice, ok := view.Pick(req)
+		if ok && choice.NeedsMemory {
+			var refuse bool
+			if choice, ok, refuse = g.reserveMemory(ctx, x, choice, until); refuse {
+				return coordinator.Choice{}, false
+			}
+		}
 		if ok {
 			if choice.NeedsPermit && !g.opts.RequestPermit(ctx, choice.Target) {
+				g.releaseMemory(x, false)
 				continue // with the other targets
 			}
 			if choice.NeedsSlot && !g.opts.RequestSlot(ctx, choice.Target) {
+				g.releaseMemory(x, false)
 				continue
 			}
 			if !choice.NeedsAdapter || g.loadAdapter(ctx, x, choice) {
 				g.logChoice(x, choice)
 				return choice, true
 			}
+			g.releaseMemory(x, false)
 		} else if len(avoid) > 0 {
 			if other, ok := g.retryShed(req, avoid, x); ok {
 				return other, true
@@ -220,7 +240,11 @@
 	}
 	req.Avoid = nil
 	choice, ok := g.opts.View.Pick(req)
+	if ok && choice.NeedsMemory {
+		choice, ok, _ = g.reserveMemory(x.r.Context(), x, choice, x.deadline)
+	}
 	if !ok || choice.NeedsAdapter || choice.NeedsPermit && !g.opts.RequestPermit(x.r.Context(), choice.Target) || choice.NeedsSlot {
+		g.releaseMemory(x, false)
 		return coordinator.Choice{}, false
 	}
 	clear(avoid)
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -180,7 +180,7 @@
 		Reach: h.reach, Helpers: &gateway.HelperHosts{Self: h.self, View: h.view, Client: h.client, Sender: target.NewClient()}, Self: h.self.Name,
 		Budget:      gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now),
 		Origins:     h.origins,
-		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot,
+		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot, RequestMemory: h.client.RequestMemory,
 		ConfigConfirmed: h.configConfirmed,
 		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
