--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -16,6 +16,13 @@
 	f.mostTokens = max(f.mostTokens, e.tokens)
 }
 
+// tokensHeld returns the most tokens that an engine held at once.
+func (f *engineFleet) tokensHeld() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mostTokens
+}
+
 // sizeCount counts requests of one size.
 type sizeCount struct{ sent, began int }
 
@@ -64,7 +71,7 @@
 				tokens := func() int { return int(kv/40 + f.random.Int64N(kv/2)) }
 				time.Sleep(4 * time.Second)
 				small, large := f.playSizes(8*time.Second, 60, 9, tokens)
-				t.Logf("without faults: %d of %d small and %d of %d large requests began, %d tokens at most", small.began, small.sent, large.began, large.sent, f.mostTokens)
+				t.Logf("without faults: %d of %d small and %d of %d large requests began, %d tokens at most", small.began, small.sent, large.began, large.sent, f.tokensHeld())
 				if small.share() < 0.98 || large.share() < 0.95 {
 					t.Errorf("without faults %.3f of the small and %.3f of the large requests began", small.share(), large.share())
 				}
@@ -82,8 +89,8 @@
 					}
 					f.playSizes(2*time.Second, 60, 60, tokens)
 				}
-				if f.mostTokens > kv {
-					t.Errorf("an engine held %d tokens, its memory is %d", f.mostTokens, kv)
+				if held := f.tokensHeld(); held > kv {
+					t.Errorf("an engine held %d tokens, its memory is %d", held, kv)
 				}
 			})
 		})
