Long prompts beside short ones: reader copies, and loads of long prefills

Cause: an engine prefills in order, so a short request behind a prompt of 9,190 tokens waits 224 ms of its 0.4 s. Hosts see only counts of requests, in which a long prompt is one like any other. Change: coord/longprompt tells what is long by learned speeds, orders the copies of a model by rendezvous hashing, and gives penalties by the time that an engine spends on long prefills, which hosts report and the coordinator adds up (Report.LongPrefills, Update.LongLoads, optional). coord/kvmemory grants a second long prefill at an engine only if no other copy is free and the request would be late. Ruled out: engines set apart by hand or learned, queues at hosts, priorities (docs/design/long-prompts.md). With one copy nothing differs. The test of messages between hosts now starts them once all are on its network: some had taken another coordinator in 1 of 100 runs.

--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -12,6 +12,7 @@
 	ID      string   // of the caller's request, which may ask again with another number
 	Engines []string // the preferred one first
 	Tokens  int64
+	Prefill time.Duration // expected, if it is long and the model has other copies; 0: it is not
 	Due     time.Duration // when it should begin
 	Until   time.Duration // its deadline
 }
@@ -25,6 +26,7 @@
 	ReasonPaused Reason = "coordinator changed"       // what others hold may not be known
 	ReasonRoom   Reason = "no room"
 	ReasonOrder  Reason = "others are due earlier"
+	ReasonLong   Reason = "a long prompt is prefilled there"
 )
 
 // Answer is the answer to a Request.
@@ -62,21 +64,30 @@
 	}
 	l.stopWaiting(waiterKey{r.Node, r.ID})
 	answer := Answer{Reason: ReasonRoom}
-	aside := ""
+	aside, busy := "", ""
 	for _, engine := range r.Engines {
 		space := room(engine).scaled(share)
 		if l.fits(now, engine, r.Tokens, space) {
-			if !l.setAside(now, engine, r, space) {
-				l.add(Reservation{Key: r.Key, Engine: engine, Tokens: r.Tokens, Until: r.Until, at: now})
-				return Answer{Granted: true, Engine: engine}
+			switch {
+			case l.setAside(now, engine, r, space):
+				answer.Reason = ReasonOrder
+			case r.Prefill == 0 || l.prefillTo[engine] <= now:
+				return l.grant(now, r, engine)
+			case busy == "" || l.prefillTo[engine] < l.prefillTo[busy]:
+				busy = engine
 			}
-			answer.Reason = ReasonOrder
 			continue
 		}
 		if at, ok := l.release(now, engine, r.Tokens, space); ok && (answer.Free == 0 || at < answer.Free) {
 			answer.Free, aside = at, engine
 		}
 	}
+	if busy != "" {
+		if end := l.prefillTo[busy]; end+prefillMargin*r.Prefill <= r.Due {
+			return Answer{Reason: ReasonLong, Free: end}
+		}
+		return l.grant(now, r, busy)
+	}
 	if aside != "" {
 		if l.waiting[aside] == nil {
 			l.waiting[aside] = map[waiterKey]waiter{}
@@ -86,6 +97,18 @@
 	return answer
 }
 
+// prefillMargin is how many times its own prefill a long request must have left before it is due, to wait for the end of another
+// one. In a model with engines of four speeds, fewer had long requests late that waited for a slow engine.
+const prefillMargin = 4
+
+func (l *Ledger) grant(now time.Duration, r Request, engine string) Answer {
+	l.add(Reservation{Key: r.Key, Engine: engine, Tokens: r.Tokens, Until: r.Until, at: now})
+	if r.Prefill > 0 {
+		l.prefillTo[engine] = max(now, l.prefillTo[engine]) + r.Prefill
+	}
+	return Answer{Granted: true, Engine: engine}
+}
+
 // share returns the part of the memory that the nodes which report here may be granted, or until when nothing is granted.
 func (l *Ledger) share(now time.Duration, all int) (share float64, pausedTo time.Duration) {
 	pausedTo = l.pausedTo
--- a/coord/kvmemory/kvmemory_test.go
+++ b/coord/kvmemory/kvmemory_test.go
@@ -216,3 +216,30 @@
 		t.Error("a copy that another ledger uses is not whole, or accepts more")
 	}
 }
+
+// TestSecondLongPrefillGoesElsewhere guards against long prompts that wait behind one another while another copy is free, and against
+// those that wait although they would be late.
+func TestSecondLongPrefillGoesElsewhere(t *testing.T) {
+	l, now, seq := testLedger(), 5*time.Second, uint64(0)
+	askLong := func(due time.Duration) Answer {
+		seq++
+		l.nodes["a"].seenAt = now
+		return l.Ask(now, Request{Key: Key{"a", "1", seq}, ID: fmt.Sprint(seq), Engines: []string{"e", "f"}, Tokens: 10, Prefill: 200 * time.Millisecond, Due: due, Until: now + 5*time.Second}, 1,
+			func(string) Room { return Room{Together: testRoom} })
+	}
+	for i, want := range []string{"e", "f"} {
+		if a := askLong(now + 2*time.Second); a.Engine != want {
+			t.Errorf("long prompt %d goes to %q, want %q", i, a.Engine, want)
+		}
+	}
+	if a := askLong(now + 2*time.Second); a.Granted || a.Reason != ReasonLong || a.Free != now+200*time.Millisecond {
+		t.Errorf("%+v, want a long prompt with time to wait", a)
+	}
+	if a := askLong(now + 600*time.Millisecond); !a.Granted {
+		t.Errorf("a long prompt that would be late waits: %v", a.Reason)
+	}
+	seq++
+	if a := ask(l, now, seq, 10, now+2*time.Second); !a.Granted {
+		t.Errorf("a request that is not long waits: %v", a.Reason)
+	}
+}
--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -62,13 +62,14 @@
 	covered   map[uint64]bool
 	pausedTo  time.Duration
 	witness   witness
-	useTime   time.Duration // mean time of use of lately released reservations; 0: none yet
+	prefillTo map[string]time.Duration // by engine, when the long prefills granted there are expected to end
+	useTime   time.Duration            // mean time of use of lately released reservations; 0: none yet
 }
 
 // NewLedger returns a ledger without reservations. The epoch is a random number other than 0.
 func NewLedger(epoch uint64) *Ledger {
 	return &Ledger{epoch: epoch, epochs: map[uint64]bool{epoch: true}, nodes: map[string]*node{}, byEngine: map[string]map[Key]Reservation{},
-		byRun: map[run]map[uint64]string{}, waiting: map[string]map[waiterKey]waiter{}, uncovered: map[uint64]time.Duration{}, covered: map[uint64]bool{}}
+		byRun: map[run]map[uint64]string{}, waiting: map[string]map[waiterKey]waiter{}, uncovered: map[uint64]time.Duration{}, covered: map[uint64]bool{}, prefillTo: map[string]time.Duration{}}
 }
 
 // Epoch returns the epoch that nodes have to bring to the next ledger. It returns 0 while this ledger does not know all
@@ -233,6 +234,7 @@
 			delete(l.waiting, engine)
 		}
 	}
+	maps.DeleteFunc(l.prefillTo, func(_ string, end time.Duration) bool { return now >= end })
 	maps.DeleteFunc(l.uncovered, func(_ uint64, until time.Duration) bool { return now >= until })
 }
 
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"buckthornseam.dev/coord/swap"
 	"buckthornseam.dev/seam/internal/fleet"
@@ -17,19 +18,22 @@
 	Adapter string
 	Version *string         // software version of the target; nil: any
 	Avoid   map[string]bool // targets that were tried before
-	Tokens  int64           // of the prompt and of the longest response; 0: not stated
-	Late    bool            // the request missed its objective and yields to requests that can still begin in time
+	Prompt  Prompt
+	Tokens  int64 // of the prompt and of the longest response; 0: not stated
+	Late    bool  // the request missed its objective and yields to requests that can still begin in time
 }
 
 // Choice is the result of Pick.
 type Choice struct {
 	Target       fleet.Target
-	NeedsAdapter bool     // the adapter must be loaded first
-	NeedsPermit  bool     // the target names a limit; see Client.RequestPermit
-	NeedsSlot    bool     // the target is brittle and this host has no free slot of it; see Client.RequestSlot
-	NeedsMemory  bool     // a reservation must be granted first; see Client.RequestMemory
-	Others       []Choice // with NeedsMemory, other engines that can take the request, the best first
-	Load         int      // known requests of all hosts at the target
+	NeedsAdapter bool          // the adapter must be loaded first
+	NeedsPermit  bool          // the target names a limit; see Client.RequestPermit
+	NeedsSlot    bool          // the target is brittle and this host has no free slot of it; see Client.RequestSlot
+	NeedsMemory  bool          // a reservation must be granted first; see Client.RequestMemory
+	Others       []Choice      // with NeedsMemory, other engines that can take the request, the best first
+	Prefill      time.Duration // expected at the target, if it is long; 0: it is not
+	ReaderPlace  int           // place of the target, from 1 on, in the order in which copies take long prompts; 0: the prompt is not long
+	Load         int           // known requests of all hosts at the target
 	Reason       string
 	Deferred     bool // none was chosen, because other waiting requests take the free slots first
 }
@@ -61,6 +65,7 @@
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	brittle := f.isBrittle(req.Service)
 	var ranked []candidate // that need a reservation
+	plan := f.planPrompt(req)
 	for _, id := range f.targets.ByService[req.Service] {
 		c, ok := f.candidate(f.targets.ByID[id], req, brittle)
 		if !ok {
@@ -69,7 +74,8 @@
 		if !c.NeedsPermit {
 			free += f.freeSlots(c.Target, req.Late)
 		}
-		score := c.score - noise()
+		f.addPrompt(&c.Choice, plan, req.Prompt)
+		score := c.score + f.promptPenalty(plan, c.Target.ID) - noise()
 		if c.NeedsMemory && !(c.NeedsPermit && !c.limitStale) {
 			ranked = append(ranked, candidate{Choice: c.Choice, score: score})
 		}
--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -285,7 +285,7 @@
 	c.opts.FleetView.report(&r)
 	r.Brittle = c.opts.FleetView.brittleServices()
 	r.SlotsHeld = c.opts.FleetView.keptSlots()
-	r.Memory = c.memoryReport()
+	r.Memory, r.LongPrefills = c.memoryReport(), c.opts.FleetView.takeLongSent()
 	if r.CutOff = c.opts.CutOff(); r.CutOff {
 		r.Unreachable = nil // what this host sees of targets says something about its own way
 	}
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -24,6 +24,7 @@
 	leaving       leavingTargets
 	brittle       brittleness
 	memory        memoryState
+	long          longState
 	noticesToLog  []notice
 	quietUntil    map[string]time.Duration // by start of a target, until when it wants nothing from this host
 	views         map[string]EngineView    // by engine, from the coordinator or this host's own Owner
@@ -59,7 +60,7 @@
 // machine was suspended.
 func NewFleetView(zone string, now func() time.Duration) *FleetView {
 	return &FleetView{
-		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(), memory: newMemoryState(), quietUntil: map[string]time.Duration{},
+		zone: zone, now: now, config: &fleet.Config{}, listed: fleet.NewTargets(nil), targets: fleet.NewTargets(nil), leaving: leavingTargets{records: map[string]leavingRecord{}}, brittle: newBrittleness(), memory: newMemoryState(), long: newLongState(), quietUntil: map[string]time.Duration{},
 		views: map[string]EngineView{}, running: map[runKey]int{}, load: map[string]int{}, remoteLoad: map[string]int{},
 		health: map[string]*health{}, arrivals: map[modelKey]int{}, waiting: map[modelKey]*waitList{}, dirty: map[runKey]bool{},
 		changed: make(chan struct{}), requestReport: func() {}, hosts: map[string]fleet.Host{},
--- a/internal/coordinator/hoststate.go
+++ b/internal/coordinator/hoststate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"buckthornseam.dev/coord/crashcause"
+	"buckthornseam.dev/coord/longprompt"
 )
 
 // hostState is what a host has reported and what the coordinator has sent to it.
@@ -37,16 +38,17 @@
 	sentCutOff    []string // last Update.CutOffHosts sent
 	sentFailures  map[string]bool
 	sentParts     crashcause.Cursor
-	sentLimits    uint64        // version of the limits that it was sent
-	sentTargets   uint64        // version of the leaving targets that it was sent
-	knownConfig   ConfigVersion // the newest one that it has reported or was sent
+	sentLong      map[string]*longprompt.Load // loads of long prefills that it was sent, by engine
+	sentLimits    uint64                      // version of the limits that it was sent
+	sentTargets   uint64                      // version of the leaving targets that it was sent
+	knownConfig   ConfigVersion               // the newest one that it has reported or was sent
 	pushing       bool
 }
 
 func newHostState(incarnation string) *hostState {
 	return &hostState{
 		incarnation: incarnation, running: map[runKey]int{}, load: map[string]int{}, use: map[string]float64{}, countedUse: map[string]float64{}, useEpoch: rand.Uint64(), owned: map[string]EngineView{},
-		sentVersions: map[string]uint64{}, sentUse: map[string]float64{}, sentLoad: map[string]int{}, sentFailures: map[string]bool{},
+		sentVersions: map[string]uint64{}, sentUse: map[string]float64{}, sentLoad: map[string]int{}, sentFailures: map[string]bool{}, sentLong: map[string]*longprompt.Load{},
 	}
 }
 
--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -94,7 +94,7 @@
 	if view.coordinatorKeepsNoMemory(c.Coordinator()) {
 		return MemoryGrant{Granted: true, Choice: choice}
 	}
-	request := memoryRequest{Seq: view.beginMemory(), ID: r.ID, Incarnation: c.opts.Self.Incarnation, Tokens: r.Tokens, DueMS: (r.Due - now).Milliseconds(), LeftMS: (r.Until - now).Milliseconds()}
+	request := memoryRequest{Seq: view.beginMemory(), ID: r.ID, Incarnation: c.opts.Self.Incarnation, Tokens: r.Tokens, DueMS: (r.Due - now).Milliseconds(), LeftMS: (r.Until - now).Milliseconds(), PrefillMS: choice.Prefill.Milliseconds()}
 	for _, each := range choices {
 		request.Engines = append(request.Engines, runOf(each.Target))
 	}
@@ -213,6 +213,7 @@
 	f.memory.node.LearnEpoch(f.now(), u.MemoryEpoch)
 	f.memory.handOver = u.LacksCopies
 	f.mu.Unlock()
+	f.setLongLoads(u.LongLoads)
 	if u.LacksCopies {
 		c.wake()
 	}
--- a/internal/coordinator/memory_test.go
+++ b/internal/coordinator/memory_test.go
@@ -67,6 +67,7 @@
 		targets[id] = fleet.Target{ID: id, Service: "s", Slots: 12, StartedMS: 1, Models: map[string][]string{"m": nil}}
 	}
 	config := &fleet.Config{Version: 1, Services: map[string]fleet.Service{"s": {Engine: &fleet.EngineSpec{KVTokens: testKV, Slots: 12, Models: map[string]fleet.Model{"m": {}}}}}}
+	var start []func() // once all hosts are on the network
 	for name, self := range known {
 		view := NewFleetView("z", m.now)
 		view.SetHosts(known)
@@ -91,10 +92,15 @@
 			cancel()
 			time.Sleep(time.Second) // until the calls in progress have ended
 		})
-		go func() { _ = coord.Run(ctx) }()
-		go func() { _ = client.Run(ctx) }()
+		start = append(start, func() {
+			go func() { _ = coord.Run(ctx) }()
+			go func() { _ = client.Run(ctx) }()
+		})
 		m.clients[name] = client
 	}
+	for _, run := range start {
+		run()
+	}
 	return m
 }
 
--- a/internal/coordinator/memoryledger.go
+++ b/internal/coordinator/memoryledger.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/coord/kvmemory"
+	"buckthornseam.dev/coord/longprompt"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
 )
@@ -23,11 +24,12 @@
 // memoryLedger is the coordinator's account of the memory of engines. It is guarded by Coordinator.mu.
 type memoryLedger struct {
 	ledger    *kvmemory.Ledger
-	withoutAt map[string]time.Duration // hosts of earlier versions, when they were found to lack methodMemoryCopy
+	longLoads map[string]*longprompt.Load // of long prefills, by engine
+	withoutAt map[string]time.Duration    // hosts of earlier versions, when they were found to lack methodMemoryCopy
 }
 
 func newMemoryLedger() memoryLedger {
-	return memoryLedger{ledger: kvmemory.NewLedger(newEpoch()), withoutAt: map[string]time.Duration{}}
+	return memoryLedger{ledger: kvmemory.NewLedger(newEpoch()), longLoads: map[string]*longprompt.Load{}, withoutAt: map[string]time.Duration{}}
 }
 
 func newEpoch() uint64 { return rand.Uint64() | 1 }
@@ -55,6 +57,7 @@
 
 // reportMemory records what a host reports of the memory that it holds. The caller must hold c.mu.
 func (c *Coordinator) reportMemory(host string, r Report) {
+	c.reportLong(r.LongPrefills)
 	now, m := c.now(), r.Memory
 	if m == nil {
 		m = &MemoryReport{}
@@ -66,7 +69,8 @@
 }
 
 // addMemory adds the state of the ledger to the reply to a report. The caller must hold c.mu.
-func (c *Coordinator) addMemory(u *Update) {
+func (c *Coordinator) addMemory(u *Update, h *hostState) {
+	u.LongLoads = c.longLoadsFor(h)
 	u.MemoryEpoch, u.LacksCopies = c.memory.ledger.Epoch(c.now()), c.memory.ledger.LacksCopies()
 }
 
@@ -193,7 +197,7 @@
 		return refused, tell, false // stepMemory finds one
 	}
 	targets := map[string]fleet.Target{}
-	request := kvmemory.Request{Key: key, ID: r.ID, Tokens: r.Tokens, Due: now + time.Duration(r.DueMS)*time.Millisecond, Until: now + time.Duration(r.LeftMS)*time.Millisecond}
+	request := kvmemory.Request{Key: key, ID: r.ID, Tokens: r.Tokens, Prefill: time.Duration(max(0, min(r.PrefillMS, maxPrefillMS))) * time.Millisecond, Due: now + time.Duration(r.DueMS)*time.Millisecond, Until: now + time.Duration(r.LeftMS)*time.Millisecond}
 	for _, engine := range r.Engines {
 		if t, ok := c.fleetView.targetOfRun(engine); ok && len(request.Engines) < maxMemoryEngines {
 			request.Engines, targets[engine] = append(request.Engines, engine), t
--- a/internal/coordinator/memorymessages.go
+++ b/internal/coordinator/memorymessages.go
@@ -40,6 +40,7 @@
 	Tokens      int64    `json:"n"`
 	DueMS       int64    `json:"d"`
 	LeftMS      int64    `json:"l"`
+	PrefillMS   int64    `json:"p,omitempty"` // expected time of a long prefill at the first engine
 }
 
 type memoryReply struct {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -116,7 +116,8 @@
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets said lately that they are brittle
 	SlotsHeld      map[string]int       `json:"sh,omitempty"` // of brittle targets, always complete
 	Memory         *MemoryReport        `json:"mr,omitempty"`
-	Unreachable    []string             `json:"d,omitempty"` // unreachable targets, always complete
+	LongPrefills   map[string]float64   `json:"lp,omitempty"` // milliseconds of long prefills sent since the last report, by engine
+	Unreachable    []string             `json:"d,omitempty"`  // unreachable targets, always complete
 	Leaving        bool                 `json:"l,omitempty"`
 	CutOff         bool                 `json:"k,omitempty"`  // the host has lost its way to all targets; Unreachable is then empty
 	Config         *ConfigVersion       `json:"cv,omitempty"` // the newest one that the host has heard of, if it changed
@@ -168,6 +169,7 @@
 	Brittle        []string             `json:"bs,omitempty"` // services whose targets are brittle; only in the reply to a report
 	SlotLimits     map[string]int       `json:"sl,omitempty"` // slots that the host may keep; only in the reply to a report
 	MemoryEpoch    uint64               `json:"me,omitempty"` // of the coordinator's ledger; only in the reply to a report
+	LongLoads      map[string]float64   `json:"ll,omitempty"` // share of its time that an engine spends on long prefills, if it changed
 	LacksCopies    bool                 `json:"mc,omitempty"` // the next report must have the copies of other ledgers
 	StoreAge       *StoreAge            `json:"v,omitempty"`  // only in the reply to a report
 	Coordinator    string               `json:"c,omitempty"`  // set by a deputy, which says nothing of the other hosts
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -224,7 +224,7 @@
 		return u
 	}
 	c.addUse(&u, name, h)
-	c.addMemory(&u)
+	c.addMemory(&u, h)
 	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
 	live, leaving, cutOff := c.liveHosts(), c.lastLeaving(), c.cutOffHosts()
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -16,6 +16,7 @@
 	askedAt time.Duration // when it was last denied; 0: never
 	asks    int
 	never   bool // it fits in no engine
+	prefill int  // tokens that the engine it was sent to has to prefill; 0: unknown
 }
 
 // tokensOf returns the tokens of a request's prompt and longest response; 0: not stated.
@@ -26,6 +27,18 @@
 	return int64(x.call.TokensIn) + int64(x.call.TokensOut)
 }
 
+// promptOf describes a request's prompt. A stream that is resumed has also to prefill what was generated, which is not stated.
+func promptOf(x *exchange) coordinator.Prompt {
+	if !x.call.HasTokens {
+		return coordinator.Prompt{}
+	}
+	p := coordinator.Prompt{Tokens: x.call.TokensIn, Shared: min(x.call.SharedTokens, x.call.TokensIn)}
+	if n := len(x.call.SharedParts); n > 0 {
+		p.Part = x.call.SharedParts[n-1]
+	}
+	return p
+}
+
 // fitsNowhere reports whether a request is larger than the memory of every engine, and says so in the log.
 func (g *Gateway) fitsNowhere(x *exchange, req coordinator.Requirements) bool {
 	if !g.opts.View.NeverFits(req) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -150,7 +150,7 @@
 // awaitTarget waits until a target can run the request, and chooses it.
 func (g *Gateway) awaitTarget(ctx context.Context, x *exchange, avoid map[string]bool) (coordinator.Choice, bool) {
 	view := g.opts.View
-	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Avoid: avoid, Tokens: tokensOf(x)}
+	req := coordinator.Requirements{Service: x.service, Model: x.call.Model, Adapter: x.call.Adapter, Version: x.version, Avoid: avoid, Tokens: tokensOf(x), Prompt: promptOf(x)}
 	if g.fitsNowhere(x, req) {
 		return coordinator.Choice{}, false
 	}
@@ -291,5 +291,9 @@
 
 func (g *Gateway) logChoice(x *exchange, c coordinator.Choice) {
 	x.log["target"], x.log["target_version"], x.log["target_load"] = c.Target.ID, c.Target.Version, c.Load
+	if c.ReaderPlace > 0 {
+		x.log["reader_place"], x.log["prefill_ms"] = c.ReaderPlace, c.Prefill.Milliseconds()
+		g.opts.Metrics.Tagged(map[string]string{"target": c.Target.ID, "zone": c.Target.Zone}).Counter("long_prompts").Inc(1)
+	}
 	x.log["chosen_ms"] = (g.opts.Now() - x.arrived).Milliseconds()
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,6 +38,7 @@
 		return noSlot
 	}
 	defer end()
+	x.memory.prefill = g.opts.View.RecordPrompt(c.Target, promptOf(x))
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := g.silenceTimeout(x, c.Target.ID)
