Memory of engines: a coordinator that stops hands its ledger over

Cause: each change of coordinators costs two seconds without large requests, and while hosts are replaced one after the other the coordinator changes often. A ledger that had lost its witness handed nothing over, so its successor waited 32 s. An unknown ledger that a deputy had once heard of was not waited for later. Change: a coordinator that reports to another one closes its ledger and hands over all epochs that hosts may have heard of; hosts that bring a closed one count at once. A node that brings another epoch than before starts the wait anew. Tests of refusals at once and of explain.

--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -117,7 +117,7 @@
 	}
 	counted, firstJoin := 0, time.Duration(-1)
 	for _, n := range l.nodes {
-		if now-n.joinedAt >= joinTime && now-n.seenAt <= NodeTimeout {
+		if (now-n.joinedAt >= joinTime || l.closed[n.from]) && now-n.seenAt <= NodeTimeout {
 			counted++
 		}
 		if firstJoin < 0 || n.joinedAt < firstJoin {
--- a/coord/kvmemory/copies.go
+++ b/coord/kvmemory/copies.go
@@ -11,6 +11,7 @@
 	Epoch        uint64
 	Owner        string // node that keeps the ledger
 	Reservations []Reservation
+	Closed       bool // the ledger grants no more
 	keptAt       time.Duration
 	sealed       bool
 }
--- a/coord/kvmemory/kvmemory_test.go
+++ b/coord/kvmemory/kvmemory_test.go
@@ -44,7 +44,7 @@
 // fault does one of the faults that a fleet has to stand.
 func (s *sim) fault() {
 	s.lose = 0.001
-	switch s.random.IntN(6) {
+	switch s.random.IntN(7) {
 	case 0: // the coordinator restarts
 		s.start(0)
 	case 1: // some hosts restart together, perhaps the coordinator and its witness
@@ -60,6 +60,10 @@
 			s.side[i] = 0
 		}
 		s.side[0] = 1
+	case 5: // planned stop of the coordinator
+		n := s.nodes[0]
+		n.leaves, n.leavesAt = true, s.now-n.hears
+		s.after(1500*time.Millisecond, func() { s.start(0) })
 	case 4: // calls and replies are lost
 		s.lose = 0.02
 	default:
@@ -243,3 +247,58 @@
 		t.Errorf("a request that is not long waits: %v", a.Reason)
 	}
 }
+
+// TestPlannedStopsServeLongPrompts guards against long prompts that starve while hosts are replaced one after the other: each change of
+// the coordinator would cost two seconds if its successor had to wait until the former one no longer counts its hosts.
+func TestPlannedStopsServeLongPrompts(t *testing.T) {
+	for _, nodes := range []int{8, 64} {
+		m := memories[0]
+		s := newSim(nodes, 24, RoomFor(m.capacity, m.slots, 0), 1)
+		s.lose = 0
+		s.play(3 * time.Second)
+		for i := range 8 {
+			n := s.nodes[i%2]
+			n.leaves, n.leavesAt = true, s.now
+			s.after(1500*time.Millisecond, func() { s.start(n.index) })
+			s.load(3*time.Second, 9, m.capacity, m.slots)
+		}
+		s.play(8 * time.Second)
+		share := float64(s.served) / float64(s.asked)
+		t.Logf("%d nodes: %d of %d served, %d before they were due, %.3f of the memory in use at most", nodes, s.served, s.asked, s.early, s.worst)
+		if share < 0.9 || s.worst > 1 || float64(s.early) < 0.7*float64(s.served) {
+			t.Errorf("%d nodes: %.3f served, %d of %d before they were due", nodes, share, s.early, s.served)
+		}
+	}
+}
+
+// TestUnknownLedgerIsWaitedForOnce guards against a coordinator that grants although it does not know what the former one has granted, also
+// if it had heard of that one long before, and against one that waits for ever because its nodes go on naming the former one.
+func TestUnknownLedgerIsWaitedForOnce(t *testing.T) {
+	l, now := NewLedger(1), time.Hour
+	report := func() { l.Report(now, "a", NodeReport{Incarnation: "1", Epoch: 7}) }
+	report() // to a deputy, for a moment
+	now += 5 * time.Minute
+	for start := now; now < start+LongestUse; now += 400 * time.Millisecond {
+		report()
+		l.Expire(now)
+		if a := ask(l, now, uint64(now), 1, now); a.Granted {
+			t.Fatalf("granted %v after an unknown ledger was named", now-start)
+		}
+	}
+	now += 5 * time.Second
+	for range 4 {
+		now += 400 * time.Millisecond
+		report()
+		l.Expire(now)
+	}
+	if a := ask(l, now, uint64(now), 1, now); a.Granted {
+		t.Error("granted to a node that was silent for seconds, and may have been granted memory elsewhere")
+	}
+	for start := now; now < start+LongestUse+2*joinTime; now += 400 * time.Millisecond {
+		report()
+		l.Expire(now)
+	}
+	if a := ask(l, now, uint64(now), 1, now); !a.Granted {
+		t.Errorf("still not granted: %v", a.Reason)
+	}
+}
--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -46,6 +46,8 @@
 	incarnation string
 	joinedAt    time.Duration
 	seenAt      time.Duration
+	from        uint64 // epoch that it brought when it joined
+	epoch       uint64 // that it brought last
 	asked       uint64 // highest number that it has given out, as reported
 	pending     map[uint64]bool
 }
@@ -60,6 +62,10 @@
 	waiting   map[string]map[waiterKey]waiter // by engine that is set aside
 	uncovered map[uint64]time.Duration        // epochs of other ledgers that nobody has handed over, until when that matters
 	covered   map[uint64]bool
+	closed    map[uint64]bool // epochs of other ledgers that grant no more
+	told      []uint64        // own epochs that nodes may have heard of
+	isClosed  bool
+	closedAt  time.Duration
 	pausedTo  time.Duration
 	witness   witness
 	prefillTo map[string]time.Duration // by engine, when the long prefills granted there are expected to end
@@ -69,7 +75,7 @@
 // NewLedger returns a ledger without reservations. The epoch is a random number other than 0.
 func NewLedger(epoch uint64) *Ledger {
 	return &Ledger{epoch: epoch, epochs: map[uint64]bool{epoch: true}, nodes: map[string]*node{}, byEngine: map[string]map[Key]Reservation{},
-		byRun: map[run]map[uint64]string{}, waiting: map[string]map[waiterKey]waiter{}, uncovered: map[uint64]time.Duration{}, covered: map[uint64]bool{}, prefillTo: map[string]time.Duration{}}
+		byRun: map[run]map[uint64]string{}, waiting: map[string]map[waiterKey]waiter{}, uncovered: map[uint64]time.Duration{}, covered: map[uint64]bool{}, closed: map[uint64]bool{}, prefillTo: map[string]time.Duration{}}
 }
 
 // Epoch returns the epoch that nodes have to bring to the next ledger. It returns 0 while this ledger does not know all
@@ -105,15 +111,13 @@
 func (l *Ledger) Report(now time.Duration, name string, r NodeReport) {
 	n := l.nodes[name]
 	if n == nil || n.incarnation != r.Incarnation || now-n.seenAt > NodeTimeout {
-		n = &node{incarnation: r.Incarnation, joinedAt: now}
+		n = &node{incarnation: r.Incarnation, joinedAt: now, from: r.Epoch}
 		l.nodes[name] = n
 	}
-	n.seenAt = now
-	if r.Epoch != 0 && !l.epochs[r.Epoch] && !l.covered[r.Epoch] {
-		if _, known := l.uncovered[r.Epoch]; !known {
-			l.uncovered[r.Epoch] = now + joinTime + LongestUse
-		}
+	if r.Epoch != n.epoch && !l.epochs[r.Epoch] && !l.covered[r.Epoch] { // it was granted memory by that ledger until now
+		l.uncovered[r.Epoch] = now + joinTime + LongestUse
 	}
+	n.seenAt, n.epoch = now, r.Epoch
 	if r.Asked < n.asked {
 		return // it was overtaken by a later report
 	}
@@ -138,11 +142,30 @@
 // Drop forgets that a node reports here. Its reservations stay until their deadlines.
 func (l *Ledger) Drop(name string) { delete(l.nodes, name) }
 
-// HandOver adds the reservations of another ledger, as that one or a witness of it knows them.
-func (l *Ledger) HandOver(now time.Duration, epoch uint64, reservations []Reservation) {
+// maxTold is the number of own epochs that nodes may still bring to another ledger.
+const maxTold = 4
+
+// Close has the ledger grant nothing before it has another witness, because its node reports to another one. It returns the epochs to
+// hand over with all reservations; none if this ledger has not been in use for a while.
+func (l *Ledger) Close(now time.Duration) []uint64 {
+	if !l.isClosed {
+		l.isClosed, l.closedAt = true, now
+	}
+	l.witness = witness{}
+	clear(l.nodes)
+	clear(l.waiting)
+	if now-l.closedAt > 2*LongestUse {
+		l.told = nil
+	}
+	return l.told
+}
+
+// HandOver adds the reservations of another ledger, as that one or a witness of it knows them. Closed is set if that one grants no more.
+func (l *Ledger) HandOver(now time.Duration, epoch uint64, reservations []Reservation, closed bool) {
 	if l.epochs[epoch] {
 		return
 	}
+	l.closed[epoch] = l.closed[epoch] || closed
 	l.covered[epoch] = true
 	delete(l.uncovered, epoch)
 	for _, r := range reservations {
--- a/coord/kvmemory/sim_test.go
+++ b/coord/kvmemory/sim_test.go
@@ -65,6 +65,10 @@
 	to     int                   // coordinator of the last report; -1: none
 	// handOver is set if the coordinator lacks copies.
 	handOver bool
+	leaves   bool
+	leavesAt time.Duration
+	hears    time.Duration // how long it takes to hear that another node leaves
+	closed   bool          // it has handed its ledger over
 }
 
 func newSim(nodes, engines int, room Room, seed uint64) *sim {
@@ -96,7 +100,7 @@
 		s.nodes[i].dead = true
 	}
 	s.restart++
-	n := &simNode{index: i, name: fmt.Sprint("n", i), inc: fmt.Sprint(s.restart), memory: NewNodeMemory(), copies: NewCopies(), ledger: NewLedger(s.random.Uint64() | 1), avoid: map[int]time.Duration{}, to: -1}
+	n := &simNode{index: i, name: fmt.Sprint("n", i), inc: fmt.Sprint(s.restart), memory: NewNodeMemory(), copies: NewCopies(), ledger: NewLedger(s.random.Uint64() | 1), avoid: map[int]time.Duration{}, to: -1, hears: time.Duration(s.random.Int64N(int64(300 * time.Millisecond)))}
 	s.nodes[i] = n
 	s.after(time.Duration(s.random.Int64N(int64(simReport))), func() { s.reportLoop(n) })
 }
@@ -141,6 +145,9 @@
 
 func (s *sim) coordinatorOf(n *simNode) int {
 	for i := range s.nodes {
+		if s.nodes[i].leaves && s.now >= s.nodes[i].leavesAt+n.hears {
+			continue
+		}
 		if until, avoided := n.avoid[i]; i == n.index || !avoided || s.now >= until {
 			return i
 		}
@@ -158,17 +165,21 @@
 	if n.handOver && to == n.to {
 		copies, n.handOver = n.copies.HandOver(s.now, s.nodes[to].name), false
 	}
-	if to != n.index && n.ledger.Epoch(s.now) != 0 {
-		copies = append(copies, Copy{Epoch: n.ledger.epoch, Reservations: n.ledger.All(s.now)})
+	if to != n.index {
+		n.closed = true
+		for _, epoch := range n.ledger.Close(s.now) {
+			copies = append(copies, Copy{Epoch: epoch, Reservations: n.ledger.All(s.now), Closed: true})
+		}
 	}
 	n.to = to
 	s.call(n, to, 2*simTimeout, func(c *simNode, respond func(any)) {
+		c.closed = c.closed && c != n
 		c.ledger.Report(s.now, n.name, r)
 		for _, held := range copies {
-			c.ledger.HandOver(s.now, held.Epoch, held.Reservations)
+			c.ledger.HandOver(s.now, held.Epoch, held.Reservations, held.Closed)
 		}
 		c.ledger.Expire(s.now)
-		if c.to != c.index { // a deputy
+		if c.to != c.index || c.closed { // a deputy
 			respond(simReply{})
 			return
 		}
@@ -194,8 +205,11 @@
 func (s *sim) tellWitness(c *simNode, done func(ready bool)) {
 	var candidates []string
 	index := map[string]int{}
+	if i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.name == c.ledger.WitnessNode() }); i >= 0 && s.nodes[i].leaves {
+		c.ledger.LeaveWitness(s.now)
+	}
 	for i, n := range s.nodes {
-		if known := c.ledger.nodes[n.name]; i != c.index && known != nil && s.now-known.seenAt <= NodeTimeout {
+		if known := c.ledger.nodes[n.name]; i != c.index && !n.leaves && known != nil && s.now-known.seenAt <= NodeTimeout {
 			candidates = append(candidates, n.name)
 		}
 		index[n.name] = i
@@ -254,7 +268,7 @@
 
 // answer answers a request once the witness knows of it.
 func (s *sim) answer(c *simNode, request Request, respond func(any)) {
-	if len(s.nodes) > 1 && !c.ledger.witness.ready || c.to != c.index {
+	if len(s.nodes) > 1 && !c.ledger.witness.ready || c.to != c.index || c.closed {
 		respond(Answer{})
 		return
 	}
--- a/coord/kvmemory/witness.go
+++ b/coord/kvmemory/witness.go
@@ -40,7 +40,7 @@
 	case len(candidates) == 0:
 		return Tell{}, WitnessNone
 	}
-	l.epoch, w.node, w.telling = epoch, candidates[0], true
+	l.epoch, w.node, w.telling, l.isClosed = epoch, candidates[0], true, false
 	l.epochs[epoch] = true
 	return Tell{Witness: w.node, Epoch: l.epoch, Whole: true, Reservations: l.All(now)}, WitnessToTell
 }
@@ -81,7 +81,12 @@
 		return false
 	}
 	if acknowledged {
-		w.ready, w.telling = w.ready || t.Whole, false
+		w.telling = false
+		if t.Whole {
+			w.ready = true
+			l.told = append(l.told, l.epoch)
+			l.told = l.told[max(0, len(l.told)-maxTold):]
+		}
 		return true
 	}
 	l.LoseWitness(now)
--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -183,9 +183,9 @@
 // memoryReport returns what this host tells the coordinator of the memory that it holds, and of the ledgers that it knows.
 func (c *Client) memoryReport() *MemoryReport {
 	f, now := c.opts.FleetView, c.opts.Now()
-	own, wasCoordinator := LedgerCopy{}, false
+	var own []LedgerCopy
 	if c.currentCoordinator != c.opts.Self.Name && c.opts.Coordinator != nil {
-		own, wasCoordinator = c.opts.Coordinator.ledgerCopy()
+		own = c.opts.Coordinator.closedLedger()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -197,8 +197,8 @@
 			out.Copies = append(out.Copies, LedgerCopy{Epoch: copied.Epoch, Reservations: toWire(now, copied.Reservations)})
 		}
 	}
-	if wasCoordinator {
-		out.Copies, any = append(out.Copies, own), true
+	if len(own) > 0 {
+		out.Copies, any = append(out.Copies, own...), true
 	}
 	if !any {
 		return nil
--- a/internal/coordinator/memoryledger.go
+++ b/internal/coordinator/memoryledger.go
@@ -23,9 +23,11 @@
 
 // memoryLedger is the coordinator's account of the memory of engines. It is guarded by Coordinator.mu.
 type memoryLedger struct {
-	ledger    *kvmemory.Ledger
-	longLoads map[string]*longprompt.Load // of long prefills, by engine
-	withoutAt map[string]time.Duration    // hosts of earlier versions, when they were found to lack methodMemoryCopy
+	ledger *kvmemory.Ledger
+	// handedOver is set while this host reports to another coordinator.
+	handedOver bool
+	longLoads  map[string]*longprompt.Load // of long prefills, by engine
+	withoutAt  map[string]time.Duration    // hosts of earlier versions, when they were found to lack methodMemoryCopy
 }
 
 func newMemoryLedger() memoryLedger {
@@ -58,13 +60,16 @@
 // reportMemory records what a host reports of the memory that it holds. The caller must hold c.mu.
 func (c *Coordinator) reportMemory(host string, r Report) {
 	c.reportLong(r.LongPrefills)
+	if host == c.self {
+		c.memory.handedOver = false
+	}
 	now, m := c.now(), r.Memory
 	if m == nil {
 		m = &MemoryReport{}
 	}
 	c.memory.ledger.Report(now, host, kvmemory.NodeReport{Incarnation: r.Incarnation, Asked: m.Asked, Pending: m.Pending, Held: fromWire(now, m.Held), Epoch: m.Epoch})
 	for _, copied := range m.Copies {
-		c.memory.ledger.HandOver(now, copied.Epoch, fromWire(now, copied.Reservations))
+		c.memory.ledger.HandOver(now, copied.Epoch, fromWire(now, copied.Reservations), copied.Closed)
 	}
 }
 
@@ -74,13 +79,20 @@
 	u.MemoryEpoch, u.LacksCopies = c.memory.ledger.Epoch(c.now()), c.memory.ledger.LacksCopies()
 }
 
-// ledgerCopy returns this host's ledger for the coordinator that it reports to, if this host was one.
-func (c *Coordinator) ledgerCopy() (LedgerCopy, bool) {
+// closedLedger returns this host's ledger for the coordinator that it reports to, if this host was one. The ledger grants nothing from then
+// on.
+func (c *Coordinator) closedLedger() (out []LedgerCopy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	epoch := c.memory.ledger.Epoch(now)
-	return LedgerCopy{Epoch: epoch, Reservations: toWire(now, c.memory.ledger.All(now))}, epoch != 0
+	c.memory.handedOver = true
+	for i, epoch := range c.memory.ledger.Close(now) {
+		out = append(out, LedgerCopy{Epoch: epoch, Closed: true})
+		if i == 0 {
+			out[0].Reservations = toWire(now, c.memory.ledger.All(now))
+		}
+	}
+	return out
 }
 
 // keepsMemory reports whether any service has engines with a known memory.
@@ -96,7 +108,7 @@
 // stepMemory expires reservations and has a witness that knows the ledger. The caller must hold c.mu.
 func (c *Coordinator) stepMemory(ctx context.Context, now time.Duration) {
 	c.memory.ledger.Expire(now)
-	if !c.keepsMemory() || c.isDeputy() {
+	if !c.keepsMemory() || c.isDeputy() || c.memory.handedOver {
 		return
 	}
 	if w := c.memory.ledger.WitnessNode(); w != "" {
@@ -189,7 +201,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	refused := kvmemory.Answer{Reason: kvmemory.ReasonPaused}
-	if c.isDeputy() || r.Tokens <= 0 || r.LeftMS <= 0 || r.LeftMS > maxLeftMS {
+	if c.isDeputy() || c.memory.handedOver || r.Tokens <= 0 || r.LeftMS <= 0 || r.LeftMS > maxLeftMS {
 		return refused, tell, false
 	}
 	alone := all <= 1 || len(c.hosts) > 1 && len(c.witnesses(now)) == 0 && c.memory.ledger.WitnessNode() == "" // no host can be a witness
--- a/internal/coordinator/memorymessages.go
+++ b/internal/coordinator/memorymessages.go
@@ -20,6 +20,7 @@
 type LedgerCopy struct {
 	Epoch        uint64        `json:"e"`
 	Reservations []Reservation `json:"r,omitempty"`
+	Closed       bool          `json:"c,omitempty"` // the coordinator grants no more: it reports to another one
 }
 
 // MemoryReport is what a host holds of the memory of engines; always complete. A host of an earlier version reports none.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,3 +57,21 @@
 		t.Error("the story has a line of a minute and a half before")
 	}
 }
+
+// TestExplainTellsWhyMemoryWasDenied guards against a story without the loss of the witness that held up a large request, and without
+// the call that failed.
+func TestExplainTellsWhyMemoryWasDenied(t *testing.T) {
+	const before = `{"event":"memory_witness_lost","host":"h0","peer":"h2","time":"2026-01-01T00:00:29.000Z"}
+{"event":"memory_not_requested","host":"h1","id":"a1","target":"e5","time":"2026-01-01T00:00:29.950Z"}
+{"event":"request","host":"h1","id":"a1","model":"m","status":200,"target":"e5","memory_tokens":9190,"memory_denied":"coordinator changed","reader_place":2,"time":"2026-01-01T00:00:30.000Z","took_ms":900}
+`
+	var out bytes.Buffer
+	if err := Explain(strings.NewReader(before), &out, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"memory_witness_lost", "memory_not_requested", "memory_denied=coordinator changed", "reader_place=2"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no line with %s", want)
+		}
+	}
+}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/target"
 )
 
 // hold adds tokens to those that an engine holds.
@@ -96,3 +100,45 @@
 		})
 	}
 }
+
+// TestRequestThatFitsNowhereIsRefused guards against requests that are held until their deadlines although no engine can ever have
+// memory for them, or will have it too late.
+func TestRequestThatFitsNowhereIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		tokens     int
+		grant      coordinator.MemoryGrant // relative to now
+		asked      bool
+		retryAfter string
+	}{
+		{"larger than the memory of every engine", 45_001, coordinator.MemoryGrant{}, false, ""},
+		{"memory is free after the deadline", 40_000, coordinator.MemoryGrant{Reason: "no room", Free: 12 * time.Second}, true, "12.00"},
+		{"memory is granted", 40_000, coordinator.MemoryGrant{Granted: true}, true, ""},
+		{"small", 1250, coordinator.MemoryGrant{}, false, ""},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(http.StatusOK, firstEvent)}})
+			setEngines(g, map[string]string{"e1": "v1"})
+			engines := g.opts.View.Config().Services["llm"].Engine
+			engines.KVTokens, engines.Slots = 60_000, 12
+			asked := false
+			g.opts.RequestMemory = func(_ context.Context, choice coordinator.Choice, r coordinator.MemoryRequest) coordinator.MemoryGrant {
+				asked = true
+				out := c.grant
+				out.Choice = choice
+				if out.Free > 0 {
+					out.Free += g.opts.Now()
+				}
+				return out
+			}
+			r := newPost("/stream/x", "m", "a1")
+			r.Header.Set("Tokens-Out", fmt.Sprint(c.tokens))
+			began := time.Now()
+			w := serve(g, r)
+			served := w.Code == http.StatusOK
+			if refused := c.tokens > 45_000 || c.grant.Free > 0; served == refused || asked != c.asked || w.Header().Get("Retry-After") != c.retryAfter || time.Since(began) > time.Second {
+				t.Errorf("%s: status %d, asked %v, Retry-After %q after %v", c.name, w.Code, asked, w.Header().Get("Retry-After"), time.Since(began))
+			}
+		})
+	}
+}
