Memory of engines: releases are expected from the usual time of use

Cause: a release was expected at the deadline of a reservation as long as no time of use was known, and always for reservations of a former coordinator. A request with an earlier deadline was then refused at once although the memory is free within seconds. Change: three times the mean time of use (2 s before any is known) since the ledger granted or heard of it, or the deadline if earlier.

--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -102,7 +102,7 @@
 const prefillMargin = 4
 
 func (l *Ledger) grant(now time.Duration, r Request, engine string) Answer {
-	l.add(Reservation{Key: r.Key, Engine: engine, Tokens: r.Tokens, Until: r.Until, at: now})
+	l.add(Reservation{Key: r.Key, Engine: engine, Tokens: r.Tokens, Until: r.Until, at: now, own: true})
 	if r.Prefill > 0 {
 		l.prefillTo[engine] = max(now, l.prefillTo[engine]) + r.Prefill
 	}
--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -33,7 +33,8 @@
 	Engine string
 	Tokens int64
 	Until  time.Duration // deadline of the request
-	at     time.Duration // when this ledger granted it; 0: another one did
+	at     time.Duration // when this ledger granted it or heard of it
+	own    bool          // this ledger granted it
 }
 
 // run is one start of a node.
@@ -69,13 +70,13 @@
 	pausedTo  time.Duration
 	witness   witness
 	prefillTo map[string]time.Duration // by engine, when the long prefills granted there are expected to end
-	useTime   time.Duration            // mean time of use of lately released reservations; 0: none yet
+	useTime   time.Duration            // mean time of use of lately released reservations
 }
 
 // NewLedger returns a ledger without reservations. The epoch is a random number other than 0.
 func NewLedger(epoch uint64) *Ledger {
 	return &Ledger{epoch: epoch, epochs: map[uint64]bool{epoch: true}, nodes: map[string]*node{}, byEngine: map[string]map[Key]Reservation{},
-		byRun: map[run]map[uint64]string{}, waiting: map[string]map[waiterKey]waiter{}, uncovered: map[uint64]time.Duration{}, covered: map[uint64]bool{}, closed: map[uint64]bool{}, prefillTo: map[string]time.Duration{}}
+		byRun: map[run]map[uint64]string{}, waiting: map[string]map[waiterKey]waiter{}, uncovered: map[uint64]time.Duration{}, covered: map[uint64]bool{}, closed: map[uint64]bool{}, prefillTo: map[string]time.Duration{}, useTime: defaultUse}
 }
 
 // Epoch returns the epoch that nodes have to bring to the next ledger. It returns 0 while this ledger does not know all
@@ -128,7 +129,7 @@
 	held := map[uint64]bool{}
 	for _, h := range r.Held {
 		held[h.Seq] = true
-		h.Node, h.Incarnation = name, r.Incarnation
+		h.Node, h.Incarnation, h.at = name, r.Incarnation, now
 		l.add(h)
 	}
 	for seq, engine := range l.byRun[run{name, r.Incarnation}] {
@@ -169,6 +170,7 @@
 	l.covered[epoch] = true
 	delete(l.uncovered, epoch)
 	for _, r := range reservations {
+		r.at, r.own = now, false
 		if r.Until > now && !l.releasedByNode(r.Key) {
 			l.add(r)
 		}
@@ -195,7 +197,7 @@
 func (l *Ledger) add(r Reservation) {
 	if engine, ok := l.byRun[r.run()][r.Seq]; ok {
 		if engine == r.Engine {
-			r.at = l.byEngine[engine][r.Key].at
+			r.at, r.own = l.byEngine[engine][r.Key].at, l.byEngine[engine][r.Key].own
 			l.byEngine[engine][r.Key] = r
 		}
 		return
@@ -213,23 +215,19 @@
 const (
 	useWeight = 16 // reservations that the mean covers
 	useFactor = 3  // times the mean, after which most reservations have ended
+	// defaultUse is the mean before any is known: the usual time of a stream with a long prompt.
+	defaultUse = 2 * time.Second
 )
 
 func (l *Ledger) learnUse(now time.Duration, r Reservation) {
-	if r.at == 0 {
+	if !r.own {
 		return
 	}
-	if l.useTime == 0 {
-		l.useTime = now - r.at
-	}
 	l.useTime += (now - r.at - l.useTime) / useWeight
 }
 
 // endOf returns when a reservation is expected to end.
 func (l *Ledger) endOf(now time.Duration, r Reservation) time.Duration {
-	if r.at == 0 || l.useTime == 0 {
-		return r.Until
-	}
 	return min(r.Until, max(now+1, r.at+useFactor*l.useTime))
 }
 
