Tests: the expected release is checked at a ledger that grants

Cause: in the first step of TestReleaseIsExpectedBeforeTheDeadline the node had just joined, so the ledger named its pause, not a release. Change: the node is kept, and each denial must be for want of room. Result: passes; with the deadline alone both steps fail.

--- a/coord/kvmemory/kvmemory_test.go
+++ b/coord/kvmemory/kvmemory_test.go
@@ -307,8 +307,9 @@
 // have late deadlines: also right after a change of coordinators, when nothing is known of the time of use.
 func TestReleaseIsExpectedBeforeTheDeadline(t *testing.T) {
 	l, now := testLedger(), 5*time.Second
+	l.nodes["a"].seenAt = now
 	l.Report(now, "a", NodeReport{Incarnation: "1", Asked: 1, Held: []Reservation{{Key: Key{Seq: 1}, Engine: "e", Tokens: testRoom, Until: now + 25*time.Second}}})
-	if a := ask(l, now, 2, testRoom, now); a.Granted || a.Free > now+useFactor*defaultUse {
+	if a := ask(l, now, 2, testRoom, now); a.Reason != ReasonRoom || a.Free > now+useFactor*defaultUse {
 		t.Errorf("%+v, want a release within %v", a, useFactor*defaultUse)
 	}
 	for seq := uint64(3); seq < 100; seq++ {
@@ -316,11 +317,11 @@
 		ask(l, now, seq, testRoom, now)
 		now += 200 * time.Millisecond
 	}
-	if a := ask(l, now, 100, testRoom, now); a.Granted || a.Free > now+time.Second {
+	if a := ask(l, now, 100, testRoom, now); a.Reason != ReasonRoom || a.Free > now+time.Second {
 		t.Errorf("%+v at %v, want a release within a second, as all before", a, now)
 	}
 	l.Report(now, "a", NodeReport{Incarnation: "1", Asked: 100, Held: []Reservation{{Key: Key{Seq: 99}, Engine: "e", Tokens: testRoom, Until: now + 300*time.Millisecond}}})
-	if a := ask(l, now, 101, testRoom, now); a.Free > now+300*time.Millisecond {
+	if a := ask(l, now, 101, testRoom, now); a.Reason != ReasonRoom || a.Free > now+300*time.Millisecond {
 		t.Errorf("%+v, want the deadline, which is earlier", a)
 	}
 }
