--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -18,8 +19,10 @@
 	Version *string         // software version of the target; nil: any
 	Regions []string        // in which the target may be, as homes.Bind returns them; nil: any
 	Avoid   map[string]bool // targets that were tried before
-	Late    bool            // the request missed its objective and yields to requests that can still begin in time
-	Urgency Urgency         // for permits
+	Prompt  Prompt
+	Tokens  int64   // of the prompt and of the longest response; 0: not stated
+	Late    bool    // the request missed its objective and yields to requests that can still begin in time
+	Urgency Urgency // for permits
 }
 
 // Choice is the result of Pick.
@@ -31,7 +34,11 @@
 	Load         int            // known requests of all hosts at the target
 	Cold         bool           // the target is cold and limited
 	PermitUntil  time.Duration  // before which the request must be sent, once a permit was granted; see FleetView.MaySend
-	Others       []fleet.Target // further cold targets that can take the request as it is, at most maxOthers
+	OtherCold    []fleet.Target // further cold targets that can take the request as it is, at most maxOthers
+	NeedsMemory  bool           // a reservation must be granted first; see Client.RequestMemory
+	Others       []Choice       // with NeedsMemory, other engines that can take the request, the best first
+	Prefill      time.Duration  // expected at the target, if it is long; 0: it is not
+	ReaderPlace  int            // place of the target, from 1 on, in the order in which copies take long prompts; 0: the prompt is not long
 	Reason       string
 	Deferred     bool // none was chosen, because other waiting requests take the free slots first
 }
@@ -63,8 +70,10 @@
 	var freeIn []string // regions with free slots, if they matter
 	byRegion := len(f.backlogs[modelKey{req.Service, req.Model}].bound) > 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
-	var others []fleet.Target
+	var otherCold []fleet.Target
 	brittle, lowLoad := f.isBrittle(req.Service), f.lowWarmLoad(req)
+	var ranked []candidate // that need a reservation
+	plan := f.planPrompt(req)
 	for _, id := range f.targets.ByService[req.Service] {
 		c, ok := f.candidate(f.targets.ByID[id], req, brittle)
 		if !ok {
@@ -76,11 +85,15 @@
 				freeIn = append(freeIn, region)
 			}
 		}
-		score := c.score + f.warmingScore(c.Target, lowLoad) - noise()
+		f.addPrompt(&c.Choice, plan, req.Prompt)
+		score := c.score + f.warmingScore(c.Target, lowLoad) + f.promptPenalty(plan, c.Target.ID) - noise()
+		if c.NeedsMemory && !(c.NeedsPermit && !c.limitStale) {
+			ranked = append(ranked, candidate{Choice: c.Choice, score: score})
+		}
 		switch {
 		case c.NeedsPermit && !c.limitStale:
 			if c.Cold && !c.NeedsAdapter && !c.NeedsSlot {
-				others = addOther(others, c.Target)
+				otherCold = addOther(otherCold, c.Target)
 			}
 			if score < limitedScore {
 				limited, limitedScore = c.Choice, score
@@ -89,7 +102,7 @@
 			found, bestScore, best = true, score, c.Choice
 		}
 	}
-	limited.addOthers(others)
+	limited.addOthers(otherCold)
 	if limited.NeedsPermit && (!found || limited.Cold && f.nearlyFull(best.Target)) {
 		return limited, true
 	}
@@ -99,9 +112,25 @@
 		}
 		return Choice{Deferred: true}, false
 	}
+	best.Others = othersOf(best, ranked)
 	return best, found
 }
 
+// othersOf returns the targets that can take a request instead of the best one, which all need a reservation.
+func othersOf(best Choice, ranked []candidate) []Choice {
+	if !best.NeedsMemory {
+		return nil
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	var out []Choice
+	for _, c := range ranked {
+		if c.Target.ID != best.Target.ID && len(out) < maxMemoryEngines-1 {
+			out = append(out, c.Choice)
+		}
+	}
+	return out
+}
+
 // candidate is a target that can take a request now.
 type candidate struct {
 	Choice
@@ -138,7 +167,7 @@
 		}
 	}
 	c := candidate{
-		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0 || cold, Cold: cold, NeedsSlot: needsSlot, Load: f.load[t.ID] + f.remoteLoad[t.ID]},
+		Choice:     Choice{Target: t, NeedsAdapter: needsAdapter, NeedsPermit: rate > 0 || cold, Cold: cold, NeedsSlot: needsSlot, NeedsMemory: f.needsMemory(t, req), Load: f.load[t.ID] + f.remoteLoad[t.ID]},
 		score:      f.score(t),
 		limitStale: stale && !cold,
 	}
--- a/internal/coordinator/coldtargets.go
+++ b/internal/coordinator/coldtargets.go
@@ -251,7 +251,7 @@
 		return
 	}
 	drawn = slices.DeleteFunc(drawn, func(t fleet.Target) bool { return t.ID == c.Target.ID })
-	c.Others = drawn[:min(len(drawn), maxOthers)]
+	c.OtherCold = drawn[:min(len(drawn), maxOthers)]
 }
 
 // MaySend reports whether a request may be sent to the chosen target now: if the target names a limit or is cold, a permit for it is
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -227,6 +227,7 @@
 		return u
 	}
 	c.addUse(&u, name, h)
+	c.addMemory(&u, h)
 	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
 	live, leaving, cutOff := c.liveHosts(name), c.lastLeaving(name), c.cutOffHosts()
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -18,6 +18,9 @@
 	MetricsPort int
 	Store       string // address of the platform's store
 
+	// CrashOnFullMemory is set if engines crash when the requests that they hold exceed their memory. Others preempt requests.
+	CrashOnFullMemory bool
+
 	CPUShare float64 // number of cores, may be fractional
 	MemoryMB int64
 
--- a/internal/gateway/coldtargets.go
+++ b/internal/gateway/coldtargets.go
@@ -26,8 +26,11 @@
 // requestPermit asks for a permit to send a request to a target that names a limit or is cold. The first denial of a request is
 // logged.
 func (g *Gateway) requestPermit(ctx context.Context, x *exchange, c *coordinator.Choice) bool {
-	urgency := g.urgency(x)
-	p := g.opts.RequestPermit(ctx, coordinator.PermitRequest{Target: c.Target, Others: c.Others, Urgency: urgency})
+	urgency, others := g.urgency(x), c.OtherCold
+	if x.memory.seq != 0 {
+		others = nil // memory is reserved at the chosen target alone
+	}
+	p := g.opts.RequestPermit(ctx, coordinator.PermitRequest{Target: c.Target, Others: others, Urgency: urgency})
 	if p.Granted {
 		if p.Target.ID != c.Target.ID {
 			c.Target, c.Load = p.Target, g.opts.View.Load(p.Target.ID)
