Coordinator: the list of live hosts is taken at one reading of the clock

Cause: for each reply to a report, the clock was read once for each listed host. The clock is CLOCK_BOOTTIME, which Go reads by a system call; in a fleet of n hosts that was n² calls in each report interval at the coordinator, with or without homes.

Change: the reply reads the clock once for its lists.

--- a/internal/coordinator/hostorder.go
+++ b/internal/coordinator/hostorder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"buckthornseam.dev/seam/internal/fleet"
 )
@@ -31,10 +32,10 @@
 
 // lastLeaving returns the half of the hosts that leaves last, the last one first, if all
 // hosts leave. The others stop before callers would reach them.
-func (c *Coordinator) lastLeaving(asked string) []string {
+func (c *Coordinator) lastLeaving(asked string, now time.Duration) []string {
 	names := make([]string, 0, len(c.hosts))
 	for name, h := range c.hosts {
-		if !c.runs(name, h, asked) {
+		if !c.runs(name, h, asked, now) {
 			continue
 		}
 		if !h.leaving {
--- a/internal/coordinator/livehosts.go
+++ b/internal/coordinator/livehosts.go
@@ -30,19 +30,19 @@
 // runs reports whether a host counts as running for a list that is sent to the host asked, which runs. The others have to have
 // reported lately: a coordinator that was suspended answers reports before it drops the hosts that fell silent meanwhile, and the
 // first reports that it reads may be as old as its suspension.
-func (c *Coordinator) runs(name string, h *hostState, asked string) bool {
+func (c *Coordinator) runs(name string, h *hostState, asked string, now time.Duration) bool {
 	if name == asked {
 		return true
 	}
 	late := c.activity.suspended && h.reportedAt < c.activity.resumedAt+settleTime
-	return !late && c.now()-h.reportedAt <= hostTimeout
+	return !late && now-h.reportedAt <= hostTimeout
 }
 
 // liveHosts returns the hosts that report and do not leave, for the host asked.
-func (c *Coordinator) liveHosts(asked string) []string {
+func (c *Coordinator) liveHosts(asked string, now time.Duration) []string {
 	live := make([]string, 0, len(c.hosts))
 	for host, h := range c.hosts {
-		if !h.leaving && c.runs(host, h, asked) {
+		if !h.leaving && c.runs(host, h, asked, now) {
 			live = append(live, host)
 		}
 	}
--- a/internal/coordinator/livehosts_test.go
+++ b/internal/coordinator/livehosts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -76,3 +77,17 @@
 		now += time.Second
 	}
 }
+
+// TestReportReadsTheClockSeldom guards against a system call for each listed host in each reply: in a fleet of n hosts, n² times each
+// report interval at the coordinator.
+func TestReportReadsTheClockSeldom(t *testing.T) {
+	c, _ := testCoordinator()
+	for i := range 295 {
+		c.Report(fmt.Sprint("h", i), Report{Incarnation: "1", Full: true})
+	}
+	reads, clock := 0, c.now
+	c.now = func() time.Duration { reads++; return clock() }
+	if got := c.Report("h0", Report{Incarnation: "1"}).LiveHosts; len(got) != 295 || reads > 10 {
+		t.Errorf("%d hosts listed, clock read %d times; want 295 and at most 10", len(got), reads)
+	}
+}
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -227,7 +227,8 @@
 	c.addUse(&u, name, h)
 	u.Reporting = len(c.hosts)
 	u.Load = c.loadOfOthers(h)
-	live, leaving, cutOff := c.liveHosts(name), c.lastLeaving(name), c.cutOffHosts()
+	now := c.now()
+	live, leaving, cutOff := c.liveHosts(name, now), c.lastLeaving(name, now), c.cutOffHosts()
 	if !slices.Equal(live, h.sentLiveHosts) || !slices.Equal(leaving, h.sentLeaving) || !slices.Equal(cutOff, h.sentCutOff) {
 		u.LiveHosts, u.LastLeaving, u.CutOffHosts = live, leaving, cutOff
 		h.sentLiveHosts, h.sentLeaving, h.sentCutOff = live, leaving, cutOff
