Directory: one log line where callers of one region are sent outside the homes

Cause: directory_outside_homes was remembered by name alone. While no host of the homes runs, callers of a region with hosts are named those, and callers of other regions all hosts, so that each look-up could differ from the one before and be logged.

Change: it is remembered by name and region of the callers.

Result: TestDirectoryOutsideHomesIsLoggedAndCounted, now with such look-ups, fails before and passes now. Its last look-up, which ends the state, comes from the callers that were sent outside.

--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -138,7 +138,8 @@
 }
 
 // TestDirectoryOutsideHomesIsLoggedAndCounted guards against callers who are sent outside the homes without a trace, while none of the hosts
-// there runs, and against metrics by whatever region callers state.
+// there runs, against a line for each look-up where callers of one region are and those of another are not, and against metrics by whatever
+// region callers state.
 func TestDirectoryOutsideHomesIsLoggedAndCounted(t *testing.T) {
 	view := coordinator.NewFleetView("z", func() time.Duration { return 0 })
 	view.SetRegions(map[string]string{"z0": "eu", "z1": "us"})
@@ -155,7 +156,8 @@
 		want   []string
 	}{
 		{[]string{"a", "b", "c"}, "us", []string{"a", "b"}}, {[]string{"a", "b", "c"}, "made up", []string{"b"}}, {[]string{"a", "b", "c"}, "", []string{"b"}},
-		{[]string{"a", "c"}, "made up", []string{"a", "c"}}, {[]string{"a", "c"}, "made up", []string{"a", "c"}}, {[]string{"a", "b", "c"}, "eu", []string{"b"}},
+		{[]string{"a", "c"}, "made up", []string{"a", "c"}}, {[]string{"a", "c"}, "us", []string{"a"}}, {[]string{"a", "c"}, "", []string{"a", "c"}},
+		{[]string{"a", "b", "c"}, "eu", []string{"b"}}, {[]string{"a", "b", "c"}, "made up", []string{"b"}},
 	} {
 		d.Client = reportedHosts{live: c.live, known: true}
 		got := d.Addresses(fleet.Lookup{Name: "n", Region: c.region})
@@ -176,7 +178,7 @@
 	for _, c := range scope.Snapshot().Counters() {
 		counts[c.Tags()["region"]+" "+c.Tags()["named"]] = c.Value()
 	}
-	if fmt.Sprint(counts) != "map[eu home:1 unknown home:2 unknown other:2 us home:1]" {
+	if fmt.Sprint(counts) != "map[eu home:1 unknown home:3 unknown other:2 us home:2]" {
 		t.Errorf("counted %v", counts)
 	}
 }
--- a/internal/gateway/homesdirectory.go
+++ b/internal/gateway/homesdirectory.go
@@ -10,12 +10,15 @@
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
-// homesDirectory remembers for which names no host of the homes runs, to log each change once.
+// homesDirectory remembers which callers are sent outside the homes, to log each change once.
 type homesDirectory struct {
 	mu      sync.Mutex
-	outside map[string]bool
+	outside map[outsideKey]bool
 }
 
+// outsideKey identifies callers: those of a region with hosts may be within the homes of a name while others are not.
+type outsideKey struct{ name, region string }
+
 // inHomes returns those hosts that are in the caller's region, or in a region that is a home of every route of the name that has
 // homes. It returns all hosts if no route has, or if none of these hosts runs.
 func (d *Directory) inHomes(hosts []fleet.Host, q fleet.Lookup) []fleet.Host {
@@ -54,17 +57,19 @@
 
 // recordHomes counts a look-up of a name with homes, and logs when hosts outside the homes begin or cease to be named.
 func (d *Directory) recordHomes(q fleet.Lookup, common []string, outside bool) {
+	region := d.countedRegion(q.Region)
 	if d.Metrics != nil {
 		named := map[bool]string{false: "home", true: "other"}[outside]
-		d.Metrics.Tagged(map[string]string{"region": d.countedRegion(q.Region), "named": named}).Counter("directory_homes").Inc(1)
+		d.Metrics.Tagged(map[string]string{"region": region, "named": named}).Counter("directory_homes").Inc(1)
 	}
+	key := outsideKey{q.Name, region}
 	d.homes.mu.Lock()
-	changed := d.homes.outside[q.Name] != outside
+	changed := d.homes.outside[key] != outside
 	if d.homes.outside == nil {
-		d.homes.outside = map[string]bool{}
+		d.homes.outside = map[outsideKey]bool{}
 	}
-	if d.homes.outside[q.Name] = outside; !outside {
-		delete(d.homes.outside, q.Name)
+	if d.homes.outside[key] = outside; !outside {
+		delete(d.homes.outside, key)
 	}
 	d.homes.mu.Unlock()
 	if changed && d.Log != nil {
