Hosts complete the list of a new coordinator by the one before

Cause: a coordinator that is new or has restarted hears of the hosts one by one and lists those that have reported. Answers last 2 s, with some callers 6 s.

Change: the client keeps the list of the coordinator before, and adds its hosts to the new list for 2.4 s after it was taken, unless they are unreachable or leave. No message changes.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -53,6 +53,7 @@
 	lastLeaving        []string      // if all hosts leave: those that leave last, the last one first
 	listConfirmedAt    time.Duration // when a coordinator last sent liveHosts and lastLeaving, or left them as they were
 	listAsOf           time.Duration // not later than the time at which the coordinator took that list
+	previous           previousList
 	lastReplyAt        time.Duration // when a coordinator last replied
 	coordinatorSince   time.Duration // when currentCoordinator last changed
 	reporting          int           // number of hosts that report to the coordinator, with those that leave
@@ -118,14 +119,6 @@
 	c.wake()
 }
 
-// LiveHosts returns the hosts that report to the coordinator and do not leave, and whether
-// this information is recent.
-func (c *Client) LiveHosts() ([]string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.liveHosts, c.opts.Now()-c.listConfirmedAt < hostTimeout && len(c.liveHosts)+len(c.lastLeaving) > 0
-}
-
 // CutOffHosts returns the hosts that have lost their way to all targets, as the coordinator last told.
 func (c *Client) CutOffHosts() []string {
 	c.mu.Lock()
@@ -218,6 +211,7 @@
 	if to != c.currentCoordinator {
 		c.opts.Log.WithFields(logrus.Fields{"event": "coordinator_changed", "from": c.currentCoordinator, "to": to}).Info("reporting to another coordinator")
 		c.currentCoordinator, c.coordinatorSince, c.sendFull = to, c.opts.Now(), true
+		c.keepList()
 	}
 	r := c.nextReport()
 	c.mu.Unlock()
@@ -259,7 +253,9 @@
 	c.mu.Lock()
 	c.sendFull = c.sendFull || u.UnknownHost
 	c.lastReplyAt = c.opts.Now()
-	if !u.UnknownHost {
+	if u.UnknownHost {
+		c.keepList() // the coordinator has restarted
+	} else {
 		c.listConfirmedAt, c.listAsOf = c.lastReplyAt, began // an update without a list means that the last one still holds
 	}
 	c.mu.Unlock()
--- a/internal/coordinator/livehosts_test.go
+++ b/internal/coordinator/livehosts_test.go
@@ -91,3 +91,34 @@
 		t.Errorf("%d hosts listed, clock read %d times; want 295 and at most 10", len(got), reads)
 	}
 }
+
+// TestNewCoordinatorListsHostsOneByOne guards against the first hosts that report to a new coordinator, or to one that has restarted, being
+// named alone, and against hosts of the list before that are unreachable, leave or are gone being named.
+func TestNewCoordinatorListsHostsOneByOne(t *testing.T) {
+	for name, first := range map[string]Update{"another one": {LiveHosts: []string{"a"}}, "restarted": {UnknownHost: true}} {
+		c := testClient("a", fleet.Host{Name: "a"}, fleet.Host{Name: "b", Weight: 2}, fleet.Host{Name: "c", Weight: 3}, fleet.Host{Name: "d"}, fleet.Host{Name: "e", Leaving: true})
+		now := time.Hour
+		c.opts.Now = func() time.Duration { return now }
+		c.opts.LocalUse = func() map[string]float64 { return nil }
+		c.opts.Coordinator, _ = testCoordinator()
+		c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()})}
+		c.opts.Calls = &replies{[]Update{{LiveHosts: []string{"a", "b", "c", "d", "e"}}, first, {LiveHosts: []string{"a", "b"}}, {}, {}}}
+		c.report(t.Context())
+		want := []string{"a", "b", "c", "d"}
+		if !first.UnknownHost {
+			c.unreachableSince["c"] = now
+			want = []string{"a", "b", "d"}
+		}
+		now += hostTimeout
+		c.report(t.Context())
+		c.report(t.Context())
+		for _, w := range [][]string{want, {"a", "b"}} {
+			live, known := c.LiveHosts()
+			if slices.Sort(live); !slices.Equal(live, w) || !known {
+				t.Errorf("%s: %v after the change, known: %v, want %v", name, live, known, w)
+			}
+			now += previousListTTL
+			c.report(t.Context())
+		}
+	}
+}
--- a/internal/gateway/directoryfleet_test.go
+++ b/internal/gateway/directoryfleet_test.go
@@ -114,6 +114,28 @@
 	}
 }
 
+// mostNamed returns the largest share of callers that one host gets within a time, of that which it would get if they were spread
+// evenly. Each host that runs is asked every 100 ms.
+func (d *directoryFleet) mostNamed(span time.Duration) float64 {
+	most := 0.0
+	for end := d.now() + span; d.now() < end; time.Sleep(100 * time.Millisecond) {
+		share := map[string]float64{}
+		for i, h := range d.hosts {
+			if h.kill == nil {
+				continue
+			}
+			addresses := (&Directory{View: h.view, Client: h.client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}).Addresses(fleet.Lookup{Name: "free"})
+			for _, a := range addresses {
+				share[a] += 1 / float64(len(addresses))
+			}
+		}
+		for _, s := range share {
+			most = max(most, s)
+		}
+	}
+	return most
+}
+
 func upTo(from, to int) []int {
 	var out []int
 	for i := from; i < to; i++ {
@@ -192,3 +214,27 @@
 		d.play(8 * time.Second)
 	})
 }
+
+// TestChangeOfCoordinatorsKeepsCallersSpread guards against callers who gather at the hosts that report first to a new coordinator, or to
+// one that has restarted.
+func TestChangeOfCoordinatorsKeepsCallersSpread(t *testing.T) {
+	for _, hosts := range []int{8, 70, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDirectoryFleet(t, hosts, 2)
+			time.Sleep(3 * time.Second)
+			d.kill(0)
+			lost := d.mostNamed(2 * time.Second)
+			time.Sleep(2 * time.Second)
+			d.restart(0) // it becomes the coordinator again
+			back := d.mostNamed(2 * time.Second)
+			time.Sleep(2 * time.Second)
+			d.kill(0)
+			d.restart(0) // between two reports
+			restarted := d.mostNamed(2 * time.Second)
+			t.Logf("%d hosts: most named %.1f, %.1f and %.1f times as often as the mean", hosts, lost, back, restarted)
+			if lost > 2 || max(back, restarted) > 3 { // a host that has just started names itself alone at first
+				t.Errorf("%d hosts: one is named too often", hosts)
+			}
+		})
+	}
+}
