Homes tests: changes of the code that no test noticed

Cause: no test failed when the age of a list counted from the reply instead of the report, when the models of refused requests were wanted in all regions or once for all homes, when one plan could evict all copies in the regions of waiting requests, or when a model that is just hot got one copy in its regions instead of two.

Change: a test or case for each. The two tests of a client with scripted replies share its set-up.

No fault was found in the code.

--- a/coord/swap/bound_test.go
+++ b/coord/swap/bound_test.go
@@ -66,6 +66,12 @@
 	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Engine != "eu2" {
 		t.Errorf("got %+v, want one load at eu2", got)
 	}
+	hot := DefaultOptions().HotRate
+	s.Demands["m"] = Demand{Rate: hot, Bound: []Bound{{Regions: []string{"eu"}, Rate: hot}}}
+	if got := Plan(s, DefaultOptions()); len(got) != 1 || got[0].Engine != "eu2" {
+		t.Errorf("just hot: got %+v, want a second copy at eu2", got)
+	}
+	s.Demands["m"] = demand
 	s.Engines[3].Busy = true
 	if got := Plan(s, DefaultOptions()); len(got) != 0 {
 		t.Errorf("while the region's other engine is busy: got %+v, want none", got)
@@ -84,3 +90,24 @@
 		t.Errorf("got %+v, want the load of other in place of a, as requests wait for the region's last copy of m", got)
 	}
 }
+
+// TestOnePlanLeavesACopyInTheRegions guards against two loads of one plan that together evict all copies in the regions to which waiting
+// requests are bound. The control is that one of them is evicted.
+func TestOnePlanLeavesACopyInTheRegions(t *testing.T) {
+	s := State{
+		Now: now, Models: models("m", "x", "y"),
+		Engines: []Engine{
+			inRegion(engine("us1", disk("m"), map[string]Copy{"m": {}}), "us"),
+			inRegion(engine("eu1", disk("m", "x", "y"), map[string]Copy{"m": {}}), "eu"),
+			inRegion(engine("eu2", disk("m", "x", "y"), map[string]Copy{"m": {}}), "eu"),
+		},
+		Demands: map[string]Demand{"m": {Waiting: 1, Bound: []Bound{{Regions: []string{"eu"}, Waiting: 1}}, Due: now}, "x": {Waiting: 1, Due: now + time.Second}, "y": {Waiting: 1, Due: now + time.Second}},
+	}
+	for i := range s.Engines {
+		s.Engines[i].CapacityMB = s.Models["m"].SizeMB
+	}
+	got := Plan(s, DefaultOptions())
+	if inEU := slices.DeleteFunc(slices.Clone(got), func(m Move) bool { return m.Engine == "us1" }); len(inEU) != 1 || !slices.Equal(inEU[0].Unload, []string{"m"}) {
+		t.Errorf("got %+v, want one load in place of m in eu", got)
+	}
+}
--- a/internal/coordinator/homes_test.go
+++ b/internal/coordinator/homes_test.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// TestRefusedModelIsWantedInTheHomes guards against a load elsewhere for a model whose requests were refused because no engine in their homes
+// could load it in time. The control is a refusal without homes.
+func TestRefusedModelIsWantedInTheHomes(t *testing.T) {
+	f := homesView(func() time.Duration { return time.Hour })
+	for range 2 {
+		f.RecordUnloadable("s", "m", []string{"eu"}, time.Hour)
+		f.RecordUnloadable("s", "m", nil, time.Hour)
+	}
+	var r Report
+	f.report(&r)
+	if w := r.Waiting[0]; w.Count != 2 || fmt.Sprint(w.Bound) != "[{[eu] <nil> 1 0}]" {
+		t.Errorf("reported %+v, want two, one of them bound to eu", w)
+	}
+}
+
 // TestBoundDemandBetweenVersions guards against an upgrade in which a host and a coordinator of different versions misread each
 // other: each field must be missing where nothing is bound, and a report without them means unbound requests.
 func TestBoundDemandBetweenVersions(t *testing.T) {
--- a/internal/coordinator/livehosts_test.go
+++ b/internal/coordinator/livehosts_test.go
@@ -43,8 +43,11 @@
 	}
 }
 
-// replies answers each report with the next update.
-type replies struct{ updates []Update }
+// replies answers each report with the next update, after a delay.
+type replies struct {
+	updates []Update
+	delay   func()
+}
 
 func (r *replies) Call(_ context.Context, _, _ string, _, result any) error {
 	data, err := json.Marshal(r.updates[0])
@@ -52,19 +55,29 @@
 		return err
 	}
 	r.updates = r.updates[1:]
+	if r.delay != nil {
+		r.delay()
+	}
 	return json.Unmarshal(data, result)
 }
 
-// TestAgeOfTheListOfHosts guards against an old list that passes for a new one since its host got replies without one: from a
-// coordinator that has restarted, and from deputies. The control is a reply of the coordinator, which confirms the list.
-func TestAgeOfTheListOfHosts(t *testing.T) {
-	c := testClient("a", fleet.Host{Name: "a"}, fleet.Host{Name: "b", Weight: 2, CreateRevision: 1})
-	now := time.Hour
-	c.opts.Now = func() time.Duration { return now }
+// scriptedClient returns the client of host a, which gets the given replies to its reports at the time now.
+func scriptedClient(now *time.Duration, r *replies, hosts ...fleet.Host) *Client {
+	c := testClient("a", append(hosts, fleet.Host{Name: "a"})...)
+	c.opts.Now = func() time.Duration { return *now }
 	c.opts.LocalUse = func() map[string]float64 { return nil }
 	c.opts.Coordinator, _ = testCoordinator()
 	c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()})}
-	c.opts.Calls = &replies{[]Update{{LiveHosts: []string{"a", "b"}}, {}, {UnknownHost: true}, {Coordinator: "other"}, {UnknownHost: true}}}
+	c.opts.Calls = r
+	return c
+}
+
+// TestAgeOfTheListOfHosts guards against an old list that passes for a new one since its host got replies without one: from a
+// coordinator that has restarted, from deputies, and read long after its report. The control is a reply of the coordinator, which confirms the list.
+func TestAgeOfTheListOfHosts(t *testing.T) {
+	now := time.Hour
+	answers := &replies{updates: []Update{{LiveHosts: []string{"a", "b"}}, {}, {UnknownHost: true}, {Coordinator: "other"}, {UnknownHost: true}, {}}}
+	c := scriptedClient(&now, answers, fleet.Host{Name: "b", Weight: 2, CreateRevision: 1})
 	for i, want := range []time.Duration{0, 0, time.Second, 2 * time.Second, 3 * time.Second} {
 		c.report(t.Context())
 		hosts, age, ok := c.LastKnownHosts()
@@ -76,6 +89,11 @@
 		}
 		now += time.Second
 	}
+	answers.delay = func() { now += 30 * time.Second }
+	c.report(t.Context())
+	if _, age, _ := c.LastKnownHosts(); age != 30*time.Second {
+		t.Errorf("after a reply that was read 30 s after its report, the list counts as %v old", age)
+	}
 }
 
 // TestReportReadsTheClockSeldom guards against a system call for each listed host in each reply: in a fleet of n hosts, n² times each
@@ -96,13 +114,9 @@
 // named alone, and against hosts of the list before that are unreachable, leave or are gone being named.
 func TestNewCoordinatorListsHostsOneByOne(t *testing.T) {
 	for name, first := range map[string]Update{"another one": {LiveHosts: []string{"a"}}, "restarted": {UnknownHost: true}} {
-		c := testClient("a", fleet.Host{Name: "a"}, fleet.Host{Name: "b", Weight: 2}, fleet.Host{Name: "c", Weight: 3}, fleet.Host{Name: "d"}, fleet.Host{Name: "e", Leaving: true})
 		now := time.Hour
-		c.opts.Now = func() time.Duration { return now }
-		c.opts.LocalUse = func() map[string]float64 { return nil }
-		c.opts.Coordinator, _ = testCoordinator()
-		c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()})}
-		c.opts.Calls = &replies{[]Update{{LiveHosts: []string{"a", "b", "c", "d", "e"}}, first, {LiveHosts: []string{"a", "b"}}, {}, {}}}
+		answers := &replies{updates: []Update{{LiveHosts: []string{"a", "b", "c", "d", "e"}}, first, {LiveHosts: []string{"a", "b"}}, {}, {}}}
+		c := scriptedClient(&now, answers, fleet.Host{Name: "b", Weight: 2}, fleet.Host{Name: "c", Weight: 3}, fleet.Host{Name: "d"}, fleet.Host{Name: "e", Leaving: true})
 		c.report(t.Context())
 		want := []string{"a", "b", "c", "d"}
 		if !first.UnknownHost {
