Homes and directory fleet tests: the placement of hosts is shared

Cause: the fleets of both tests spread hosts over zones and regions by the same lines.

Change: placeHosts, regionsOfZones and directoryOf. No check changes.

Result: TestDirectory*, TestHomes* and TestChangeOfCoordinators* of internal/gateway pass.

--- a/internal/gateway/directoryfleet_test.go
+++ b/internal/gateway/directoryfleet_test.go
@@ -25,26 +25,45 @@
 }
 
 func newDirectoryFleet(t *testing.T, hosts, regions int) *directoryFleet {
-	d := &directoryFleet{regions: map[string]string{}, diedAt: map[string]time.Duration{}, homes: []string{"r0"}}
-	for i := range 3 {
-		d.regions[fmt.Sprint("z", i)] = fmt.Sprint("r", i%regions)
-	}
+	d := &directoryFleet{regions: regionsOfZones(regions), diedAt: map[string]time.Duration{}, homes: []string{"r0"}}
 	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "a", Host: "homed", PathPrefix: "/a/", Homes: d.homes}, {Name: "b", Host: "homed", PathPrefix: "/b/"}, {Name: "c", Host: "free", PathPrefix: "/"}}}
 	config.Index()
 	d.reportingFleet = startReportingFleet(t, hosts, 1, func(f *reportingFleet, h *reportingHost) {
-		for name, host := range f.known { // of all hosts alike, whenever they start
-			var i int
-			_, _ = fmt.Sscanf(name, "h%d", &i)
-			host.Zone, host.Address = fmt.Sprint("z", i%3), name
-			f.known[name] = host
-		}
-		h.view.SetRegions(d.regions)
+		f.placeHosts(h, d.regions)
 		h.view.SetConfig(config)
-		h.view.SetHosts(maps.Clone(f.known))
 	})
 	return d
 }
 
+// regionsOfZones returns the regions of three zones, of which there are the given number.
+func regionsOfZones(regions int) map[string]string {
+	out := map[string]string{}
+	for i := range 3 {
+		out[fmt.Sprint("z", i)] = fmt.Sprint("r", i%regions)
+	}
+	return out
+}
+
+// placeHosts spreads the hosts over three zones, and tells a host of them.
+func (f *reportingFleet) placeHosts(h *reportingHost, regions map[string]string) {
+	for name, host := range f.known {
+		if host.Zone != "z" {
+			continue // set before; requests in progress read it
+		}
+		var i int
+		_, _ = fmt.Sscanf(name, "h%d", &i)
+		host.Zone, host.Address = fmt.Sprint("z", i%3), name
+		f.known[name] = host
+	}
+	h.view.SetRegions(regions)
+	h.view.SetHosts(maps.Clone(f.known))
+}
+
+// directoryOf returns the directory of host i.
+func (d *directoryFleet) directoryOf(i int) *Directory {
+	return &Directory{View: d.hosts[i].view, Client: d.hosts[i].client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}
+}
+
 func (d *directoryFleet) kill(hosts ...int) {
 	for _, i := range hosts {
 		d.killHost(i)
@@ -68,16 +87,16 @@
 	for end := d.now() + span; d.now() < end; time.Sleep(200 * time.Millisecond) {
 		for i, h := range d.hosts {
 			if h.kill != nil && (i == len(d.hosts)-1 || d.random.IntN(len(d.hosts)) < lookupsPerStep) {
-				d.check(i, h, fleet.Lookup{Name: []string{"homed", "free"}[d.random.IntN(2)], Region: fmt.Sprint("r", d.random.IntN(3)), Zone: fmt.Sprint("z", d.random.IntN(3))})
+				d.check(i, fleet.Lookup{Name: []string{"homed", "free"}[d.random.IntN(2)], Region: fmt.Sprint("r", d.random.IntN(3)), Zone: fmt.Sprint("z", d.random.IntN(3))})
 			}
 		}
 	}
 }
 
-func (d *directoryFleet) check(i int, h *reportingHost, q fleet.Lookup) {
+func (d *directoryFleet) check(i int, q fleet.Lookup) {
 	d.t.Helper()
 	name := fmt.Sprint("h", i)
-	directory := Directory{View: h.view, Client: h.client, Self: d.known[name], Contact: contactTime}
+	directory := d.directoryOf(i)
 	before := directory.staying()
 	addresses := directory.Addresses(q)
 	if len(addresses) == 0 {
@@ -107,7 +126,7 @@
 		if h.kill == nil {
 			continue
 		}
-		staying := (&Directory{View: h.view, Client: h.client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}).staying()
+		staying := d.directoryOf(i).staying()
 		if running := len(d.hosts) - len(d.diedAt); float64(len(staying)) < share*float64(running) {
 			d.t.Fatalf("h%d knows %d hosts that run, of %d", i, len(staying), running)
 		}
@@ -124,7 +143,7 @@
 			if h.kill == nil {
 				continue
 			}
-			addresses := (&Directory{View: h.view, Client: h.client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}).Addresses(fleet.Lookup{Name: "free"})
+			addresses := d.directoryOf(i).Addresses(fleet.Lookup{Name: "free"})
 			for _, a := range addresses {
 				share[a] += 1 / float64(len(addresses))
 			}
--- a/internal/gateway/homesfleet_test.go
+++ b/internal/gateway/homesfleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"testing"
 
@@ -23,10 +22,7 @@
 const homeRegion = "r0"
 
 func newHomesFleet(t *testing.T, hosts, regions int) *homesFleet {
-	f := &homesFleet{regions: map[string]string{}, sent: map[string]int{}, hops: map[string]int{}}
-	for i := range 3 {
-		f.regions[fmt.Sprint("z", i)] = fmt.Sprint("r", i%regions)
-	}
+	f := &homesFleet{regions: regionsOfZones(regions), sent: map[string]int{}, hops: map[string]int{}}
 	f.engineFleet = &engineFleet{engines: map[string]*simulatedEngine{}, listed: map[string]fleet.Target{}, views: map[string]*coordinator.FleetView{}, crashing: map[string]bool{}, cuts: map[string]cutMode{}, cutEnds: map[string]chan struct{}{}}
 	for i := range 9 {
 		f.startEngine()
@@ -36,17 +32,7 @@
 		f.listed[id] = e
 	}
 	startReportingFleet(t, hosts, 1, func(r *reportingFleet, h *reportingHost) {
-		for name, host := range r.known {
-			if host.Zone != "z" {
-				continue // set before; requests in progress read it
-			}
-			var i int
-			_, _ = fmt.Sscanf(name, "h%d", &i)
-			host.Zone = fmt.Sprint("z", i%3)
-			r.known[name] = host
-		}
-		h.view.SetRegions(f.regions)
-		h.view.SetHosts(maps.Clone(r.known))
+		r.placeHosts(h, f.regions)
 		f.addGateway(r, h)
 		config := *h.view.Config()
 		config.Routes = slices.Clone(config.Routes)
