--- a/internal/gateway/directoryfleet_test.go
+++ b/internal/gateway/directoryfleet_test.go
@@ -25,26 +25,45 @@
 }
 
 func newDirectoryFleet(t *testing.T, hosts, regions int) *directoryFleet {
-	d := &directoryFleet{regions: map[string]string{}, diedAt: map[string]time.Duration{}, homes: []string{"r0"}}
-	for i := range 3 {
-		d.regions[fmt.Sprint("z", i)] = fmt.Sprint("r", i%regions)
-	}
+	d := &directoryFleet{regions: regionsOfZones(regions), diedAt: map[string]time.Duration{}, homes: []string{"r0"}}
 	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "a", Host: "homed", PathPrefix: "/a/", Homes: d.homes}, {Name: "b", Host: "homed", PathPrefix: "/b/"}, {Name: "c", Host: "free", PathPrefix: "/"}}}
 	config.Index()
 	d.reportingFleet = startReportingFleet(t, hosts, 1, func(f *reportingFleet, h *reportingHost) {
-		for name, host := range f.known { // of all hosts alike, whenever they start
-			var i int
-			_, _ = fmt.Sscanf(name, "h%d", &i)
-			host.Zone, host.Address = fmt.Sprint("z", i%3), name
-			f.known[name] = host
-		}
-		h.view.SetRegions(d.regions)
+		f.placeHosts(h, d.regions)
 		h.view.SetConfig(config)
-		h.view.SetHosts(maps.Clone(f.known))
 	})
 	return d
 }
 
+// regionsOfZones returns the regions of three zones, of which there are the given number.
+func regionsOfZones(regions int) map[string]string {
+	out := map[string]string{}
+	for i := range 3 {
+		out[fmt.Sprint("z", i)] = fmt.Sprint("r", i%regions)
+	}
+	return out
+}
+
+// placeHosts spreads the hosts over three zones, and tells a host of them.
+func (f *reportingFleet) placeHosts(h *reportingHost, regions map[string]string) {
+	for name, host := range f.known {
+		if host.Zone != "z" {
+			continue // set before; requests in progress read it
+		}
+		var i int
+		_, _ = fmt.Sscanf(name, "h%d", &i)
+		host.Zone, host.Address = fmt.Sprint("z", i%3), name
+		f.known[name] = host
+	}
+	h.view.SetRegions(regions)
+	h.view.SetHosts(maps.Clone(f.known))
+}
+
+// directoryOf returns the directory of host i.
+func (d *directoryFleet) directoryOf(i int) *Directory {
+	return &Directory{View: d.hosts[i].view, Client: d.hosts[i].client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}
+}
+
 func (d *directoryFleet) kill(hosts ...int) {
 	for _, i := range hosts {
 		d.killHost(i)
@@ -68,16 +87,16 @@
 	for end := d.now() + span; d.now() < end; time.Sleep(200 * time.Millisecond) {
 		for i, h := range d.hosts {
 			if h.kill != nil && (i == len(d.hosts)-1 || d.random.IntN(len(d.hosts)) < lookupsPerStep) {
-				d.check(i, h, fleet.Lookup{Name: []string{"homed", "free"}[d.random.IntN(2)], Region: fmt.Sprint("r", d.random.IntN(3)), Zone: fmt.Sprint("z", d.random.IntN(3))})
+				d.check(i, fleet.Lookup{Name: []string{"homed", "free"}[d.random.IntN(2)], Region: fmt.Sprint("r", d.random.IntN(3)), Zone: fmt.Sprint("z", d.random.IntN(3))})
 			}
 		}
 	}
 }
 
-func (d *directoryFleet) check(i int, h *reportingHost, q fleet.Lookup) {
+func (d *directoryFleet) check(i int, q fleet.Lookup) {
 	d.t.Helper()
 	name := fmt.Sprint("h", i)
-	directory := Directory{View: h.view, Client: h.client, Self: d.known[name], Contact: contactTime}
+	directory := d.directoryOf(i)
 	before := directory.staying()
 	addresses := directory.Addresses(q)
 	if len(addresses) == 0 {
@@ -107,13 +126,35 @@
 		if h.kill == nil {
 			continue
 		}
-		staying := (&Directory{View: h.view, Client: h.client, Self: d.known[fmt.Sprint("h", i)], Contact: contactTime}).staying()
+		staying := d.directoryOf(i).staying()
 		if running := len(d.hosts) - len(d.diedAt); float64(len(staying)) < share*float64(running) {
 			d.t.Fatalf("h%d knows %d hosts that run, of %d", i, len(staying), running)
 		}
 	}
 }
 
+// mostNamed returns the largest share of callers that one host gets within a time, of that which it would get if they were spread
+// evenly. Each host that runs is asked every 100 ms.
+func (d *directoryFleet) mostNamed(span time.Duration) float64 {
+	most := 0.0
+	for end := d.now() + span; d.now() < end; time.Sleep(100 * time.Millisecond) {
+		share := map[string]float64{}
+		for i, h := range d.hosts {
+			if h.kill == nil {
+				continue
+			}
+			addresses := d.directoryOf(i).Addresses(fleet.Lookup{Name: "free"})
+			for _, a := range addresses {
+				share[a] += 1 / float64(len(addresses))
+			}
+		}
+		for _, s := range share {
+			most = max(most, s)
+		}
+	}
+	return most
+}
+
 func upTo(from, to int) []int {
 	var out []int
 	for i := from; i < to; i++ {
@@ -192,3 +233,27 @@
 		d.play(8 * time.Second)
 	})
 }
+
+// TestChangeOfCoordinatorsKeepsCallersSpread guards against callers who gather at the hosts that report first to a new coordinator, or to
+// one that has restarted.
+func TestChangeOfCoordinatorsKeepsCallersSpread(t *testing.T) {
+	for _, hosts := range []int{8, 70, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDirectoryFleet(t, hosts, 2)
+			time.Sleep(3 * time.Second)
+			d.kill(0)
+			lost := d.mostNamed(2 * time.Second)
+			time.Sleep(2 * time.Second)
+			d.restart(0) // it becomes the coordinator again
+			back := d.mostNamed(2 * time.Second)
+			time.Sleep(2 * time.Second)
+			d.kill(0)
+			d.restart(0) // between two reports
+			restarted := d.mostNamed(2 * time.Second)
+			t.Logf("%d hosts: most named %.1f, %.1f and %.1f times as often as the mean", hosts, lost, back, restarted)
+			if lost > 2 || max(back, restarted) > 3 { // a host that has just started names itself alone at first
+				t.Errorf("%d hosts: one is named too often", hosts)
+			}
+		})
+	}
+}
