Test: a swap begins after the one before has returned

Cause: TestFewOrdersAreRefusedDuringUnloads failed once: it began a swap after the engine's view said that the one before had ended, but before that one had released the engine ("engine e1 has an order under way", which the coordinator answers by planning again). Change: the test waits for the end of the move.

--- a/internal/coordinator/unloadtime_test.go
+++ b/internal/coordinator/unloadtime_test.go
@@ -26,6 +26,7 @@
 			for o.Owned()[0].Busy {
 				time.Sleep(time.Millisecond)
 			}
+			synctest.Wait() // the move has ended, not only its engine's view
 			if n := engine.refusedOrders() - refused; i > 0 && n > 2 {
 				t.Errorf("swap %d: %d orders refused, want 2 at most", i, n)
 			}
