Cold targets: a larger part fills anew; bounds that leave less than one request are used

An idle bucket whose part of the rate had grown was credited up to the new burst at once. The group of hosts that gave the difference up may have issued it just before, so that both together exceeded the bound of a second (11 permits at once where the part had been 5.5). A refill is now capped by the lower of both bursts as well.

With cold_slack 0 and a small rate, or cold_overage below 1.2, the burst was below one, and nobody sent anything to cold targets although the bound allows more than a request a second. The rate is then lowered until the burst is 1.25.

Bounds that are infinite or not a number led to requests without a limit or to none; a cold_slack without a cold_overage was replaced by 5.

--- a/coord/permit/cold.go
+++ b/coord/permit/cold.go
@@ -1,6 +1,9 @@
 package permit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // sendSpread is the time over which permits issued at one moment reach a target: they are used within TTL, and requests
 // are on their way for as long as that at most.
@@ -14,19 +17,34 @@
 
 // Valid returns the bounds with invalid values replaced by safe ones.
 func (b ColdBounds) Valid() ColdBounds {
-	if !(b.Overage > 0) {
-		return defaultColdBounds
+	slackSet := b.Slack > 0 && !math.IsInf(b.Slack, 0)
+	if !(b.Overage > 0) || math.IsInf(b.Overage, 0) {
+		if !slackSet {
+			return defaultColdBounds
+		}
+		return ColdBounds{defaultColdBounds.Overage, b.Slack}
+	}
+	if !slackSet {
+		b.Slack = 0
 	}
-	return ColdBounds{max(1, b.Overage), max(0, b.Slack)}
+	return ColdBounds{max(1, b.Overage), b.Slack}
 }
 
+// minBurst is the least burst of all issuers together. It is above one, so that an issuer that lacks a fifth of the hosts issues
+// some permits.
+const minBurst = 1.25
+
 // Limit returns the limit of an issuer that has a share of the rate of a cold target. The bursts of all issuers together are
-// what the bounds leave besides the rate, less what accrues during sendSpread.
+// what the bounds leave besides the rate, less what accrues during sendSpread. If that is below minBurst, the rate is lower.
 func (b ColdBounds) Limit(rate, share float64) Limit {
 	if !(rate > 0) {
 		return Limit{}
 	}
-	burst := rate*(b.Overage-1) + b.Slack - rate*sendSpread.Seconds()
+	inASecond, accruing := rate*b.Overage+b.Slack, (time.Second + sendSpread).Seconds()
+	burst := inASecond - rate*accruing
+	if burst < minBurst && inASecond > minBurst {
+		rate, burst = (inASecond-minBurst)/accruing, minBurst
+	}
 	return Limit{Rate: rate * share, Burst: burst * share, MaxWait: maxColdWait}
 }
 
--- a/coord/permit/cold_test.go
+++ b/coord/permit/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -261,11 +262,14 @@
 			t.Errorf("rate %v: %+v", rate, l)
 		}
 	}
-	for b, want := range map[ColdBounds]ColdBounds{{}: {1.5, 5}, {-1, 5}: {1.5, 5}, {0.5, -2}: {1, 0}, {2, 0}: {2, 0}} {
+	for b, want := range map[ColdBounds]ColdBounds{{}: {1.5, 5}, {-1, 5}: {1.5, 5}, {0.5, -2}: {1, 0}, {2, 0}: {2, 0}, {0, 1}: {1.5, 1}, {math.Inf(1), math.Inf(1)}: {1.5, 5}, {2, math.Inf(1)}: {2, 0}} {
 		if got := b.Valid(); got != want {
 			t.Errorf("%+v: %+v, want %+v", b, got, want)
 		}
 	}
+	if got, want := (ColdBounds{2, math.NaN()}).Valid(), (ColdBounds{2, 0}); got != want {
+		t.Errorf("slack not a number: %+v, want %+v", got, want)
+	}
 }
 
 // TestUrgentRequestsGoFirst guards against late requests and those of less urgent routes taking what others need, and against
--- a/coord/permit/issuer.go
+++ b/coord/permit/issuer.go
@@ -130,10 +130,11 @@
 	return Answer{Wait: wait, Earliest: min(wait, earliest), Cause: cause}
 }
 
-// refill adds what has accrued. If the limit has changed since, the lower rate counts.
+// refill adds what has accrued. If the limit has changed since, the lower rate and burst count: what this issuer has gained, another
+// one may have issued just before it gave it up.
 func (b *bucket) refill(now time.Duration, l Limit) {
 	accrued := min(b.limit.Rate, l.Rate) * (now - b.at).Seconds()
-	b.tokens = min(b.tokens+accrued, l.Burst)
+	b.tokens = min(b.tokens+accrued, b.limit.Burst, l.Burst)
 	b.aged = min(b.aged+agedShare*accrued, 1)
 	b.at, b.limit = now, l
 }
