--- a/coord/permit/cold.go
+++ b/coord/permit/cold.go
@@ -138,6 +138,16 @@
 	return 1 - float64(now-k.until)/float64(WarmingTime)
 }
 
+// AnyWarming reports whether any target has part of WarmingTime left.
+func (c *Cold) AnyWarming(now time.Duration) bool {
+	for _, k := range c.known {
+		if now >= k.until && now < k.until+WarmingTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Any reports whether any target is cold or was so a while ago.
 func (c *Cold) Any() bool { return len(c.known) > 0 }
 
--- a/coord/permit/limits.go
+++ b/coord/permit/limits.go
@@ -70,6 +70,9 @@
 	k.rate, k.at = rate, at
 }
 
+// Any reports whether any target has named a limit lately.
+func (l *Limits) Any() bool { return len(l.known) > 0 }
+
 // Rate returns the limit of a target in requests a second; 0: it names none. A limit is stale if no
 // response has confirmed it lately.
 func (l *Limits) Rate(now time.Duration, target string) (rate float64, stale bool) {
--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -61,7 +61,8 @@
 	best, bestScore, found, free := Choice{}, 0.0, false, 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	var others []fleet.Target
-	brittle, lowLoad := f.isBrittle(req.Service), f.lowWarmLoad(req)
+	brittle := f.isBrittle(req.Service)
+	lowLoad, warming := f.lowWarmLoad(req)
 	for _, id := range f.targets.ByService[req.Service] {
 		c, ok := f.candidate(f.targets.ByID[id], req, brittle)
 		if !ok {
@@ -70,7 +71,10 @@
 		if !c.NeedsPermit {
 			free += f.freeSlots(c.Target, req.Late)
 		}
-		score := c.score + f.warmingScore(c.Target, lowLoad) - noise()
+		score := c.score - noise()
+		if warming {
+			score += f.warmingScore(c.Target, lowLoad)
+		}
 		switch {
 		case c.NeedsPermit && !c.limitStale:
 			if c.Cold && !c.NeedsAdapter && !c.NeedsSlot {
@@ -120,7 +124,10 @@
 			return candidate{}, false
 		}
 	}
-	rate, stale := f.limits.Rate(f.now(), runOf(t))
+	rate, stale := 0.0, false
+	if f.limits.Any() {
+		rate, stale = f.limits.Rate(f.now(), runOf(t))
+	}
 	coldRate, cold := f.coldRate(t)
 	if cold && coldRate <= 0 {
 		return candidate{}, false
--- a/internal/coordinator/coldtargets.go
+++ b/internal/coordinator/coldtargets.go
@@ -187,13 +187,13 @@
 const warmingPenalty = 0.7 * choiceSpread
 
 // lowWarmLoad returns the load a quarter of the way from the least to the mean of the warm targets that could take a request, if some
-// target has just become warm; otherwise 0. As counts of other hosts are old, loads differ widely: nearly all requests go to
+// target that could take it has just become warm, and whether one has. As counts of other hosts are old, loads differ widely: nearly all requests go to
 // targets below the mean, and the least loaded one gets several times its share. The caller must hold f.mu.
-func (f *FleetView) lowWarmLoad(req Requirements) float64 {
-	if !f.cold.known.Any() {
-		return 0
+func (f *FleetView) lowWarmLoad(req Requirements) (low float64, warming bool) {
+	if !f.cold.known.AnyWarming(f.now()) {
+		return 0, false
 	}
-	n, sum, least, warming := 0, 0, math.MaxInt, false
+	n, sum, least := 0, 0, math.MaxInt
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
 		if t.Draining || t.Missing || req.Model != "" && !f.holds(t, req.Model) || f.coldLeft(t) > 0 {
@@ -207,18 +207,15 @@
 		n, sum, least = n+1, sum+load, min(least, load)
 	}
 	if n == 0 || !warming {
-		return 0
+		return 0, warming
 	}
-	return 0.75*float64(least) + 0.25*float64(sum)/float64(n)
+	return 0.75*float64(least) + 0.25*float64(sum)/float64(n), true
 }
 
 // warmingScore returns what is added to the score of a target that has become warm a short time ago: all hosts see that it has
 // no load, and would send it what is due next. It counts as having a low load of others, and a little more at first. The caller must
 // hold f.mu.
 func (f *FleetView) warmingScore(t fleet.Target, lowLoad float64) float64 {
-	if !f.cold.known.Any() {
-		return 0
-	}
 	left := f.cold.known.Warming(f.now(), runOf(t))
 	if left == 0 {
 		return 0
