--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -71,7 +71,8 @@
 	byRegion := len(f.backlogs[modelKey{req.Service, req.Model}].bound) > 0
 	limited, limitedScore := Choice{}, math.Inf(1) // best one that needs a permit
 	var otherCold []fleet.Target
-	brittle, lowLoad := f.isBrittle(req.Service), f.lowWarmLoad(req)
+	brittle := f.isBrittle(req.Service)
+	lowLoad, warming := f.lowWarmLoad(req)
 	var ranked []candidate // that need a reservation
 	plan := f.planPrompt(req)
 	for _, id := range f.targets.ByService[req.Service] {
@@ -86,7 +87,10 @@
 			}
 		}
 		f.addPrompt(&c.Choice, plan, req.Prompt)
-		score := c.score + f.warmingScore(c.Target, lowLoad) + f.promptPenalty(plan, c.Target.ID) - noise()
+		score := c.score + f.promptPenalty(plan, c.Target.ID) - noise()
+		if warming {
+			score += f.warmingScore(c.Target, lowLoad)
+		}
 		if c.NeedsMemory && !(c.NeedsPermit && !c.limitStale) {
 			ranked = append(ranked, candidate{Choice: c.Choice, score: score})
 		}
@@ -155,7 +159,10 @@
 			return candidate{}, false
 		}
 	}
-	rate, stale := f.limits.Rate(f.now(), runOf(t))
+	rate, stale := 0.0, false
+	if f.limits.Any() {
+		rate, stale = f.limits.Rate(f.now(), runOf(t))
+	}
 	coldRate, cold := f.coldRate(t)
 	if cold && coldRate <= 0 {
 		return candidate{}, false
