Evacuations: a confirmation counts for the list that it is of only

A report that was under way for long registered its host anew, and the reply that carried a newer list was lost. The coordinator then took the host for one that has that list, and the host took the next confirmation for one of its earlier list: it would have sent to the zone until its next full report. Messages now name the version that the sender has. A receiver that lacks it ignores the age, and its next report makes the coordinator send the list again.

Also: ages that overflow confirmed a list for a time after now, and a new coordinator to which few hosts had reported took reports for up to 0.9 s newer than they may be (295 hosts).

TestLostReplyConfirmsNoEarlierList, TestAgesOfEvacuationsThatCannotBe and TestReportOfManyHostsIsOld failed before and pass.

--- a/internal/coordinator/evacuationmessages.go
+++ b/internal/coordinator/evacuationmessages.go
@@ -12,7 +12,10 @@
 type EvacuationNews struct {
 	// Evacuations is the newest list that the sender knows; nil: as last sent, or none.
 	Evacuations *fleet.Evacuations `json:"ev,omitempty"`
-	// EvacuationAgeMS is the time since this list was known to be complete, rounded up; 0: never.
+	// EvacuationVersion is the version of the newest list that the sender knows; 0: none.
+	EvacuationVersion uint64 `json:"er,omitempty"`
+	// EvacuationAgeMS is the time since that list was known to be complete, rounded up; 0: never. A receiver that lacks the list,
+	// since the message with it was lost, must not take its own one for complete.
 	EvacuationAgeMS int64 `json:"ea,omitempty"`
 }
 
@@ -22,7 +25,7 @@
 	if !known {
 		return EvacuationNews{}, sent
 	}
-	var n EvacuationNews
+	n := EvacuationNews{EvacuationVersion: l.Version}
 	if confirmedAt > 0 {
 		n.EvacuationAgeMS = max(0, (f.now()-confirmedAt).Milliseconds()) + 1
 	}
@@ -37,19 +40,25 @@
 	if n.Evacuations != nil {
 		f.mergeEvacuations(*n.Evacuations, source)
 	}
-	if n.EvacuationAgeMS > 0 {
-		f.confirmEvacuations(sentAt - time.Duration(n.EvacuationAgeMS)*time.Millisecond)
+	own, _, known := f.Evacuations()
+	if n.EvacuationAgeMS > 0 && known && own.Version >= n.EvacuationVersion {
+		age := time.Duration(min(n.EvacuationAgeMS, maxEvacuationAge.Milliseconds())) * time.Millisecond
+		f.confirmEvacuations(sentAt - age)
 	}
 }
 
+// maxEvacuationAge stands for all longer ages of a list.
+const maxEvacuationAge = time.Hour
+
 // takeEvacuations applies the part of a report on evacuated zones.
 func (c *Coordinator) takeEvacuations(host string, h *hostState, r Report) {
 	if host == c.self {
 		return // it has the same FleetView
 	}
-	c.fleetView.applyEvacuationNews(r.EvacuationNews, host, c.now()-timeoutOf(r, len(c.hosts))) // it may have been under way for so long
-	if r.Evacuations != nil {
-		h.knownEvacuations = max(h.knownEvacuations, r.Evacuations.Version)
+	hosts := max(len(c.hosts), len(c.fleetView.Hosts()))
+	c.fleetView.applyEvacuationNews(r.EvacuationNews, host, c.now()-timeoutOf(r, hosts)) // it may have been under way for so long
+	if r.EvacuationVersion > 0 {
+		h.knownEvacuations = r.EvacuationVersion // also if it is lower, since a reply may have been lost
 	}
 }
 
@@ -70,8 +79,8 @@
 // applyEvacuations applies the part of a reply on evacuated zones. The caller must hold c.mu.
 func (c *Client) applyEvacuations(n EvacuationNews, began time.Duration) {
 	c.opts.FleetView.applyEvacuationNews(n, c.currentCoordinator, began)
-	if n.Evacuations != nil {
-		c.sentEvacuations = max(c.sentEvacuations, n.Evacuations.Version)
+	if n.EvacuationVersion > 0 {
+		c.sentEvacuations = n.EvacuationVersion
 	}
 }
 
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,6 +176,57 @@
 	}
 }
 
+// TestLostReplyConfirmsNoEarlierList guards against a host that misses a list, since the reply with it was lost, and takes the
+// confirmations of that list for its own one. It gets the list with its next report.
+func TestLostReplyConfirmsNoEarlierList(t *testing.T) {
+	c, _ := testCoordinator()
+	b := testClient("b", fleet.Host{Name: "b"})
+	c.fleetView.SetEvacuations(evacuate(5))
+	b.sendFull = true
+	full, _ := exchange(t, c, b)
+	c.fleetView.SetEvacuations(evacuate(6, "x"))
+	c.Report("b", full) // it was under way for long, and nobody waits for the reply
+	c.fleetView.ConfirmEvacuations(b.opts.Now())
+	exchange(t, c, b)
+	if _, confirmedAt, _ := b.opts.FleetView.Evacuations(); !b.opts.FleetView.Evacuated("x") && confirmedAt > 0 {
+		t.Error("the earlier list counts as confirmed")
+	}
+	exchange(t, c, b)
+	if !b.opts.FleetView.Evacuated("x") {
+		t.Error("the host does not get the list that it lacks")
+	}
+}
+
+// TestAgesOfEvacuationsThatCannotBe guards against an age that overflows confirming a list for all time.
+func TestAgesOfEvacuationsThatCannotBe(t *testing.T) {
+	for _, ms := range []int64{math.MaxInt64, math.MaxInt64 / 1000, -1, math.MinInt64, 1 << 62, 18446744073000} {
+		f := zonesView()
+		f.SetEvacuations(evacuate(5))
+		f.applyEvacuationNews(EvacuationNews{EvacuationAgeMS: ms}, "h", f.now())
+		if _, confirmedAt, _ := f.Evacuations(); confirmedAt > f.now() {
+			t.Errorf("age of %d ms: confirmed %v after now", ms, confirmedAt-f.now())
+		}
+	}
+}
+
+// TestReportOfManyHostsIsOld guards against a new coordinator, to which few hosts have reported, taking a report that was under way
+// for as long as its sender allows for newer than it is.
+func TestReportOfManyHostsIsOld(t *testing.T) {
+	c, _ := testCoordinator()
+	hosts := map[string]fleet.Host{}
+	for i := range 295 {
+		hosts[fmt.Sprint("h", i)] = fleet.Host{Name: fmt.Sprint("h", i)}
+	}
+	c.fleetView.SetHosts(hosts)
+	list := evacuate(5)
+	now := c.now()
+	c.Report("h1", Report{Incarnation: "1", Full: true, EvacuationNews: EvacuationNews{Evacuations: &list, EvacuationAgeMS: 1}})
+	_, confirmedAt, _ := c.fleetView.Evacuations()
+	if age, least := now-confirmedAt, reportTimeout+295*fullReportTime; age < least {
+		t.Errorf("the list counts as %v old, the report may have been under way for %v", age, least)
+	}
+}
+
 // TestEarlierVersionsAndEvacuations guards against a message without the new fields changing the list, or counting as a
 // confirmation of it.
 func TestEarlierVersionsAndEvacuations(t *testing.T) {
