Cold targets: evacuated ones neither promise a permit nor count as warm

Cause: found in review: the earliest permit of an evacuated target was 1 ms away, and its load was the measure for targets that have become warm. Change: both skip evacuated zones.

--- a/internal/coordinator/coldtargets.go
+++ b/internal/coordinator/coldtargets.go
@@ -196,7 +196,7 @@
 	n, sum, least := 0, 0, math.MaxInt
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
-		if t.Draining || t.Missing || req.Model != "" && !f.holds(t, req.Model) || f.coldLeft(t) > 0 {
+		if t.Draining || t.Missing || f.evacuated(t.Zone) || req.Model != "" && !f.holds(t, req.Model) || f.coldLeft(t) > 0 {
 			continue
 		}
 		if f.cold.known.Warming(f.now(), runOf(t)) > 0 {
@@ -283,7 +283,7 @@
 	w = ColdWait{math.MaxInt64, math.MaxInt64}
 	for _, id := range f.targets.ByService[req.Service] {
 		t := f.targets.ByID[id]
-		if t.Draining || t.Missing || f.now() < f.unusableUntil[id] {
+		if t.Draining || t.Missing || f.evacuated(t.Zone) || f.now() < f.unusableUntil[id] {
 			continue
 		}
 		rate, cold := f.coldRate(t)
