Test: the store that can be restored is used by several goroutines

TestOwnerGoesOnOrderingAfterARestore runs the lease beside the owner, and both write to the test's store: a data race in the test (go test -race -run TestOwnerGoesOnOrderingAfterARestore failed in each run).

--- a/internal/coordinator/restoredstore_test.go
+++ b/internal/coordinator/restoredstore_test.go
@@ -15,20 +15,25 @@
 	"buckthornseam.dev/seam/internal/platform"
 )
 
-// restorableStore is a store that can be restored from copies of itself.
+// restorableStore is a store that can be restored from copies of itself. Hosts may use it at the same time.
 type restorableStore struct {
+	mu       sync.Mutex
 	era      platform.Era
 	revision uint64
 	objects  map[string]platform.Object
 }
 
 // clone returns a copy.
-func (s *restorableStore) clone() restorableStore {
-	return restorableStore{era: s.era, revision: s.revision, objects: maps.Clone(s.objects)}
+func (s *restorableStore) clone() *restorableStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &restorableStore{era: s.era, revision: s.revision, objects: maps.Clone(s.objects)}
 }
 
 // restore begins a new era from a copy.
-func (s *restorableStore) restore(from restorableStore) {
+func (s *restorableStore) restore(from *restorableStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.era++
 	s.revision, s.objects = from.revision, map[string]platform.Object{}
 	for key, obj := range from.objects {
@@ -57,6 +62,8 @@
 	if s.cut {
 		return platform.Object{}, &platform.UnavailableError{}
 	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
 	s.eras.Learn(s.store.era)
 	obj, ok := s.store.objects[string(kind)+"/"+name]
 	if !ok {
@@ -73,6 +80,8 @@
 	if s.cut {
 		return platform.Object{}, &platform.UnknownOutcomeError{}
 	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
 	key := string(obj.Kind) + "/" + obj.Name
 	stored, exists := s.store.objects[key]
 	s.eras.Learn(s.store.era)
@@ -134,7 +143,7 @@
 	now     time.Duration
 	rng     *rand.Rand
 	store   *restorableStore
-	copies  []restorableStore
+	copies  []*restorableStore
 	hosts   []*modelHost
 	engines []string
 	rules   map[string]*orderRule
@@ -347,7 +356,7 @@
 // restoringStore restores the store, of which the host then hears, before the first write of an owner record.
 type restoringStore struct {
 	*hostStore
-	empty    restorableStore
+	empty    *restorableStore
 	restored bool
 }
 
