Streams through another host: a slow caller does not make that host count as silent

passStream restarted the time limit for the next event before it wrote the events to the caller, so a caller that took longer for them had the stream cancelled and started again elsewhere. The limit now rests during the write, as it does for streams of targets. TestSlowCallerDoesNotMakeAHelperSilent fails before (2 sends) and passes after.

--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -236,12 +236,16 @@
 		events, err := x.events.readFrom(resp.Body, buf)
 		if len(events) > 0 {
 			began = true
-			if hasField(events) {
-				silence.Reset(g.relaySilence(x))
+			progress := hasField(events)
+			if progress {
+				silence.Stop() // the caller may be slow
 			}
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
+			if progress {
+				silence.Reset(g.relaySilence(x))
+			}
 		}
 		if err == nil {
 			continue
