Test: relays of the simulated fleet read its hosts under a lock

relaySender looked for a running host in goroutines of requests, while killHost and startHost changed the hosts and their kill: an intermittent data race in the fleet tests. The search and the changes now hold a lock. TestColdEnginesWhileHostsRestart and TestCrashingPartWhileHostsRestart pass with -race.

--- a/internal/gateway/enginefleetcuts_test.go
+++ b/internal/gateway/enginefleetcuts_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"sync"
 	"time"
 
@@ -80,8 +79,8 @@
 
 // Forward implements Sender.
 func (s relaySender) Forward(ctx context.Context, address string, r target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
-	i := slices.IndexFunc(s.fleet.hosts, func(h *reportingHost) bool { return h.net.Self().ID.Name == address && h.kill != nil })
-	if i < 0 {
+	host := s.fleet.running(address)
+	if host == nil {
 		return nil, &target.UnreachableError{Address: address, Cause: resetError{}}
 	}
 	s.fleet.mu.Lock()
@@ -97,7 +96,7 @@
 				_ = pipeWriter.CloseWithError(resetError{})
 			}
 		}()
-		s.fleet.hosts[i].gateway.RelayHandler().ServeHTTP(w, req)
+		host.gateway.RelayHandler().ServeHTTP(w, req)
 		_ = pipeWriter.Close()
 	})
 	select {
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,7 @@
 	random  *rand.Rand
 	team    *fleet.Team
 	hosts   []*reportingHost
+	hostsMu sync.Mutex // for changes of hosts and their kill, and for goroutines that read them
 	known   map[string]fleet.Host
 	granted []grant
 	asked   int
@@ -119,8 +121,10 @@
 	coord.Register(h.net)
 	client.Register(h.net)
 	ctx, cancel := context.WithCancel(context.Background())
+	f.hostsMu.Lock()
 	h.kill = cancel
 	f.hosts[i] = h
+	f.hostsMu.Unlock()
 	if h.reach != nil {
 		go func() { _ = h.reach.Run(ctx) }()
 	}
@@ -129,10 +133,24 @@
 	go func() { _ = client.RunProbes(ctx) }()
 }
 
+// running returns the running host of a name, or nil. It may be called by any goroutine.
+func (f *reportingFleet) running(name string) *reportingHost {
+	f.hostsMu.Lock()
+	defer f.hostsMu.Unlock()
+	for _, h := range f.hosts {
+		if h != nil && h.kill != nil && h.net.Self().ID.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
 func (f *reportingFleet) killHost(i int) {
 	if h := f.hosts[i]; h.kill != nil {
 		h.kill()
+		f.hostsMu.Lock()
 		h.kill = nil
+		f.hostsMu.Unlock()
 		h.net.SetDown(true)
 	}
 }
