Slow callers: a connection that came into use or was read meanwhile is not reset for another one's room

startSending recorded the connection in the pool before it set when its caller last made room, and makeRoom did not look at that time again before the reset. Under load, callers that read at full speed were reset with an idle time of 0.4 and 14 ms. TestCallerThatReadsMeanwhileIsNotReset fails before and passes after.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -197,11 +197,11 @@
 	if c.sending {
 		return true
 	}
+	c.lastRead.Store(time.Now().UnixNano()) // before others see the connection
 	if !c.pool.add(c) {
 		c.stallLocked(reasonStopped)
 		return false
 	}
-	c.lastRead.Store(time.Now().UnixNano())
 	c.pool.scope.Counter("callers_slow").Inc(1)
 	c.sending = true
 	go c.send()
@@ -234,6 +234,16 @@
 	c.stallLocked(reason)
 }
 
+// stallIfIdleSince resets the connection in favour of others unless its caller has made room, or its buffer has come into use,
+// after a time in nanoseconds.
+func (c *Conn) stallIfIdleSince(at int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastRead.Load() == at {
+		c.stallLocked(reasonHostFull)
+	}
+}
+
 func (c *Conn) stallLocked(reason string) {
 	if c.err != nil {
 		return
--- a/internal/callerconn/pool.go
+++ b/internal/callerconn/pool.go
@@ -106,7 +106,7 @@
 	}
 	p.mu.Unlock()
 	if longest != nil && longest != needs {
-		longest.stall(reasonHostFull)
+		longest.stallIfIdleSince(earliest)
 	}
 }
 
--- a/internal/callerconn/steady_test.go
+++ b/internal/callerconn/steady_test.go
@@ -1,8 +1,12 @@
 package callerconn
 
 import (
+	"net"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/uber-go/tally/v4"
 )
 
 // TestSteadyCallerIsServedWhileOthersTakeRoom guards against a caller that reads steadily being broken off because others have
@@ -44,3 +48,32 @@
 		t.Errorf("the caller got %d of %d bytes, %v", n, size, err)
 	}
 }
+
+// TestCallerThatReadsMeanwhileIsNotReset guards against a connection being reset for another one's room although its caller has
+// made room, or its buffer has come into use, since it was chosen.
+func TestCallerThatReadsMeanwhileIsNotReset(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		log, _ := test.NewNullLogger()
+		p := NewPool(1<<20, log, tally.NoopScope)
+		p.used.Store(p.bound)
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		c := &Conn{Conn: near, pool: p}
+		p.conns[c] = true
+		c.mu.Lock() // as a write does
+		made := make(chan struct{})
+		go func() {
+			defer close(made)
+			p.makeRoom(nil, 0, time.Now())
+		}()
+		time.Sleep(50 * time.Millisecond) // until it waits for c.mu
+		if reads {
+			c.lastRead.Store(time.Now().UnixNano())
+		}
+		c.mu.Unlock()
+		<-made
+		if reason := c.Stalled(); (reason == "") != reads {
+			t.Errorf("read meanwhile %v: reset with reason %q", reads, reason)
+		}
+	}
+}
