Streams: a comment is no first event

A comment that a target sends while it processes a prompt counted as its first event. The average time of first events, by which a target may be silent, became too short, now that comments do not restart the limit. TestCommentIsNoFirstEvent fails before (average 120 ms, want 360) and passes after.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -125,7 +125,7 @@
 			if progress {
 				silenceTimer.Stop()
 			}
-			if sent > 0 {
+			if progress && sent > 0 {
 				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
 				g.opts.View.RecordPrefill(c.Target, x.memory.prefill, g.opts.Now()-sent)
 				sent = 0
--- a/internal/gateway/slowstream_test.go
+++ b/internal/gateway/slowstream_test.go
@@ -97,3 +97,20 @@
 		})
 	}
 }
+
+// TestCommentIsNoFirstEvent guards against a target that sends a comment while it processes a prompt counting as one with fast first
+// events: its next streams would be taken for silent too soon.
+func TestCommentIsNoFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &tricklingSender{streams: [][]string{{": wait\n\n", ": wait\n\n", "id: 1\ndata: a\n\n"}}, gap: 400 * time.Millisecond}
+		g := testGateway(s)
+		w := post(g, "/stream/x", "m")
+		var longest time.Duration
+		for id := range g.opts.View.Targets().ByID {
+			longest = max(longest, g.opts.View.FirstEventTime(id))
+		}
+		if s.sends != 1 || !strings.HasSuffix(w.Body.String(), "data: a\n\n") || longest < 300*time.Millisecond { // a moving average that begins at 0
+			t.Errorf("%d sends, body %q, average time of the first event %v, want 0.3 of 1.2 s", s.sends, w.Body.String(), longest)
+		}
+	})
+}
