Memory of engines: reservations outlast the deadline of a request

Engines go on for up to 2 s with a request that was broken off, but a request that was broken off at its deadline lost its reservation at that moment, and one of a lost host too. The ledger then granted memory that the engine still used. Reservations now end 2 s after the deadline. TestMemoryOutlastsTheDeadline fails before and passes after.

--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -14,7 +14,7 @@
 	Tokens  int64
 	Prefill time.Duration // expected, if it is long and the model has other copies; 0: it is not
 	Due     time.Duration // when it should begin
-	Until   time.Duration // its deadline
+	Until   time.Duration // EndOf its deadline
 }
 
 // Reason tells why a request gets no memory.
--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -32,7 +32,7 @@
 	Key
 	Engine string
 	Tokens int64
-	Until  time.Duration // deadline of the request
+	Until  time.Duration // EndOf the deadline of the request
 	at     time.Duration // when this ledger granted it or heard of it
 	own    bool          // this ledger granted it
 }
--- a/coord/kvmemory/node.go
+++ b/coord/kvmemory/node.go
@@ -9,6 +9,10 @@
 // lingerTime is how long the memory of a request that was broken off stays reserved: engines go on for a moment.
 const lingerTime = 2 * time.Second
 
+// EndOf returns until when a request with the given deadline may use memory: one that is broken off at its deadline goes on for
+// lingerTime at the engine. It is the Until of a Request and of its Reservation.
+func EndOf(deadline time.Duration) time.Duration { return deadline + lingerTime }
+
 // NodeMemory holds the reservations of a node. It is not safe for concurrent use.
 type NodeMemory struct {
 	asked   uint64
@@ -64,7 +68,7 @@
 func (m *NodeMemory) Report(now time.Duration, incarnation string) (r NodeReport, any bool) {
 	maps.DeleteFunc(m.held, func(_ uint64, r Reservation) bool { return now >= r.Until })
 	r = NodeReport{Incarnation: incarnation, Asked: m.asked, Pending: slices.Collect(maps.Keys(m.pending)), Held: slices.Collect(maps.Values(m.held))}
-	if now-m.epochAt <= LongestUse {
+	if now-m.epochAt <= EndOf(LongestUse) {
 		r.Epoch = m.epoch
 	}
 	return r, m.asked > 0 || r.Epoch != 0
--- a/coord/kvmemory/sim_test.go
+++ b/coord/kvmemory/sim_test.go
@@ -240,7 +240,7 @@
 		return
 	}
 	seq := n.memory.Begin()
-	request := Request{Key: Key{n.name, n.inc, seq}, ID: id, Tokens: tokens, Due: due, Until: until}
+	request := Request{Key: Key{n.name, n.inc, seq}, ID: id, Tokens: tokens, Due: due, Until: EndOf(until)}
 	for _, i := range s.random.Perm(len(s.engines))[:min(8, len(s.engines))] {
 		request.Engines = append(request.Engines, s.engines[i])
 	}
@@ -258,7 +258,7 @@
 			retry()
 			return
 		}
-		n.memory.Grant(seq, a.Engine, tokens, until)
+		n.memory.Grant(seq, a.Engine, tokens, request.Until)
 		if s.now <= due {
 			s.early++
 		}
@@ -287,7 +287,7 @@
 	})
 }
 
-// use has an engine hold a request. It goes on for up to its deadline if its node dies.
+// use has an engine hold a request. If the request is broken off at its deadline or its node dies, the engine goes on for a while.
 func (s *sim) use(n *simNode, k Key, engine string, tokens int64, until, runTime time.Duration) {
 	s.inUse[engine][k] = tokens
 	sum, count := int64(0), 0
@@ -300,13 +300,20 @@
 	}
 	s.worst = max(s.worst, float64(sum)/float64(bound))
 	s.served++
+	brokenOff := s.now+runTime > until
 	end := min(until, s.now+runTime)
+	lingers := time.Duration(s.random.Int64N(int64(lingerTime)))
+	leave := func() { delete(s.inUse[engine], k) }
 	s.after(end-s.now, func() {
-		if !n.dead {
-			delete(s.inUse[engine], k)
+		switch {
+		case n.dead:
+			s.after(until+lingers-s.now, leave)
+		case brokenOff:
+			n.memory.Release(s.now, k.Seq, true)
+			s.after(lingers, leave)
+		default:
 			n.memory.Release(s.now, k.Seq, false)
-			return
+			leave()
 		}
-		s.after(until-s.now, func() { delete(s.inUse[engine], k) })
 	})
 }
--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -99,7 +99,7 @@
 	if view.coordinatorKeepsNoMemory(c.Coordinator()) {
 		return MemoryGrant{Granted: true, Choice: choice}
 	}
-	request := memoryRequest{Seq: view.beginMemory(), ID: r.ID, Incarnation: c.opts.Self.Incarnation, Tokens: r.Tokens, DueMS: (r.Due - now).Milliseconds(), LeftMS: (r.Until - now).Milliseconds(), PrefillMS: choice.Prefill.Milliseconds()}
+	request := memoryRequest{Seq: view.beginMemory(), ID: r.ID, Incarnation: c.opts.Self.Incarnation, Tokens: r.Tokens, DueMS: (r.Due - now).Milliseconds(), LeftMS: (kvmemory.EndOf(r.Until) - now).Milliseconds(), PrefillMS: choice.Prefill.Milliseconds()}
 	for _, each := range choices {
 		request.Engines = append(request.Engines, runOf(each.Target))
 	}
@@ -174,7 +174,7 @@
 func (f *FleetView) grantMemory(seq uint64, engine string, r MemoryRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.memory.node.Grant(seq, engine, r.Tokens, r.Until)
+	f.memory.node.Grant(seq, engine, r.Tokens, kvmemory.EndOf(r.Until))
 }
 
 // ReleaseMemory gives memory back with the next report. If the request was broken off, that is done a while later, as the engine
--- a/internal/coordinator/memory_test.go
+++ b/internal/coordinator/memory_test.go
@@ -198,3 +198,23 @@
 		}
 	}
 }
+
+// TestMemoryOutlastsTheDeadline guards against memory that is granted anew while an engine goes on with a request that was broken off
+// at its deadline. That the memory is free a while later is the control.
+func TestMemoryOutlastsTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryHosts(t, 3)
+		time.Sleep(4 * time.Second)
+		g := m.reserve("h1", 40_000)
+		time.Sleep(5 * time.Second) // the deadline
+		m.clients["h1"].opts.FleetView.ReleaseMemory(g.Seq, true)
+		time.Sleep(1500 * time.Millisecond)
+		if sum := m.reservedAt("h0"); sum != 40_000 {
+			t.Errorf("%d tokens reserved 1.5 s after the deadline, want those of the request that was broken off", sum)
+		}
+		time.Sleep(time.Second)
+		if sum := m.reservedAt("h0"); sum != 0 {
+			t.Errorf("%d tokens still reserved", sum)
+		}
+	})
+}
--- a/internal/coordinator/memorymessages.go
+++ b/internal/coordinator/memorymessages.go
@@ -13,7 +13,7 @@
 	Seq         uint64 `json:"s"`
 	Engine      string `json:"e"` // of runOf
 	Tokens      int64  `json:"n"`
-	LeftMS      int64  `json:"l"` // until the deadline of the request
+	LeftMS      int64  `json:"l"` // until kvmemory.EndOf the deadline of the request
 }
 
 // LedgerCopy is what a host knows of the ledger of a coordinator.
