Memory of engines: a lost witness holds up large requests for two reports instead of 2 s

A witness that is late once, by 120 ms, is given up, and then nothing was granted for 2 s, as the former witness may be in a group that goes on with its copy. Where memories are small that is nearly every request. Hosts that have named the epoch of the next witness count at once now: they bring that epoch to any group that they go to, which has to get the copy of the next witness before it grants.

TestLostWitnessHoldsUpNobodyWhoKnowsItsSuccessor fails before.

--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -115,15 +115,22 @@
 	for _, until := range l.uncovered {
 		pausedTo = max(pausedTo, until)
 	}
-	counted, firstJoin := 0, time.Duration(-1)
+	counted, unlearned, firstJoin := 0, 0, time.Duration(-1)
 	for _, n := range l.nodes {
 		if (now-n.joinedAt >= joinTime || l.closed[n.from]) && now-n.seenAt <= NodeTimeout {
-			counted++
+			if l.countsAfterLoss(now, n) {
+				counted++
+			} else {
+				unlearned++
+			}
 		}
 		if firstJoin < 0 || n.joinedAt < firstJoin {
 			firstJoin = n.joinedAt
 		}
 	}
+	if counted == 0 && unlearned > 0 {
+		return 0, max(pausedTo, now+1, min(l.lostTo, l.lostTo-joinTime+learnTime))
+	}
 	if counted == 0 || all == 0 {
 		pausedTo = max(pausedTo, firstJoin+joinTime, now+1)
 	}
--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -68,6 +68,8 @@
 	isClosed  bool
 	closedAt  time.Duration
 	pausedTo  time.Duration
+	lostEpoch uint64        // of the witness that was lost last
+	lostTo    time.Duration // until when that matters
 	witness   witness
 	prefillTo map[string]time.Duration // by engine, when the long prefills granted there are expected to end
 	useTime   time.Duration            // mean time of use of lately released reservations
--- a/coord/kvmemory/witness.go
+++ b/coord/kvmemory/witness.go
@@ -62,11 +62,17 @@
 // LoseWitness has the ledger take another witness, because this one is silent.
 func (l *Ledger) LoseWitness(now time.Duration) {
 	if l.witness.ready {
-		l.pausedTo = max(l.pausedTo, now+joinTime)
+		l.lostEpoch, l.lostTo = l.epoch, now+joinTime
 	}
 	l.witness = witness{}
 }
 
+// countsAfterLoss reports whether a node may count although the witness was lost a moment ago, which may be in a group that goes on with its
+// copy. A node that names the epoch of the next witness counts in such a group only once that group has the copy of the next witness.
+func (l *Ledger) countsAfterLoss(now time.Duration, n *node) bool {
+	return now >= l.lostTo || l.epoch != l.lostEpoch && n.epoch == l.epoch
+}
+
 // TellOf returns the call that tells the witness a reservation.
 func (l *Ledger) TellOf(k Key) Tell {
 	engine := l.byRun[k.run()][k.Seq]
@@ -74,7 +80,7 @@
 }
 
 // Told records the end of a call, and reports whether the reservations in it may be used. If the witness did not acknowledge, it may
-// be in a group that goes on with its copy: nothing is granted until the nodes of that group no longer count here.
+// be in a group that goes on with its copy: nodes count only once they name the epoch of another witness, or that group's no longer count here.
 func (l *Ledger) Told(now time.Duration, t Tell, acknowledged bool) bool {
 	w := &l.witness
 	if t.Epoch != l.epoch || t.Witness != w.node {
