Memory of engines: a coordinator that grants nothing is asked once by each host

While a coordinator grants nothing to anyone, each waiting request asked it each 0.1 s: at 440 large requests a second and a pause of 2 s that is up to 8,800 calls a second to a host that has just become the coordinator. A host now takes such an answer for all its requests for 0.1 s. A request with an invalid deadline has a reason of its own, so that it does not hold up others. TestPausedCoordinatorIsAskedOncePerHost: 50 calls before, 1 after.

--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -27,6 +27,8 @@
 	ReasonRoom   Reason = "no room"
 	ReasonOrder  Reason = "others are due earlier"
 	ReasonLong   Reason = "a long prompt is prefilled there"
+	// ReasonInvalid is that of a request without tokens or whose deadline has passed or is more than a day away.
+	ReasonInvalid Reason = "request is invalid"
 )
 
 // Answer is the answer to a Request.
--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -36,6 +36,10 @@
 	// without is the coordinator that lacks the method, until withoutUntil.
 	without      string
 	withoutUntil time.Duration
+	// paused is what the coordinator pausedBy answered when it granted no memory to anyone. It is not asked again before pausedUntil.
+	paused      MemoryGrant
+	pausedBy    string
+	pausedUntil time.Duration
 }
 
 func newMemoryState() memoryState {
@@ -96,9 +100,13 @@
 	choices := append([]Choice{choice}, choice.Others...)
 	choices = choices[:min(len(choices), maxMemoryEngines)]
 	view, now := c.opts.FleetView, c.opts.Now()
-	if view.coordinatorKeepsNoMemory(c.Coordinator()) {
+	coordinator := c.Coordinator()
+	if view.coordinatorKeepsNoMemory(coordinator) {
 		return MemoryGrant{Granted: true, Choice: choice}
 	}
+	if paused, ok := view.memoryPaused(coordinator); ok {
+		return paused
+	}
 	request := memoryRequest{Seq: view.beginMemory(), ID: r.ID, Incarnation: c.opts.Self.Incarnation, Tokens: r.Tokens, DueMS: (r.Due - now).Milliseconds(), LeftMS: (kvmemory.EndOf(r.Until) - now).Milliseconds(), PrefillMS: choice.Prefill.Milliseconds()}
 	for _, each := range choices {
 		request.Engines = append(request.Engines, runOf(each.Target))
@@ -125,6 +133,9 @@
 		if reply.FreeMS > 0 {
 			grant.Free = c.opts.Now() + time.Duration(reply.FreeMS)*time.Millisecond
 		}
+		if grant.Paused {
+			view.recordMemoryPaused(coordinator, grant)
+		}
 		return grant
 	}
 }
@@ -159,6 +170,19 @@
 	f.memory.without, f.memory.withoutUntil = coordinator, f.now()+olderVersionRetry
 }
 
+// memoryPaused returns what a coordinator answered to this host a moment ago, if it granted no memory to anyone.
+func (f *FleetView) memoryPaused(coordinator string) (MemoryGrant, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.memory.paused, coordinator == f.memory.pausedBy && f.now() < f.memory.pausedUntil
+}
+
+func (f *FleetView) recordMemoryPaused(coordinator string, g MemoryGrant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.memory.paused, f.memory.pausedBy, f.memory.pausedUntil = g, coordinator, f.now()+memoryRetryWait
+}
+
 func (f *FleetView) beginMemory() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/coordinator/memory_test.go
+++ b/internal/coordinator/memory_test.go
@@ -218,3 +218,30 @@
 		}
 	})
 }
+
+// TestPausedCoordinatorIsAskedOncePerHost guards against a new coordinator that is asked by all requests of all hosts ten times a second until
+// it may grant: thousands of calls where memories are small. That requests are granted memory soon after is the control.
+func TestPausedCoordinatorIsAskedOncePerHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryHosts(t, 3)
+		time.Sleep(600 * time.Millisecond)
+		for range 50 {
+			if g := m.reserve("h1", 2_000); g.Granted || !g.Paused {
+				t.Fatalf("%+v, want a coordinator that does not grant yet", g)
+			}
+		}
+		if r := m.clients["h1"].memoryReport(); r == nil || r.Asked != 1 {
+			t.Errorf("%+v, want one call", r)
+		}
+		time.Sleep(3 * time.Second)
+		choice, _ := m.clients["h1"].opts.FleetView.Pick(Requirements{Service: "s", Model: "m", Tokens: 2_000})
+		if g := m.clients["h1"].RequestMemory(t.Context(), choice, MemoryRequest{Tokens: 2_000, Until: m.now() + 48*time.Hour}); g.Granted || g.Paused {
+			t.Errorf("%+v, want a denial that concerns only the request with the invalid deadline", g)
+		}
+		for i := range 2 {
+			if g := m.reserve("h1", 2_000); !g.Granted {
+				t.Errorf("request %d is not granted memory: %v", i, g.Reason)
+			}
+		}
+	})
+}
--- a/internal/coordinator/memoryledger.go
+++ b/internal/coordinator/memoryledger.go
@@ -204,7 +204,10 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	refused := kvmemory.Answer{Reason: kvmemory.ReasonPaused}
-	if c.isDeputy() || c.memory.handedOver || r.Tokens <= 0 || r.LeftMS <= 0 || r.LeftMS > maxLeftMS {
+	if r.Tokens <= 0 || r.LeftMS <= 0 || r.LeftMS >= maxLeftMS {
+		return kvmemory.Answer{Reason: kvmemory.ReasonInvalid}, tell, false
+	}
+	if c.isDeputy() || c.memory.handedOver {
 		return refused, tell, false
 	}
 	alone := all <= 1 || c.memory.ledger.WitnessNode() == "" && len(c.hosts) > 1 && len(c.witnesses(now)) == 0 // no host can be a witness
