Memory of engines: requests are not refused because a broken-off one may go on

A release is expected at the deadline of a request at the latest, not 2 s later: otherwise a request with the same time to its deadline was refused at once although the memory was free a report later. TestMemoryOfBrokenOffRequests fails before (503), and if the gateway gives memory of broken-off requests back at once.

--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -228,9 +228,9 @@
 	l.useTime += (now - r.at - l.useTime) / useWeight
 }
 
-// endOf returns when a reservation is expected to end.
+// endOf returns when a reservation is expected to end: at the deadline of its request at the latest, also if the engine may go on.
 func (l *Ledger) endOf(now time.Duration, r Reservation) time.Duration {
-	return min(r.Until, max(now+1, r.at+useFactor*l.useTime))
+	return max(now+1, min(r.Until-lingerTime, r.at+useFactor*l.useTime))
 }
 
 func (l *Ledger) remove(k Key, engine string) {
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -142,3 +142,33 @@
 		})
 	}
 }
+
+// TestMemoryOfBrokenOffRequests guards against memory that is granted anew while an engine goes on with a request that was broken off, and
+// against memory that nobody gives back after that. A request right after one that ended is the control.
+func TestMemoryOfBrokenOffRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngineFleetWithMemory(t, 3, 1, 12, 60_000, 1)
+		time.Sleep(4 * time.Second)
+		send := func(id string, leave time.Duration) (took time.Duration) {
+			r := newPost("/stream/"+id, "m", id)
+			ctx, cancel := context.WithTimeout(r.Context(), leave)
+			defer cancel()
+			r = r.WithContext(ctx)
+			r.Header.Set("Tokens-Out", "40000")
+			began := f.now()
+			if w := serve(f.hosts[1].gateway, r); leave > time.Second && w.Code != http.StatusOK {
+				t.Errorf("%s: status %d", id, w.Code)
+			}
+			return f.now() - began
+		}
+		whole := send("a", time.Minute)
+		if took := send("a2", time.Minute); took > whole+600*time.Millisecond {
+			t.Errorf("a request took %v after one that ended, want at most a report more than %v", took, whole)
+		}
+		time.Sleep(time.Second)
+		send("b", whole/2)
+		if took := send("c", time.Minute); took < whole+1500*time.Millisecond || took > whole+3*time.Second {
+			t.Errorf("a request took %v after one that was broken off, want 2 s more than %v", took, whole)
+		}
+	})
+}
