--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -8,7 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -172,3 +174,28 @@
 		}
 	})
 }
+
+// TestPermitKeepsTheEngineOfTheMemory guards against a large request that is sent to another cold engine than the one at which its memory is
+// reserved. A small request, which any cold engine may take, is the control.
+func TestPermitKeepsTheEngineOfTheMemory(t *testing.T) {
+	for tokens, want := range map[string]int{"40000": 0, "100": 1} {
+		synctest.Test(t, func(t *testing.T) {
+			g := coldGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(http.StatusOK, firstEvent)}}, &fleet.ColdLimit{Rate: 20})
+			engines := g.opts.View.Config().Services["llm"].Engine
+			engines.KVTokens, engines.Slots = 60_000, 12
+			g.opts.RequestMemory = func(_ context.Context, c coordinator.Choice, _ coordinator.MemoryRequest) coordinator.MemoryGrant {
+				return coordinator.MemoryGrant{Granted: true, Choice: c, Seq: 1}
+			}
+			others := -1
+			g.opts.RequestPermit = func(_ context.Context, r coordinator.PermitRequest) coordinator.Permit {
+				others = len(r.Others)
+				return coordinator.Permit{Granted: true, Target: r.Target, Until: g.opts.Now() + permit.TTL}
+			}
+			r := newPost("/stream/x", "m", "a1")
+			r.Header.Set("Tokens-Out", tokens)
+			if w := serve(g, r); w.Code != http.StatusOK || others != want {
+				t.Errorf("%s tokens: status %d, a permit for %d other engines, want %d", tokens, w.Code, others, want)
+			}
+		})
+	}
+}
