--- a/coord/kvmemory/ask.go
+++ b/coord/kvmemory/ask.go
@@ -14,7 +14,7 @@
 	Tokens  int64
 	Prefill time.Duration // expected, if it is long and the model has other copies; 0: it is not
 	Due     time.Duration // when it should begin
-	Until   time.Duration // its deadline
+	Until   time.Duration // EndOf its deadline
 }
 
 // Reason tells why a request gets no memory.
@@ -27,6 +27,8 @@
 	ReasonRoom   Reason = "no room"
 	ReasonOrder  Reason = "others are due earlier"
 	ReasonLong   Reason = "a long prompt is prefilled there"
+	// ReasonInvalid is that of a request without tokens or whose deadline has passed or is more than a day away.
+	ReasonInvalid Reason = "request is invalid"
 )
 
 // Answer is the answer to a Request.
@@ -115,15 +117,22 @@
 	for _, until := range l.uncovered {
 		pausedTo = max(pausedTo, until)
 	}
-	counted, firstJoin := 0, time.Duration(-1)
+	counted, unlearned, firstJoin := 0, 0, time.Duration(-1)
 	for _, n := range l.nodes {
 		if (now-n.joinedAt >= joinTime || l.closed[n.from]) && now-n.seenAt <= NodeTimeout {
-			counted++
+			if l.countsAfterLoss(now, n) {
+				counted++
+			} else {
+				unlearned++
+			}
 		}
 		if firstJoin < 0 || n.joinedAt < firstJoin {
 			firstJoin = n.joinedAt
 		}
 	}
+	if counted == 0 && unlearned > 0 {
+		return 0, max(pausedTo, now+1, min(l.lostTo, l.lostTo-joinTime+learnTime))
+	}
 	if counted == 0 || all == 0 {
 		pausedTo = max(pausedTo, firstJoin+joinTime, now+1)
 	}
--- a/coord/kvmemory/ledger.go
+++ b/coord/kvmemory/ledger.go
@@ -32,7 +32,7 @@
 	Key
 	Engine string
 	Tokens int64
-	Until  time.Duration // deadline of the request
+	Until  time.Duration // EndOf the deadline of the request
 	at     time.Duration // when this ledger granted it or heard of it
 	own    bool          // this ledger granted it
 }
@@ -68,6 +68,8 @@
 	isClosed  bool
 	closedAt  time.Duration
 	pausedTo  time.Duration
+	lostEpoch uint64        // of the witness that was lost last
+	lostTo    time.Duration // until when that matters
 	witness   witness
 	prefillTo map[string]time.Duration // by engine, when the long prefills granted there are expected to end
 	useTime   time.Duration            // mean time of use of lately released reservations
@@ -226,9 +228,9 @@
 	l.useTime += (now - r.at - l.useTime) / useWeight
 }
 
-// endOf returns when a reservation is expected to end.
+// endOf returns when a reservation is expected to end: at the deadline of its request at the latest, also if the engine may go on.
 func (l *Ledger) endOf(now time.Duration, r Reservation) time.Duration {
-	return min(r.Until, max(now+1, r.at+useFactor*l.useTime))
+	return max(now+1, min(r.Until-lingerTime, r.at+useFactor*l.useTime))
 }
 
 func (l *Ledger) remove(k Key, engine string) {
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -8,7 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"buckthornseam.dev/coord/permit"
 	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -142,3 +144,58 @@
 		})
 	}
 }
+
+// TestMemoryOfBrokenOffRequests guards against memory that is granted anew while an engine goes on with a request that was broken off, and
+// against memory that nobody gives back after that. A request right after one that ended is the control.
+func TestMemoryOfBrokenOffRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngineFleetWithMemory(t, 3, 1, 12, 60_000, 1)
+		time.Sleep(4 * time.Second)
+		send := func(id string, leave time.Duration) (took time.Duration) {
+			r := newPost("/stream/"+id, "m", id)
+			ctx, cancel := context.WithTimeout(r.Context(), leave)
+			defer cancel()
+			r = r.WithContext(ctx)
+			r.Header.Set("Tokens-Out", "40000")
+			began := f.now()
+			if w := serve(f.hosts[1].gateway, r); leave > time.Second && w.Code != http.StatusOK {
+				t.Errorf("%s: status %d", id, w.Code)
+			}
+			return f.now() - began
+		}
+		whole := send("a", time.Minute)
+		if took := send("a2", time.Minute); took > whole+600*time.Millisecond {
+			t.Errorf("a request took %v after one that ended, want at most a report more than %v", took, whole)
+		}
+		time.Sleep(time.Second)
+		send("b", whole/2)
+		if took := send("c", time.Minute); took < whole+1500*time.Millisecond || took > whole+3*time.Second {
+			t.Errorf("a request took %v after one that was broken off, want 2 s more than %v", took, whole)
+		}
+	})
+}
+
+// TestPermitKeepsTheEngineOfTheMemory guards against a large request that is sent to another cold engine than the one at which its memory is
+// reserved. A small request, which any cold engine may take, is the control.
+func TestPermitKeepsTheEngineOfTheMemory(t *testing.T) {
+	for tokens, want := range map[string]int{"40000": 0, "100": 1} {
+		synctest.Test(t, func(t *testing.T) {
+			g := coldGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(http.StatusOK, firstEvent)}}, &fleet.ColdLimit{Rate: 20})
+			engines := g.opts.View.Config().Services["llm"].Engine
+			engines.KVTokens, engines.Slots = 60_000, 12
+			g.opts.RequestMemory = func(_ context.Context, c coordinator.Choice, _ coordinator.MemoryRequest) coordinator.MemoryGrant {
+				return coordinator.MemoryGrant{Granted: true, Choice: c, Seq: 1}
+			}
+			others := -1
+			g.opts.RequestPermit = func(_ context.Context, r coordinator.PermitRequest) coordinator.Permit {
+				others = len(r.Others)
+				return coordinator.Permit{Granted: true, Target: r.Target, Until: g.opts.Now() + permit.TTL}
+			}
+			r := newPost("/stream/x", "m", "a1")
+			r.Header.Set("Tokens-Out", tokens)
+			if w := serve(g, r); w.Code != http.StatusOK || others != want {
+				t.Errorf("%s tokens: status %d, a permit for %d other engines, want %d", tokens, w.Code, others, want)
+			}
+		})
+	}
+}
