Test: goroutines of earlier tests have ended before they are counted

Cause: TestNoGoroutineOutlivesItsConnection counted 77 goroutines before it began, most of them of the tests before, so that 41 with 20 stalled callers looked like too few; its last check was too lenient for the same reason. Change: it waits until the count has not changed for a second.

--- a/internal/callerconn/leak_test.go
+++ b/internal/callerconn/leak_test.go
@@ -7,11 +7,22 @@
 	"time"
 )
 
+// settledGoroutines returns the number of goroutines once those of earlier tests have ended.
+func settledGoroutines() int {
+	n, since := runtime.NumGoroutine(), time.Now()
+	for end := time.Now().Add(20 * time.Second); time.Since(since) < time.Second && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if m := runtime.NumGoroutine(); m != n {
+			n, since = m, time.Now()
+		}
+	}
+	return n
+}
+
 // TestNoGoroutineOutlivesItsConnection guards against senders that are left behind when callers read nothing, leave amid a response or
 // read all of it.
 func TestNoGoroutineOutlivesItsConnection(t *testing.T) {
 	r := startRig(t, 4<<20, 400_000, 500*time.Millisecond)
-	before := runtime.NumGoroutine()
+	before := settledGoroutines()
 	for i := range 60 {
 		c := r.dial(t, "HTTP/1.1")
 		switch i % 3 {
