Hosts: a report does not hold the client's lock while it waits for the own coordinator

Cause: nextReport held Client.mu and asked the own coordinator for its closed ledger, which needs Coordinator.mu. The coordinator asks the Client for the age of the configuration with Coordinator.mu held (the share of permits for cold targets). A host that changed coordinators stood still for ever: no requests, no readiness, no end at SIGTERM. Change: the ledger is asked for before Client.mu is taken.

--- a/internal/coordinator/client.go
+++ b/internal/coordinator/client.go
@@ -221,9 +221,8 @@
 		c.currentCoordinator, c.coordinatorSince, c.sendFull = to, c.opts.Now(), true
 		c.keepList()
 	}
-	r := c.nextReport()
 	c.mu.Unlock()
-
+	r := c.nextReport(c.closedLedger(to))
 	var u Update
 	var err error
 	began := c.opts.Now()
@@ -273,8 +272,10 @@
 	}
 }
 
-// nextReport returns the next report. The caller must hold c.mu.
-func (c *Client) nextReport() Report {
+// nextReport returns the next report, with what closedLedger returned.
+func (c *Client) nextReport(closed []LedgerCopy) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	r := Report{Incarnation: c.opts.Self.Incarnation, Full: c.sendFull, EngineFailures: c.pendingFailures, Leaving: c.leaving, Era: c.opts.Eras.Current()}
 	c.pendingFailures = nil
 	if c.sendFull {
@@ -296,7 +297,7 @@
 	c.opts.FleetView.report(&r)
 	r.Brittle = c.opts.FleetView.brittleServices()
 	r.SlotsHeld = c.opts.FleetView.keptSlots()
-	r.Memory, r.LongPrefills = c.memoryReport(), c.opts.FleetView.takeLongSent()
+	r.Memory, r.LongPrefills = c.memoryReport(closed), c.opts.FleetView.takeLongSent()
 	if r.CutOff = c.opts.CutOff(); r.CutOff {
 		r.Unreachable = nil // what this host sees of targets says something about its own way
 	}
--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -236,11 +236,11 @@
 	c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()}), fleetView: c.opts.FleetView}
 	c.opts.FleetView.SetTargets(fleet.NewTargets(map[string]fleet.Target{"e1": {ID: "e1"}}))
 	c.opts.FleetView.RecordUnreachable("e1")
-	if r := c.nextReport(); len(r.Unreachable) != 1 || r.CutOff {
+	if r := c.nextReport(nil); len(r.Unreachable) != 1 || r.CutOff {
 		t.Errorf("a host that reaches others reports %v, cut off %v", r.Unreachable, r.CutOff)
 	}
 	cutOff = true
-	if r := c.nextReport(); len(r.Unreachable) > 0 || !r.CutOff {
+	if r := c.nextReport(nil); len(r.Unreachable) > 0 || !r.CutOff {
 		t.Errorf("a host that is cut off reports %v, cut off %v", r.Unreachable, r.CutOff)
 	}
 }
--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -185,13 +185,19 @@
 	f.memory.node.Release(f.now(), seq, brokenOff)
 }
 
-// memoryReport returns what this host tells the coordinator of the memory that it holds, and of the ledgers that it knows.
-func (c *Client) memoryReport() *MemoryReport {
-	f, now := c.opts.FleetView, c.opts.Now()
-	var own []LedgerCopy
-	if c.currentCoordinator != c.opts.Self.Name && c.opts.Coordinator != nil {
-		own = c.opts.Coordinator.closedLedger()
+// closedLedger returns the ledger of this host's own coordinator if the host reports to another one. The caller must not hold c.mu: the
+// coordinator holds its lock while it asks the Client how recent the configuration is.
+func (c *Client) closedLedger(to string) []LedgerCopy {
+	if to == c.opts.Self.Name || c.opts.Coordinator == nil {
+		return nil
 	}
+	return c.opts.Coordinator.closedLedger()
+}
+
+// memoryReport returns what this host tells the coordinator of the memory that it holds, and of the ledgers that it knows, its own among
+// them.
+func (c *Client) memoryReport(own []LedgerCopy) *MemoryReport {
+	f, now := c.opts.FleetView, c.opts.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, any := f.memory.node.Report(now, c.opts.Self.Incarnation)
--- a/internal/coordinator/memory_test.go
+++ b/internal/coordinator/memory_test.go
@@ -176,7 +176,7 @@
 	if err := json.Unmarshal([]byte(`{"i":"1","f":true,"w":[{"s":"s","m":"m","n":1,"d":5}]}`), &r); err != nil || r.Memory != nil {
 		t.Errorf("a report of the earlier version: %v, %+v", err, r.Memory)
 	}
-	if out, _ := json.Marshal(Report{Incarnation: "1", Memory: testClient("a", fleet.Host{Name: "a"}).memoryReport()}); strings.Contains(string(out), "mr") {
+	if out, _ := json.Marshal(Report{Incarnation: "1", Memory: testClient("a", fleet.Host{Name: "a"}).memoryReport(nil)}); strings.Contains(string(out), "mr") {
 		t.Errorf("a host that reserves nothing reports %s, want the message of the earlier version", out)
 	}
 }
