--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -54,6 +54,8 @@
 	evacuatedEngine    string            // its zone is evacuated from evacuatedAt on
 	evacuatedAt        time.Time
 	evacuationEnd      time.Time // zero: not ended
+	earlierDaemon      bool      // a host runs, or may run, one that does not know evacuations
+	upgradedAt         time.Time // when the last such process had ended
 	drainWithoutFaults bool      // no fault was active when the last drain began
 }
 
