--- a/internal/coordinator/memory_test.go
+++ b/internal/coordinator/memory_test.go
@@ -230,7 +230,7 @@
 				t.Fatalf("%+v, want a coordinator that does not grant yet", g)
 			}
 		}
-		if r := m.clients["h1"].memoryReport(); r == nil || r.Asked != 1 {
+		if r := m.clients["h1"].memoryReport(nil); r == nil || r.Asked != 1 {
 			t.Errorf("%+v, want one call", r)
 		}
 		time.Sleep(3 * time.Second)
