Soak: a host knows that a target leaves once that target's own response has passed

The trace of a9-102: it ran at the leaving target, whose responses were stalled; after 1.8 s the host sent it to the other target, whose response the caller got. The checker took any request that had run at the leaving target for one whose response came from there. The host's first response that said so passed 10.6 s later (target_leaving), and the request in question was under way then. Change: the response's stamp has to name the target. The bound and the check of later requests are the same.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -148,7 +148,8 @@
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.body, o.complete = resp.StatusCode, string(body), err == nil
 	o.timedOut = time.Since(began) >= deadline
-	o.fromHost = resp.Header.Get("Buckthornseam-Server-Stamp") == ""
+	o.target = strings.TrimPrefix(resp.Header.Get("Buckthornseam-Server-Stamp"), "stamp-")
+	o.fromHost = o.target == ""
 	if resp.Close || err != nil {
 		c.closeConn()
 	}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -16,9 +16,10 @@
 	attemptID string
 	path      string
 	key       string
-	status    int  // 0: no response
-	fromHost  bool // the response is the host's own, not a target's
-	complete  bool // the response was received up to its end
+	status    int    // 0: no response
+	fromHost  bool   // the response is the host's own, not a target's
+	target    string // that made the response; empty: none
+	complete  bool   // the response was received up to its end
 	body      string
 	timedOut  bool   // the request's deadline had passed
 	failure   string // why there is no response
@@ -133,7 +134,7 @@
 	}
 	told := map[string]time.Time{}
 	for _, o := range c.outcomes {
-		if at, known := told[o.host]; o.status == 200 && !o.fromHost && o.sentAt.After(c.leavingSince) && ran(o) && (!known || o.endedAt.Before(at)) {
+		if at, known := told[o.host]; o.status == 200 && o.target == c.leavingTarget && o.sentAt.After(c.leavingSince) && (!known || o.endedAt.Before(at)) {
 			told[o.host] = o.endedAt
 		}
 	}
