Engine memory: a host that hears no other sends one large request a second

Change: at most one a second, of a sixteenth of an engine's memory at most; the ledger's own bound is untouched.

--- a/internal/coordinator/memory.go
+++ b/internal/coordinator/memory.go
@@ -28,7 +28,8 @@
 
 // memoryState is what this host holds of the memory of engines. It is guarded by FleetView.mu.
 type memoryState struct {
-	unlimited bool // see IgnoreEngineMemory
+	unlimited bool          // see IgnoreEngineMemory
+	aloneAt   time.Duration // when the last request was sent without a reservation; see sendAlone
 	node      *kvmemory.NodeMemory
 	copies    *kvmemory.Copies
 	// handOver is set if the coordinator lacks copies of other ledgers.
@@ -101,7 +102,7 @@
 	choices = choices[:min(len(choices), maxMemoryEngines)]
 	view, now := c.opts.FleetView, c.opts.Now()
 	coordinator := c.Coordinator()
-	if view.coordinatorKeepsNoMemory(coordinator) {
+	if view.coordinatorKeepsNoMemory(coordinator) || c.alone() && view.sendAlone(choice.Target, r.Tokens) {
 		return MemoryGrant{Granted: true, Choice: choice}
 	}
 	if paused, ok := view.memoryPaused(coordinator); ok {
