Review: streams of two software versions are joined after the crash of a new engine

Cause: a host that has run for 30 s and knows one version of a service takes it for the version that began any stream (streamorigin.Lookup), while its list of targets may be seconds behind that of the host that began it.

Case: review/1, with the stand-ins in review/rig that all cases share. One engine of v2 joins six of v1 and crashes after 2 s.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases. It needs no network: they use the standard library only.
+set -euo pipefail
+cd "$(dirname "$0")/rig"
+GOWORK=off GOTOOLCHAIN=local go build -o ../../target/review-rig .
