--- a/review/rig/tenant.go
+++ b/review/rig/tenant.go
@@ -27,7 +27,7 @@
 
 func (r *rig) plainEngines(n int) {
 	for i := range n {
-		r.startEngine(&engine{id: fmt.Sprintf("i-app%d", i), service: "wuno96b", version: "v1", zone: zones[i%3], slots: 6, work: 60 * time.Millisecond})
+		r.startEngine(&engine{id: fmt.Sprintf("i-app%d", i), service: "wuno96b", version: "v1", zone: r.site.zones[i%3], slots: 6, work: 60 * time.Millisecond})
 	}
 }
 
