Review: a planned stop cuts streams of a slower model that the stopping host has accepted

Cause: a stopping host expects of a request the longest recent time per token of its route, whatever the model.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -200,6 +200,8 @@
 var (
 	qasr = site{"jo-south", []string{"aqaba-a", "maan-b", "karak-c"}, 8, 56, 5 * time.Second, 400 * time.Millisecond, 14, 200 * time.Millisecond, time.Second * 10 / 626}           // line-draft
 	desr = site{"quebec-main", []string{"quebec-z1", "quebec-z2", "quebec-z3"}, 7, 54, 15 * time.Second, 500 * time.Millisecond, 73, 60 * time.Millisecond, time.Second * 10 / 128} // client-faq
+	// member-notice, with the speed of a model of pace 1
+	vanua = site{"viti-levu", []string{"suva", "lautoka", "nadi"}, 6, 52, 15 * time.Second, 2500 * time.Millisecond, 14, 26 * time.Millisecond, time.Second * 100 / 558}
 )
 
 // startHosts starts n daemons within 0.3 s of each other and waits until all are ready.
