Review: engines are loaded beyond their memory after a model has left the configuration

Cause: the planner (coord/swap/room.go, makeRoom) and the owner's own check (internal/coordinator/owner.go, fits) take the size of what an engine holds from the configuration in force. A model that is no longer offered has the size 0 there, but the engine still holds it.

--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -23,16 +23,25 @@
 	address  string
 	models   []string
 	slots    int
-	events   int           // of a stream
-	gap      time.Duration // between two events
-	work     time.Duration // of a plain request
-	loadTime time.Duration // of a model from its own disk
+	events   int            // of a stream
+	gap      time.Duration  // between two events
+	work     time.Duration  // of a plain request
+	loadTime time.Duration  // of a model from its own disk
+	holds    []string       // the models that it holds at its start; nil: all that are on its disk
+	weights  map[string]int // of the models, in MB; with capacity
+	capacity int            // weights_mb of the service; 0: not looked at
+	onLimit  func(e *engine, model string)
+	slotsFor int        // adapter_slots of the service; 0: it takes no adapters
+	late     lateWindow // of orders that it leaves unanswered and carries out late
+	silentAt time.Time  // from then on it is silent for a time, once
+	silence  time.Duration
 	onAnswer func(e *engine, w http.ResponseWriter, r *http.Request) bool
 
 	mu      sync.Mutex
 	server  *http.Server
 	loaded  map[string]bool
 	loading string
+	adapted map[string]*adapter // loaded adapters by MODEL/NAME
 	seq     int64
 	running int
 	stopped chan struct{}
@@ -40,8 +49,12 @@
 
 // startEngine starts an engine at a free loopback port and registers it.
 func (r *rig) startEngine(e *engine) *engine {
-	e.rig, e.born, e.stopped, e.loaded = r, time.Now().UnixMilli(), make(chan struct{}), map[string]bool{}
-	for _, m := range e.models {
+	e.rig, e.born, e.stopped, e.loaded, e.adapted = r, time.Now().UnixMilli(), make(chan struct{}), map[string]bool{}, map[string]*adapter{}
+	held := e.models
+	if e.holds != nil {
+		held = e.holds
+	}
+	for _, m := range held {
 		e.loaded[m] = true
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -69,7 +82,7 @@
 	out := []any{}
 	for _, m := range e.models {
 		if e.loaded[m] {
-			out = append(out, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+			out = append(out, map[string]any{"name": m, "version": 1, "adapters": e.adaptersOf(m)})
 		}
 	}
 	return out
@@ -128,8 +141,12 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		reply(w, http.StatusOK, map[string]any{"stage": "mixed", "models": e.modelList(), "busy": e.loading != "", "seq": e.seq, "waiting": 0, "running": e.running,
-			"kv_used": 0, "kv_total": 250000, "handles": 0, "born": e.born, "available": map[string]any{"in_memory": []string{}, "on_disk": e.models}})
+			"kv_used": 0, "kv_total": 250000, "handles": 0, "pending": e.pendingAdapters(), "born": e.born, "available": map[string]any{"in_memory": []string{}, "on_disk": e.models}})
 	case r.URL.Path == "/order":
+		if e.leavesUnanswered(body) {
+			<-r.Context().Done() // nothing is answered
+			panic(http.ErrAbortHandler)
+		}
 		e.order(w, body)
 	case r.URL.Path == "/healthz":
 		w.Header().Set("Buckthornseam-Instance-Id", e.id)
@@ -142,6 +159,7 @@
 	var o struct {
 		Operation    string `json:"operation"`
 		Model        string `json:"model"`
+		Adapter      string `json:"adapter"`
 		Holder       string `json:"holder"`
 		Token        *int64 `json:"fencing_token"`
 		Precondition *int64 `json:"precondition"`
@@ -154,6 +172,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	load := o.Operation == "load"
+	if o.Adapter != "" {
+		e.orderAdapter(w, load, o.Model, o.Adapter, o.Precondition)
+		return
+	}
 	switch {
 	case load && e.loading == o.Model:
 		w.WriteHeader(http.StatusAccepted)
@@ -163,6 +185,9 @@
 		w.WriteHeader(http.StatusOK)
 	case o.Precondition != nil && *o.Precondition != e.seq:
 		w.WriteHeader(http.StatusConflict)
+	case load && e.overCapacity(o.Model):
+		go e.onLimit(e, o.Model)
+		panic(http.ErrAbortHandler)
 	default:
 		e.seq++
 		if load {
@@ -170,11 +195,23 @@
 			go e.finishLoad(o.Model)
 		} else {
 			e.loaded[o.Model] = false
+			e.dropAdapters(o.Model)
 		}
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
+// overCapacity reports whether a load would exceed what the engine may hold. The caller must hold e.mu.
+func (e *engine) overCapacity(model string) bool {
+	total := e.weights[model]
+	for m, there := range e.loaded {
+		if there {
+			total += e.weights[m]
+		}
+	}
+	return e.capacity > 0 && total > e.capacity
+}
+
 func (e *engine) finishLoad(model string) {
 	time.Sleep(e.loadTime)
 	e.mu.Lock()
@@ -213,11 +250,16 @@
 	if e.onAnswer != nil && e.onAnswer(e, w, r) {
 		return
 	}
-	model := r.Header.Get("Buckthornseam-Model")
+	model, name, _ := strings.Cut(r.Header.Get("Buckthornseam-Model"), "/")
 	e.mu.Lock()
-	missing, full := model != "" && !e.loaded[model], e.running >= e.slots
+	a := e.adapted[model+"/"+name]
+	missing, full := model != "" && !e.loaded[model] || name != "" && (a == nil || a.pending), e.running >= e.slots
+	full = full || a != nil && a.unloading
 	if !missing && !full {
 		e.running++
+		if a != nil {
+			a.uses++
+		}
 	}
 	e.mu.Unlock()
 	switch {
@@ -233,6 +275,9 @@
 	defer func() {
 		e.mu.Lock()
 		e.running--
+		if a != nil {
+			e.endUse(a)
+		}
 		e.mu.Unlock()
 	}()
 	e.rig.ran(e, r)
@@ -247,11 +292,24 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= e.events; i++ {
 		e.sleep(r, e.gap)
+		if left := time.Until(e.silentUntil()); left > 0 {
+			e.sleep(r, left)
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d by %s software %s\n\n", i, i, e.id, e.version)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// silentUntil returns until when the engine is silent; zero if it is not.
+func (e *engine) silentUntil() (end time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.silentAt.IsZero() && time.Now().After(e.silentAt) {
+		end = e.silentAt.Add(e.silence)
+	}
+	return end
+}
+
 // sleep waits while the engine works. The request ends if the engine crashes or its channel is closed.
 func (e *engine) sleep(r *http.Request, d time.Duration) {
 	timer := time.NewTimer(d)
