Gateway: log and count what the retry budget allows and refuses

A refusal for want of budget now tells the requests and retries that its process counted, what they allow and since when it counts, so that logs tell a budget that started anew from one that forgot its retries early; the sums of tries over the lines of an id tell sends that nobody counted. The metric retries counts both results by service.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -18,9 +18,10 @@
 // its own requests plus an equal share of the fixed allowance, so that all
 // hosts together stay within the budget without coordination.
 type RetryBudget struct {
-	bounds fleet.Bounds
-	hosts  func() HostCount
-	now    func() time.Duration
+	bounds    fleet.Bounds
+	hosts     func() HostCount
+	now       func() time.Duration
+	startedAt time.Duration
 
 	mu       sync.Mutex
 	services map[string]*window
@@ -34,7 +35,25 @@
 
 // NewRetryBudget returns a budget with empty windows.
 func NewRetryBudget(bounds fleet.Bounds, hosts func() HostCount, now func() time.Duration) *RetryBudget {
-	return &RetryBudget{bounds: bounds, hosts: hosts, now: now, services: map[string]*window{}}
+	return &RetryBudget{bounds: bounds, hosts: hosts, now: now, startedAt: now(), services: map[string]*window{}}
+}
+
+// RetryBudgetState is the state of a service's budget for a log line. All counts are of this process.
+type RetryBudgetState struct {
+	Requests float64 `json:"requests"` // in the window
+	Retries  float64 `json:"retries"`  // in the window
+	Allowed  float64 `json:"allowed"`  // retries in the window
+	AgeMS    int64   `json:"age_ms"`   // since the process began to count
+}
+
+// State returns the state of a service's budget.
+func (b *RetryBudget) State(service string) RetryBudgetState {
+	hosts := b.hosts().All
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	requests, retries := w.sums()
+	return RetryBudgetState{Requests: requests, Retries: retries, Allowed: b.allowed(requests, hosts), AgeMS: (b.now() - b.startedAt).Milliseconds()}
 }
 
 // CountRequest counts a request to a service.
@@ -52,20 +71,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	requests, retries := 0.0, 0.0
-	for i := range budgetBuckets {
-		requests += w.requests[i]
-		retries += w.retries[i]
+	requests, retries := w.sums()
+	if retries+1 > b.allowed(requests, hosts) {
+		return false
 	}
+	w.retries[w.bucket%budgetBuckets]++
+	return true
+}
+
+// allowed returns how many retries a number of requests allows, both within the window.
+func (b *RetryBudget) allowed(requests float64, hosts int) float64 {
 	allowed := budgetShare * b.bounds.RetryRatio * requests
 	if hosts > 0 { // otherwise this host's part of the fixed allowance is unknown
 		allowed += budgetShare * b.bounds.RetryExtra / float64(hosts)
 	}
-	if retries+1 > allowed {
-		return false
+	return allowed
+}
+
+func (w *window) sums() (requests, retries float64) {
+	for i := range budgetBuckets {
+		requests += w.requests[i]
+		retries += w.retries[i]
 	}
-	w.retries[w.bucket%budgetBuckets]++
-	return true
+	return requests, retries
 }
 
 // window returns the window of a service with expired buckets cleared.
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -98,8 +98,7 @@
 		if !ok || ctx.Err() != nil {
 			break
 		}
-		if x.sends > 0 && !g.opts.Budget.AllowRetry(x.service) {
-			x.noRetryBudget = true
+		if x.sends > 0 && !g.allowRetry(x) {
 			break
 		}
 		x.tryHelper(helper.Name)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -74,8 +74,7 @@
 			g.giveUp(x)
 			return
 		}
-		if x.tries > 0 && !g.opts.Budget.AllowRetry(x.service) {
-			x.noRetryBudget = true
+		if x.tries > 0 && !g.allowRetry(x) {
 			g.releaseMemory(x, false)
 			g.giveUp(x)
 			return
@@ -106,6 +105,18 @@
 	}
 }
 
+// allowRetry reports whether the budget allows sending a request again, and counts the retry if so.
+func (g *Gateway) allowRetry(x *exchange) bool {
+	allowed, result := g.opts.Budget.AllowRetry(x.service), "allowed"
+	if !allowed {
+		result = "refused"
+		x.noRetryBudget = true
+		x.log["retry_budget"] = g.opts.Budget.State(x.service)
+	}
+	g.opts.Metrics.Tagged(map[string]string{"service": x.service, "result": result}).Counter("retries").Inc(1)
+	return allowed
+}
+
 // giveUp ends a request to which no target has responded completely.
 func (g *Gateway) giveUp(x *exchange) {
 	reason, _ := x.log["reason"].(string)
