Tests of the retry budget over restarts and over its window, failing

Both check the platform's rule over any 10 s against the requests and retries of all hosts, with the real budgets and a clock of the test.

--- /dev/null
+++ b/internal/gateway/budget_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// budgetFleet is a fleet of hosts with retry budgets. It records the requests and retries of all of them.
+type budgetFleet struct {
+	clock
+	bounds   fleet.Bounds
+	budgets  []*RetryBudget
+	requests []time.Duration
+	retries  []time.Duration
+}
+
+func newBudgetFleet(hosts int) *budgetFleet {
+	f := &budgetFleet{clock: clock{now: time.Hour}, bounds: testBounds(), budgets: make([]*RetryBudget, hosts)}
+	f.bounds.RetryExtra = 200
+	f.restart()
+	f.now += 2 * f.bounds.RetryWindow // the hosts have run for a while
+	return f
+}
+
+// restart replaces the processes of all hosts.
+func (f *budgetFleet) restart() {
+	for i := range f.budgets {
+		f.budgets[i] = NewRetryBudget(f.bounds, together(len(f.budgets)), f.Now)
+	}
+}
+
+// play sends requests at a rate to each host. While targets fail, each is retried as often as the budget allows, at most
+// five times.
+func (f *budgetFleet) play(d time.Duration, perSecond float64, targetsFail bool) {
+	gap := time.Duration(float64(time.Second) / perSecond)
+	for end := f.now + d; f.now < end; f.now += gap {
+		for _, b := range f.budgets {
+			b.CountRequest("s")
+			f.requests = append(f.requests, f.now)
+			for range 5 {
+				if targetsFail && b.AllowRetry("s") {
+					f.retries = append(f.retries, f.now)
+				}
+			}
+		}
+	}
+}
+
+// checkBudget checks the platform's rule: in no window more retries than a ratio of the requests and a fixed number. The
+// requests are those of the window, of the one before it or of the one half a window before it, whichever has most.
+func (f *budgetFleet) checkBudget(t *testing.T) {
+	t.Helper()
+	within := func(times []time.Duration, start time.Duration) int {
+		first, _ := slices.BinarySearch(times, start)
+		last, _ := slices.BinarySearch(times, start+f.bounds.RetryWindow)
+		return last - first
+	}
+	for start := f.retries[0] - f.bounds.RetryWindow; start < f.now; start += 20 * time.Millisecond {
+		requests := max(within(f.requests, start), within(f.requests, start-f.bounds.RetryWindow), within(f.requests, start-f.bounds.RetryWindow/2))
+		allowed := f.bounds.RetryRatio*float64(requests) + f.bounds.RetryExtra
+		if retries := within(f.retries, start); float64(retries) > allowed {
+			t.Errorf("%d retries in a window for %d requests, want at most %.0f", retries, requests, allowed)
+			return
+		}
+	}
+}
+
+// TestRetriesWhileAllHostsRestart guards against processes that grant anew what their predecessors have spent: repeats pile up
+// at targets that fail while hosts restart.
+func TestRetriesWhileAllHostsRestart(t *testing.T) {
+	for _, perSecond := range []float64{1, 5, 40} {
+		f := newBudgetFleet(80)
+		f.play(12*time.Second, perSecond, false)
+		f.play(5*time.Second, perSecond, true)
+		for range 3 {
+			f.restart()
+			f.play(4*time.Second, perSecond, true)
+		}
+		f.checkBudget(t)
+	}
+}
+
+// TestRetryBurstsLessThanAWindowApart guards against a host that forgets retries before the window of the rule has passed: two
+// failures of targets nine seconds apart get the whole budget each.
+func TestRetryBurstsLessThanAWindowApart(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
+		f := newBudgetFleet(8)
+		f.play(12*time.Second+offset, 20, false)
+		f.play(400*time.Millisecond, 20, true)
+		f.play(8650*time.Millisecond, 20, false)
+		f.play(400*time.Millisecond, 20, true)
+		f.checkBudget(t)
+	}
+}
