Retry budget: count the retries of the whole window

Cause: the window of a host was ten buckets of a second, the current one included, so it forgot a retry after 9 to 10 s, while the rule counts any 10 s. Two failures of targets that far apart got the whole budget each. Class: a bound on any window kept by buckets that are shorter than it. Change: buckets of half a second, and the bucket that lies partly before the window counts too, for retries; for requests it does not. Evidence: TestRetryBurstsLessThanAWindowApart failed before (536 retries, 520 allowed; 3 of 20 offsets) and passes.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -7,8 +7,9 @@
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
-// budgetBuckets is the number of buckets of the sliding window.
-const budgetBuckets = 10
+// budgetBuckets is the number of buckets of the sliding window, the current one included. The bucket before them lies partly
+// in the window too: its retries count, its requests don't.
+const budgetBuckets = 20
 
 // budgetShare is the used part of the allowed retries. The rest is a margin for
 // the sliding windows of the hosts, which are not aligned.
@@ -28,11 +29,14 @@
 }
 
 type window struct {
-	bucket   int64
-	requests [budgetBuckets]float64
-	retries  [budgetBuckets]float64
+	bucket   int64 // current one
+	requests [budgetBuckets + 1]float64
+	retries  [budgetBuckets + 1]float64
 }
 
+// index returns the place of a bucket.
+func index(bucket int64) int64 { return bucket % (budgetBuckets + 1) }
+
 // NewRetryBudget returns a budget with empty windows.
 func NewRetryBudget(bounds fleet.Bounds, hosts func() HostCount, now func() time.Duration) *RetryBudget {
 	return &RetryBudget{bounds: bounds, hosts: hosts, now: now, startedAt: now(), services: map[string]*window{}}
@@ -61,7 +65,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	w.requests[w.bucket%budgetBuckets]++
+	w.requests[index(w.bucket)]++
 }
 
 // AllowRetry reports whether the budget of a service allows a retry, and counts
@@ -75,7 +79,7 @@
 	if retries+1 > b.allowed(requests, hosts) {
 		return false
 	}
-	w.retries[w.bucket%budgetBuckets]++
+	w.retries[index(w.bucket)]++
 	return true
 }
 
@@ -89,11 +93,11 @@
 }
 
 func (w *window) sums() (requests, retries float64) {
-	for i := range budgetBuckets {
+	for i := range w.retries {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	return requests, retries
+	return requests - w.requests[index(w.bucket+1)], retries // the next place holds the oldest bucket
 }
 
 // window returns the window of a service with expired buckets cleared.
@@ -106,7 +110,7 @@
 	}
 	for w.bucket < current {
 		w.bucket = max(w.bucket+1, current-budgetBuckets)
-		w.requests[w.bucket%budgetBuckets], w.retries[w.bucket%budgetBuckets] = 0, 0
+		w.requests[index(w.bucket)], w.retries[index(w.bucket)] = 0, 0
 	}
 	return w
 }
