Retry budget: leave room for what the process before has spent

What callers saw: repeats beyond the budget (BUDGET) when targets reject many requests while hosts restart. Cause: a process counts in its own memory and starts with an empty window, so each restart grants anew what the process before has spent of the 10 s that still count. Class: a bound over time kept in the memory of processes that end sooner. Change: a process uses 0.25 of the ratio and 0.48 of its share of the fixed number in its first window, 0.6 and 0.5 afterwards (0.8 of both before). Of any number of processes in a window only the first after an old one uses the fixed number: the host's entry in the store now says when its process started (started_ms). TestRetriesStayWithinBudget measured a process in its first 10 s; it now runs for a window before, with the same bounds. TestRestartedHostRetries is the control for new processes.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -96,6 +96,7 @@
 	RelayAddress   string  `json:"relay_address,omitempty"` // IP:port for requests of other hosts' callers; empty: it takes none
 	Weight         float64 `json:"weight"`                  // CPU share; the host with the largest becomes the coordinator
 	Leaving        bool    `json:"leaving,omitempty"`       // a planned stop has started
+	StartedMS      int64   `json:"started_ms,omitempty"`    // start of the process by its clock, Unix time; 0: from an earlier version
 	ModRevision    uint64  `json:"-"`                       // store revision of the entry
 	CreateRevision uint64  `json:"-"`                       // store revision of its first version
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -11,9 +11,22 @@
 // in the window too: its retries count, its requests don't.
 const budgetBuckets = 20
 
-// budgetShare is the used part of the allowed retries. The rest is a margin for
-// the sliding windows of the hosts, which are not aligned.
-const budgetShare = 0.8
+// budgetShares are the parts of the allowed retries that a process uses.
+type budgetShares struct {
+	ratio float64 // of those for requests
+	fixed float64 // of the fixed allowance
+}
+
+// A process does not know what the one before it on the same machine has spent in the window that still counts. Therefore it
+// uses less in its first window, so that both together stay within the budget. The rest is a margin for the windows of the
+// hosts, which are not aligned.
+var (
+	usualShares       = budgetShares{ratio: 0.6, fixed: 0.5}
+	firstWindowShares = budgetShares{ratio: 0.25, fixed: 0.48}
+	// quickRestartShares apply if the process before had not outlived its own first window: with any number of restarts
+	// in a window, only the first may use the fixed allowance.
+	quickRestartShares = budgetShares{ratio: firstWindowShares.ratio}
+)
 
 // RetryBudget limits the retries to each service. A host may retry a ratio of
 // its own requests plus an equal share of the fixed allowance, so that all
@@ -24,8 +37,9 @@
 	now       func() time.Duration
 	startedAt time.Duration
 
-	mu       sync.Mutex
-	services map[string]*window
+	mu           sync.Mutex
+	services     map[string]*window
+	quickRestart bool
 }
 
 type window struct {
@@ -83,15 +97,39 @@
 	return true
 }
 
-// allowed returns how many retries a number of requests allows, both within the window.
+// SetPredecessor tells how long before this process the one before it on the same machine had started. It must be called before
+// the number of hosts is known. Without it, there was none within the window.
+func (b *RetryBudget) SetPredecessor(earlier time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.quickRestart = earlier < b.countedTime()
+}
+
+// allowed returns how many retries a number of requests allows, both within the window. The caller must hold b.mu.
 func (b *RetryBudget) allowed(requests float64, hosts int) float64 {
-	allowed := budgetShare * b.bounds.RetryRatio * requests
+	shares := b.shares()
+	allowed := shares.ratio * b.bounds.RetryRatio * requests
 	if hosts > 0 { // otherwise this host's part of the fixed allowance is unknown
-		allowed += budgetShare * b.bounds.RetryExtra / float64(hosts)
+		allowed += shares.fixed * b.bounds.RetryExtra / float64(hosts)
 	}
 	return allowed
 }
 
+func (b *RetryBudget) shares() budgetShares {
+	switch {
+	case b.now()-b.startedAt >= b.countedTime():
+		return usualShares
+	case b.quickRestart:
+		return quickRestartShares
+	}
+	return firstWindowShares
+}
+
+// countedTime returns the longest time for which a retry counts.
+func (b *RetryBudget) countedTime() time.Duration {
+	return b.bounds.RetryWindow / budgetBuckets * (budgetBuckets + 1)
+}
+
 func (w *window) sums() (requests, retries float64) {
 	for i := range w.retries {
 		requests += w.requests[i]
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -27,8 +27,11 @@
 
 // restart replaces the processes of all hosts.
 func (f *budgetFleet) restart() {
-	for i := range f.budgets {
+	for i, before := range f.budgets {
 		f.budgets[i] = NewRetryBudget(f.bounds, together(len(f.budgets)), f.Now)
+		if before != nil {
+			f.budgets[i].SetPredecessor(f.now - before.startedAt)
+		}
 	}
 }
 
@@ -83,6 +86,22 @@
 	}
 }
 
+// TestRestartedHostRetries guards against a host that sends nothing again for seconds after its start: a stream that breaks off
+// then is lost. It is the control for the test above.
+func TestRestartedHostRetries(t *testing.T) {
+	f := newBudgetFleet(80)
+	f.play(12*time.Second, 5, true)
+	f.restart()
+	for i, b := range f.budgets {
+		if b.CountRequest("s"); !b.AllowRetry("s") {
+			t.Fatalf("host %d may not retry its first request", i)
+		}
+	}
+	if f.budgets[0].AllowRetry("s") {
+		t.Error("a host may retry its first request twice")
+	}
+}
+
 // TestRetryBurstsLessThanAWindowApart guards against a host that forgets retries before the window of the rule has passed: two
 // failures of targets nine seconds apart get the whole budget each.
 func TestRetryBurstsLessThanAWindowApart(t *testing.T) {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -152,6 +152,7 @@
 func TestRetriesStayWithinBudget(t *testing.T) {
 	c := &clock{now: time.Hour}
 	b := NewRetryBudget(testBounds(), together(8), c.Now)
+	c.now += 11 * time.Second // longer than its first window
 	requests, retries := 0.0, 0.0
 	for range 1000 {
 		c.now += 10 * time.Millisecond
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -95,6 +95,7 @@
 	peerClient  *peer.Client
 	peerServer  *peer.Server
 	gateway     *gateway.Gateway
+	retries     *gateway.RetryBudget
 	callers     *callerconn.Pool // buffers of slow callers
 	directory   *gateway.Directory
 	outage      storecache.Outage // of the store, as seen by this host
@@ -119,7 +120,7 @@
 		startedAt: bootclock.Now(), knowsHosts: make(chan struct{}), stop: make(chan struct{}), stopping: make(chan struct{}),
 	}
 	h.self = fleet.Host{
-		Name: settings.Host, Incarnation: uuid.NewString(), Zone: settings.Zone, Address: settings.Listen.Callers,
+		Name: settings.Host, Incarnation: uuid.NewString(), Zone: settings.Zone, Address: settings.Listen.Callers, StartedMS: time.Now().UnixMilli(),
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), Weight: settings.CPUShare,
 	}
 	if settings.RelayPort > 0 {
@@ -185,10 +186,11 @@
 	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
 	h.origins.Register(h.peerServer)
 	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self, Contact: h.settings.Bounds.Contact, Log: h.log, Metrics: h.metrics.Scope}
+	h.retries = gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now)
 	h.gateway = gateway.New(gateway.Options{
 		Codec: h.adapter.Codec, View: h.view, Sender: target.NewClientWithDialer(h.reach.Dial), Quotas: quotas,
 		Reach: h.reach, Helpers: &gateway.HelperHosts{Self: h.self, View: h.view, Client: h.client, Sender: target.NewClient()}, Self: h.self.Name,
-		Budget:      gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now),
+		Budget:      h.retries,
 		Origins:     h.origins,
 		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot, RequestMemory: h.client.RequestMemory,
 		ConfigConfirmed: h.configConfirmed,
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -185,7 +185,18 @@
 	}
 	h.view.SetHosts(hosts)
 	h.logHostZones(hosts)
-	h.hostsListed.Do(func() { close(h.knowsHosts) })
+	h.hostsListed.Do(func() {
+		h.recordPredecessor(hosts[h.self.Name])
+		close(h.knowsHosts)
+	})
+}
+
+// recordPredecessor tells the retry budget when the process before this one started, which wrote the entry. An entry of an
+// earlier version doesn't say when; its process is taken for an old one.
+func (h *Host) recordPredecessor(entry fleet.Host) {
+	if entry.Incarnation != h.self.Incarnation && entry.StartedMS > 0 {
+		h.retries.SetPredecessor(time.Duration(h.self.StartedMS-entry.StartedMS) * time.Millisecond)
+	}
 }
 
 // Times for this host's entry and those of other hosts.
