Gateway: refuse at once what may no longer be sent

What callers saw: 503 'no budget to repeat' for requests that had not been sent at all, and requests held until little before their deadline. Cause: the check whether a request may still be sent (configuration confirmed lately, key not withdrawn) stood in the send to one target and counted as 'that target did not run it'. The request went on to the next target, and each round was charged as a retry. Class: a condition of this host reported as an outcome of a target. Change: the check stands before the send and ends the request with its reason and a short Retry-After, as at admission. Measured: TestRequestIsRefusedOnceItMayNotBeSent failed before (503 after 3.1 s, 3 retries counted) and passes (none).

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/target"
 )
 
 // budgetFleet is a fleet of hosts with retry budgets. It records the requests and retries of all of them.
@@ -114,3 +116,25 @@
 		f.checkBudget(t)
 	}
 }
+
+// TestRequestIsRefusedOnceItMayNotBeSent guards against a request that tries one target after the other, and spends the budget,
+// although the host may send it to none.
+func TestRequestIsRefusedOnceItMayNotBeSent(t *testing.T) {
+	sender := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "id: 1\ndata: a\n\n")}}
+	g := testGateway(sender)
+	asked := 0
+	g.opts.ConfigConfirmed = func() (time.Duration, bool) {
+		if asked++; asked == 1 { // when the request comes
+			return g.opts.Now(), true
+		}
+		return g.opts.Now() - g.opts.Bounds.Revoke, true
+	}
+	began := g.opts.Now()
+	w := post(g, "/stream/x", "m")
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || len(sender.sent) > 0 || g.opts.Now()-began > time.Second {
+		t.Errorf("status %d, Retry-After %q, %d sends after %v, want 503 at once", w.Code, w.Header().Get("Retry-After"), len(sender.sent), g.opts.Now()-began)
+	}
+	if got := g.opts.Budget.State("llm").Retries; got != 0 {
+		t.Errorf("%.0f retries are counted, want none", got)
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -74,6 +74,12 @@
 			g.giveUp(x)
 			return
 		}
+		if reason := g.mayNotSend(x); reason != "" {
+			x.log["reason"] = reason
+			g.releaseMemory(x, false)
+			g.giveUp(x)
+			return
+		}
 		if x.tries > 0 && !g.allowRetry(x) {
 			g.releaseMemory(x, false)
 			g.giveUp(x)
@@ -117,6 +123,21 @@
 	return allowed
 }
 
+// mayNotSend returns why a request may no longer be sent to any target, as of what is known since it was admitted. It is
+// empty if it may.
+func (g *Gateway) mayNotSend(x *exchange) string {
+	if x.team == nil {
+		return ""
+	}
+	if confirmed, _ := g.opts.ConfigConfirmed(); !g.configFresh(confirmed) {
+		return "the configuration was not confirmed lately"
+	}
+	if t, ok := g.opts.View.Config().TeamOfKey(x.call.Key); !ok || t.Name != x.team.Name {
+		return "key was withdrawn"
+	}
+	return ""
+}
+
 // giveUp ends a request to which no target has responded completely.
 func (g *Gateway) giveUp(x *exchange) {
 	reason, _ := x.log["reason"].(string)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,17 +17,6 @@
 
 // try sends a request to one target and relays its response.
 func (g *Gateway) try(ctx context.Context, x *exchange, c coordinator.Choice) result {
-	confirmed, _ := g.opts.ConfigConfirmed()
-	if x.team != nil && !g.configFresh(confirmed) {
-		x.log["reason"] = "the configuration was not confirmed lately"
-		return notRun
-	}
-	if x.team != nil {
-		if t, ok := g.opts.View.Config().TeamOfKey(x.call.Key); !ok || t.Name != x.team.Name {
-			x.log["reason"] = "key was withdrawn"
-			return notRun
-		}
-	}
 	if !g.opts.View.Accepts(c.Target) { // known since it was chosen
 		x.tries--
 		return notRun
