Retry budget: count what may have reached a target, and nothing else

What callers saw: refusals for want of budget although little was sent again; and repeats that no host counted. Cause: the charge was made before the send and stayed when the send reached nothing (connection refused, slot taken meanwhile, target gone); and a request that a target had rejected before this host lost its way to all targets was passed on to another host, for which it was the first send. Class: a budget charged at another place than where the resource is used. Change: a charge is taken back if the send reached no target, or if the other host declined the request or was not reached; a request that is passed on after any send is charged, and given up where the budget does not allow it.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -82,19 +82,30 @@
 	w.requests[index(w.bucket)]++
 }
 
-// AllowRetry reports whether the budget of a service allows a retry, and counts
-// the retry if so.
-func (b *RetryBudget) AllowRetry(service string) bool {
+// RetryCharge is a retry that was counted. The zero value is none.
+type RetryCharge struct{ bucket int64 }
+
+// Charge counts a retry to a service, and reports whether its budget allows it. Otherwise nothing is counted.
+func (b *RetryBudget) Charge(service string) (RetryCharge, bool) {
 	hosts := b.hosts().All
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
 	requests, retries := w.sums()
 	if retries+1 > b.allowed(requests, hosts) {
-		return false
+		return RetryCharge{}, false
 	}
 	w.retries[index(w.bucket)]++
-	return true
+	return RetryCharge{bucket: w.bucket}, true
+}
+
+// Refund takes back a charge for a retry that reached no target.
+func (b *RetryBudget) Refund(service string, c RetryCharge) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w := b.window(service); c.bucket > 0 && w.bucket-c.bucket <= budgetBuckets { // otherwise it no longer counts
+		w.retries[index(c.bucket)]--
+	}
 }
 
 // SetPredecessor tells how long before this process the one before it on the same machine had started. It must be called before
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -46,7 +46,10 @@
 			b.CountRequest("s")
 			f.requests = append(f.requests, f.now)
 			for range 5 {
-				if targetsFail && b.AllowRetry("s") {
+				if !targetsFail {
+					break
+				}
+				if _, ok := b.Charge("s"); ok {
 					f.retries = append(f.retries, f.now)
 				}
 			}
@@ -95,11 +98,12 @@
 	f.play(12*time.Second, 5, true)
 	f.restart()
 	for i, b := range f.budgets {
-		if b.CountRequest("s"); !b.AllowRetry("s") {
+		b.CountRequest("s")
+		if _, ok := b.Charge("s"); !ok {
 			t.Fatalf("host %d may not retry its first request", i)
 		}
 	}
-	if f.budgets[0].AllowRetry("s") {
+	if _, ok := f.budgets[0].Charge("s"); ok {
 		t.Error("a host may retry its first request twice")
 	}
 }
@@ -117,6 +121,22 @@
 	}
 }
 
+// TestRetryThatReachesNoTargetIsFree guards against a budget that is spent by connections that fail: callers are refused for retries
+// that nobody made.
+func TestRetryThatReachesNoTargetIsFree(t *testing.T) {
+	unreachable := func(target.ForwardRequest) (*target.ForwardResponse, error) {
+		return nil, &target.UnreachableError{Cause: resetError{}}
+	}
+	sender := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){shed, unreachable, respond(200, "id: 1\ndata: a\n\n")}}
+	g := testGateway(sender)
+	if w := post(g, "/stream/x", "m"); w.Code != http.StatusOK {
+		t.Errorf("status %d", w.Code)
+	}
+	if got := g.opts.Budget.State("llm").Retries; got != 1 {
+		t.Errorf("%.0f retries are counted, want 1", got)
+	}
+}
+
 // TestRequestIsRefusedOnceItMayNotBeSent guards against a request that tries one target after the other, and spends the budget,
 // although the host may send it to none.
 func TestRequestIsRefusedOnceItMayNotBeSent(t *testing.T) {
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -98,8 +98,10 @@
 		if !ok || ctx.Err() != nil {
 			break
 		}
-		if x.sends > 0 && !g.allowRetry(x) {
-			break
+		charge, ok := g.chargeRetry(x)
+		if !ok {
+			g.giveUp(x)
+			return true
 		}
 		x.tryHelper(helper.Name)
 		g.recordHelperRegion(x, helper)
@@ -116,6 +118,10 @@
 				g.giveUp(x)
 				return true
 			}
+		case notRun:
+			if x.sends == 0 { // otherwise the other host may have tried
+				g.opts.Budget.Refund(x.service, charge)
+			}
 		}
 	}
 	if x.sends > 0 || ctx.Err() != nil {
--- a/internal/gateway/helper_test.go
+++ b/internal/gateway/helper_test.go
@@ -101,3 +101,38 @@
 		t.Errorf("the second host was told to go on after %q of %q, want event 1 of a1", second.Get("From"), second.Get("Resumes"))
 	}
 }
+
+// lostAfterSend is the Reach of a host that loses its way to all targets after its first send.
+type lostAfterSend struct {
+	alwaysReached
+	sender *scriptedSender
+}
+
+func (l lostAfterSend) CutOff() (time.Duration, bool) { return 0, len(l.sender.sent) > 0 }
+func (l lostAfterSend) Direct() bool                  { return len(l.sender.sent) == 0 }
+
+// TestRequestPassedOnAfterARejectionIsARetry guards against a request that a target rejected being sent once more by another host,
+// where no budget counts it.
+func TestRequestPassedOnAfterARejectionIsARetry(t *testing.T) {
+	for name, c := range map[string]struct {
+		helper  func(target.ForwardRequest) (*target.ForwardResponse, error)
+		hosts   int // 0: none is known, so that the budget allows no retry
+		status  int
+		passed  int
+		retries float64
+	}{
+		"no budget":              {respond(200, "id: 1\ndata: a\n\n"), 0, 503, 0, 0},
+		"budget":                 {respond(200, "id: 1\ndata: a\n\n"), 1, 200, 1, 1},
+		"no other host takes it": {declined, 1, 200, 3, 1},
+	} {
+		direct := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){shed, respond(200, "id: 1\ndata: a\n\n")}}
+		g := testGateway(direct)
+		helpers := &scriptedHelpers{scriptedSender: scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){c.helper, c.helper, c.helper}}}
+		g.opts.Reach, g.opts.Helpers, g.opts.Self = lostAfterSend{sender: direct}, helpers, "h0"
+		g.opts.Budget = NewRetryBudget(g.opts.Bounds, together(c.hosts), g.opts.Now)
+		w := post(g, "/stream/x", "m")
+		if got := g.opts.Budget.State("llm").Retries; w.Code != c.status || len(helpers.sent) != c.passed || got != c.retries {
+			t.Errorf("%s: status %d, passed on %d times, %.0f retries, want %d, %d, %.0f", name, w.Code, len(helpers.sent), got, c.status, c.passed, c.retries)
+		}
+	}
+}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -158,7 +158,7 @@
 		c.now += 10 * time.Millisecond
 		b.CountRequest("s")
 		requests++
-		if b.AllowRetry("s") {
+		if _, ok := b.Charge("s"); ok {
 			retries++
 		}
 	}
@@ -172,7 +172,7 @@
 	c := &clock{now: time.Hour}
 	b := NewRetryBudget(testBounds(), func() HostCount { return HostCount{} }, c.Now)
 	b.CountRequest("s")
-	if b.AllowRetry("s") {
+	if _, ok := b.Charge("s"); ok {
 		t.Error("a retry of the only request was allowed, want a fifth of the requests at most")
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,14 +80,19 @@
 			g.giveUp(x)
 			return
 		}
-		if x.tries > 0 && !g.allowRetry(x) {
+		charge, ok := g.chargeRetry(x)
+		if !ok {
 			g.releaseMemory(x, false)
 			g.giveUp(x)
 			return
 		}
+		before := x.tries
 		x.tries++
 		began := g.opts.Now()
 		outcome := g.try(ctx, x, choice)
+		if x.tries == before { // it reached no target
+			g.opts.Budget.Refund(x.service, charge)
+		}
 		g.releaseMemory(x, outcome == mayHaveRun || outcome == callerLeft)
 		switch outcome {
 		case relayed:
@@ -111,16 +116,21 @@
 	}
 }
 
-// allowRetry reports whether the budget allows sending a request again, and counts the retry if so.
-func (g *Gateway) allowRetry(x *exchange) bool {
-	allowed, result := g.opts.Budget.AllowRetry(x.service), "allowed"
-	if !allowed {
+// chargeRetry charges the budget if a target or another host has had the request before. It returns false if the budget does not
+// allow that.
+func (g *Gateway) chargeRetry(x *exchange) (RetryCharge, bool) {
+	if x.tries == 0 && x.sends == 0 {
+		return RetryCharge{}, true
+	}
+	charge, ok := g.opts.Budget.Charge(x.service)
+	result := "allowed"
+	if !ok {
 		result = "refused"
 		x.noRetryBudget = true
 		x.log["retry_budget"] = g.opts.Budget.State(x.service)
 	}
 	g.opts.Metrics.Tagged(map[string]string{"service": x.service, "result": result}).Counter("retries").Inc(1)
-	return allowed
+	return charge, ok
 }
 
 // mayNotSend returns why a request may no longer be sent to any target, as of what is known since it was admitted. It is
--- a/internal/platformhost/predecessor_test.go
+++ b/internal/platformhost/predecessor_test.go
@@ -33,8 +33,9 @@
 			objects["a"] = platform.Object{Name: "a", Version: 7, Data: fmt.Appendf(nil, `{"name":"a","address":"a:1","incarnation":"old"%s}`, c.entry)}
 		}
 		h.hostsChanged(objects)
-		if h.retries.CountRequest("s"); h.retries.AllowRetry("s") != c.fixed {
-			t.Errorf("%s: a retry right after the start is allowed: %v, want %v", name, !c.fixed, c.fixed)
+		h.retries.CountRequest("s")
+		if _, ok := h.retries.Charge("s"); ok != c.fixed {
+			t.Errorf("%s: a retry right after the start is allowed: %v, want %v", name, ok, c.fixed)
 		}
 	}
 }
