Gateway: a success that another host passes on must be a target's own

From targets directly nothing of an error reached the caller in any of twelve cases (tried: 204 to 503, no stamp, another id, cut off, no response), and the stream was aborted. Through another host two of the twelve did: a 200 without the stamp of a target, or of another request, was passed on in the middle of the stream. Our own hosts never send such a response; whatever listens at the address of a host that has gone may. Cause: the check of a target's success stood in the direct send only. Change: one check, used for both. Measured: TestErrorAfterABrokenStreamStaysOutOfIt failed before in these two cases and passes.

--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -71,3 +71,56 @@
 		t.Errorf("aborted %q, body %q, want the whole body", w.Header().Get("Aborted"), w.Body.String())
 	}
 }
+
+// errorResponses are responses of a target that must not reach a caller whose stream has begun.
+func errorResponses() map[string]func(target.ForwardRequest) (*target.ForwardResponse, error) {
+	const text = "HTTP/1.1 500 Internal Server Error\r\n\r\n{\"error\":\"out of memory\"}\n\n"
+	with := func(change func(*target.ForwardResponse)) func(target.ForwardRequest) (*target.ForwardResponse, error) {
+		return func(f target.ForwardRequest) (*target.ForwardResponse, error) {
+			resp, err := respond(http.StatusOK, text)(f)
+			change(resp)
+			return resp, err
+		}
+	}
+	return map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){
+		"400":              respond(http.StatusBadRequest, text),
+		"404":              respond(http.StatusNotFound, text),
+		"429":              respond(http.StatusTooManyRequests, text),
+		"500":              respond(http.StatusInternalServerError, text),
+		"503 of a run":     respond(http.StatusServiceUnavailable, text),
+		"302":              respond(http.StatusFound, text),
+		"204":              respond(http.StatusNoContent, ""),
+		"206":              respond(http.StatusPartialContent, text),
+		"200, no stamp":    with(func(r *target.ForwardResponse) { r.Header.Del("Stamp") }),
+		"200, of another":  with(func(r *target.ForwardResponse) { r.Header.Set("Id", "other") }),
+		"200, cut at once": with(func(r *target.ForwardResponse) { r.Body, r.Framing = http.NoBody, target.FramingClose }),
+		"no response": func(target.ForwardRequest) (*target.ForwardResponse, error) {
+			return nil, &target.UnknownOutcomeError{Cause: resetError{}}
+		},
+	}
+}
+
+// TestErrorAfterABrokenStreamStaysOutOfIt guards against the text of the next target's error in the middle of a caller's stream, and
+// against a stream that ends there as if it were complete.
+func TestErrorAfterABrokenStreamStaysOutOfIt(t *testing.T) {
+	type responses = []func(target.ForwardRequest) (*target.ForwardResponse, error)
+	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, failing := range errorResponses() {
+		for _, passedOn := range []bool{false, true} {
+			script := scriptedSender{responses: responses{breakAfter(first + "id: 2\nda"), failing, respond(http.StatusOK, rest)}}
+			sender, helpers := &script, &scriptedHelpers{}
+			if passedOn {
+				sender, helpers = &scriptedSender{}, &scriptedHelpers{scriptedSender: script}
+			}
+			g := testGateway(sender)
+			if passedOn {
+				g.opts.Reach, g.opts.Helpers, g.opts.Self = lostWay{}, helpers, "h0"
+			}
+			w := post(g, "/stream/x", "m")
+			complete := w.Header().Get("Aborted") == ""
+			if body := w.Body.String(); body != first && body != first+rest || complete != (body == first+rest) {
+				t.Errorf("%s, through other hosts %v: complete %v, body %q", name, passedOn, complete, body)
+			}
+		}
+	}
+}
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -166,6 +166,9 @@
 	if x.headWritten && resp.Status != http.StatusOK {
 		return mayHaveRun
 	}
+	if !g.isOwnSuccess(x, resp) {
+		return mayHaveRun
+	}
 	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
 		return g.passStream(x, helper, resp, silence)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -68,14 +68,23 @@
 	if x.headWritten && resp.Status != http.StatusOK {
 		return mayHaveRun
 	}
-	if resp.Status/100 == 2 && (response.Stamp == "" || response.ID != x.call.ID) {
+	if !g.isOwnSuccess(x, resp) {
 		g.opts.View.RecordOutcome(c.Target.ID, false)
-		x.log["reason"] = "answer is not the target's own"
 		return mayHaveRun
 	}
 	return g.relay(ctx, x, c, resp, silenceTimer, sent)
 }
 
+// isOwnSuccess reports whether a response, if it says that the request succeeded, comes from a target that ran this request.
+func (g *Gateway) isOwnSuccess(x *exchange, resp *target.ForwardResponse) bool {
+	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
+	if resp.Status/100 == 2 && (response.Stamp == "" || response.ID != x.call.ID) {
+		x.log["reason"] = "answer is not the target's own"
+		return false
+	}
+	return true
+}
+
 // recordNotices records what a target states about itself.
 func (g *Gateway) recordNotices(x *exchange, c coordinator.Choice, status int, n fleet.Notices) {
 	if n.Limit > 0 {
