Soak: the retry budget while hosts restart and targets reject

The stand-in targets can reject a share of the requests, and tell of each arrival; the checker compares what arrives once more in any 10 s with the requests, in all runs and in a run of its own: three daemons, targets that reject 70%, three restarts of all daemons, 40 callers that keep their connections.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -34,7 +34,9 @@
 type checker struct {
 	mu                 sync.Mutex
 	runs               map[string][]standin.Run // by attempt ID
+	arrivals           []standin.Run            // all requests that reached a target, also those that it rejected
 	outcomes           []outcome
+	mostRetries        float64                  // of those allowed, in any window
 	lastOrders         map[string]standin.Order // by engine
 	violations         []string
 	revokedAt          time.Time
@@ -286,6 +288,7 @@
 	c.checkQuota()
 	c.checkLimit()
 	c.checkLeaving()
+	c.checkRetryBudget()
 	for _, o := range c.outcomes {
 		runs := len(c.runs[o.attemptID])
 		if o.key == "k2" && runs > 0 && !c.revokedAt.IsZero() && o.sentAt.After(c.revokedAt.Add(revokeBound)) {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -124,17 +124,17 @@
 	hosts         []*process
 }
 
-func startFleet(t *testing.T, binary string, hosts int, onRun func(standin.Run), onOrder func(standin.Order)) *fleet {
+func startFleet(t *testing.T, binary string, hosts int, c *checker) *fleet {
 	f := &fleet{t: t, binary: binary, store: standin.NewStore()}
 	storeAddr := serve(t, f.store)
 	for i := range 3 {
-		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), Models: models[2*i : 2*i+2], MaxModels: 2, EventDelay: 15 * time.Millisecond, LongDelay: longEventDelay, LoadTime: 100 * time.Millisecond, OnRun: onRun, OnOrder: onOrder}
+		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), Models: models[2*i : 2*i+2], MaxModels: 2, EventDelay: 15 * time.Millisecond, LongDelay: longEventDelay, LoadTime: 100 * time.Millisecond, OnArrival: c.recordArrival, OnRun: c.recordRun, OnOrder: c.recordOrder}
 		f.engines = append(f.engines, e)
 		f.targetProxies = append(f.targetProxies, startProxy(t, serve(t, e)))
 		f.registerEngine(i, "ready")
 	}
 	for i := range 2 {
-		e := &standin.Engine{ID: fmt.Sprintf("i-app%d", i), EventDelay: 5 * time.Millisecond, OnRun: onRun}
+		e := &standin.Engine{ID: fmt.Sprintf("i-app%d", i), EventDelay: 5 * time.Millisecond, OnArrival: c.recordArrival, OnRun: c.recordRun}
 		f.plainTargets, f.plainStarts = append(f.plainTargets, e), append(f.plainStarts, 1)
 		f.targetProxies = append(f.targetProxies, startProxy(t, serve(t, e)))
 		f.registerPlainTarget(i, "ready")
@@ -234,15 +234,15 @@
 evacuate_ms=%d
 cold_overage=%v
 cold_slack=%v
-retry_budget_ratio=0.2
-budget_window_s=10
-budget_extra_retries=50
+retry_budget_ratio=%v
+budget_window_s=%v
+budget_extra_retries=%d
 quota_window_s=%v
 quota_overage=%v
 quota_slack=%d
 [platform]
 address=%q
-`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, evacuateBound.Milliseconds(), coldOverage, coldSlack, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
+`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, evacuateBound.Milliseconds(), coldOverage, coldSlack, retryRatio, retryWindow.Seconds(), extraRetries, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -81,7 +81,7 @@
 func startSoak(t *testing.T, binary string, seed uint64) *soak {
 	checker := newChecker()
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), checker: checker, configVersion: 1, configKeys: `"k2"`}
-	s.fleet = startFleet(t, binary, *hostCount, checker.recordRun, checker.recordOrder)
+	s.fleet = startFleet(t, binary, *hostCount, checker)
 	s.startHosts()
 	t.Cleanup(s.keepLogs)
 	if !waitFor(recoverBound, s.allReady) {
@@ -138,16 +138,21 @@
 
 // startCallers starts the callers, which send requests until ctx ends.
 func (s *soak) startCallers(ctx context.Context, seed uint64, phase *atomic.Int32) *sync.WaitGroup {
-	var callers sync.WaitGroup
-	for n := range callerCount {
+	return s.startCallersOf(ctx, seed, phase, callerCount, hotCallerCount)
+}
+
+// startCallersOf starts a number of callers, and of callers of limitedTeam.
+func (s *soak) startCallersOf(ctx context.Context, seed uint64, phase *atomic.Int32, callers, hotCallers int) *sync.WaitGroup {
+	var running sync.WaitGroup
+	for n := range callers {
 		c := &caller{id: n, random: rand.New(rand.NewPCG(seed, uint64(n)+2)), fleet: s.fleet, checker: s.checker, phase: phase}
-		callers.Go(func() { c.run(ctx) })
+		running.Go(func() { c.run(ctx) })
 	}
-	for n := range hotCallerCount {
-		c := &caller{id: callerCount + n, hot: true, random: rand.New(rand.NewPCG(seed, uint64(n)+1000)), fleet: s.fleet, checker: s.checker, phase: phase}
-		callers.Go(func() { c.run(ctx) })
+	for n := range hotCallers {
+		c := &caller{id: callers + n, hot: true, random: rand.New(rand.NewPCG(seed, uint64(n)+1000)), fleet: s.fleet, checker: s.checker, phase: phase}
+		running.Go(func() { c.run(ctx) })
 	}
-	return &callers
+	return &running
 }
 
 // limitEngine has an engine name a limit until the returned function is called.
