Evidence of crashes goes in small messages

Cause: when the coordinator changes, every host sends the new one all failures of targets that it knows, up to 2,048 (119 KB), and gets as much back. 80 hosts can't do that within the time that a report may take (0.59 s), so they give this coordinator up, too: 644 coordinator_lost from 24 s on, 8 s after the last fault. Class: recovery whose cost grows with the fault, under a fixed time-out. Change: 512 failures a message at most, new ones first, then those before, the newest first; a field says that more follow, and until it ended, or a second after, nothing is blocked on the part that is known. Up to 512 failures all is as before, and so are the messages. Builds before ignore the field (by reading) and may evaluate a part of the evidence during an upgrade. Weighed: leaving out what came from the coordinator before (a new process knows nothing); digests of what both sides know (differ while failures go on). Measured: TestMuchEvidenceComesInSmallMessages failed before (118,671 bytes, 50,000 at most) and passes; TestNothingIsBlockedOnPartOfTheEvidence fails without the pause.

--- a/coord/crashcause/evaluate.go
+++ b/coord/crashcause/evaluate.go
@@ -41,10 +41,11 @@
 	weight   float64             // of its completions
 }
 
-// Evaluate blocks the parts that crash targets according to all evidence.
+// Evaluate blocks the parts that crash targets according to all evidence. While more is to come, it blocks none: the failures that
+// explain others may be missing.
 func (t *Tracker) Evaluate(now time.Duration) {
 	t.expire(now)
-	for {
+	for now >= t.completeFrom {
 		all := t.candidates(now)
 		var guilty []candidate
 		for _, c := range all {
--- a/coord/crashcause/evidence.go
+++ b/coord/crashcause/evidence.go
@@ -1,14 +1,23 @@
 package crashcause
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Evidence is what one host tells another one. All times are ages in ms at the time of sending.
 type Evidence struct {
 	Failures    []FailureRecord    `json:"f,omitempty"`
 	Completions []CompletionRecord `json:"c,omitempty"`
 	Blocks      []BlockRecord      `json:"b,omitempty"`
+	More        bool               `json:"m,omitempty"` // further failures follow
 }
 
+// maxFailureRecords limits the failures in one message. When the coordinating host changes, all hosts exchange all they know with the
+// new one, which must be able to reply in time.
+const maxFailureRecords = 512
+
 // FailureRecord tells that a target broke off requests with a part.
 type FailureRecord struct {
 	Part     string `json:"p"`
@@ -45,45 +54,73 @@
 
 // Cursor holds what was sent to one receiver. The zero value means nothing.
 type Cursor struct {
-	version       uint64
+	version       uint64                   // up to which records were sent, apart from the backlog
+	backlog       uint64                   // up to which failures known at the first message are still to be sent
 	completions   map[string]time.Duration // by part, the last one that was sent
 	completionsAt time.Duration            // when completions were last looked for
 }
 
 // Changes returns the evidence that a receiver has not been sent, or nil if there is none. A receiver with an
-// unused cursor is sent all.
+// unused cursor is sent all, the newest first, if need be in several messages.
 func (t *Tracker) Changes(now time.Duration, cursor *Cursor, to Direction) *Evidence {
 	var e Evidence
-	if cursor.version < t.version {
-		t.addNewRecords(now, &e, *cursor, to)
+	if cursor.version < t.version || cursor.backlog > 0 {
+		t.addNewRecords(now, &e, cursor, to)
 	}
 	e.Completions = t.newCompletions(now, cursor, to)
-	cursor.version = t.version
 	if len(e.Failures)+len(e.Completions)+len(e.Blocks) == 0 {
 		return nil
 	}
 	return &e
 }
 
-// addNewRecords adds the failures and blocks that a receiver has not been sent.
-func (t *Tracker) addNewRecords(now time.Duration, e *Evidence, cursor Cursor, to Direction) {
+// addNewRecords adds the failures and blocks that a receiver has not been sent, and moves its cursor.
+func (t *Tracker) addNewRecords(now time.Duration, e *Evidence, cursor *Cursor, to Direction) {
+	first := cursor.version == 0
 	omit := func(fromCoordinator bool, version uint64) bool {
-		return version <= cursor.version || fromCoordinator && to == ToCoordinator && cursor.version > 0
+		return version <= cursor.version || fromCoordinator && to == ToCoordinator && !first
+	}
+	for part, b := range t.blocks {
+		if !omit(b.fromCoordinator, b.version) {
+			e.Blocks = append(e.Blocks, BlockRecord{part, ageMS(now, b.since), ageMS(now, b.last), b.failedProbes})
+		}
 	}
+	var recent, backlog []versioned
 	for part, byTarget := range t.failures {
 		for target, f := range byTarget {
-			if !omit(f.fromCoordinator, f.version) {
-				e.Failures = append(e.Failures, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted})
+			r := versioned{f.version, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted}}
+			switch {
+			case first || f.version <= cursor.backlog:
+				backlog = append(backlog, r)
+			case !omit(f.fromCoordinator, f.version):
+				recent = append(recent, r)
 			}
 		}
 	}
-	for part, b := range t.blocks {
-		if !omit(b.fromCoordinator, b.version) {
-			e.Blocks = append(e.Blocks, BlockRecord{part, ageMS(now, b.since), ageMS(now, b.last), b.failedProbes})
-		}
+	cursor.version = t.version
+	if n := maxFailureRecords; len(recent) > n {
+		slices.SortFunc(recent, versioned.compare)
+		recent, cursor.version, e.More = recent[:n], recent[n-1].version, true
+	}
+	cursor.backlog = 0
+	if n := maxFailureRecords - len(recent); len(backlog) > n {
+		slices.SortFunc(backlog, versioned.compare)
+		rest := len(backlog) - n
+		backlog, cursor.backlog, e.More = backlog[rest:], backlog[rest-1].version, true
+	}
+	for _, r := range slices.Concat(recent, backlog) {
+		e.Failures = append(e.Failures, r.FailureRecord)
 	}
 }
 
+// versioned is a record with the version of its last change.
+type versioned struct {
+	version uint64
+	FailureRecord
+}
+
+func (r versioned) compare(other versioned) int { return cmp.Compare(r.version, other.version) }
+
 // newCompletions returns the completions of suspect parts that a receiver has not been sent.
 func (t *Tracker) newCompletions(now time.Duration, cursor *Cursor, to Direction) []CompletionRecord {
 	if now < cursor.completionsAt+resendInterval && cursor.completionsAt > 0 {
@@ -120,6 +157,9 @@
 	if e == nil {
 		return
 	}
+	if e.More {
+		t.completeFrom = now + moreTimeout
+	}
 	at := func(age int64) time.Duration { return now - time.Duration(age)*time.Millisecond }
 	for _, r := range e.Failures {
 		t.addFailure(now, r.Part, r.Target, failure{sent: at(r.SentMS), broke: at(r.BrokeMS), position: r.Position, refuted: r.Refuted, fromCoordinator: fromCoordinator})
--- /dev/null
+++ b/coord/crashcause/messages_test.go
@@ -0,0 +1,81 @@
+package crashcause
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// maxMessageBytes is what a host with a link of 10 Mbit/s receives within a tenth of the time that a report may take.
+const maxMessageBytes = 50_000
+
+// TestMuchEvidenceComesInSmallMessages guards against a change of the coordinating host that fails, since all hosts exchange all they know
+// with the new one at once, and then with the next one.
+func TestMuchEvidenceComesInSmallMessages(t *testing.T) {
+	for _, to := range []Direction{ToCoordinator, ToHost} {
+		sender, now := full()
+		receiver, cursor := New(), Cursor{}
+		exchange := func() (more bool) {
+			now += resendInterval
+			e := sender.Changes(now, &cursor, to)
+			if e == nil {
+				return false
+			}
+			if data, err := json.Marshal(e); err != nil || len(data) > maxMessageBytes {
+				t.Errorf("message of %d bytes, %v, want %d at most", len(data), err, maxMessageBytes)
+			}
+			receiver.MergeUpdate(now, e)
+			return e.More
+		}
+		exchange()
+		sender.RecordFailure(now, []string{"late"}, "late target", now-time.Millisecond)
+		more := exchange()
+		if receiver.failures["late"] == nil {
+			t.Error("a failure waits for all earlier ones")
+		}
+		for n := 0; more && n < 2*maxFailures/maxFailureRecords; n++ {
+			more = exchange()
+		}
+		for part, byTarget := range sender.failures {
+			for target := range byTarget {
+				if receiver.failures[part][target] == nil {
+					t.Fatalf("the receiver does not know the failure of %s under %s", target, part)
+				}
+			}
+		}
+		if e := sender.Changes(now, &cursor, to); e != nil && len(e.Failures) > 0 {
+			t.Errorf("%d failures are sent again", len(e.Failures))
+		}
+	}
+}
+
+// TestNothingIsBlockedOnPartOfTheEvidence guards against blocking a sound part, since the failures of the part that explains its
+// own have not come yet.
+func TestNothingIsBlockedOnPartOfTheEvidence(t *testing.T) {
+	s := newScript()
+	for range 6 {
+		s.fail([]string{"head", "bad"})
+	}
+	now := s.now + 2*settleTime
+	e := s.t.Changes(now, &Cursor{}, ToHost)
+	head, bad := Evidence{More: true}, Evidence{}
+	for _, r := range e.Failures {
+		if r.Part == "head" {
+			head.Failures = append(head.Failures, r)
+		} else {
+			bad.Failures = append(bad.Failures, r)
+		}
+	}
+	receiver := New()
+	receiver.MergeUpdate(now, &head)
+	receiver.Evaluate(now)
+	if receiver.Check(now, []string{"head"}, never) != "" {
+		t.Error("head is blocked before the failures of bad are known")
+	}
+	receiver.MergeUpdate(now+moreTimeout/2, &bad)
+	now += moreTimeout
+	receiver.Evaluate(now)
+	if receiver.Check(now, []string{"bad"}, never) == "" || receiver.Check(now, []string{"head"}, never) != "" {
+		t.Error("want bad blocked, and nothing else, once all is known")
+	}
+}
--- a/coord/crashcause/tracker.go
+++ b/coord/crashcause/tracker.go
@@ -14,6 +14,7 @@
 	maxParts       = 4096                   // whose completions are known
 	maxFailures    = 2048                   // kept at a time, by part and target
 	resendInterval = 300 * time.Millisecond // of completions to the same receiver
+	moreTimeout    = time.Second            // for the message that follows another one; hosts send several in this time
 )
 
 // Tracker holds the failures and completions of parts. It is not safe for concurrent use.
@@ -26,6 +27,8 @@
 	blocks   map[string]*block
 	count    int    // of failures
 	version  uint64 // from 1; increases with each change of a failure or a block
+	// completeFrom is when the evidence is taken to be complete: until then another message was to follow.
+	completeFrom time.Duration
 	// changes holds the blocks and releases since TakeChanges.
 	changes []Change
 }
