--- a/coord/crashcause/evidence.go
+++ b/coord/crashcause/evidence.go
@@ -88,12 +88,11 @@
 	var recent, backlog []versioned
 	for part, byTarget := range t.failures {
 		for target, f := range byTarget {
-			r := versioned{f.version, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted}}
 			switch {
 			case first || f.version <= cursor.backlog:
-				backlog = append(backlog, r)
+				backlog = append(backlog, f.record(now, part, target))
 			case !omit(f.fromCoordinator, f.version):
-				recent = append(recent, r)
+				recent = append(recent, f.record(now, part, target))
 			}
 		}
 	}
@@ -119,6 +118,10 @@
 	FailureRecord
 }
 
+func (f *failure) record(now time.Duration, part, target string) versioned {
+	return versioned{f.version, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted}}
+}
+
 func (r versioned) compare(other versioned) int { return cmp.Compare(r.version, other.version) }
 
 // newCompletions returns the completions of suspect parts that a receiver has not been sent.
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -48,8 +48,8 @@
 	retries  [budgetBuckets + 1]float64
 }
 
-// index returns the place of a bucket.
-func index(bucket int64) int64 { return bucket % (budgetBuckets + 1) }
+// bucketIndex returns the place of a bucket in a window.
+func bucketIndex(bucket int64) int64 { return bucket % (budgetBuckets + 1) }
 
 // NewRetryBudget returns a budget with empty windows.
 func NewRetryBudget(bounds fleet.Bounds, hosts func() HostCount, now func() time.Duration) *RetryBudget {
@@ -79,7 +79,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	w.requests[index(w.bucket)]++
+	w.requests[bucketIndex(w.bucket)]++
 }
 
 // RetryCharge is a retry that was counted. The zero value is none.
@@ -95,7 +95,7 @@
 	if retries+1 > b.allowed(requests, hosts) {
 		return RetryCharge{}, false
 	}
-	w.retries[index(w.bucket)]++
+	w.retries[bucketIndex(w.bucket)]++
 	return RetryCharge{bucket: w.bucket}, true
 }
 
@@ -104,7 +104,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if w := b.window(service); c.bucket > 0 && w.bucket-c.bucket <= budgetBuckets { // otherwise it no longer counts
-		w.retries[index(c.bucket)]--
+		w.retries[bucketIndex(c.bucket)]--
 	}
 }
 
@@ -146,7 +146,7 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	return requests - w.requests[index(w.bucket+1)], retries // the next place holds the oldest bucket
+	return requests - w.requests[bucketIndex(w.bucket+1)], retries // the next place holds the oldest bucket
 }
 
 // window returns the window of a service with expired buckets cleared.
@@ -159,7 +159,7 @@
 	}
 	for w.bucket < current {
 		w.bucket = max(w.bucket+1, current-budgetBuckets)
-		w.requests[index(w.bucket)], w.retries[index(w.bucket)] = 0, 0
+		w.requests[bucketIndex(w.bucket)], w.retries[bucketIndex(w.bucket)] = 0, 0
 	}
 	return w
 }
