Tests of the retry budget: find the two slips that they let pass

Cause: the tests of the restarts and of the window were written against the former code, and did not fail with two faults planted in the present one: the bucket that lies partly before the window not counted (bursts 9.05 s apart, it matters from 9.5 s on), and quick restarts that use the fixed number (three restarts, and five retries a request at most). Change: bursts 9.1 and 9.9 s apart, five restarts 1 and 4 s apart, and retries as often as the budget allows. Same bounds, more demand.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -37,21 +37,18 @@
 	}
 }
 
-// play sends requests at a rate to each host. While targets fail, each is retried as often as the budget allows, at most
-// five times.
+// play sends requests at a rate to each host. While targets fail, each is retried as often as the budget allows.
 func (f *budgetFleet) play(d time.Duration, perSecond float64, targetsFail bool) {
 	gap := time.Duration(float64(time.Second) / perSecond)
 	for end := f.now + d; f.now < end; f.now += gap {
 		for _, b := range f.budgets {
 			b.CountRequest("s")
 			f.requests = append(f.requests, f.now)
-			for range 5 {
-				if !targetsFail {
+			for targetsFail {
+				if _, ok := b.Charge("s"); !ok {
 					break
 				}
-				if _, ok := b.Charge("s"); ok {
-					f.retries = append(f.retries, f.now)
-				}
+				f.retries = append(f.retries, f.now)
 			}
 		}
 	}
@@ -79,15 +76,17 @@
 // TestRetriesWhileAllHostsRestart guards against processes that grant anew what their predecessors have spent: repeats pile up
 // at targets that fail while hosts restart.
 func TestRetriesWhileAllHostsRestart(t *testing.T) {
-	for _, perSecond := range []float64{1, 5, 40} {
-		f := newBudgetFleet(80)
-		f.play(12*time.Second, perSecond, false)
-		f.play(5*time.Second, perSecond, true)
-		for range 3 {
-			f.restart()
-			f.play(4*time.Second, perSecond, true)
+	for _, between := range []time.Duration{time.Second, 4 * time.Second} {
+		for _, perSecond := range []float64{1, 5, 40} {
+			f := newBudgetFleet(80)
+			f.play(12*time.Second, perSecond, false)
+			f.play(5*time.Second, perSecond, true)
+			for range 5 {
+				f.restart()
+				f.play(between, perSecond, true)
+			}
+			f.checkBudget(t)
 		}
-		f.checkBudget(t)
 	}
 }
 
@@ -111,13 +110,15 @@
 // TestRetryBurstsLessThanAWindowApart guards against a host that forgets retries before the window of the rule has passed: two
 // failures of targets nine seconds apart get the whole budget each.
 func TestRetryBurstsLessThanAWindowApart(t *testing.T) {
-	for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
-		f := newBudgetFleet(8)
-		f.play(12*time.Second+offset, 20, false)
-		f.play(400*time.Millisecond, 20, true)
-		f.play(8650*time.Millisecond, 20, false)
-		f.play(400*time.Millisecond, 20, true)
-		f.checkBudget(t)
+	for _, between := range []time.Duration{9 * time.Second, 9800 * time.Millisecond} {
+		for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
+			f := newBudgetFleet(8)
+			f.play(12*time.Second+offset, 20, false)
+			f.play(100*time.Millisecond, 20, true)
+			f.play(between, 20, false)
+			f.play(100*time.Millisecond, 20, true)
+			f.checkBudget(t)
+		}
 	}
 }
 
