Test of the lock order: a typed error

errors.New stood in a test of the coordinator, against the house style (found by the look at the whole tree). No change of behaviour; go test ./internal/coordinator passes.

--- a/internal/coordinator/lockorder_test.go
+++ b/internal/coordinator/lockorder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"time"
 
@@ -10,10 +9,14 @@
 	"buckthornseam.dev/seam/internal/platform"
 )
 
+type noConnectionError struct{}
+
+func (noConnectionError) Error() string { return "no connection" }
+
 type failingCaller struct{}
 
 func (failingCaller) Call(context.Context, string, string, any, any) error {
-	return errors.New("no connection")
+	return noConnectionError{}
 }
 
 // TestReportDoesNotHoldClientWhileCoordinatorIsBusy guards against a host that stands still for ever: its coordinator asks the Client
