Streams: ask other hosts for the version even if only one is known

Cause: Registry.Lookup returned the only version on the host's own list of targets without asking anybody. Hosts other than the coordinator read that list with serializable=1, so it may be seconds behind the list of the host that began the stream.

Ruled out: lost or late records. Two other hosts have them.

Change: a host that does not know a stream always asks. If a host that it asks does not reply, one version counts as the only one just while the list of targets was known to be current within 3 s.

Failed before (streamorigin_test.go with the former lookup.go): TestVersionThatThisHostHasNotSeenIsFound: 5 of 7 hosts found v1 for a stream of v2; TestHostWithAnOldListRefusesWithoutReplies: v1, want unknown.

--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -183,7 +183,7 @@
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
-	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
+	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: h.targetsCurrentAt, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
 	h.origins.Register(h.peerServer)
 	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self, Contact: h.settings.Bounds.Contact, Log: h.log, Metrics: h.metrics.Scope}
 	h.retries = gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now)
--- a/internal/platformhost/policy.go
+++ b/internal/platformhost/policy.go
@@ -138,17 +138,22 @@
 // also tells this host which targets are draining.
 func (h *Host) targetPolicy() storecache.PollPolicy {
 	freshness, now := h.client.StoreFreshness(), bootclock.Now()
-	current, _ := h.targets.Confirmed()
-	same := freshness.Targets == h.view.Targets().Digest
-	if same {
-		h.targetsSameAt.Store(int64(freshness.TargetsAt))
-	}
 	return targetPolicyOf(copyState{
-		coordinator: h.coordinatorState(), uptime: now - h.startedAt, confirmedAgo: now - freshness.TargetsAt, same: same,
-		currentAgo: now - max(current, time.Duration(h.targetsSameAt.Load())),
+		coordinator: h.coordinatorState(), uptime: now - h.startedAt, confirmedAgo: now - freshness.TargetsAt, same: freshness.Targets == h.view.Targets().Digest,
+		currentAgo: now - h.targetsCurrentAt(),
 	})
 }
 
+// targetsCurrentAt returns when this host's list of targets was last known to be current: it was read from the store then, or was
+// the coordinator's.
+func (h *Host) targetsCurrentAt() time.Duration {
+	if f := h.client.StoreFreshness(); f.Targets == h.view.Targets().Digest {
+		h.targetsSameAt.Store(int64(f.TargetsAt))
+	}
+	read, _ := h.targets.Confirmed()
+	return max(read, time.Duration(h.targetsSameAt.Load()))
+}
+
 func targetPolicyOf(s copyState) storecache.PollPolicy {
 	switch {
 	case s.starting():
--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -68,18 +68,25 @@
 }
 
 // UnknownVersionError reports a stream of which no reachable host knows the version, while its service has or
-// lately had several.
+// lately had several, or while this host cannot tell whether it had.
 type UnknownVersionError struct {
 	Attempt  string
-	Versions []string
+	Versions []string // that the service is known to have had lately
 }
 
 func (e *UnknownVersionError) Error() string {
 	return "software version that began the stream of attempt " + e.Attempt + " is unknown"
 }
 
+// maxTargetsAge is the age up to which this host's list of targets rules out a version that is not on it. It is
+// a few intervals at which a host hears from the coordinator, and shorter than a target is listed after a crash.
+const maxTargetsAge = 3 * time.Second
+
 // Lookup returns the version that began a stream. attempt is the one that brought its first event; it may be
 // empty if that is not known. It fails with *UnknownVersionError.
+//
+// Other hosts are asked even if this one knows a single version: its list of targets may be seconds behind that
+// of the host that began the stream.
 func (r *Registry) Lookup(ctx context.Context, service, attempt string) (string, error) {
 	req := lookupRequest{Key: keyOf(attempt), Service: service}
 	local := r.localLookup(req)
@@ -87,19 +94,17 @@
 		return local.Version, nil
 	}
 	versions := local.Versions
-	if len(versions) != 1 || r.opts.Now()-r.startedAt < retention {
-		replies := r.ask(ctx, req)
-		for _, reply := range replies {
-			if reply.Known {
-				r.store([]record{{Key: req.Key, Service: service, Version: reply.Version}})
-				return reply.Version, nil
-			}
-			versions = append(versions, reply.Versions...)
+	replies, all := r.ask(ctx, req)
+	for _, reply := range replies {
+		if reply.Known {
+			r.store([]record{{Key: req.Key, Service: service, Version: reply.Version}})
+			return reply.Version, nil
 		}
-		slices.Sort(versions)
-		versions = slices.Compact(versions)
+		versions = append(versions, reply.Versions...)
 	}
-	if len(versions) == 1 {
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) == 1 && (all || r.opts.Now()-r.opts.TargetsCurrentAt() < maxTargetsAge) {
 		return versions[0], nil
 	}
 	return "", &UnknownVersionError{Attempt: attempt, Versions: versions}
@@ -114,28 +119,32 @@
 }
 
 // ask asks the hosts that may have a stream's record. It returns when one of them knows it, when all have
-// replied or failed, or after lookupTimeout.
-func (r *Registry) ask(ctx context.Context, req lookupRequest) []lookupReply {
+// replied or failed, or after lookupTimeout. all reports whether every one of them has replied.
+func (r *Registry) ask(ctx context.Context, req lookupRequest) (replies []lookupReply, all bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	hosts := rank(req.Key, r.opts.Hosts(), r.opts.Self, askedHosts)
-	results := make(chan lookupReply, len(hosts))
+	known := r.opts.Hosts()
+	hosts := rank(req.Key, known, r.opts.Self, askedHosts)
+	results := make(chan *lookupReply, len(hosts))
 	for _, host := range hosts {
 		go func() {
 			var reply lookupReply
 			if err := r.opts.Calls.Call(ctx, host, methodLookup, req, &reply); err != nil {
-				reply = lookupReply{} // a host that does not reply knows nothing
+				results <- nil
+				return
 			}
-			results <- reply
+			results <- &reply
 		}()
 	}
-	var out []lookupReply
 	for range hosts {
 		reply := <-results // each call ends with ctx at the latest
-		out = append(out, reply)
+		if reply == nil {
+			continue
+		}
+		replies = append(replies, *reply)
 		if reply.Known {
 			break
 		}
 	}
-	return out
+	return replies, len(replies) == len(hosts) && len(known) > 0
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -3,7 +3,7 @@
 //
 // A host records the streams that it begins. While a service has several versions, it also sends each record
 // to a few hosts that follow from the stream's key, so that other hosts find it there, also after the loss
-// of the host that began the stream. While there is only one version, nothing is sent or asked.
+// of the host that began the stream. While there is only one version, nothing is sent.
 package streamorigin
 
 import (
@@ -27,11 +27,13 @@
 // Options configure a Registry.
 type Options struct {
 	Self    string
-	Hosts   func() []string // names of the hosts, including this one
+	Hosts   func() []string // names of the hosts, including this one; empty: not known yet
 	Targets func() *fleet.Targets
-	Calls   peer.Caller
-	Now     func() time.Duration // also advances while the machine is suspended
-	Log     logrus.FieldLogger
+	// TargetsCurrentAt returns when Targets was last known to be current, by the clock Now.
+	TargetsCurrentAt func() time.Duration
+	Calls            peer.Caller
+	Now              func() time.Duration // also advances while the machine is suspended
+	Log              logrus.FieldLogger
 }
 
 // Registry records the versions of streams and finds them.
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +27,9 @@
 
 type testHost struct {
 	*Registry
-	net     *peertest.Host
-	targets *fleet.Targets
+	net        *peertest.Host
+	targets    atomic.Pointer[fleet.Targets]
+	targetsAge time.Duration // since they were last known to be current
 }
 
 func newFleet(t *testing.T, n int, versions ...string) *testFleet {
@@ -47,10 +49,12 @@
 		names[j] = fmt.Sprintf("h%d", j)
 	}
 	started := time.Now()
-	h := &testHost{net: f.network.Add(peer.Member{ID: peer.ID{Name: names[i]}}), targets: targetsOf(versions...)}
+	h := &testHost{net: f.network.Add(peer.Member{ID: peer.ID{Name: names[i]}})}
+	h.targets.Store(targetsOf(versions...))
+	now := func() time.Duration { return time.Since(started) + time.Hour }
 	h.Registry = New(Options{
-		Self: names[i], Hosts: func() []string { return names }, Targets: func() *fleet.Targets { return h.targets },
-		Calls: h.net, Now: func() time.Duration { return time.Since(started) + time.Hour }, Log: log,
+		Self: names[i], Hosts: func() []string { return names }, Targets: h.targets.Load,
+		TargetsCurrentAt: func() time.Duration { return now() - h.targetsAge }, Calls: h.net, Now: now, Log: log,
 	})
 	h.Register(h.net)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -69,7 +73,7 @@
 
 func (f *testFleet) setVersions(versions ...string) {
 	for _, h := range f.hosts {
-		h.targets = targetsOf(versions...)
+		h.targets.Store(targetsOf(versions...))
 	}
 }
 
@@ -154,6 +158,64 @@
 	})
 }
 
+// TestVersionThatThisHostHasNotSeenIsFound guards against a host whose list of targets lags: a stream that a new version began must
+// not go on at the only version on that list.
+func TestVersionThatThisHostHasNotSeenIsFound(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 8, "v1")
+		time.Sleep(retention + time.Second)
+		f.hosts[0].targets.Store(targetsOf("v1", "v2"))
+		f.hosts[0].Began("llm", "canary", "v2")
+		f.hosts[0].Began("llm", "usual", "v1")
+		time.Sleep(10 * time.Millisecond)
+		f.hosts[0].net.SetDown(true)
+		for host := 1; host < len(f.hosts); host++ {
+			if got := f.lookup(host, "canary"); got != "v2" {
+				t.Errorf("host %d: version %s of a stream that v2 began, want v2", host, got)
+			}
+			if got := f.lookup(host, "usual"); got != "v1" {
+				t.Errorf("host %d: version %s of a stream that v1 began, want v1", host, got)
+			}
+		}
+	})
+}
+
+// TestOnlyVersionGoesOnWithoutARecord guards against refusing streams of a service with one version: no host has a record once the one that
+// began them is lost.
+func TestOnlyVersionGoesOnWithoutARecord(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 4, "v1")
+		time.Sleep(retention + time.Second)
+		f.start(1, "v1")
+		for host := range f.hosts {
+			if got := f.lookup(host, "lost"); got != "v1" {
+				t.Errorf("host %d: version %s, want v1", host, got)
+			}
+		}
+		f.hosts[3].net.SetDown(true)
+		if got := f.lookup(2, "lost"); got != "v1" {
+			t.Errorf("a host is lost, the list of targets is current: version %s, want v1", got)
+		}
+	})
+}
+
+// TestHostWithAnOldListRefusesWithoutReplies guards against a host that is cut off taking the only version that it knows for the
+// only one that there is.
+func TestHostWithAnOldListRefusesWithoutReplies(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 4, "v1")
+		time.Sleep(retention + time.Second)
+		f.hosts[0].targetsAge = maxTargetsAge
+		if got := f.lookup(0, "lost"); got != "v1" {
+			t.Errorf("old list, all hosts reply: version %s, want v1", got)
+		}
+		f.hosts[0].net.SetDown(true)
+		if got := f.lookup(0, "lost"); got != "unknown" {
+			t.Errorf("old list, no host replies: version %s, want it unknown", got)
+		}
+	})
+}
+
 // TestLookupIsBounded checks that hosts that don't reply delay a lookup by lookupTimeout at most.
 func TestLookupIsBounded(t *testing.T) {
 	run(t, func(t *testing.T) {
