Streams: keep the versions that began them in the store

Cause: what began a stream, and which versions a service lately had, was held in the memory of hosts only. After a restart of all of them each knew the version on the list of targets alone, and asked others that had not run longer.

Change: while a service has several versions, each host keeps one object in the store: the versions with the time each was last registered, and the keys of its incomplete streams. A host that finds nobody who knows a stream reads all objects if several versions are known, or if nobody has watched for 30 s. Nothing is written while services have one version; else by all hosts together a tenth of the writes that the store allows (arithmetic, docs/design/stream-versions.md).

Failed before (without the store): TestVersionsOutliveARestartOfAllHosts, v2 for streams of v1. Controls: streams of v2 go on at once in the same test, TestOnlyVersionGoesOnAfterARestartOfAllHosts (no write either), TestLossOfAllHostsWithARecord, TestStreamsAreRefusedWhileTheStoreIsDown, TestWritesAreBounded.

--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -16,7 +16,8 @@
 	PeerPort    int // for traffic between hosts
 	RelayPort   int // for requests that other hosts pass on; 0: none are taken
 	MetricsPort int
-	Store       string // address of the platform's store
+	Store       string  // address of the platform's store
+	StoreWrites float64 // that the store allows all hosts together in a second; 0: not stated
 
 	// CrashOnFullMemory is set if engines crash when the requests that they hold exceed their memory. Others preempt requests.
 	CrashOnFullMemory bool
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -183,7 +183,10 @@
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
-	h.origins = streamorigin.New(streamorigin.Options{Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: h.targetsCurrentAt, Calls: h.peerClient, Now: bootclock.Now, Log: h.log})
+	h.origins = streamorigin.New(streamorigin.Options{
+		Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: h.targetsCurrentAt, Calls: h.peerClient,
+		Store: h.store, StoreInterval: h.originsStoreInterval, Now: bootclock.Now, Log: h.log,
+	})
 	h.origins.Register(h.peerServer)
 	h.directory = &gateway.Directory{View: h.view, Client: h.client, Self: h.self, Contact: h.settings.Bounds.Contact, Log: h.log, Metrics: h.metrics.Scope}
 	h.retries = gateway.NewRetryBudget(h.settings.Bounds, h.hostCount, bootclock.Now)
@@ -232,6 +235,18 @@
 	return names
 }
 
+// originsStoreShare is the share of the store's writes that the hosts use for the versions of streams while a service has
+// several.
+const originsStoreShare = 0.1
+
+// originsStoreInterval returns the time between two writes of this host at which all hosts use originsStoreShare.
+func (h *Host) originsStoreInterval() time.Duration {
+	if h.settings.StoreWrites <= 0 {
+		return 0
+	}
+	return time.Duration(float64(len(h.view.Hosts())) / (originsStoreShare * h.settings.StoreWrites) * float64(time.Second))
+}
+
 func (h *Host) newPartStore() *coordinator.PartStore {
 	return &coordinator.PartStore{
 		Parts: h.parts, Store: h.store, Coordinates: func() bool { return h.client.Coordinator() == h.self.Name }, Log: h.log, Eras: &h.eras,
--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -18,6 +18,9 @@
 // lookupTimeout is how long other hosts may take to reply. It is a few hundred times the network delay.
 const lookupTimeout = 300 * time.Millisecond
 
+// recallTimeout is how long the store may take to reply. It is a hundred times its usual time.
+const recallTimeout = 500 * time.Millisecond
+
 // rank returns the first n of the hosts, without the one called except, in the order in which they keep a
 // stream's record: rendezvous hashing. Hosts that know the same other hosts agree on it.
 func rank(key streamKey, hosts []string, except string, n int) []string {
@@ -65,6 +68,8 @@
 	Known    bool     `json:"k,omitempty"`
 	Version  string   `json:"v,omitempty"`
 	Versions []string `json:"a,omitempty"` // recent versions of the service
+	// Watched is set if Versions has all versions of the last retention; builds before it leave it out.
+	Watched bool `json:"w,omitempty"`
 }
 
 // UnknownVersionError reports a stream of which no reachable host knows the version, while its service has or
@@ -93,29 +98,70 @@
 	if local.Known {
 		return local.Version, nil
 	}
-	versions := local.Versions
+	versions, watched := local.Versions, local.Watched
 	replies, all := r.ask(ctx, req)
 	for _, reply := range replies {
 		if reply.Known {
 			r.store([]record{{Key: req.Key, Service: service, Version: reply.Version}})
 			return reply.Version, nil
 		}
-		versions = append(versions, reply.Versions...)
+		versions, watched = append(versions, reply.Versions...), watched || reply.Watched
+	}
+	current := all || r.opts.Now()-r.opts.TargetsCurrentAt() < maxTargetsAge
+	if version, ok := only(versions); ok && watched && current {
+		return version, nil
+	}
+	return r.lookupStored(ctx, req, attempt, versions, current)
+}
+
+// lookupStored looks in the store for a stream that no running host knows. versions are those that hosts know, and
+// current tells whether they include the newest.
+func (r *Registry) lookupStored(ctx context.Context, req lookupRequest, attempt string, versions []string, current bool) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	maxAge := recallInterval
+	if _, ok := only(versions); ok {
+		maxAge = retention // the first read after the start tells what went before
+	}
+	err := r.recall(ctx, maxAge)
+	if err != nil {
+		r.opts.Log.WithField("event", "stream_origins_not_read").Warn(err.Error())
+	}
+	local := r.localLookup(req)
+	if local.Known {
+		return local.Version, nil
+	}
+	versions = append(versions, local.Versions...)
+	if version, ok := only(versions); ok && current && err == nil {
+		return version, nil
 	}
 	slices.Sort(versions)
-	versions = slices.Compact(versions)
-	if len(versions) == 1 && (all || r.opts.Now()-r.opts.TargetsCurrentAt() < maxTargetsAge) {
-		return versions[0], nil
+	return "", &UnknownVersionError{Attempt: attempt, Versions: slices.Compact(versions)}
+}
+
+// only returns the version of which all entries are.
+func only(versions []string) (string, bool) {
+	for _, v := range versions {
+		if v != versions[0] {
+			return "", false
+		}
 	}
-	return "", &UnknownVersionError{Attempt: attempt, Versions: versions}
+	if len(versions) == 0 {
+		return "", false
+	}
+	return versions[0], true
 }
 
 func (r *Registry) localLookup(req lookupRequest) lookupReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.observe()
-	rec, ok := r.records.get(req.Key, r.opts.Now())
-	return lookupReply{Known: ok && rec.Service == req.Service, Version: rec.Version, Versions: r.history.of(req.Service, r.opts.Now())}
+	now := r.opts.Now()
+	rec, ok := r.records.get(req.Key, now)
+	return lookupReply{
+		Known: ok && rec.Service == req.Service, Version: rec.Version,
+		Versions: r.history.of(req.Service, now), Watched: now-r.startedAt >= retention,
+	}
 }
 
 // ask asks the hosts that may have a stream's record. It returns when one of them knows it, when all have
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -3,12 +3,15 @@
 //
 // A host records the streams that it begins. While a service has several versions, it also sends each record
 // to a few hosts that follow from the stream's key, so that other hosts find it there, also after the loss
-// of the host that began the stream. While there is only one version, nothing is sent.
+// of the host that began the stream. For the case that all hosts restart, each host keeps the records of its
+// incomplete streams and the recent versions in the platform's store. While there is only one version, nothing is sent
+// or stored.
 package streamorigin
 
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +35,12 @@
 	// TargetsCurrentAt returns when Targets was last known to be current, by the clock Now.
 	TargetsCurrentAt func() time.Duration
 	Calls            peer.Caller
-	Now              func() time.Duration // also advances while the machine is suspended
-	Log              logrus.FieldLogger
+	Store            Store // nil: nothing is stored
+	// StoreInterval returns the shortest time between two writes of this host, so that all hosts together stay within a
+	// share of what the store allows.
+	StoreInterval func() time.Duration
+	Now           func() time.Duration // also advances while the machine is suspended
+	Log           logrus.FieldLogger
 }
 
 // Registry records the versions of streams and finds them.
@@ -41,17 +48,24 @@
 	opts      Options
 	startedAt time.Duration
 	outbox    *outbox
+	storage   storage
 
 	mu      sync.Mutex
 	records *records
 	history versionHistory
-	unsent  map[streamKey]record // streams of this host that are not complete and that no other host knows of
+	open    map[streamKey]openStream
 }
 
-// New returns a registry. Records are sent to other hosts only while Run runs.
+// openStream is a stream of this host that is not complete.
+type openStream struct {
+	record
+	sent bool // to other hosts
+}
+
+// New returns a registry. Records are sent to other hosts and stored only while Run runs.
 func New(opts Options) *Registry {
 	now := opts.Now()
-	return &Registry{opts: opts, startedAt: now, outbox: newOutbox(opts.Calls, opts.Log), records: newRecords(now), unsent: map[streamKey]record{}}
+	return &Registry{opts: opts, startedAt: now, outbox: newOutbox(opts.Calls, opts.Log), records: newRecords(now), open: map[streamKey]openStream{}, storage: newStorage()}
 }
 
 // Register registers the methods that other hosts call.
@@ -85,8 +99,13 @@
 // several times as long.
 const observeInterval = 250 * time.Millisecond
 
-// Run sends records to other hosts until ctx ends.
+// Run sends records to other hosts and stores them until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
+	var storing sync.WaitGroup
+	defer storing.Wait()
+	if r.opts.Store != nil {
+		storing.Go(func() { r.runStorage(ctx) })
+	}
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
@@ -101,19 +120,23 @@
 	}
 }
 
-// sendUnsent sends the records of streams that began before their service had several versions.
+// sendUnsent sends the records of streams that began before their service had several versions, and has this host's
+// object in the store updated if there is or should be one.
 func (r *Registry) sendUnsent() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.observe()
-	for key, rec := range r.unsent {
-		if r.severalVersions(rec.Service) {
-			delete(r.unsent, key)
-			r.send(rec)
-		} else if _, ok := r.records.get(key, r.opts.Now()); !ok {
-			delete(r.unsent, key)
+	for key, stream := range r.open {
+		if _, ok := r.records.get(key, r.opts.Now()); !ok {
+			delete(r.open, key)
+		} else if !stream.sent && r.severalVersions(stream.Service) {
+			r.send(stream.record)
+			r.open[key] = openStream{stream.record, true}
 		}
 	}
+	if r.storage.exists.Load() || slices.ContainsFunc(r.history.services(), r.severalVersions) {
+		r.storage.change()
+	}
 }
 
 // Began records that a target of the given version sent the first event of a stream. The stream is identified
@@ -124,18 +147,19 @@
 	defer r.mu.Unlock()
 	r.observe()
 	r.records.put(rec, r.opts.Now())
-	if r.severalVersions(service) {
+	several := r.severalVersions(service)
+	if several {
 		r.send(rec)
-	} else {
-		r.unsent[rec.Key] = rec
+		r.storage.change()
 	}
+	r.open[rec.Key] = openStream{rec, several}
 }
 
 // Completed records that the whole stream of an attempt was relayed, so that no caller will resume it.
 func (r *Registry) Completed(attempt string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.unsent, keyOf(attempt))
+	delete(r.open, keyOf(attempt))
 }
 
 // observe updates the version history. The caller must hold r.mu.
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -16,6 +16,7 @@
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/peer/peertest"
+	"buckthornseam.dev/seam/internal/platform"
 )
 
 // testFleet is some hosts on one network. Each has its own list of targets.
@@ -23,6 +24,7 @@
 	t       *testing.T
 	network *peertest.Network
 	hosts   []*testHost
+	store   *memStore
 }
 
 type testHost struct {
@@ -30,10 +32,11 @@
 	net        *peertest.Host
 	targets    atomic.Pointer[fleet.Targets]
 	targetsAge time.Duration // since they were last known to be current
+	kill       context.CancelFunc
 }
 
 func newFleet(t *testing.T, n int, versions ...string) *testFleet {
-	f := &testFleet{t: t, network: peertest.New(1), hosts: make([]*testHost, n)}
+	f := &testFleet{t: t, network: peertest.New(1), hosts: make([]*testHost, n), store: &memStore{objects: map[string]platform.Object{}}}
 	for i := range n {
 		f.start(i, versions...)
 	}
@@ -48,21 +51,36 @@
 	for j := range names {
 		names[j] = fmt.Sprintf("h%d", j)
 	}
+	if old := f.hosts[i]; old != nil {
+		old.kill()
+	}
 	started := time.Now()
 	h := &testHost{net: f.network.Add(peer.Member{ID: peer.ID{Name: names[i]}})}
 	h.targets.Store(targetsOf(versions...))
 	now := func() time.Duration { return time.Since(started) + time.Hour }
 	h.Registry = New(Options{
 		Self: names[i], Hosts: func() []string { return names }, Targets: h.targets.Load,
-		TargetsCurrentAt: func() time.Duration { return now() - h.targetsAge }, Calls: h.net, Now: now, Log: log,
+		TargetsCurrentAt: func() time.Duration { return now() - h.targetsAge }, Calls: h.net, Store: f.store, StoreInterval: func() time.Duration { return testStoreInterval }, Now: now, Log: log,
 	})
 	h.Register(h.net)
 	ctx, cancel := context.WithCancel(context.Background())
+	h.kill = cancel
 	f.t.Cleanup(cancel)
 	go func() { _ = h.Run(ctx) }()
 	f.hosts[i] = h
 }
 
+// restartAll kills all hosts and starts them again a second later.
+func (f *testFleet) restartAll(versions ...string) {
+	for _, h := range f.hosts {
+		h.kill()
+	}
+	time.Sleep(time.Second)
+	for i := range f.hosts {
+		f.start(i, versions...)
+	}
+}
+
 func targetsOf(versions ...string) *fleet.Targets {
 	targets := map[string]fleet.Target{}
 	for _, v := range versions {
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -41,6 +41,40 @@
 	}
 }
 
+// recall adds a version that was last registered at a time, as another process knows.
+func (h *versionHistory) recall(service, version string, at time.Duration) {
+	if h.goneAt == nil {
+		h.goneAt = map[string]map[string]time.Duration{}
+	}
+	if h.goneAt[service] == nil {
+		h.goneAt[service] = map[string]time.Duration{}
+	}
+	if before, ok := h.goneAt[service][version]; !ok || before < at {
+		h.goneAt[service][version] = at
+	}
+}
+
+// services returns the services that have or lately had targets, sorted.
+func (h *versionHistory) services() []string {
+	services := slices.Collect(maps.Keys(h.registered))
+	services = slices.AppendSeq(services, maps.Keys(h.goneAt))
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// ages returns the recent versions of a service with the time since each was last registered.
+func (h *versionHistory) ages(service string, now time.Duration) map[string]time.Duration {
+	ages := map[string]time.Duration{}
+	for _, version := range h.of(service, now) {
+		if !h.registered[service][version] {
+			ages[version] = now - h.goneAt[service][version]
+		} else {
+			ages[version] = 0
+		}
+	}
+	return ages
+}
+
 // of returns the recent versions of a service, sorted.
 func (h *versionHistory) of(service string, now time.Duration) []string {
 	gone := h.goneAt[service]
