Planned stop: spare connections whose request has been read

What callers saw: a request on a kept connection of a stopping host ended with a closed connection instead of a response (rule LOST).

Cause: http.Server takes a kept connection for idle until it has parsed the next request. Its bytes may have left the kernel by then, so the check for bytes that wait in the kernel does not see them, and SetKeepAlivesEnabled(false) closes the connection.

Ruled out: the accept queue (only kept connections failed) and the end of the 150 ms (a run takes 60 ms).

Change: a connection also counts as used while bytes were read and nothing was written since.

Failed before: TestStopSparesARequestThatWasRead (EOF), each time.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -46,6 +46,9 @@
 	raw  syscall.RawConn
 	pool *Pool
 	used atomic.Bool // bytes of a request were read
+	// unanswered is set while bytes of a request have been read and nothing was written since. The server may still take the
+	// connection for idle.
+	unanswered atomic.Bool
 
 	mu       sync.Mutex
 	chunks   [][]byte // held, in order; only the last one may have room
@@ -68,14 +71,16 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.used.Load() {
+	if n > 0 {
 		c.used.Store(true)
+		c.unanswered.Store(true)
 	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.unanswered.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
--- a/internal/callerconn/pool.go
+++ b/internal/callerconn/pool.go
@@ -117,11 +117,12 @@
 	p.stops = true
 }
 
-// spares reports whether a connection is to be left open, as a request has arrived on it.
+// spares reports whether a connection is to be left open, as a request has arrived on it. The server may have read that and still
+// take the connection for idle.
 func (p *Pool) spares(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stops && c.arrived() > 0
+	return p.stops && (c.unanswered.Load() || c.arrived() > 0)
 }
 
 // Busy returns the number of open connections on which a request has arrived.
