Planned stop: estimate run times by model, with time for a silence

Cause: the estimate of how long a request may take knew the longest recent time per token of a route. The paces of models differ by a factor of nine within a route; what still ran was not counted; no time was left for a silence; and the estimate was not made again after a wait for an adapter, memory or a permit.

Ruled out: that the prior of 7 ms a token alone is to blame. A larger one refuses quick models too, and a host that knows a quick one does not use it.

Change: run times by route and model, with those still running; a model that the host has not seen counts as the slowest of ten known ones, else as slow as may still be in time; 1.5 s for a silence; checked again right before the send. A refused caller is told to try another host after 0.1 s, as before.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,6 +10,7 @@
 type eventBuffer struct {
 	buf    []byte
 	lastID string
+	count  int // events taken that have an id
 }
 
 // add appends received bytes.
@@ -23,8 +24,9 @@
 	}
 	events := b.buf[:end:end]
 	b.buf = append([]byte(nil), b.buf[end:]...)
-	if id := lastID(events); id != "" {
+	if id, n := eventIDs(events); n > 0 {
 		b.lastID = id
+		b.count += n
 	}
 	return events
 }
@@ -73,13 +75,14 @@
 	return false
 }
 
-// lastID returns the value of the last id field; empty if there is none.
-func lastID(events []byte) string {
-	id := ""
+// eventIDs returns the value of the last id field that has one, and the number of these fields.
+func eventIDs(events []byte) (last string, n int) {
 	for line := range bytes.Lines(events) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(v))
+			if id := bytes.TrimSpace(v); len(id) > 0 {
+				last, n = string(id), n+1
+			}
 		}
 	}
-	return id
+	return last, n
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -86,17 +86,20 @@
 			g.giveUp(x)
 			return
 		}
+		if x.sends == 0 && g.outlastsStop(x) { // the choice may have waited for an adapter, memory or a permit
+			g.releaseMemory(x, false)
+			g.giveUp(x)
+			return
+		}
 		before := x.tries
 		x.tries++
-		began := g.opts.Now()
-		outcome := g.try(ctx, x, choice)
+		outcome := g.tryTimed(ctx, x, choice)
 		if x.tries == before { // it reached no target
 			g.opts.Budget.Refund(x.service, charge)
 		}
 		g.releaseMemory(x, outcome == mayHaveRun || outcome == callerLeft)
 		switch outcome {
 		case relayed:
-			g.runTimes.record(x, g.opts.Now()-began, g.opts.Now())
 			return
 		case callerLeft:
 			x.log["reason"] = "caller left"
@@ -116,6 +119,13 @@
 	}
 }
 
+// tryTimed is try, with the time that it takes recorded.
+func (g *Gateway) tryTimed(ctx context.Context, x *exchange, c coordinator.Choice) (outcome result) {
+	g.runTimes.begin(x, g.opts.Now())
+	defer func() { g.runTimes.end(x, g.opts.Now(), outcome == relayed) }() // also if the response is aborted
+	return g.try(ctx, x, c)
+}
+
 // chargeRetry charges the budget if a target or another host has had the request before. It returns false if the budget does not
 // allow that.
 func (g *Gateway) chargeRetry(x *exchange) (RetryCharge, bool) {
