Planned stop: respond to what still runs at its end

A request passed on through a host that stops is served whole (TestStopOfTheHostThatPassesOn).

Change: at the end of a stop, requests in progress get 502, or 503 if no target can have run them. Those passed on by another host are left to it.

Failed before: TestRequestsAtTheEndOfAStopGetAResponse (no such end).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,8 @@
 	stop      atomic.Pointer[plannedStop] // nil before Stop
 	closed    atomic.Bool
 	runTimes  runTimes
+	ending    context.Context // ends with EndRequests
+	end       context.CancelFunc
 }
 
 // New returns a gateway that accepts requests.
@@ -86,7 +88,8 @@
 	if opts.Reach == nil || opts.Helpers == nil {
 		opts.Reach = alwaysReached{}
 	}
-	return &Gateway{opts: opts, startedAt: opts.Now()}
+	ending, end := context.WithCancel(context.Background())
+	return &Gateway{opts: opts, startedAt: opts.Now(), ending: ending, end: end}
 }
 
 // Running returns the number of requests in progress.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,6 +44,9 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), max(0, x.deadline-g.opts.Now()))
 	defer cancel()
+	if x.relayedBy == "" {
+		defer context.AfterFunc(g.ending, cancel)()
+	}
 	x.events.lastID = x.call.LastEventID
 	if !g.outlastsStop(x) && g.goesThroughHelper(x) && g.passOn(ctx, x) {
 		return
@@ -161,6 +164,9 @@
 // giveUp ends a request to which no target has responded completely.
 func (g *Gateway) giveUp(x *exchange) {
 	reason, _ := x.log["reason"].(string)
+	if g.ending.Err() != nil && x.relayedBy == "" {
+		reason = reasonStopping
+	}
 	late := g.opts.Now() >= x.deadline
 	switch {
 	case x.r.Context().Err() != nil:
@@ -184,7 +190,7 @@
 		switch {
 		case x.noRetryBudget:
 			reason = "no budget to repeat"
-		case reason == "" && g.outlastsStop(x):
+		case reason == reasonStopping, reason == "" && g.outlastsStop(x):
 			g.refuseForStop(x)
 			return
 		}
@@ -213,7 +219,7 @@
 		}
 	}()
 	for {
-		if x.sends == 0 && g.outlastsStop(x) {
+		if ctx.Err() != nil || x.sends == 0 && g.outlastsStop(x) {
 			return coordinator.Choice{}, false
 		}
 		if x.viaHelper = g.goesThroughHelper(x); x.viaHelper {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -260,6 +261,36 @@
 	})
 }
 
+// TestRequestsAtTheEndOfAStopGetAResponse guards against requests that a stopping host cuts off without a response: one that a target may
+// have run gets a status that promises nothing, one that still waits for a target is refused as not run.
+func TestRequestsAtTheEndOfAStopGetAResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSender{} // no target ever responds
+		g := testGateway(s)
+		statuses := map[string]int{}
+		var mu sync.Mutex
+		var running sync.WaitGroup
+		for path, model := range map[string]string{"/pay/x": "", "/stream/x": "m", "/once/x": "ondisk"} {
+			running.Go(func() {
+				status := post(g, path, model).Code
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[path] = status
+			})
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		stopIn(g, time.Second)
+		g.Close()
+		g.EndRequests()
+		running.Wait()
+		want := map[string]int{"/pay/x": http.StatusBadGateway, "/stream/x": http.StatusBadGateway, "/once/x": http.StatusServiceUnavailable}
+		if !maps.Equal(statuses, want) || time.Since(began) > 0 {
+			t.Errorf("statuses %v after %v, want %v at once", statuses, time.Since(began), want)
+		}
+	})
+}
+
 // TestClosedGatewayRefusesAtOnce covers requests that arrive when the host is about to end.
 func TestClosedGatewayRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -42,7 +42,9 @@
 	for h.busy() && time.Now().Before(end) && ctx.Err() == nil {
 		ctxsleep.Sleep(ctx, stopCheckPeriod)
 	}
-	h.log.WithFields(logrus.Fields{"event": "host_stopped", "running": h.gateway.Running(), "unread_bytes": h.callers.Used(), "took_ms": time.Since(start).Milliseconds()}).Info("host stopped")
+	running := h.gateway.Running()
+	h.gateway.EndRequests()
+	h.log.WithFields(logrus.Fields{"event": "host_stopped", "running": running, "unread_bytes": h.callers.Used(), "took_ms": time.Since(start).Milliseconds()}).Info("host stopped")
 }
 
 // busy reports whether requests are in progress or slow callers have not read their responses yet.
