Streams: leave objects of other builds alone, and remove outdated ones

Change: such objects are skipped; a host removes its own as soon as it has read that it exists and no service has several versions; it reads all objects once in five intervals between its writes, which grow with the fleet, and with a single version once in 30 s.

Failed before: TestOldObjectsTellNothing (2 objects are left, want 1).

--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -119,7 +119,7 @@
 func (r *Registry) lookupStored(ctx context.Context, req lookupRequest, attempt string, versions []string, current bool) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	maxAge := recallInterval
+	maxAge := writesPerRead * r.storeInterval()
 	if _, ok := only(versions); ok {
 		maxAge = retention // the first read after the start tells what went before
 	}
--- a/internal/streamorigin/stored.go
+++ b/internal/streamorigin/stored.go
@@ -25,10 +25,12 @@
 	minStoreInterval = 200 * time.Millisecond // between two writes of a host: a fraction of the length of a short stream
 	storeRefresh     = 10 * time.Second       // an object that does not change is written again; leaves two thirds of retention
 	storeRetryDelay  = time.Second            // after a call that failed
-	recallInterval   = time.Second            // between two reads because of streams that no host knows
 	forgetAfter      = time.Hour              // objects of hosts that are gone are removed
 )
 
+// writesPerRead is the number of intervals between two writes of a host in which it reads all objects at most once.
+const writesPerRead = 5
+
 // Store is the part of the platform's object API that holds the objects.
 type Store interface {
 	List(ctx context.Context, kind platform.Kind, stale bool) (platform.List, error)
@@ -59,7 +61,7 @@
 // storage keeps this host's object and reads those of all hosts.
 type storage struct {
 	changed chan struct{} // the object may have to be written
-	exists  atomic.Bool   // this process has stored an object
+	exists  atomic.Bool   // the store holds an object of this host, as far as this process knows
 
 	turn     chan struct{} // held during calls to the store, with all that follows
 	read     bool          // since this process started
@@ -123,6 +125,10 @@
 		var stored storedOrigins
 		if err := json.Unmarshal(obj.Data, &stored); err != nil {
 			r.opts.Log.WithFields(logrus.Fields{"event": "stream_origins_unreadable", "object": obj.Name}).Warn(err.Error())
+			if obj.Name == r.opts.Self {
+				own = obj.Version
+			}
+			continue
 		}
 		recs := r.learn(stored)
 		if obj.Name == r.opts.Self {
@@ -216,8 +222,7 @@
 		s.previous = nil
 	}
 	next := r.toStore(s.previous)
-	age := time.Duration(next.WrittenMS-s.written.WrittenMS) * time.Millisecond
-	if next.sameContent(s.written) && (len(next.Services) == 0 || age < storeRefresh) {
+	if !s.outdated(next) {
 		return nil
 	}
 	if !s.known {
@@ -235,6 +240,15 @@
 	return nil
 }
 
+// outdated reports whether next has to replace this host's object, or to remove it.
+func (s *storage) outdated(next storedOrigins) bool {
+	if len(next.Services) == 0 {
+		return s.exists.Load()
+	}
+	age := time.Duration(next.WrittenMS-s.written.WrittenMS) * time.Millisecond
+	return !next.sameContent(s.written) || age >= storeRefresh
+}
+
 // replaceStored must be called by the holder of the turn.
 func (r *Registry) replaceStored(ctx context.Context, next storedOrigins) error {
 	s := &r.storage
@@ -260,6 +274,14 @@
 	return nil
 }
 
+// storeInterval returns the time between two writes of this host.
+func (r *Registry) storeInterval() time.Duration {
+	if r.opts.StoreInterval == nil {
+		return minStoreInterval
+	}
+	return max(minStoreInterval, r.opts.StoreInterval())
+}
+
 // runStorage keeps this host's object up to date until ctx ends. It sleeps while services have a single version.
 func (r *Registry) runStorage(ctx context.Context) {
 	for {
@@ -268,10 +290,7 @@
 			return
 		case <-r.storage.changed:
 		}
-		pause := minStoreInterval
-		if r.opts.StoreInterval != nil {
-			pause = max(pause, r.opts.StoreInterval())
-		}
+		pause := r.storeInterval()
 		if err := r.writeStored(ctx); err != nil {
 			r.opts.Log.WithField("event", "stream_origins_not_stored").Warn(err.Error())
 			pause = storeRetryDelay
--- a/internal/streamorigin/stored_test.go
+++ b/internal/streamorigin/stored_test.go
@@ -146,6 +146,34 @@
 	})
 }
 
+// TestOldObjectsTellNothing guards against versions that were served long ago keeping streams from going on, and against objects of other
+// builds being lost.
+func TestOldObjectsTellNothing(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 2, "v1", "v2")
+		time.Sleep(time.Second)
+		f.beginStreams("v1")
+		time.Sleep(time.Second)
+		for _, h := range f.hosts {
+			h.kill()
+		}
+		time.Sleep(2 * time.Minute)
+		if _, err := f.store.Put(t.Context(), platform.Object{Kind: kindOrigins, Name: "h9", Data: []byte(`{"services":["of another build"]}`)}); err != nil {
+			t.Fatal(err)
+		}
+		f.restartAll("v2")
+		for host := range f.hosts {
+			if got := f.lookup(host, "new"); got != "v2" {
+				t.Errorf("host %d: version %s, want v2", host, got)
+			}
+		}
+		time.Sleep(time.Second)
+		if n, _ := f.store.counts(); n != 1 {
+			t.Errorf("%d objects are left in the store, want that of the other build", n)
+		}
+	})
+}
+
 // TestStreamsAreRefusedWhileTheStoreIsDown guards against hosts that have all just started and can't read what versions there were.
 func TestStreamsAreRefusedWhileTheStoreIsDown(t *testing.T) {
 	run(t, func(t *testing.T) {
