Planned stop: keep the size of events while a route is quiet

Cause, by reading: the number of tokens in an event was forgotten with each window of 20 s, so that for a while each token counted as an event and models of unknown pace were refused for the whole stop.

Change: it is kept since the start. Names in streamorigin: singleVersion, shareRecords.

Failed before: TestSizeOfEventsIsKept (503, want 200).

--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -39,7 +39,7 @@
 	current     map[runTimeKey]runTime
 	previous    map[runTimeKey]runTime
 	running     map[*exchange]startedRun
-	// unitsPerEvent is the smallest recent number of units in an event of a stream, by service.
+	// unitsPerEvent is the smallest number of units in an event of a stream since the start, by service.
 	unitsPerEvent map[string]float64
 }
 
@@ -94,15 +94,24 @@
 	}
 	t.rotate(now)
 	if t.current == nil {
-		t.current, t.unitsPerEvent = map[runTimeKey]runTime{}, map[string]float64{}
+		t.current = map[runTimeKey]runTime{}
 	}
 	took := now - run.at
 	t.current[run.key] = t.current[run.key].join(runTime{took, took / run.units, 1})
-	if events := x.events.count; events > 0 && x.call.HasTokens && x.call.LastEventID == "" {
-		units := float64(run.units) / float64(events)
-		if least, ok := t.unitsPerEvent[x.service]; !ok || units < least {
-			t.unitsPerEvent[x.service] = units
-		}
+	t.countEvents(x, run.units)
+}
+
+// countEvents updates unitsPerEvent after a whole stream. The caller must hold t.mu.
+func (t *runTimes) countEvents(x *exchange, units time.Duration) {
+	if x.events.count == 0 || !x.call.HasTokens || x.call.LastEventID != "" {
+		return
+	}
+	if t.unitsPerEvent == nil {
+		t.unitsPerEvent = map[string]float64{}
+	}
+	perEvent := float64(units) / float64(x.events.count)
+	if least, ok := t.unitsPerEvent[x.service]; !ok || perEvent < least {
+		t.unitsPerEvent[x.service] = perEvent
 	}
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -245,6 +245,22 @@
 	})
 }
 
+// TestSizeOfEventsIsKept guards against a host that forgets how many tokens an event has while a route is quiet, and then refuses streams of
+// models that it does not know although even the slowest in time would end.
+func TestSizeOfEventsIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &generator{gap: quickGap}
+		g, generate := generatorGateway(s, 2)
+		generate("m0", 70)
+		time.Sleep(3 * runTimeWindow)
+		generate("m0", 0)
+		stopIn(g, 7*time.Second)
+		if code := generate("m1", 35); code != http.StatusOK {
+			t.Errorf("status %d for a stream of seven events by a model of unknown pace, 7 s before the stop, want 200", code)
+		}
+	})
+}
+
 // TestStreamOfUnknownSizeIsNotTakenForShort covers a route whose streams state no size: many
 // short ones before must not let a long one start right before the stop.
 func TestStreamOfUnknownSizeIsNotTakenForShort(t *testing.T) {
--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -99,7 +99,7 @@
 		return local.Version, nil
 	}
 	versions, watched := local.Versions, local.Watched
-	replies, all := r.ask(ctx, req)
+	replies, complete := r.ask(ctx, req)
 	for _, reply := range replies {
 		if reply.Known {
 			r.store([]record{{Key: req.Key, Service: service, Version: reply.Version}})
@@ -107,8 +107,8 @@
 		}
 		versions, watched = append(versions, reply.Versions...), watched || reply.Watched
 	}
-	current := all || r.opts.Now()-r.opts.TargetsCurrentAt() < maxTargetsAge
-	if version, ok := only(versions); ok && watched && current {
+	current := complete || r.opts.Now()-r.opts.TargetsCurrentAt() < maxTargetsAge
+	if version, ok := singleVersion(versions); ok && watched && current {
 		return version, nil
 	}
 	return r.lookupStored(ctx, req, attempt, versions, current)
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
 	maxAge := writesPerRead * r.storeInterval()
-	if _, ok := only(versions); ok {
+	if _, ok := singleVersion(versions); ok {
 		maxAge = retention // the first read after the start tells what went before
 	}
 	err := r.recall(ctx, maxAge)
@@ -132,15 +132,15 @@
 		return local.Version, nil
 	}
 	versions = append(versions, local.Versions...)
-	if version, ok := only(versions); ok && current && err == nil {
+	if version, ok := singleVersion(versions); ok && current && err == nil {
 		return version, nil
 	}
 	slices.Sort(versions)
 	return "", &UnknownVersionError{Attempt: attempt, Versions: slices.Compact(versions)}
 }
 
-// only returns the version of which all entries are.
-func only(versions []string) (string, bool) {
+// singleVersion returns the version that all entries name. It returns false if there are several, or none.
+func singleVersion(versions []string) (string, bool) {
 	for _, v := range versions {
 		if v != versions[0] {
 			return "", false
@@ -165,8 +165,8 @@
 }
 
 // ask asks the hosts that may have a stream's record. It returns when one of them knows it, when all have
-// replied or failed, or after lookupTimeout. all reports whether every one of them has replied.
-func (r *Registry) ask(ctx context.Context, req lookupRequest) (replies []lookupReply, all bool) {
+// replied or failed, or after lookupTimeout. complete reports whether every one of them has replied.
+func (r *Registry) ask(ctx context.Context, req lookupRequest) (replies []lookupReply, complete bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	known := r.opts.Hosts()
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -113,16 +113,16 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			r.sendUnsent()
+			r.shareRecords()
 		case host := <-r.outbox.ready:
 			r.outbox.send(ctx, host)
 		}
 	}
 }
 
-// sendUnsent sends the records of streams that began before their service had several versions, and has this host's
-// object in the store updated if there is or should be one.
-func (r *Registry) sendUnsent() {
+// shareRecords sends the records of streams that began before their service had several versions, and has this host's
+// object in the store written if there is or should be one.
+func (r *Registry) shareRecords() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.observe()
