Planned stop: a short grace period is used too

Change: at most a quarter of that time is left for a silence.

Failed before: TestShortGracePeriodIsUsed, TestKeepAliveConnection.

--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -9,12 +9,11 @@
 
 // Times of runTimes.
 const (
-	runTimeWindow  = 20 * time.Second        // longest times are kept for one to two windows
-	runTimeMargin  = 100 * time.Millisecond  // for the response on its way to the caller
-	silenceMargin  = 1500 * time.Millisecond // a sound target may fall silent for a second or so at any time
-	unknownRunTime = 500 * time.Millisecond  // of plain requests, if little is known of their route
-	unknownStream  = 3 * time.Second         // of streams without a model, the same
-	unknownToken   = 7 * time.Millisecond    // the same, for each output token
+	runTimeWindow  = 20 * time.Second       // longest times are kept for one to two windows
+	runTimeMargin  = 100 * time.Millisecond // for the response on its way to the caller
+	unknownRunTime = 500 * time.Millisecond // of plain requests, if little is known of their route
+	unknownStream  = 3 * time.Second        // of streams without a model, the same
+	unknownToken   = 7 * time.Millisecond   // the same, for each output token
 )
 
 // Numbers of recent requests and models that an estimate takes.
@@ -216,5 +215,5 @@
 
 // withMargin adds to a run time what a request may take longer.
 func withMargin(d time.Duration) time.Duration {
-	return time.Duration(runTimeFactor*float64(d)) + runTimeMargin + silenceMargin
+	return time.Duration(runTimeFactor*float64(d)) + runTimeMargin
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -8,13 +8,20 @@
 // plannedStop is the planned stop of a host.
 type plannedStop struct {
 	end        time.Duration        // on the clock of Options.Now; no request may run after it
+	silence    time.Duration        // left for the silence of a target
 	retryAfter func() time.Duration // Retry-After of requests that are refused because of the stop
 }
 
+// Time that is left for the silence of a target.
+const (
+	maxSilence   = 1500 * time.Millisecond // a sound target may fall silent for a second or so at any time
+	silenceShare = 4                       // part of the time for which the host still serves, so that it serves in a short grace period too
+)
+
 // Stop starts a planned stop: responses ask callers to close their connections, and
 // requests that would not end within serveFor are refused with the given Retry-After.
 func (g *Gateway) Stop(serveFor time.Duration, retryAfter func() time.Duration) {
-	g.stop.Store(&plannedStop{end: g.opts.Now() + serveFor, retryAfter: retryAfter})
+	g.stop.Store(&plannedStop{end: g.opts.Now() + serveFor, silence: min(maxSilence, serveFor/silenceShare), retryAfter: retryAfter})
 }
 
 // Close makes the gateway refuse all further requests. Those in progress go on. It must be
@@ -27,8 +34,10 @@
 func (g *Gateway) EndRequests() { g.end() }
 
 // LongestRunTime returns how long a request of any route may take at a target, judged by
-// recent requests and those in progress.
-func (g *Gateway) LongestRunTime() time.Duration { return g.runTimes.longest(g.opts.Now()) }
+// recent requests and those in progress. It must be called after Stop.
+func (g *Gateway) LongestRunTime() time.Duration {
+	return g.runTimes.longest(g.opts.Now()) + g.stop.Load().silence
+}
 
 const reasonStopping = "host is stopping"
 
@@ -45,7 +54,7 @@
 		return false
 	}
 	now := g.opts.Now()
-	expected := g.runTimes.expected(x, now)
+	expected := g.runTimes.expected(x, now) + stop.silence
 	x.log["expected_ms"] = expected.Milliseconds()
 	return now+min(expected, x.deadline-now) > stop.end
 }
@@ -57,5 +66,5 @@
 	if stop == nil || x.deadline <= stop.end {
 		return until
 	}
-	return min(until, stop.end-g.runTimes.expected(x, g.opts.Now()))
+	return min(until, stop.end-stop.silence-g.runTimes.expected(x, g.opts.Now()))
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -245,6 +245,19 @@
 	})
 }
 
+// TestShortGracePeriodIsUsed guards against a host with a short grace period that refuses everything from SIGTERM on, as the time left for a
+// target's silence is longer than that period.
+func TestShortGracePeriodIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowSender{runTime: 50 * time.Millisecond, sentAt: map[string]time.Time{}}
+		g := testGateway(s)
+		stopIn(g, 1500*time.Millisecond)
+		if code := post(g, "/pay/x", "").Code; code != http.StatusOK {
+			t.Errorf("status %d, want 200", code)
+		}
+	})
+}
+
 // TestSizeOfEventsIsKept guards against a host that forgets how many tokens an event has while a route is quiet, and then refuses streams of
 // models that it does not know although even the slowest in time would end.
 func TestSizeOfEventsIsKept(t *testing.T) {
