Soak: the default seed of the stops in series finds the fault

And the map of stops was read by goroutines while it was written.

Change: a flag of its own, -soak.series, 42 by default; the time of a stop is passed to its goroutine. Two comments in runtimes.go say which streams they mean. No bound or check is changed.

--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -12,8 +12,8 @@
 	runTimeWindow  = 20 * time.Second       // longest times are kept for one to two windows
 	runTimeMargin  = 100 * time.Millisecond // for the response on its way to the caller
 	unknownRunTime = 500 * time.Millisecond // of plain requests, if little is known of their route
-	unknownStream  = 3 * time.Second        // of streams without a model, the same
-	unknownToken   = 7 * time.Millisecond   // the same, for each output token
+	unknownStream  = 3 * time.Second        // of streams that state no size, the same
+	unknownToken   = 7 * time.Millisecond   // the same, for each output token of streams without a model
 )
 
 // Numbers of recent requests and models that an estimate takes.
--- a/soak/stopseries_test.go
+++ b/soak/stopseries_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,6 +14,9 @@
 	"time"
 )
 
+// firstSeries has a default with which the daemon of 31f361e loses requests; with most seeds its hosts end before targets fall silent.
+var firstSeries = flag.Uint64("soak.series", 42, "first seed of the stops in series")
+
 // Times of the stops in series.
 const (
 	graceTime      = 6 * time.Second         // grace_s of the settings
@@ -62,7 +66,8 @@
 	stopped := map[string]time.Time{}
 	silent := s.random.IntN(len(s.hosts)) // targets fall silent late in the grace period of this host
 	for i, p := range s.hosts {
-		stopped[p.frontAddr] = time.Now()
+		at := time.Now()
+		stopped[p.frontAddr] = at
 		ctx, cancel := context.WithTimeout(context.Background(), addressTime)
 		defer cancel()
 		for range stickyCallers {
@@ -80,7 +85,7 @@
 		p.signal(syscall.SIGTERM)
 		running.Go(func() {
 			_ = p.cmd.Wait() // any exit status is accepted
-			s.t.Logf("%s ended %v after SIGTERM, store away: %v", p.name, time.Since(stopped[p.frontAddr]).Round(10*time.Millisecond), storeAway)
+			s.t.Logf("%s ended %v after SIGTERM, store away: %v", p.name, time.Since(at).Round(10*time.Millisecond), storeAway)
 			s.storeProxies[i].setMode(modeForward)
 			p.start(s.t, s.binary)
 		})
@@ -118,13 +123,13 @@
 func TestStopsInSeries(t *testing.T) {
 	binary := buildDaemon(t)
 	for i := range uint64(*seedCount) {
-		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) {
-			s := startSoak(t, binary, *firstSeed+i)
+		t.Run(fmt.Sprint(*firstSeries+i), func(t *testing.T) {
+			s := startSoak(t, binary, *firstSeries+i)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			var phase, sticky atomic.Int32
 			phase.Store(int32(phaseFaults)) // no long responses, which would outlast the stops
-			callers := s.startCallersOf(ctx, *firstSeed+i, &phase, callerCount, 0)
+			callers := s.startCallersOf(ctx, *firstSeries+i, &phase, callerCount, 0)
 			time.Sleep(time.Second)
 			for range seriesRounds {
 				s.checkLost(s.stopInSeries(&sticky, &phase))
