Log which time was over when a host ends a send itself

The cause is now a typed error, and the lines have sent_ms, events and last_event. No decision changes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,7 +70,7 @@
 	s.sent = append(s.sent, f)
 	if len(s.sent) > len(s.responses) {
 		<-ctx.Done()
-		return nil, &target.UnknownOutcomeError{Cause: ctx.Err()}
+		return nil, &target.UnknownOutcomeError{Cause: context.Cause(ctx)}
 	}
 	return s.responses[len(s.sent)-1](f)
 }
@@ -109,7 +109,7 @@
 }
 
 // testGateway returns a gateway with the routes /stream/ (resumable stream),
-// /once/ (stream that is not resumable) and /pay/ (not idempotent), two engines
+// /once/ (stream that is not resumable), /pay/ (not idempotent) and /read/ (idempotent), two engines
 // with model m loaded, and two plain targets.
 func testGateway(sender Sender) *Gateway {
 	start := time.Now()
@@ -121,6 +121,7 @@
 	}
 	config := &fleet.Config{Version: 1, Teams: []fleet.Team{{Name: "t", Keys: []string{"k"}}}, Routes: []fleet.Route{
 		route("/stream/", fleet.Streaming, true, "llm"), route("/once/", fleet.Streaming, false, "llm"), route("/pay/", fleet.NonIdempotent, false, "app"),
+		route("/read/", fleet.Idempotent, false, "app"),
 	}, Services: map[string]fleet.Service{"llm": {Engine: &fleet.EngineSpec{Models: map[string]fleet.Model{
 		"m": {StoreLoad: 20 * time.Second}, "nowhere": {StoreLoad: 20 * time.Second}, "ondisk": {StoreLoad: 20 * time.Second},
 	}}}, "app": {}}}
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -141,14 +141,14 @@
 
 // sendThrough sends a request through one host and relays its response.
 func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) result {
-	sendCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	relay := fleet.Relay{Header: x.r.Header, Deadline: x.deadline - g.opts.Now(), LastEventID: x.events.lastID}
 	if x.headWritten && x.call.Resumes == "" {
 		relay.Resumes = x.call.ID
 	}
-	silence := time.AfterFunc(g.relaySilence(x), cancel)
-	defer silence.Stop()
+	silence := g.watchSilence(g.relaySilence(x), cancel)
+	defer silence.stop()
 	header := g.opts.Codec.RelayHeader(relay)
 	header.Set(headerRelayedBy, g.opts.Self)
 	request := target.ForwardRequest{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, ToHost: true}
@@ -235,7 +235,7 @@
 
 // passStream passes on the events of a stream as they arrive. Only whole events are passed on, so that the stream can be
 // resumed elsewhere if the other host is lost.
-func (g *Gateway) passStream(x *exchange, helper fleet.Host, resp *target.ForwardResponse, silence *time.Timer) result {
+func (g *Gateway) passStream(x *exchange, helper fleet.Host, resp *target.ForwardResponse, silence *silenceWatch) result {
 	flusher := http.NewResponseController(x.w)
 	x.events.reset()
 	buf := make([]byte, copyBufferBytes)
@@ -246,13 +246,13 @@
 			began = true
 			progress := hasField(events)
 			if progress {
-				silence.Stop() // the caller may be slow
+				silence.stop() // the caller may be slow
 			}
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
 			if progress {
-				silence.Reset(g.relaySilence(x))
+				silence.restart(g.relaySilence(x))
 			}
 		}
 		if err == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,19 +21,19 @@
 const copyBufferBytes = 16 << 10
 
 // relay sends a target's response to the caller.
-func (g *Gateway) relay(ctx context.Context, x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silenceTimer *time.Timer, sent time.Duration) result {
+func (g *Gateway) relay(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch, sent time.Duration) result {
 	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
-		return g.relayStream(ctx, x, c, resp, silenceTimer, sent)
+		return g.relayStream(x, c, resp, silence, sent)
 	}
 	if resp.Length > maxBufferedBytes {
-		return g.relayLarge(x, c, resp, silenceTimer)
+		return g.relayLarge(x, c, resp, silence)
 	}
 	body, err := readBuffered(resp.Body)
 	if err != nil {
 		g.logBrokenResponse(x, c, err, len(body))
 		return g.sendFailed(x, c, err)
 	}
-	silenceTimer.Stop()
+	silence.stop()
 	g.opts.View.RecordOutcome(c.Target.ID, resp.Status/100 != 5)
 	if resp.Status/100 == 2 {
 		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
@@ -77,8 +77,8 @@
 
 // relayLarge sends a plain response to the caller as it arrives. If it breaks, the connection is aborted, and
 // the request is not sent again.
-func (g *Gateway) relayLarge(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silenceTimer *time.Timer) result {
-	silenceTimer.Stop()
+func (g *Gateway) relayLarge(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch) result {
+	silence.stop()
 	g.copyHeader(x, resp)
 	x.headWritten, x.status = true, resp.Status
 	x.w.WriteHeader(resp.Status)
@@ -94,7 +94,13 @@
 }
 
 func (g *Gateway) logBrokenResponse(x *exchange, c coordinator.Choice, err error, n int) {
-	g.opts.Log.WithFields(logrus.Fields{"event": "answer_broken", "id": x.call.ID, "target": c.Target.ID, "bytes": n}).Warn(err.Error())
+	fields := logrus.Fields{"event": "answer_broken", "id": x.call.ID, "target": c.Target.ID, "sent_ms": (g.opts.Now() - x.sentAt).Milliseconds()}
+	if x.route.Kind == fleet.Streaming {
+		fields["events"], fields["last_event"] = x.events.count, x.events.lastID
+	} else {
+		fields["bytes"] = n
+	}
+	g.opts.Log.WithFields(fields).Warn(err.Error())
 }
 
 // copyHeader copies the headers of a target's response.
@@ -114,7 +120,7 @@
 // relayStream sends events to the caller as they arrive. A broken stream is
 // resumed at another target if the route allows it; otherwise the connection is
 // aborted so that the response doesn't look complete.
-func (g *Gateway) relayStream(ctx context.Context, x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silenceTimer *time.Timer, sent time.Duration) result {
+func (g *Gateway) relayStream(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch, sent time.Duration) result {
 	flusher := http.NewResponseController(x.w)
 	x.events.reset()
 	buf := make([]byte, copyBufferBytes)
@@ -123,7 +129,7 @@
 		if len(events) > 0 {
 			progress := hasField(events)
 			if progress {
-				silenceTimer.Stop()
+				silence.stop()
 			}
 			if progress && sent > 0 {
 				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
@@ -135,7 +141,7 @@
 				return callerLeft
 			}
 			if progress {
-				silenceTimer.Reset(g.silenceTimeout(x, c.Target.ID))
+				silence.restart(g.silenceTimeout(x, c.Target.ID))
 			}
 		}
 		if err == nil {
@@ -146,7 +152,7 @@
 			err = checkStreamEnd(x, resp, sent > 0)
 		}
 		if err != nil {
-			return g.streamFailed(ctx, x, c, err)
+			return g.streamFailed(x, c, err)
 		}
 		g.opts.View.RecordOutcome(c.Target.ID, true)
 		if !g.writeEvents(x, flusher, x.events.remainder(), resp) {
@@ -210,7 +216,7 @@
 	return flusher.Flush() == nil
 }
 
-func (g *Gateway) streamFailed(_ context.Context, x *exchange, c coordinator.Choice, err error) result {
+func (g *Gateway) streamFailed(x *exchange, c coordinator.Choice, err error) result {
 	if x.r.Context().Err() != nil {
 		return callerLeft
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -42,10 +42,12 @@
 		g.giveUp(x)
 		return
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), max(0, x.deadline-g.opts.Now()))
-	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(x.r.Context(), max(0, x.deadline-g.opts.Now()))
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if x.relayedBy == "" {
-		defer context.AfterFunc(g.ending, cancel)()
+		defer context.AfterFunc(g.ending, func() { cancel(&StopOverError{}) })()
 	}
 	x.events.lastID = x.call.LastEventID
 	if !g.outlastsStop(x) && g.goesThroughHelper(x) && g.passOn(ctx, x) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -34,14 +34,13 @@
 	}
 	defer end()
 	x.memory.prefill = g.opts.View.RecordPrompt(c.Target, promptOf(x))
-	sendCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timeout := g.silenceTimeout(x, c.Target.ID)
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	sent := g.opts.Now()
 	x.sentAt = sent
-	silenceTimer := time.AfterFunc(timeout, cancel)
-	defer silenceTimer.Stop()
-	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silenceTimer))()
+	silence := g.watchSilence(g.silenceTimeout(x, c.Target.ID), cancel)
+	defer silence.stop()
+	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silence))()
 
 	resp, err := g.opts.Sender.Forward(sendCtx, c.Target.Address, g.newForwardRequest(x, c), g.responseID)
 	if err != nil {
@@ -72,7 +71,7 @@
 		g.opts.View.RecordOutcome(c.Target.ID, false)
 		return mayHaveRun
 	}
-	return g.relay(ctx, x, c, resp, silenceTimer, sent)
+	return g.relay(x, c, resp, silence, sent)
 }
 
 // isOwnSuccess reports whether a response, if it says that the request succeeded, comes from a target that ran this request.
@@ -161,7 +160,7 @@
 
 // sendFailed classifies a send without a complete response.
 func (g *Gateway) sendFailed(x *exchange, c coordinator.Choice, err error) result {
-	fields := logrus.Fields{"event": "send_failed", "id": x.call.ID, "target": c.Target.ID, "tries": x.tries}
+	fields := logrus.Fields{"event": "send_failed", "id": x.call.ID, "target": c.Target.ID, "tries": x.tries, "sent_ms": (g.opts.Now() - x.sentAt).Milliseconds()}
 	g.opts.Log.WithFields(fields).Warn(err.Error())
 	if x.r.Context().Err() != nil {
 		return callerLeft
@@ -181,10 +180,10 @@
 
 // shortenSilence returns what to do when this host loses its way to all targets. It is called by another goroutine, perhaps even after
 // the send, so it uses nothing of the request that may change meanwhile.
-func (g *Gateway) shortenSilence(x *exchange, silenceTimer *time.Timer) func() {
+func (g *Gateway) shortenSilence(x *exchange, silence *silenceWatch) func() {
 	deadline := x.deadline
 	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts || x.relayedBy != "" {
 		return func() {}
 	}
-	return func() { silenceTimer.Reset(min(deadline-g.opts.Now(), silenceCutOff)) }
+	return func() { silence.shorten(min(deadline-g.opts.Now(), silenceCutOff)) }
 }
--- a/internal/gateway/slowstream_test.go
+++ b/internal/gateway/slowstream_test.go
@@ -38,7 +38,7 @@
 	select {
 	case <-time.After(b.gap):
 	case <-b.ctx.Done():
-		return 0, b.ctx.Err()
+		return 0, context.Cause(b.ctx)
 	}
 	if len(b.pieces) == 0 {
 		return 0, io.EOF
