--- /dev/null
+++ b/soak/silentengine_test.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var longSilence = flag.Duration("soak.silence", 2200*time.Millisecond, "how long a sound engine is silent at a time")
+
+// Times of the streams at a silent engine.
+const (
+	silencePeriod  = 5 * time.Second // from one silence to the next
+	streamInterval = 25 * time.Millisecond
+	streamTimeout  = 5 * time.Second // timeout_ms of the route
+	seriesStopGap  = 1500 * time.Millisecond
+	goOnTime       = 4 * time.Second // within which a stream whose engine is lost has to be whole
+	slowEventDelay = 100 * time.Millisecond
+)
+
+// silentModel is loaded at the first engine only.
+const silentModel = "m0"
+
+// sendStream sends a request for silentModel to one host and reads its response.
+func (s *soak) sendStream(host, id string) outcome {
+	o := outcome{attemptID: id, path: "/draft/x", host: host, sentAt: time.Now()}
+	conn, err := net.DialTimeout("tcp", host, 300*time.Millisecond)
+	if err != nil {
+		o.failure, o.endedAt = err.Error(), time.Now()
+		return o
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(o.sentAt.Add(2 * streamTimeout))
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nBuckthornseam-Attempt-Id: %s\r\nAuthorization: Bearer k1\r\nBuckthornseam-Deadline-Ms: %d\r\nBuckthornseam-Model: %s\r\nContent-Length: %d\r\n\r\n%s",
+		o.path, id, streamTimeout.Milliseconds(), silentModel, len(id), id)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
+		o.status, o.body, o.complete = resp.StatusCode, string(body), err == nil
+	}
+	if err != nil {
+		o.failure = err.Error()
+	}
+	o.endedAt = time.Now()
+	o.timedOut = o.endedAt.Sub(o.sentAt) >= streamTimeout
+	return o
+}
+
+// streamsDuring sends streams to all hosts in turn while f runs, and returns how they ended.
+func (s *soak) streamsDuring(f func()) []outcome {
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	var outcomes []outcome
+	done := make(chan struct{})
+	go func() { f(); close(done) }()
+	ticker := time.NewTicker(streamInterval)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			running.Wait()
+			return outcomes
+		case <-ticker.C:
+		}
+		host := s.hosts[i%len(s.hosts)].frontAddr
+		running.Go(func() {
+			o := s.sendStream(host, fmt.Sprintf("q%d", i))
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes = append(outcomes, o)
+		})
+	}
+}
+
+// stopAllInTurn stops each host once, shortly after the other, and starts it again when it has ended. It returns when each got SIGTERM.
+func (s *soak) stopAllInTurn() map[string]time.Time {
+	stopped := map[string]time.Time{}
+	var running sync.WaitGroup
+	for _, p := range s.hosts {
+		stopped[p.frontAddr] = time.Now()
+		p.signal(syscall.SIGTERM)
+		running.Go(func() {
+			_ = p.cmd.Wait() // any exit status is accepted
+			p.start(s.t, s.binary)
+		})
+		time.Sleep(seriesStopGap)
+	}
+	running.Wait()
+	return stopped
+}
+
+// repeatSilence has an engine fall silent again and again until stop is closed.
+func (s *soak) repeatSilence(engine int, d time.Duration, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(silencePeriod - d):
+		}
+		s.targetProxies[engine].setMode(modeStallResponses)
+		time.Sleep(d)
+		s.targetProxies[engine].setMode(modeForward)
+	}
+}
+
+// checkStreams checks that streams at a silent engine are whole, or refused as not run. stopped tells when each host got SIGTERM.
+func (s *soak) checkStreams(outcomes []outcome, stopped map[string]time.Time) {
+	whole, refused, other := 0, 0, 0
+	for _, o := range outcomes {
+		after := o.sentAt.Sub(stopped[o.host])
+		excused := after <= earlyShare && o.endedAt.Sub(stopped[o.host]) > graceTime*5/6
+		switch s.checker.mu.Lock(); {
+		case o.status == http.StatusOK && o.complete:
+			whole++
+		case notRunStatuses[o.status], len(s.checker.runs[o.attemptID]) == 0:
+			refused++
+		case o.timedOut, excused:
+			other++
+		default:
+			s.t.Errorf("%s, sent %v after the SIGTERM of its host, ended after %v with status %d and %d bytes: %s",
+				o.attemptID, after.Round(time.Millisecond), o.endedAt.Sub(o.sentAt).Round(time.Millisecond), o.status, len(o.body), o.failure)
+		}
+		s.checker.mu.Unlock()
+	}
+	s.t.Logf("%d streams: %d whole, %d refused or not read, %d out of time or excused", len(outcomes), whole, refused, other)
+	if whole < len(outcomes)/2 {
+		s.t.Errorf("only %d of %d streams are whole", whole, len(outcomes))
+	}
+}
+
+// TestStreamsAtASilentEngine guards against streams that their host ends since the only engine that can serve them is silent for a while,
+// beside hosts that stop one after the other.
+func TestStreamsAtASilentEngine(t *testing.T) {
+	s := startSoak(t, buildDaemon(t), 1)
+	s.engines[0].EventDelay = slowEventDelay
+	s.registerEngine(1, "draining")
+	s.registerEngine(2, "draining")
+	time.Sleep(drainBound)
+	stop := make(chan struct{})
+	go s.repeatSilence(0, *longSilence, stop)
+	var stopped map[string]time.Time
+	outcomes := s.streamsDuring(func() {
+		time.Sleep(silencePeriod)
+		stopped = s.stopAllInTurn()
+		time.Sleep(silencePeriod)
+		close(stop)
+	})
+	s.checkStreams(outcomes, stopped)
+}
+
+// TestStreamsOfALostEngineGoOn is the control: an engine falls silent for good while another can load its model. Its streams go on
+// there in time.
+func TestStreamsOfALostEngineGoOn(t *testing.T) {
+	s := startSoak(t, buildDaemon(t), 1)
+	s.engines[0].EventDelay = slowEventDelay
+	var lostAt time.Time
+	outcomes := s.streamsDuring(func() {
+		time.Sleep(2 * time.Second)
+		s.targetProxies[0].setMode(modeStallResponses)
+		lostAt = time.Now()
+		time.Sleep(2 * time.Second)
+	})
+	atLost := 0
+	for _, o := range outcomes {
+		if o.sentAt.Before(lostAt) && o.endedAt.After(lostAt) {
+			atLost++
+			if !o.complete || o.endedAt.Sub(lostAt) > goOnTime {
+				t.Errorf("%s ended %v after the loss of its engine with status %d, complete: %v", o.attemptID, o.endedAt.Sub(lostAt), o.status, o.complete)
+			}
+		}
+	}
+	if atLost == 0 {
+		t.Error("no stream was in progress at the engine that was lost")
+	}
+	s.checkStreams(outcomes, nil)
+}
