A silent target keeps its request until there is another place for it

What callers saw: streams that had begun ended with their connections while hosts stopped one after the other, and other requests got 502, although their engine was sound and went on a moment later.

Cause: a host ended a send 1.8 s after the last data (0.5 s once it took itself for cut off) and looked for another target only then. With no other engine of the model and version the stream was lost; often at once, as the silent engine was the only one of its version. The same timers ended plain responses, first events and requests passed on to another host. Class: a suspicion acted on before there is an alternative.

The time of silence now starts a search and ends nothing. The search waits for a target, or another host, as a new request would, and holds what it needs there: slot, memory, retry budget. Only then the silent send is ended and the request goes on. Data from the silent target end the search. A host that passes a request on allows half a second more, in which the other one looks for a target. Run times leave out such silences, as estimates for a planned stop leave time for one apart. New: event target_silent, counter silences by result (resumed, moved, ended), silent_ms and moved in the request's line.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,6 +51,8 @@
 	helpersTried      map[string]bool // hosts through which the request was tried
 	viaHelper         bool            // it is to be sent through another host now
 	waitsDirectly     bool            // it was decided that this host sends the request itself
+	place             *place          // where it goes on; nil: not known
+	silent            time.Duration   // for which targets were silent and then went on, beyond what is usual
 }
 
 // fingerprint returns a hash that is equal for all attempts of the same request.
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -140,15 +140,16 @@
 }
 
 // sendThrough sends a request through one host and relays its response.
-func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) result {
+func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) (outcome result) {
+	g.releasePlace(x)
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	relay := fleet.Relay{Header: x.r.Header, Deadline: x.deadline - g.opts.Now(), LastEventID: x.events.lastID}
 	if x.headWritten && x.call.Resumes == "" {
 		relay.Resumes = x.call.ID
 	}
-	silence := g.watchSilence(g.relaySilence(x), cancel)
-	defer silence.stop()
+	silence := g.watchSilence(ctx, cancel, x, g.relaySilence(x), g.searchHelper(helper.Name))
+	defer func() { g.endWatch(x, silence, outcome) }() // also if the response is aborted
 	header := g.opts.Codec.RelayHeader(relay)
 	header.Set(headerRelayedBy, g.opts.Self)
 	request := target.ForwardRequest{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, ToHost: true}
@@ -175,16 +176,20 @@
 	return g.passWhole(x, helper, resp)
 }
 
-// relaySilence returns how long another host may take for the next event of a stream, or for any other complete response.
+// relaySilenceMargin is the time in which another host moves a request from a silent target.
+const relaySilenceMargin = 500 * time.Millisecond
+
+// relaySilence returns how long another host may take for the next event of a stream, or for any other complete response, before a
+// further host is looked for. That host looks for another target first.
 func (g *Gateway) relaySilence(x *exchange) time.Duration {
 	left := x.deadline - g.opts.Now()
 	switch {
 	case !x.route.Retryable() || x.sends+1 >= x.route.Attempts:
 		return left
 	case x.headWritten:
-		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective))
+		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective)+relaySilenceMargin)
 	}
-	return min(left, max(silenceMin, silenceObjectives*x.route.Objective))
+	return min(left, max(silenceMin, silenceObjectives*x.route.Objective)+relaySilenceMargin)
 }
 
 // relayFailed classifies a send to another host without a complete response.
@@ -246,13 +251,13 @@
 			began = true
 			progress := hasField(events)
 			if progress {
-				silence.stop() // the caller may be slow
+				silence.pause() // the caller may be slow
 			}
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
 			if progress {
-				silence.restart(g.relaySilence(x))
+				silence.restart(x, g.relaySilence(x))
 			}
 		}
 		if err == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,7 +33,7 @@
 		g.logBrokenResponse(x, c, err, len(body))
 		return g.sendFailed(x, c, err)
 	}
-	silence.stop()
+	silence.pause()
 	g.opts.View.RecordOutcome(c.Target.ID, resp.Status/100 != 5)
 	if resp.Status/100 == 2 {
 		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
@@ -78,7 +78,7 @@
 // relayLarge sends a plain response to the caller as it arrives. If it breaks, the connection is aborted, and
 // the request is not sent again.
 func (g *Gateway) relayLarge(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch) result {
-	silence.stop()
+	silence.pause()
 	g.copyHeader(x, resp)
 	x.headWritten, x.status = true, resp.Status
 	x.w.WriteHeader(resp.Status)
@@ -129,7 +129,7 @@
 		if len(events) > 0 {
 			progress := hasField(events)
 			if progress {
-				silence.stop()
+				silence.pause()
 			}
 			if progress && sent > 0 {
 				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
@@ -141,7 +141,7 @@
 				return callerLeft
 			}
 			if progress {
-				silence.restart(g.silenceTimeout(x, c.Target.ID))
+				silence.restart(x, g.silenceTimeout(x, c.Target.ID))
 			}
 		}
 		if err == nil {
@@ -221,7 +221,9 @@
 		return callerLeft
 	}
 	g.logBrokenResponse(x, c, err, 0)
-	g.opts.View.RecordOutcome(c.Target.ID, false)
+	if !isSilence(err) { // counted when the silence became too long
+		g.opts.View.RecordOutcome(c.Target.ID, false)
+	}
 	x.log["reason"] = "stream broke off"
 	g.reportEngineFailure(x, c, err)
 	return mayHaveRun
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -49,6 +49,7 @@
 	if x.relayedBy == "" {
 		defer context.AfterFunc(g.ending, func() { cancel(&StopOverError{}) })()
 	}
+	defer func() { g.releasePlace(x) }()
 	x.events.lastID = x.call.LastEventID
 	if !g.outlastsStop(x) && g.goesThroughHelper(x) && g.passOn(ctx, x) {
 		return
@@ -63,7 +64,7 @@
 	defer g.releaseMemory(x, true) // if the response is broken off
 	avoid := map[string]bool{}
 	for {
-		choice, ok := g.awaitTarget(ctx, x, avoid)
+		choice, ok := g.nextTarget(ctx, x, avoid)
 		if !ok && x.viaHelper {
 			if g.passOn(ctx, x) {
 				return
@@ -98,7 +99,7 @@
 		}
 		before := x.tries
 		x.tries++
-		outcome := g.tryTimed(ctx, x, choice)
+		outcome := g.tryTimed(ctx, x, choice, avoid)
 		if x.tries == before { // it reached no target
 			g.opts.Budget.Refund(x.service, charge)
 		}
@@ -125,10 +126,11 @@
 }
 
 // tryTimed is try, with the time that it takes recorded.
-func (g *Gateway) tryTimed(ctx context.Context, x *exchange, c coordinator.Choice) (outcome result) {
+func (g *Gateway) tryTimed(ctx context.Context, x *exchange, c coordinator.Choice, avoid map[string]bool) (outcome result) {
 	g.runTimes.begin(x, g.opts.Now())
-	defer func() { g.runTimes.end(x, g.opts.Now(), outcome == relayed) }() // also if the response is aborted
-	return g.try(ctx, x, c)
+	silent := x.silent
+	defer func() { g.runTimes.end(x, g.opts.Now(), x.silent-silent, outcome == relayed) }() // also if the response is aborted
+	return g.try(ctx, x, c, avoid)
 }
 
 // chargeRetry charges the budget if a target or another host has had the request before. It returns false if the budget does not
@@ -137,6 +139,11 @@
 	if x.tries == 0 && x.sends == 0 {
 		return RetryCharge{}, true
 	}
+	if p := x.place; p != nil && p.charge != nil {
+		charge := *p.charge
+		p.charge = nil
+		return charge, true
+	}
 	charge, ok := g.opts.Budget.Charge(x.service)
 	result := "allowed"
 	if !ok {
--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -82,8 +82,9 @@
 	t.running[x] = startedRun{runTimeKeyOf(x), now, runUnits(x)}
 }
 
-// end records that a request is no longer at a target, and its time if it was served.
-func (t *runTimes) end(x *exchange, now time.Duration, served bool) {
+// end records that a request is no longer at a target, and its time if it was served. The time for which the target was silent beyond
+// what is usual does not count: estimates leave time for that apart.
+func (t *runTimes) end(x *exchange, now, silent time.Duration, served bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	run := t.running[x]
@@ -95,7 +96,7 @@
 	if t.current == nil {
 		t.current = map[runTimeKey]runTime{}
 	}
-	took := now - run.at
+	took := now - run.at - silent
 	t.current[run.key] = t.current[run.key].join(runTime{took, took / run.units, 1})
 	t.countEvents(x, run.units)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,31 +15,46 @@
 	"buckthornseam.dev/seam/internal/target"
 )
 
-// try sends a request to one target and relays its response.
-func (g *Gateway) try(ctx context.Context, x *exchange, c coordinator.Choice) result {
-	if !g.opts.View.Accepts(c.Target) { // known since it was chosen
-		x.tries--
-		return notRun
-	}
-	if !g.opts.View.MaySend(c) { // the target has become cold, or the permit is too old
-		x.tries--
+// beginSend counts a request as running at a target until end is called. Otherwise it may not be sent there, and outcome says why.
+func (g *Gateway) beginSend(x *exchange, c coordinator.Choice) (end func(), outcome result, ok bool) {
+	end = x.takeSlot()
+	g.releasePlace(x)
+	switch {
+	case !g.opts.View.Accepts(c.Target): // known since it was chosen
+		outcome = notRun
+	case !g.opts.View.MaySend(c): // the target has become cold, or the permit is too old
 		g.countCold(c.Target, "void")
-		return noSlot
+		outcome = noSlot
+	case end != nil:
+		return end, 0, true
+	default:
+		if end, ok = g.opts.View.BeginRequest(c.Target, x.call.Model); ok {
+			return end, 0, true
+		}
+		outcome = noSlot // another request took the slot
 	}
-	g.checkInvariants(x, c)
-	end, ok := g.opts.View.BeginRequest(c.Target, x.call.Model)
-	if !ok { // another request took the slot
-		x.tries--
-		return noSlot
+	if end != nil {
+		end()
+	}
+	x.tries--
+	return nil, outcome, false
+}
+
+// try sends a request to one target and relays its response. avoid are the targets that have failed before.
+func (g *Gateway) try(ctx context.Context, x *exchange, c coordinator.Choice, avoid map[string]bool) (outcome result) {
+	end, outcome, ok := g.beginSend(x, c)
+	if !ok {
+		return outcome
 	}
 	defer end()
+	g.checkInvariants(x, c)
 	x.memory.prefill = g.opts.View.RecordPrompt(c.Target, promptOf(x))
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sent := g.opts.Now()
 	x.sentAt = sent
-	silence := g.watchSilence(g.silenceTimeout(x, c.Target.ID), cancel)
-	defer silence.stop()
+	silence := g.watchSilence(ctx, cancel, x, g.silenceTimeout(x, c.Target.ID), g.searchTarget(avoid, c.Target.ID))
+	defer func() { g.endWatch(x, silence, outcome) }() // also if the response is aborted
 	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silence))()
 
 	resp, err := g.opts.Sender.Forward(sendCtx, c.Target.Address, g.newForwardRequest(x, c), g.responseID)
@@ -74,6 +89,23 @@
 	return g.relay(x, c, resp, silence, sent)
 }
 
+// endWatch ends the watch of a send and keeps the place that was found, if the request needs another one.
+func (g *Gateway) endWatch(x *exchange, w *silenceWatch, outcome result) {
+	p, silent := w.end()
+	x.silent += silent
+	if x.silent > 0 {
+		x.log["silent_ms"] = x.silent.Milliseconds()
+	}
+	if p == nil {
+		return
+	}
+	if outcome != notRun && outcome != mayHaveRun {
+		p.release(g)
+		return
+	}
+	x.place, x.log["moved"] = p, true
+}
+
 // isOwnSuccess reports whether a response, if it says that the request succeeded, comes from a target that ran this request.
 func (g *Gateway) isOwnSuccess(x *exchange, resp *target.ForwardResponse) bool {
 	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
@@ -132,7 +164,7 @@
 	}
 }
 
-// Timeouts for a silent target, if another target may run the request.
+// Times after which another place is looked for, if another target may run the request.
 const (
 	silenceObjectives      = 3                       // times the route's objective, until the first event or the complete response
 	silenceMin             = 1800 * time.Millisecond // leaves time for another target if the caller waits 3.2 s
@@ -142,8 +174,8 @@
 )
 
 // silenceTimeout returns how long a target may take for the next event of a stream
-// or for any other complete response. A request that can't be sent again waits
-// until its deadline.
+// or for any other complete response before another place is looked for. A request that can't
+// be sent again waits until its deadline.
 func (g *Gateway) silenceTimeout(x *exchange, id string) time.Duration {
 	left := x.deadline - g.opts.Now()
 	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts {
@@ -165,7 +197,9 @@
 	if x.r.Context().Err() != nil {
 		return callerLeft
 	}
-	g.opts.View.RecordOutcome(c.Target.ID, false)
+	if !isSilence(err) { // counted when the silence became too long
+		g.opts.View.RecordOutcome(c.Target.ID, false)
+	}
 	x.log["reason"] = err.Error()
 	var unreachable *target.UnreachableError
 	if errors.As(err, &unreachable) {
--- a/internal/gateway/sendend.go
+++ b/internal/gateway/sendend.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
 
-// SilentTargetError reports a send that its host ended, since the target or the host that passed it on sent nothing. It
-// is context.Canceled, as no fault of the target was seen.
+// SilentTargetError reports a send that its host ended, since the target or the host that it was passed on to sent nothing and there
+// is another place for the request. It is context.Canceled, as no fault of the target was seen.
 type SilentTargetError struct {
 	Silence time.Duration
 	CutOff  bool // less silence was allowed, since this host had lost its way to all targets
@@ -23,6 +24,12 @@
 // Is reports whether target is context.Canceled.
 func (*SilentTargetError) Is(target error) bool { return target == context.Canceled }
 
+// isSilence reports whether a send was ended because of a silence.
+func isSilence(err error) bool {
+	var silent *SilentTargetError
+	return errors.As(err, &silent)
+}
+
 // StopOverError reports a request that was still in progress at the end of a planned stop. It is context.Canceled.
 type StopOverError struct{}
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -2,41 +2,140 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"buckthornseam.dev/seam/internal/ctxsleep"
 )
 
-// silenceWatch ends a send whose target is silent for too long. It is safe for concurrent use.
+// silenceWatch watches the silence of a target, or of a host that a request was passed on to. When that lasts longer than is usual, another
+// place for the request is looked for. The send goes on until there is one: a sound target may be silent for a while, and without
+// another place nothing is gained by giving it up. It is safe for concurrent use.
 type silenceWatch struct {
-	now    func() time.Duration
+	g      *Gateway
+	ctx    context.Context         // of the request
 	cancel context.CancelCauseFunc // of the send
+	search placeSearch
+
+	mu        sync.Mutex
+	timer     *time.Timer
+	x         exchange      // a copy, since a search goes on beside the send
+	since     time.Duration // when the peer sent something last, or the send began
+	due       time.Duration // when the silence lasts too long
+	cutOff    bool          // less silence is allowed, since this host has lost its way to all targets
+	ended     bool
+	endSearch context.CancelFunc // of the search in progress; nil: none
+	place     *place             // that was found; the send is cancelled
+	silent    time.Duration      // total time of the silences that were too long and have ended
+}
 
-	mu     sync.Mutex
-	timer  *time.Timer
-	since  time.Duration // when the target sent something last, or the send began
-	cutOff bool          // less silence is allowed, since this host has lost its way to all targets
+// placeSearch looks for another place for a request.
+type placeSearch struct {
+	peer   string // target or host that has the request
+	silent func() // called when the peer is silent for too long; nil: nothing is to be done
+	// find looks for a place once. It may wait, until ctx ends. The exchange is its own; nil: there is none.
+	find func(ctx context.Context, x *exchange) *place
 }
 
-func (g *Gateway) watchSilence(allowed time.Duration, cancel context.CancelCauseFunc) *silenceWatch {
-	w := &silenceWatch{now: g.opts.Now, cancel: cancel, since: g.opts.Now()}
+// searchInterval is the time between two looks for a place.
+const searchInterval = 100 * time.Millisecond
+
+// watchSilence watches a send that begins now.
+func (g *Gateway) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, allowed time.Duration, search placeSearch) *silenceWatch {
+	w := &silenceWatch{g: g, ctx: ctx, cancel: cancel, search: search}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begin(x, allowed)
 	w.timer = time.AfterFunc(allowed, w.expire)
 	return w
 }
 
+// expire looks for another place, and ends the send once there is one.
 func (w *silenceWatch) expire() {
+	ctx, x := w.beginSearch()
+	if x == nil {
+		return
+	}
+	if w.search.silent != nil {
+		w.search.silent()
+	}
+	for ctx.Err() == nil {
+		if p := w.search.find(ctx, x); p != nil {
+			w.move(ctx, p)
+			return
+		}
+		ctxsleep.Sleep(ctx, searchInterval)
+	}
+}
+
+// beginSearch returns the exchange for a search; nil: the peer is not silent.
+func (w *silenceWatch) beginSearch() (context.Context, *exchange) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cancel(&SilentTargetError{Silence: w.now() - w.since, CutOff: w.cutOff})
+	now := w.g.opts.Now()
+	if w.ended || w.endSearch != nil || w.place != nil || now < w.due {
+		return nil, nil
+	}
+	var ctx context.Context
+	ctx, w.endSearch = context.WithCancel(w.ctx)
+	fields := logrus.Fields{"event": "target_silent", "id": w.x.call.ID, "peer": w.search.peer, "silent_ms": (now - w.since).Milliseconds(), "cut_off": w.cutOff, "last_event": w.x.events.lastID}
+	w.g.opts.Log.WithFields(fields).Warn("no data for a while; looking for another place for the request")
+	x := w.x
+	x.log, x.memory, x.helpersTried = logrus.Fields{}, memoryUse{}, maps.Clone(x.helpersTried)
+	x.sends++ // the peer may run it
+	return ctx, &x
 }
 
-// stop ends the watch until restart is called.
-func (w *silenceWatch) stop() { w.timer.Stop() }
+// move ends the send, unless the peer has sent something meanwhile.
+func (w *silenceWatch) move(ctx context.Context, p *place) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		p.release(w.g)
+		return
+	}
+	w.place = p
+	w.cancel(&SilentTargetError{Silence: w.g.opts.Now() - w.since, CutOff: w.cutOff})
+}
 
-// restart begins to watch anew, as the target has sent something.
-func (w *silenceWatch) restart(allowed time.Duration) {
+// pause ends the watch until restart is called, as the peer has sent something. The caller may read slowly.
+func (w *silenceWatch) pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.since = w.now()
+	w.timer.Stop()
+	w.stopSearch("resumed")
+}
+
+// stopSearch ends a search in progress. The caller must hold w.mu.
+func (w *silenceWatch) stopSearch(result string) {
+	if w.endSearch == nil {
+		return
+	}
+	w.endSearch()
+	w.endSearch = nil
+	if w.place != nil {
+		result = "moved"
+	} else {
+		w.silent += w.g.opts.Now() - w.since
+	}
+	w.g.opts.Metrics.Tagged(map[string]string{"result": result}).Counter("silences").Inc(1)
+}
+
+// begin sets what a search needs of the exchange and how long the peer may be silent from now on. The caller must hold w.mu.
+func (w *silenceWatch) begin(x *exchange, allowed time.Duration) {
+	w.x, w.since = *x, w.g.opts.Now()
+	w.x.log = nil // the request's own
+	w.due = w.since + allowed
+}
+
+// restart begins to watch anew. x is the exchange as it is now.
+func (w *silenceWatch) restart(x *exchange, allowed time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begin(x, allowed)
 	w.timer.Reset(allowed)
 }
 
@@ -45,5 +144,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cutOff = true
-	w.timer.Reset(allowed)
+	if due := w.g.opts.Now() + allowed; due < w.due {
+		w.due = due
+		w.timer.Reset(allowed)
+	}
+}
+
+// end ends the watch. It returns the place that was found, and for how long the peer was silent beyond what is usual.
+func (w *silenceWatch) end() (p *place, silent time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+	w.stopSearch("ended")
+	return w.place, w.silent
 }
