A silent target keeps its request until another target has taken it

The search for another place trusted what the host knows of targets. One that rejects the request, refuses the connection or breaks it off was found out after the silent one had been left: the stream was lost although its target went on. What hosts know is out of date just while engines are moved between hosts that stop (engine_differs, move_forgotten in the users' record).

Now the request is sent to the other target while the silent one still has it, and the silent one is left once that one has responded, or has not declined within 150 ms. That is far below the 0.4 s for which two targets may work on a stream. A target that declines is tried again after half a second; one that may have run the request counts as an attempt.

Controls: TestSilentTargetThatGoesOnKeepsItsRequest, TestOneTargetWorksOnAStream.

--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -199,8 +198,7 @@
 		return callerLeft
 	}
 	x.log["reason"] = err.Error()
-	var unreachable *target.UnreachableError
-	if errors.As(err, &unreachable) {
+	if isUnreachable(err) {
 		return notRun
 	}
 	return mayHaveRun
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -3,74 +3,112 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/seam/internal/coordinator"
 )
 
-// place is where a request can go on that is at a silent target: another target, or other hosts. Whatever that takes is held for it, so
-// that it can be sent at once.
+// place is where a request goes on that is at a silent target: at another target that it has been sent to, or through other hosts.
 type place struct {
 	choice    coordinator.Choice
-	viaHelper bool   // through other hosts
-	endSlot   func() // gives up the slot at the target; nil: none is held
-	memory    memoryUse
-	charge    *RetryCharge // of the retry budget; nil: used
-	service   string
-	log       logrus.Fields // of the request's log line
+	sending   *sending     // to the target; nil: the request goes on through other hosts
+	endSlot   func()       // ends the use of a slot at the target
+	memory    memoryUse    // at the target
+	charge    *RetryCharge // of the retry budget; nil: it is spent
+	viaHelper bool
+	log       logrus.Fields // for the request's log line
 }
 
-// release gives up what is held. p may be nil.
-func (p *place) release(g *Gateway) {
+// release gives up a place. p may be nil.
+func (g *Gateway) release(x *exchange, p *place) {
 	if p == nil {
 		return
 	}
+	if p.sending != nil {
+		p.sending.abandon()
+	}
 	if p.endSlot != nil {
 		p.endSlot()
 	}
 	if p.memory.seq != 0 {
-		g.opts.View.ReleaseMemory(p.memory.seq, false)
+		g.opts.View.ReleaseMemory(p.memory.seq, p.sending != nil)
 	}
 	if p.charge != nil {
-		g.opts.Budget.Refund(p.service, *p.charge)
+		g.opts.Budget.Refund(x.service, *p.charge)
 	}
 }
 
-// searchTarget returns a search for another target than the silent one. avoid are the targets that have failed before.
-func (g *Gateway) searchTarget(avoid map[string]bool, silent string) placeSearch {
-	avoid = maps.Clone(avoid)
-	avoid[silent] = true
-	return placeSearch{
-		peer:   silent,
-		silent: func() { g.opts.View.RecordOutcome(silent, false) },
-		find: func(ctx context.Context, x *exchange) *place {
-			choice, ok := g.awaitTarget(ctx, x, maps.Clone(avoid))
-			if !ok && !x.viaHelper {
-				return nil
-			}
-			p := &place{choice: choice, viaHelper: x.viaHelper, memory: x.memory, service: x.service, log: x.log}
-			if !g.hold(x, p) {
-				p.release(g)
-				x.memory = memoryUse{}
-				return nil
-			}
-			return p
-		},
+// declinedTime is how long a target is not tried again that has declined a request.
+const declinedTime = 500 * time.Millisecond
+
+// targetSearch looks for another target for a request that is at a silent one.
+type targetSearch struct {
+	g        *Gateway
+	ctx      context.Context          // of the request
+	failed   map[string]bool          // targets that are not tried again
+	declined map[string]time.Duration // those that have declined the request, and until when they are not tried again
+}
+
+// searchTarget returns a search for another target than the silent one. avoid are the targets that have failed before; ctx is the request's.
+func (g *Gateway) searchTarget(ctx context.Context, avoid map[string]bool, silent string) placeSearch {
+	return placeSearch{peer: silent, begin: func() func(context.Context, *exchange) *place {
+		g.opts.View.RecordOutcome(silent, false)
+		s := targetSearch{g: g, ctx: ctx, failed: maps.Clone(avoid), declined: map[string]time.Duration{}}
+		s.failed[silent] = true
+		return s.find
+	}}
+}
+
+// find waits for a target and sends the request there while the silent one still has it.
+func (s *targetSearch) find(search context.Context, x *exchange) *place {
+	choice, ok := s.choose(search, x)
+	if !ok && !x.viaHelper {
+		return nil
 	}
+	p := &place{choice: choice, viaHelper: x.viaHelper, memory: x.memory, log: x.log}
+	x.memory = memoryUse{}
+	outcome := trialDeclined
+	if s.g.mayGoOn(x, p) {
+		outcome = s.g.sendAside(s.ctx, search, x, p)
+	}
+	switch outcome {
+	case trialGoesOn:
+		return p
+	case trialDeclined:
+		s.declined[choice.Target.ID] = s.g.opts.Now() + declinedTime
+	case trialBroke:
+		x.sends++
+		s.failed[choice.Target.ID] = true
+	}
+	s.g.release(x, p)
+	return nil
 }
 
-// hold takes what a request needs to go on at a place, and reports whether it may.
-func (g *Gateway) hold(x *exchange, p *place) bool {
+// choose is awaitTarget without the targets that are not tried now.
+func (s *targetSearch) choose(search context.Context, x *exchange) (coordinator.Choice, bool) {
+	avoid, now := maps.Clone(s.failed), s.g.opts.Now()
+	for id, until := range s.declined {
+		if now >= until {
+			delete(s.declined, id)
+			continue
+		}
+		avoid[id] = true
+	}
+	if len(s.declined) > 0 { // wait no longer than until they are tried again
+		var cancel context.CancelFunc
+		search, cancel = context.WithTimeout(search, declinedTime)
+		defer cancel()
+	}
+	return s.g.awaitTarget(search, x, avoid)
+}
+
+// mayGoOn charges the retry budget for a place, and reports whether the request may be sent once more.
+func (g *Gateway) mayGoOn(x *exchange, p *place) bool {
 	if g.hasBlockedPart(x) || g.mayNotSend(x) != "" {
 		return false
 	}
-	if !p.viaHelper {
-		var ok bool
-		if p.endSlot, ok = g.opts.View.BeginRequest(p.choice.Target, x.call.Model); !ok {
-			return false
-		}
-	}
 	charge, ok := g.chargeRetry(x)
 	if ok {
 		p.charge = &charge
@@ -78,18 +116,42 @@
 	return ok
 }
 
+// sendAside sends a request to another target while the silent one still has it, until search ends. ctx is the request's.
+func (g *Gateway) sendAside(ctx, search context.Context, x *exchange, p *place) trial {
+	if p.viaHelper {
+		return trialGoesOn // other hosts are asked later
+	}
+	x.memory = p.memory
+	p.endSlot, _ = g.beginSend(x, p.choice)
+	p.memory, x.memory = x.memory, memoryUse{}
+	if p.endSlot == nil {
+		return trialDeclined
+	}
+	p.sending = g.newSending(ctx, x, p.choice)
+	go g.forward(p.sending)
+	outcome := g.awaitTrial(search, x, p.choice, p.sending)
+	if !p.sending.unreachable() {
+		p.charge = nil // it is spent
+	}
+	if search.Err() != nil && outcome == trialGoesOn {
+		return trialBroke // the silent target goes on
+	}
+	return outcome
+}
+
 // searchHelper returns a search for a further host than the silent one that a request was passed on to.
 func (g *Gateway) searchHelper(silent string) placeSearch {
-	return placeSearch{peer: silent, find: func(_ context.Context, x *exchange) *place {
+	find := func(_ context.Context, x *exchange) *place {
 		if _, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions); !ok {
 			return nil
 		}
-		p := &place{viaHelper: true, service: x.service}
-		if !g.hold(x, p) {
+		p := &place{viaHelper: true}
+		if !g.mayGoOn(x, p) {
 			return nil
 		}
 		return p
-	}}
+	}
+	return placeSearch{peer: silent, begin: func() func(context.Context, *exchange) *place { return find }}
 }
 
 // nextTarget returns the target to which a request is sent next: the place that was found for it, if there is one.
@@ -104,16 +166,19 @@
 	return p.choice, !p.viaHelper
 }
 
-// takeSlot returns what gives up the slot that is held at the request's place; nil: none is held.
-func (x *exchange) takeSlot() (end func()) {
-	if x.place != nil {
-		end, x.place.endSlot = x.place.endSlot, nil
+// takeSending returns the request that was sent to another target while the first one was silent, and what ends the use of its slot there; nil:
+// there is none.
+func (x *exchange) takeSending() (s *sending, endSlot func()) {
+	p := x.place
+	if p == nil || p.sending == nil {
+		return nil, nil
 	}
-	return end
+	x.place = nil
+	return p.sending, p.endSlot
 }
 
-// releasePlace ends the use of the place that was found for a request, and gives up what is still held there.
+// releasePlace gives up the place that was found for a request, if it was not used.
 func (g *Gateway) releasePlace(x *exchange) {
-	x.place.release(g)
+	g.release(x, x.place)
 	x.place = nil
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -141,6 +141,7 @@
 				return callerLeft
 			}
 			if progress {
+				x.sends += silence.takeSends()
 				silence.restart(x, g.silenceTimeout(x, c.Target.ID))
 			}
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -139,9 +139,11 @@
 	if x.tries == 0 && x.sends == 0 {
 		return RetryCharge{}, true
 	}
-	if p := x.place; p != nil && p.charge != nil {
-		charge := *p.charge
-		p.charge = nil
+	if p := x.place; p != nil { // charged when it was found
+		var charge RetryCharge
+		if p.charge != nil {
+			charge, p.charge = *p.charge, nil
+		}
 		return charge, true
 	}
 	charge, ok := g.opts.Budget.Charge(x.service)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -16,60 +15,54 @@
 )
 
 // beginSend counts a request as running at a target until end is called. Otherwise it may not be sent there, and outcome says why.
-func (g *Gateway) beginSend(x *exchange, c coordinator.Choice) (end func(), outcome result, ok bool) {
-	end = x.takeSlot()
-	g.releasePlace(x)
-	switch {
-	case !g.opts.View.Accepts(c.Target): // known since it was chosen
-		outcome = notRun
-	case !g.opts.View.MaySend(c): // the target has become cold, or the permit is too old
+func (g *Gateway) beginSend(x *exchange, c coordinator.Choice) (end func(), outcome result) {
+	if !g.opts.View.Accepts(c.Target) { // known since it was chosen
+		return nil, notRun
+	}
+	if !g.opts.View.MaySend(c) { // the target has become cold, or the permit is too old
 		g.countCold(c.Target, "void")
-		outcome = noSlot
-	case end != nil:
-		return end, 0, true
-	default:
-		if end, ok = g.opts.View.BeginRequest(c.Target, x.call.Model); ok {
-			return end, 0, true
-		}
-		outcome = noSlot // another request took the slot
+		return nil, noSlot
 	}
-	if end != nil {
-		end()
+	g.checkInvariants(x, c)
+	end, ok := g.opts.View.BeginRequest(c.Target, x.call.Model)
+	if !ok { // another request took the slot
+		return nil, noSlot
 	}
-	x.tries--
-	return nil, outcome, false
+	x.memory.prefill = g.opts.View.RecordPrompt(c.Target, promptOf(x))
+	return end, relayed
 }
 
 // try sends a request to one target and relays its response. avoid are the targets that have failed before.
 func (g *Gateway) try(ctx context.Context, x *exchange, c coordinator.Choice, avoid map[string]bool) (outcome result) {
-	end, outcome, ok := g.beginSend(x, c)
-	if !ok {
-		return outcome
+	s, end := x.takeSending()
+	begun := s != nil // at the place that was found while another target had the request
+	if !begun {
+		if end, outcome = g.beginSend(x, c); end == nil {
+			x.tries--
+			return outcome
+		}
+		s = g.newSending(ctx, x, c)
 	}
 	defer end()
-	g.checkInvariants(x, c)
-	x.memory.prefill = g.opts.View.RecordPrompt(c.Target, promptOf(x))
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	sent := g.opts.Now()
-	x.sentAt = sent
-	silence := g.watchSilence(ctx, cancel, x, g.silenceTimeout(x, c.Target.ID), g.searchTarget(avoid, c.Target.ID))
+	defer s.cancel(nil)
+	x.sentAt = s.at
+	silence := g.watchSilence(ctx, s.cancel, x, g.silenceTimeout(x, c.Target.ID), g.searchTarget(ctx, avoid, c.Target.ID))
 	defer func() { g.endWatch(x, silence, outcome) }() // also if the response is aborted
 	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silence))()
 
-	resp, err := g.opts.Sender.Forward(sendCtx, c.Target.Address, g.newForwardRequest(x, c), g.responseID)
-	if err != nil {
-		return g.sendFailed(x, c, err)
+	if !begun {
+		g.forward(s)
 	}
+	<-s.done
+	if s.err != nil {
+		return g.sendFailed(x, c, s.err)
+	}
+	resp := s.resp
 	defer resp.Body.Close()
 	response := g.opts.Codec.ReadResponse(resp.Status, resp.Header)
 	g.recordNotices(x, c, resp.Status, response.Notices)
 	if response.NotRun {
-		x.log["shed_by"] = c.Target.ID
-		g.opts.View.RecordOutcome(c.Target.ID, resp.Status == http.StatusMisdirectedRequest || x.call.Model != "")
-		if x.call.Model != "" {
-			g.opts.View.RecordMissingModel(c.Target.ID, x.call.Model)
-		}
+		g.recordRejection(x, c, resp.Status)
 		return notRun
 	}
 	if resp.Status/100 == 5 {
@@ -86,12 +79,13 @@
 		g.opts.View.RecordOutcome(c.Target.ID, false)
 		return mayHaveRun
 	}
-	return g.relay(x, c, resp, silence, sent)
+	return g.relay(x, c, resp, silence, s.at)
 }
 
 // endWatch ends the watch of a send and keeps the place that was found, if the request needs another one.
 func (g *Gateway) endWatch(x *exchange, w *silenceWatch, outcome result) {
 	p, silent := w.end()
+	x.sends += w.takeSends()
 	x.silent += silent
 	if x.silent > 0 {
 		x.log["silent_ms"] = x.silent.Milliseconds()
@@ -100,7 +94,7 @@
 		return
 	}
 	if outcome != notRun && outcome != mayHaveRun {
-		p.release(g)
+		g.release(x, p)
 		return
 	}
 	x.place, x.log["moved"] = p, true
@@ -201,8 +195,7 @@
 		g.opts.View.RecordOutcome(c.Target.ID, false)
 	}
 	x.log["reason"] = err.Error()
-	var unreachable *target.UnreachableError
-	if errors.As(err, &unreachable) {
+	if isUnreachable(err) {
 		g.opts.View.RecordUnreachable(c.Target.ID)
 		x.tries-- // nothing reached the target, so the next send is no retry
 		x.connectFailures++
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,8 @@
 	cancel context.CancelCauseFunc // of the send
 	search placeSearch
 
+	sends atomic.Int32 // beside the one that is watched, after which a target may have run the request
+
 	mu        sync.Mutex
 	timer     *time.Timer
 	x         exchange      // a copy, since a search goes on beside the send
@@ -34,10 +37,10 @@
 
 // placeSearch looks for another place for a request.
 type placeSearch struct {
-	peer   string // target or host that has the request
-	silent func() // called when the peer is silent for too long; nil: nothing is to be done
-	// find looks for a place once. It may wait, until ctx ends. The exchange is its own; nil: there is none.
-	find func(ctx context.Context, x *exchange) *place
+	peer string // target or host that has the request
+	// begin is called when the peer is silent for too long. find then looks for a place once; nil: there is none. It may wait, until ctx ends. The
+	// exchange is its own.
+	begin func() (find func(ctx context.Context, x *exchange) *place)
 }
 
 // searchInterval is the time between two looks for a place.
@@ -59,11 +62,12 @@
 	if x == nil {
 		return
 	}
-	if w.search.silent != nil {
-		w.search.silent()
-	}
-	for ctx.Err() == nil {
-		if p := w.search.find(ctx, x); p != nil {
+	find := w.search.begin()
+	for ctx.Err() == nil && x.sends < x.route.Attempts {
+		sends := x.sends
+		p := find(ctx, x)
+		w.sends.Add(int32(x.sends - sends))
+		if p != nil {
 			w.move(ctx, p)
 			return
 		}
@@ -94,7 +98,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if ctx.Err() != nil {
-		p.release(w.g)
+		w.g.release(&w.x, p)
 		return
 	}
 	w.place = p
@@ -150,6 +154,9 @@
 	}
 }
 
+// takeSends returns how many further targets may have run the request since the last call.
+func (w *silenceWatch) takeSends() int { return int(w.sends.Swap(0)) }
+
 // end ends the watch. It returns the place that was found, and for how long the peer was silent beyond what is usual.
 func (w *silenceWatch) end() (p *place, silent time.Duration) {
 	w.mu.Lock()
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,9 +34,12 @@
 type pausingSender struct {
 	at     pauseAt
 	pauses map[string]time.Duration
+	first  time.Duration // pause of the target that is sent to first
 
-	mu   sync.Mutex
-	sent []string // addresses
+	mu    sync.Mutex
+	sent  []string    // addresses
+	begun []time.Time // by send
+	ended []time.Time // the same; zero: not yet
 }
 
 const forever = time.Hour
@@ -62,9 +66,18 @@
 // Forward implements Sender.
 func (s *pausingSender) Forward(ctx context.Context, address string, f target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
 	s.mu.Lock()
-	s.sent = append(s.sent, address)
-	s.mu.Unlock()
+	i := len(s.sent)
+	s.sent, s.begun, s.ended = append(s.sent, address), append(s.begun, time.Now()), append(s.ended, time.Time{})
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ended[i] = time.Now()
+	})
 	pause := s.pauses[address]
+	if len(s.sent) == 1 {
+		pause = max(pause, s.first)
+	}
+	s.mu.Unlock()
 	if s.at == beforeHead {
 		if err := sleepOr(ctx, pause); err != nil {
 			return nil, &target.UnknownOutcomeError{Cause: err}
@@ -281,3 +294,94 @@
 		})
 	}
 }
+
+// decliningSender is a pausingSender whose targets decline all requests but the first, in one of several ways.
+type decliningSender struct {
+	*pausingSender
+	decline func(target.ForwardRequest) (*target.ForwardResponse, error)
+}
+
+func (s decliningSender) Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	s.mu.Lock()
+	first := len(s.sent) == 0
+	s.mu.Unlock()
+	if first {
+		return s.pausingSender.Forward(ctx, address, f, idOf)
+	}
+	return s.decline(f)
+}
+
+// TestSilentTargetKeepsARequestThatTheOthersDecline guards against responses that are ended although no other target takes the request: what a
+// host knows of them may be out of date.
+func TestSilentTargetKeepsARequestThatTheOthersDecline(t *testing.T) {
+	for name, decline := range map[string]func(target.ForwardRequest) (*target.ForwardResponse, error){
+		"rejected": shed,
+		"refused": func(target.ForwardRequest) (*target.ForwardResponse, error) {
+			return nil, &target.UnreachableError{Cause: resetError{}}
+		},
+		"reset": func(target.ForwardRequest) (*target.ForwardResponse, error) {
+			return nil, &target.UnknownOutcomeError{Cause: resetError{}}
+		},
+	} {
+		for place, c := range silenceCases {
+			runInBubble(t, name+", "+place, func(t *testing.T) {
+				s := decliningSender{&pausingSender{at: c.at, first: longPause}, decline}
+				began := time.Now()
+				if w := post(testGateway(s), c.path, c.model); w.Body.String() != wholeStream() || time.Since(began) > 3*time.Second {
+					t.Errorf("status %d, body %q after %v", w.Code, w.Body.String(), time.Since(began))
+				}
+			})
+		}
+	}
+}
+
+// TestSilentTargetThatGoesOnKeepsItsRequest covers a target that goes on while another one has been sent the request and has not replied yet. The
+// other one's request is ended.
+func TestSilentTargetThatGoesOnKeepsItsRequest(t *testing.T) {
+	for name, c := range silenceCases {
+		runInBubble(t, name, func(t *testing.T) {
+			s := &pausingSender{at: c.at, first: silenceMin + trialTime/2}
+			s.pauses = map[string]time.Duration{}
+			w := post(testGateway(s), c.path, c.model)
+			if w.Body.String() != wholeStream() {
+				t.Errorf("status %d, body %q, sent to %v", w.Code, w.Body.String(), s.sent)
+			}
+		})
+	}
+}
+
+// TestOneTargetWorksOnAStream guards against a stream that goes on at a target while the silent one still works on it: 0.4 s are allowed.
+func TestOneTargetWorksOnAStream(t *testing.T) {
+	const allowed = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := &pausingSender{at: inMidStream, first: forever, pauses: map[string]time.Duration{}}
+		w := post(testGateway(s), "/stream/x", "m")
+		synctest.Wait()
+		if w.Body.String() != wholeStream() || len(s.sent) != 2 {
+			t.Fatalf("body %q, sent to %v", w.Body.String(), s.sent)
+		}
+		if both := s.ended[0].Sub(s.begun[1]); both > allowed/2 {
+			t.Errorf("two targets work on a stream for %v, %v are allowed", both, allowed)
+		}
+	})
+}
+
+// TestDeadTargetsNextPlaceDeclines is the control: a target never sends anything again, and the other one declines the request at first.
+func TestDeadTargetsNextPlaceDeclines(t *testing.T) {
+	for name, c := range silenceCases {
+		runInBubble(t, name, func(t *testing.T) {
+			s := &pausingSender{at: c.at, first: forever}
+			var declined atomic.Bool
+			sender := decliningSender{s, func(f target.ForwardRequest) (*target.ForwardResponse, error) {
+				if declined.CompareAndSwap(false, true) {
+					return shed(f)
+				}
+				return s.Forward(t.Context(), "other", f, nil)
+			}}
+			began := time.Now()
+			if w := post(testGateway(sender), c.path, c.model); w.Body.String() != wholeStream() || time.Since(began) > 3500*time.Millisecond {
+				t.Errorf("status %d, body %q after %v", w.Code, w.Body.String(), time.Since(began))
+			}
+		})
+	}
+}
