Streams that have begun wait for a place as long as their callers wait for the next event

A stream that broke off later than 3.1 s after its request came was ended at once if no target could take it just then: the time for which callers wait was counted from the arrival, although it counts from the last event. It now counts from there.

TestBrokenStreamWaitsForAPlaceSinceItsLastEvent failed before: a stream that breaks off after 3.2 s, while another engine loads its model within half a second, ended with one event of two.

--- a/internal/gateway/brokenstream_test.go
+++ b/internal/gateway/brokenstream_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
 )
 
@@ -124,3 +128,36 @@
 		}
 	}
 }
+
+// TestBrokenStreamWaitsForAPlaceSinceItsLastEvent guards against a stream that breaks off long after its request came, and is ended at once since no
+// target can take it just then. Its caller waits 3.2 s for the next event.
+func TestBrokenStreamWaitsForAPlaceSinceItsLastEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const brokenAt = 3200 * time.Millisecond
+		s := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){
+			func(f target.ForwardRequest) (*target.ForwardResponse, error) {
+				time.Sleep(brokenAt / 2)
+				resp, err := respond(200, "")(f)
+				resp.Body = io.NopCloser(io.MultiReader(strings.NewReader(firstEvent), &lateReset{brokenAt / 2}))
+				return resp, err
+			}, respond(200, secondEvent),
+		}}
+		g := testGateway(s)
+		all := g.opts.View.Targets()
+		without := maps.Clone(all.ByID)
+		without["e2"] = fleet.Target{ID: "e2", Service: "llm", Address: "e2", Slots: 8, OnDisk: []string{"m"}}
+		g.opts.View.SetTargets(fleet.NewTargets(without))
+		time.AfterFunc(brokenAt+500*time.Millisecond, func() { g.opts.View.SetTargets(all) })
+		if w := post(g, "/stream/x", "m"); w.Body.String() != firstEvent+secondEvent {
+			t.Errorf("body %q after %d sends", w.Body.String(), len(s.sent))
+		}
+	})
+}
+
+// lateReset is a connection that is reset after some time.
+type lateReset struct{ after time.Duration }
+
+func (r *lateReset) Read([]byte) (int, error) {
+	time.Sleep(r.after)
+	return 0, resetError{}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,7 +34,8 @@
 	connectFailures   int           // failed connection attempts
 	cachedFingerprint string        // set by fingerprint
 	log               logrus.Fields
-	headWritten       bool // the response head was sent to the caller
+	lastEventAt       time.Duration // when the caller was last sent events; 0: never
+	headWritten       bool          // the response head was sent to the caller
 	refused           bool
 	status            int
 	events            eventBuffer
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -213,6 +213,9 @@
 		if _, err := x.w.Write(events); err != nil {
 			return false
 		}
+		if hasField(events) {
+			x.lastEventAt = g.opts.Now()
+		}
 	}
 	return flusher.Flush() == nil
 }
--- a/internal/gateway/waittimes.go
+++ b/internal/gateway/waittimes.go
@@ -15,7 +15,7 @@
 	}
 	until := x.deadline - min(runTime, (x.deadline-x.arrived)/3)
 	if x.route.Kind == fleet.Streaming {
-		until = min(until, x.arrived+callerTimeout(x.route)-firstEventTime)
+		until = min(until, max(x.arrived, x.lastEventAt)+callerTimeout(x.route)-firstEventTime)
 	}
 	return g.lastSendBeforeStop(x, until)
 }
@@ -31,7 +31,7 @@
 // firstEventTime is the usual time from the send to a target's first event.
 const firstEventTime = 100 * time.Millisecond
 
-// callerTimeout returns how long a caller waits for the first event of a stream.
+// callerTimeout returns how long a caller waits for the next event of a stream.
 func callerTimeout(r *fleet.Route) time.Duration {
 	return max(callerTimeoutMin, callerTimeoutObjectives*r.Objective, callerTimeoutGaps*r.GapObjective)
 }
