Drop what a silent target sends once its request has moved

Found in reading the search for another place: an event of the silent target that is read in the moment in which its request is ended was passed on, and came once more from the target at which the stream goes on, as that one had been asked to go on after the event before. The watch now tells that the request has moved, and such events are dropped; the next target sends them. The targets to avoid are also copied when a request is sent, not when a search begins, which may be while the request's own loop changes them.

TestEventsThatComeTooLateAreDropped failed before with events 3 and 4 (or all four) twice.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,7 +8,12 @@
 // eventBuffer splits a stream of server-sent events into complete events and
 // records the id of the last one taken.
 type eventBuffer struct {
-	buf    []byte
+	buf []byte
+	position
+}
+
+// position is how far a stream has come.
+type position struct {
 	lastID string
 	count  int // events taken that have an id
 }
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -249,7 +249,7 @@
 			began = true
 			progress := hasField(events)
 			if progress {
-				silence.pause() // the caller may be slow
+				_ = silence.pause() // the caller may be slow; nothing has been sent to another host yet
 			}
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -53,10 +53,11 @@
 
 // searchTarget returns a search for another target than the silent one. avoid are the targets that have failed before; ctx is the request's.
 func (g *Gateway) searchTarget(ctx context.Context, avoid map[string]bool, silent string) placeSearch {
+	failed := maps.Clone(avoid) // now, as avoid may change while a search ends
+	failed[silent] = true
 	return placeSearch{peer: silent, begin: func() func(context.Context, *exchange) *place {
 		g.opts.View.RecordOutcome(silent, false)
-		s := targetSearch{g: g, ctx: ctx, failed: maps.Clone(avoid), declined: map[string]time.Duration{}}
-		s.failed[silent] = true
+		s := targetSearch{g: g, ctx: ctx, failed: maps.Clone(failed), declined: map[string]time.Duration{}}
 		return s.find
 	}}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,7 +33,6 @@
 		g.logBrokenResponse(x, c, err, len(body))
 		return g.sendFailed(x, c, err)
 	}
-	silence.pause()
 	g.opts.View.RecordOutcome(c.Target.ID, resp.Status/100 != 5)
 	if resp.Status/100 == 2 {
 		g.opts.Parts.RecordCompletion(x.call.SharedParts, c.Target, x.sentAt)
@@ -78,7 +77,9 @@
 // relayLarge sends a plain response to the caller as it arrives. If it breaks, the connection is aborted, and
 // the request is not sent again.
 func (g *Gateway) relayLarge(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch) result {
-	silence.pause()
+	if err := silence.pause(); err != nil {
+		return g.sendFailed(x, c, err)
+	}
 	g.copyHeader(x, resp)
 	x.headWritten, x.status = true, resp.Status
 	x.w.WriteHeader(resp.Status)
@@ -125,11 +126,15 @@
 	x.events.reset()
 	buf := make([]byte, copyBufferBytes)
 	for {
+		before := x.events.position
 		events, err := x.events.readFrom(resp.Body, buf)
 		if len(events) > 0 {
 			progress := hasField(events)
 			if progress {
-				silence.pause()
+				if moved := silence.pause(); moved != nil {
+					x.events.position = before
+					return g.streamFailed(x, c, moved)
+				}
 			}
 			if progress && sent > 0 {
 				g.opts.View.RecordFirstEvent(c.Target.ID, g.opts.Now()-sent)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -29,6 +29,7 @@
 	since     time.Duration // when the peer sent something last, or the send began
 	due       time.Duration // when the silence lasts too long
 	cutOff    bool          // less silence is allowed, since this host has lost its way to all targets
+	paused    bool
 	ended     bool
 	endSearch context.CancelFunc // of the search in progress; nil: none
 	place     *place             // that was found; the send is cancelled
@@ -80,7 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.g.opts.Now()
-	if w.ended || w.endSearch != nil || w.place != nil || now < w.due {
+	if w.ended || w.paused || w.endSearch != nil || w.place != nil || now < w.due {
 		return nil, nil
 	}
 	var ctx context.Context
@@ -105,12 +106,18 @@
 	w.cancel(&SilentTargetError{Silence: w.g.opts.Now() - w.since, CutOff: w.cutOff})
 }
 
-// pause ends the watch until restart is called, as the peer has sent something. The caller may read slowly.
-func (w *silenceWatch) pause() {
+// pause ends the watch until restart is called, as the peer has sent something. The caller may read slowly. It fails if the request has
+// moved to another place by now: it goes on there after what was sent to the caller before, so what has come since must be dropped.
+func (w *silenceWatch) pause() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer.Stop()
+	w.paused = true
+	if w.place != nil {
+		return &SilentTargetError{Silence: w.g.opts.Now() - w.since, CutOff: w.cutOff}
+	}
 	w.stopSearch("resumed")
+	return nil
 }
 
 // stopSearch ends a search in progress. The caller must hold w.mu.
@@ -133,6 +140,7 @@
 	w.x, w.since = *x, w.g.opts.Now()
 	w.x.log = nil // the request's own
 	w.due = w.since + allowed
+	w.paused = false
 }
 
 // restart begins to watch anew. x is the exchange as it is now.
@@ -148,7 +156,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cutOff = true
-	if due := w.g.opts.Now() + allowed; due < w.due {
+	if due := w.g.opts.Now() + allowed; due < w.due && !w.paused {
 		w.due = due
 		w.timer.Reset(allowed)
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -385,3 +385,41 @@
 		})
 	}
 }
+
+// lateSender is a sender whose first target is silent in mid-stream; its next event arrives in the moment in which its request is ended.
+type lateSender struct{ *pausingSender }
+
+func (s lateSender) Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	s.mu.Lock()
+	first := len(s.sent) == 0
+	s.mu.Unlock()
+	resp, err := s.pausingSender.Forward(ctx, address, f, idOf)
+	if first && err == nil {
+		resp.Body = &lateBody{resp.Body.(*pausingBody)}
+	}
+	return resp, err
+}
+
+type lateBody struct{ *pausingBody }
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	n, err := b.pausingBody.Read(p)
+	if err != nil && b.next < pauseEvents {
+		b.next++
+		return copy(p, pauseEvent(b.next)), nil
+	}
+	return n, err
+}
+
+// TestEventsThatComeTooLateAreDropped guards against an event that a caller gets twice: from the silent target, just when its request is ended, and
+// from the target at which the stream goes on.
+func TestEventsThatComeTooLateAreDropped(t *testing.T) {
+	for name, at := range map[string]pauseAt{"in mid-stream": inMidStream, "first event": beforeBody} {
+		runInBubble(t, name, func(t *testing.T) {
+			s := lateSender{&pausingSender{at: at, first: forever, pauses: map[string]time.Duration{}}}
+			if w := post(testGateway(s), "/stream/x", "m"); w.Body.String() != wholeStream() || len(s.sent) != 2 {
+				t.Errorf("body %q, sent to %v", w.Body.String(), s.sent)
+			}
+		})
+	}
+}
