Soak: the streams at a silent engine take seeds

Which engines can serve, how long one is silent (-soak.silence 0) and when hosts stop follow from the seed (-soak.silent).

--- a/soak/silentengine_test.go
+++ b/soak/silentengine_test.go
@@ -13,14 +13,18 @@
 	"time"
 )
 
-var longSilence = flag.Duration("soak.silence", 2200*time.Millisecond, "how long a sound engine is silent at a time")
+var (
+	longSilence = flag.Duration("soak.silence", 2200*time.Millisecond, "how long a sound engine is silent at a time; 0: by seed")
+	firstSilent = flag.Uint64("soak.silent", 1, "first seed of the streams at silent engines")
+)
 
 // Times of the streams at a silent engine.
 const (
 	silencePeriod  = 5 * time.Second // from one silence to the next
 	streamInterval = 25 * time.Millisecond
 	streamTimeout  = 5 * time.Second // timeout_ms of the route
-	seriesStopGap  = 1500 * time.Millisecond
+	minSilence     = 800 * time.Millisecond
+	maxSilence     = 2400 * time.Millisecond
 	goOnTime       = 4 * time.Second // within which a stream whose engine is lost has to be whole
 	slowEventDelay = 100 * time.Millisecond
 )
@@ -91,7 +95,7 @@
 			_ = p.cmd.Wait() // any exit status is accepted
 			p.start(s.t, s.binary)
 		})
-		time.Sleep(seriesStopGap)
+		time.Sleep(time.Duration(s.random.Int64N(int64(maxSeriesGap))))
 	}
 	running.Wait()
 	return stopped
@@ -137,15 +141,29 @@
 }
 
 // TestStreamsAtASilentEngine guards against streams that their host ends since the only engine that can serve them is silent for a while,
-// beside hosts that stop one after the other.
+// beside hosts that stop one after the other. With some seeds another engine can load the model.
 func TestStreamsAtASilentEngine(t *testing.T) {
-	s := startSoak(t, buildDaemon(t), 1)
+	binary := buildDaemon(t)
+	for i := range uint64(*seedCount) {
+		t.Run(fmt.Sprint(*firstSilent+i), func(t *testing.T) { runSilentEngine(t, binary, *firstSilent+i) })
+	}
+}
+
+func runSilentEngine(t *testing.T, binary string, seed uint64) {
+	s := startSoak(t, binary, seed)
 	s.engines[0].EventDelay = slowEventDelay
-	s.registerEngine(1, "draining")
-	s.registerEngine(2, "draining")
+	ready := 1 + s.random.IntN(2)
+	for i := ready; i < len(s.engines); i++ {
+		s.registerEngine(i, "draining")
+	}
 	time.Sleep(drainBound)
+	silence := *longSilence
+	if silence == 0 {
+		silence = minSilence + time.Duration(s.random.Int64N(int64(maxSilence-minSilence)))
+	}
+	t.Logf("%d engines can serve, the first is silent for %v", ready, silence)
 	stop := make(chan struct{})
-	go s.repeatSilence(0, *longSilence, stop)
+	go s.repeatSilence(0, silence, stop)
 	var stopped map[string]time.Time
 	outcomes := s.streamsDuring(func() {
 		time.Sleep(silencePeriod)
