Requests passed on to another host stay where they are until a further host has taken them

Hosts that stop decline, so in stops in series each of three may. The stream was lost although its target, or the first host, went on.

The request is now sent to the further host while the silent peer still has it, as for targets, and hosts that decline are asked no more in that search. A host is a place once it has responded or has not declined for 150 ms; whether it finds a target in time is not known. A plain response of more than 4 MiB that comes through another host is no longer watched for silence once it is being passed on.

--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -93,7 +93,7 @@
 		x.taken = 0
 	}
 	for range maxHelpers {
-		helper, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
+		helper, ok := g.nextHelper(x)
 		if !ok || ctx.Err() != nil {
 			break
 		}
@@ -140,22 +140,23 @@
 
 // sendThrough sends a request through one host and relays its response.
 func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) (outcome result) {
-	g.releasePlace(x)
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	relay := fleet.Relay{Header: x.r.Header, Deadline: x.deadline - g.opts.Now(), LastEventID: x.events.lastID}
-	if x.headWritten && x.call.Resumes == "" {
-		relay.Resumes = x.call.ID
+	s, _ := x.takeSending()
+	begun := s != nil // while another peer had the request
+	if !begun {
+		g.releasePlace(x)
+		s = g.newRelaySending(ctx, x, helper)
 	}
-	silence := g.watchSilence(ctx, cancel, x, g.relaySilence(x), g.searchHelper(helper.Name))
+	defer s.cancel(nil)
+	silence := g.watchSilence(ctx, s.cancel, x, g.relaySilence(x), g.searchHelper(ctx, helper.Name))
 	defer func() { g.endWatch(x, silence, outcome) }() // also if the response is aborted
-	header := g.opts.Codec.RelayHeader(relay)
-	header.Set(headerRelayedBy, g.opts.Self)
-	request := target.ForwardRequest{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, ToHost: true}
-	resp, err := g.opts.Helpers.Forward(sendCtx, helper.RelayAddress, request, g.responseID)
-	if err != nil {
-		return g.relayFailed(x, helper, err)
+	if !begun {
+		s.forward(g.responseID)
+	}
+	<-s.done
+	if s.err != nil {
+		return g.relayFailed(x, helper, s.err)
 	}
+	resp := s.resp
 	defer resp.Body.Close()
 	if resp.Header.Get(headerDeclined) != "" {
 		return notRun
@@ -172,7 +173,18 @@
 	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
 		return g.passStream(x, helper, resp, silence)
 	}
-	return g.passWhole(x, helper, resp)
+	return g.passWhole(x, helper, resp, silence)
+}
+
+// newRelayRequest returns the request to another host that is to pass it on.
+func (g *Gateway) newRelayRequest(x *exchange) target.ForwardRequest {
+	relay := fleet.Relay{Header: x.r.Header, Deadline: x.deadline - g.opts.Now(), LastEventID: x.events.lastID}
+	if x.headWritten && x.call.Resumes == "" {
+		relay.Resumes = x.call.ID
+	}
+	header := g.opts.Codec.RelayHeader(relay)
+	header.Set(headerRelayedBy, g.opts.Self)
+	return target.ForwardRequest{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body, ToHost: true}
 }
 
 // relaySilenceMargin is the time in which another host moves a request from a silent target.
@@ -205,8 +217,11 @@
 }
 
 // passWhole passes on a response once it has come whole.
-func (g *Gateway) passWhole(x *exchange, helper fleet.Host, resp *target.ForwardResponse) result {
+func (g *Gateway) passWhole(x *exchange, helper fleet.Host, resp *target.ForwardResponse, silence *silenceWatch) result {
 	if resp.Length > maxBufferedBytes {
+		if err := silence.pause(); err != nil {
+			return g.relayFailed(x, helper, err)
+		}
 		return g.passLarge(x, resp)
 	}
 	body, err := readBuffered(resp.Body)
@@ -244,17 +259,22 @@
 	buf := make([]byte, copyBufferBytes)
 	began := false
 	for {
+		before := x.events.position
 		events, err := x.events.readFrom(resp.Body, buf)
 		if len(events) > 0 {
 			began = true
 			progress := hasField(events)
-			if progress {
-				_ = silence.pause() // the caller may be slow; nothing has been sent to another host yet
+			if progress { // the caller may be slow
+				if moved := silence.pause(); moved != nil {
+					x.events.position = before
+					return g.relayFailed(x, helper, moved)
+				}
 			}
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
 			}
 			if progress {
+				x.sends += silence.takeSends()
 				silence.restart(x, g.relaySilence(x))
 			}
 		}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -8,17 +8,18 @@
 	"github.com/sirupsen/logrus"
 
 	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/fleet"
 )
 
-// place is where a request goes on that is at a silent target: at another target that it has been sent to, or through other hosts.
+// place is where a request goes on that is at a silent target or host. It has been sent there.
 type place struct {
-	choice    coordinator.Choice
-	sending   *sending     // to the target; nil: the request goes on through other hosts
-	endSlot   func()       // ends the use of a slot at the target
-	memory    memoryUse    // at the target
-	charge    *RetryCharge // of the retry budget; nil: it is spent
-	viaHelper bool
-	log       logrus.Fields // for the request's log line
+	choice  coordinator.Choice // the target; not set if helper is
+	helper  *fleet.Host        // the host that passes it on; nil: none does
+	sending *sending           // nil: it was not sent after all
+	endSlot func()             // ends the use of a slot at the target; nil: none is used
+	memory  memoryUse          // at the target
+	charge  *RetryCharge       // of the retry budget; nil: it is spent
+	log     logrus.Fields      // for the request's log line
 }
 
 // release gives up a place. p may be nil.
@@ -62,19 +63,18 @@
 	}}
 }
 
-// find waits for a target and sends the request there while the silent one still has it.
+// find waits for a target and sends the request there while the silent one still has it. A host that is cut off has another host send it.
 func (s *targetSearch) find(search context.Context, x *exchange) *place {
 	choice, ok := s.choose(search, x)
-	if !ok && !x.viaHelper {
+	if !ok && x.viaHelper {
+		return s.g.findHelper(s.ctx, search, x)
+	}
+	if !ok {
 		return nil
 	}
-	p := &place{choice: choice, viaHelper: x.viaHelper, memory: x.memory, log: x.log}
+	p := &place{choice: choice, memory: x.memory, log: x.log}
 	x.memory = memoryUse{}
-	outcome := trialDeclined
-	if s.g.mayGoOn(x, p) {
-		outcome = s.g.sendAside(s.ctx, search, x, p)
-	}
-	switch outcome {
+	switch s.sendAside(search, x, p) {
 	case trialGoesOn:
 		return p
 	case trialDeclined:
@@ -87,6 +87,23 @@
 	return nil
 }
 
+// sendAside takes what a request needs at a target and sends it there.
+func (s *targetSearch) sendAside(search context.Context, x *exchange, p *place) trial {
+	if !s.g.mayGoOn(x, p) {
+		return trialDeclined
+	}
+	x.memory = p.memory
+	p.endSlot, _ = s.g.beginSend(x, p.choice)
+	p.memory, x.memory = x.memory, memoryUse{}
+	if p.endSlot == nil {
+		return trialDeclined
+	}
+	p.sending = s.g.newSending(s.ctx, x, p.choice)
+	outcome := s.g.tryAside(search, p.sending, func() trial { return s.g.checkTrial(x, p.choice, p.sending) })
+	p.spendCharge()
+	return outcome
+}
+
 // choose is awaitTarget without the targets that are not tried now.
 func (s *targetSearch) choose(search context.Context, x *exchange) (coordinator.Choice, bool) {
 	avoid, now := maps.Clone(s.failed), s.g.opts.Now()
@@ -117,44 +134,51 @@
 	return ok
 }
 
-// sendAside sends a request to another target while the silent one still has it, until search ends. ctx is the request's.
-func (g *Gateway) sendAside(ctx, search context.Context, x *exchange, p *place) trial {
-	if p.viaHelper {
-		return trialGoesOn // other hosts are asked later
-	}
-	x.memory = p.memory
-	p.endSlot, _ = g.beginSend(x, p.choice)
-	p.memory, x.memory = x.memory, memoryUse{}
-	if p.endSlot == nil {
-		return trialDeclined
-	}
-	p.sending = g.newSending(ctx, x, p.choice)
-	go g.forward(p.sending)
-	outcome := g.awaitTrial(search, x, p.choice, p.sending)
+// spendCharge makes the charge for a send final, unless it reached nothing.
+func (p *place) spendCharge() {
 	if !p.sending.unreachable() {
-		p.charge = nil // it is spent
-	}
-	if search.Err() != nil && outcome == trialGoesOn {
-		return trialBroke // the silent target goes on
+		p.charge = nil
 	}
-	return outcome
 }
 
-// searchHelper returns a search for a further host than the silent one that a request was passed on to.
-func (g *Gateway) searchHelper(silent string) placeSearch {
-	find := func(_ context.Context, x *exchange) *place {
-		if _, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions); !ok {
-			return nil
-		}
-		p := &place{viaHelper: true}
-		if !g.mayGoOn(x, p) {
-			return nil
-		}
+// findHelper sends a request through a further host while a silent target or host still has it. ctx is the request's.
+func (g *Gateway) findHelper(ctx, search context.Context, x *exchange) *place {
+	helper, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
+	if !ok {
+		return nil
+	}
+	p := &place{helper: &helper, log: x.log}
+	if !g.mayGoOn(x, p) {
+		return nil
+	}
+	x.tryHelper(helper.Name)
+	p.sending = g.newRelaySending(ctx, x, helper)
+	outcome := g.tryAside(search, p.sending, func() trial { return g.checkRelayTrial(x, helper, p.sending) })
+	p.spendCharge()
+	if outcome == trialGoesOn {
 		return p
 	}
+	if outcome == trialBroke {
+		x.sends++
+	}
+	g.release(x, p)
+	return nil
+}
+
+// searchHelper returns a search for a further host than the silent one that a request was passed on to. ctx is the request's.
+func (g *Gateway) searchHelper(ctx context.Context, silent string) placeSearch {
+	find := func(search context.Context, x *exchange) *place { return g.findHelper(ctx, search, x) }
 	return placeSearch{peer: silent, begin: func() func(context.Context, *exchange) *place { return find }}
 }
 
+// nextHelper returns the host through which a request is sent next: the place that was found for it, if there is one.
+func (g *Gateway) nextHelper(x *exchange) (fleet.Host, bool) {
+	if p := x.place; p != nil && p.helper != nil {
+		return *p.helper, true
+	}
+	return g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
+}
+
 // nextTarget returns the target to which a request is sent next: the place that was found for it, if there is one.
 func (g *Gateway) nextTarget(ctx context.Context, x *exchange, avoid map[string]bool) (coordinator.Choice, bool) {
 	p := x.place
@@ -163,12 +187,12 @@
 	}
 	maps.Copy(x.log, p.log)
 	x.memory, p.memory = p.memory, memoryUse{}
-	x.viaHelper = p.viaHelper
-	return p.choice, !p.viaHelper
+	x.viaHelper = p.helper != nil
+	return p.choice, !x.viaHelper
 }
 
-// takeSending returns the request that was sent to another target while the first one was silent, and what ends the use of its slot there; nil:
-// there is none.
+// takeSending returns the request that was sent to its place while another peer was silent, and what ends the use of its slot there; nil: there is
+// none.
 func (x *exchange) takeSending() (s *sending, endSlot func()) {
 	p := x.place
 	if p == nil || p.sending == nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -51,7 +51,7 @@
 	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silence))()
 
 	if !begun {
-		g.forward(s)
+		s.forward(g.responseID)
 	}
 	<-s.done
 	if s.err != nil {
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"buckthornseam.dev/seam/internal/coordinator"
+	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
 )
 
-// sending is a request to a target, until the head of the response is there.
+// sending is a request to a target, or to a host that passes it on, until the head of the response is there.
 type sending struct {
 	ctx     context.Context // of the whole exchange
 	cancel  context.CancelCauseFunc
+	sender  Sender
 	address string
 	request target.ForwardRequest
 	at      time.Duration // when it began
@@ -23,15 +25,22 @@
 }
 
 func (g *Gateway) newSending(ctx context.Context, x *exchange, c coordinator.Choice) *sending {
-	s := &sending{address: c.Target.Address, request: g.newForwardRequest(x, c), at: g.opts.Now(), done: make(chan struct{})}
+	s := &sending{sender: g.opts.Sender, address: c.Target.Address, request: g.newForwardRequest(x, c), at: g.opts.Now(), done: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	return s
+}
+
+// newRelaySending is newSending for a request that another host is to pass on.
+func (g *Gateway) newRelaySending(ctx context.Context, x *exchange, helper fleet.Host) *sending {
+	s := &sending{sender: g.opts.Helpers, address: helper.RelayAddress, request: g.newRelayRequest(x), at: g.opts.Now(), done: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	return s
 }
 
 // forward sends the request. It returns when the head of the response is there.
-func (g *Gateway) forward(s *sending) {
+func (s *sending) forward(idOf target.ResponseIDFunc) {
 	defer close(s.done)
-	s.resp, s.err = g.opts.Sender.Forward(s.ctx, s.address, s.request, g.responseID)
+	s.resp, s.err = s.sender.Forward(s.ctx, s.address, s.request, idOf)
 }
 
 // abandon ends a request whose response is of no use.
@@ -64,38 +73,43 @@
 	}
 }
 
-// trial is what is known of a request that was sent to another target while the first one is silent.
+// trial is what is known of a request that was sent to another place while the first one is silent.
 type trial int
 
 const (
-	trialGoesOn   trial = iota // the target has responded, or has not declined the request for a moment
-	trialDeclined              // the target does not run it
-	trialBroke                 // the target may have run it, and will not respond
+	trialGoesOn   trial = iota // there is a response, or the request has not been declined for a moment
+	trialDeclined              // it does not run there
+	trialBroke                 // it may run there, and there will be no response
 )
 
 // trialTime is how long the silent target keeps a request that another one has been sent. A rejection comes sooner. It must be much shorter
 // than the 0.4 s for which two targets may work on a stream.
 const trialTime = 150 * time.Millisecond
 
-// awaitTrial waits until a target has had the time to decline a request, or ctx ends, and records what a failure says of the target.
-func (g *Gateway) awaitTrial(ctx context.Context, x *exchange, c coordinator.Choice, s *sending) trial {
+// tryAside sends a request while a silent peer still has it, and waits until the other one has had the time to decline it, or search ends. check
+// says what the head of a response or the error means.
+func (g *Gateway) tryAside(search context.Context, s *sending, check func() trial) trial {
+	go s.forward(g.responseID)
 	timer := time.NewTimer(trialTime)
 	defer timer.Stop()
+	outcome := trialGoesOn
 	select {
 	case <-s.done:
+		outcome = check()
 	case <-timer.C:
-		return trialGoesOn
-	case <-ctx.Done():
-		return trialGoesOn
+	case <-search.Done():
+	}
+	if outcome == trialGoesOn && search.Err() != nil {
+		return trialBroke // the silent peer goes on
 	}
+	return outcome
+}
+
+// checkTrial says what the head of a target's response or the error means, and records it.
+func (g *Gateway) checkTrial(x *exchange, c coordinator.Choice, s *sending) trial {
 	if s.err != nil {
 		x.sentAt = s.at
-		switch g.sendFailed(x, c, s.err) {
-		case mayHaveRun:
-			return trialBroke
-		default:
-			return trialDeclined
-		}
+		return trialOf(g.sendFailed(x, c, s.err))
 	}
 	response := g.opts.Codec.ReadResponse(s.resp.Status, s.resp.Header)
 	if !response.NotRun {
@@ -106,6 +120,24 @@
 	return trialDeclined
 }
 
+// checkRelayTrial is checkTrial for another host.
+func (g *Gateway) checkRelayTrial(x *exchange, helper fleet.Host, s *sending) trial {
+	switch {
+	case s.err != nil:
+		return trialOf(g.relayFailed(x, helper, s.err))
+	case s.resp.Header.Get(headerDeclined) != "", promisesNotRun[s.resp.Status]:
+		return trialDeclined
+	}
+	return trialGoesOn
+}
+
+func trialOf(failure result) trial {
+	if failure == mayHaveRun {
+		return trialBroke
+	}
+	return trialDeclined
+}
+
 // isUnreachable reports whether nothing of a request reached its target.
 func isUnreachable(err error) bool {
 	var unreachable *target.UnreachableError
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -423,3 +423,55 @@
 		})
 	}
 }
+
+// decliningHelpers are hosts of which all but the one with the given name decline requests; a name that none has: all decline.
+type decliningHelpers struct {
+	pausingHelpers
+	takes string
+}
+
+func (h decliningHelpers) Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	if address != h.takes {
+		return declined(f)
+	}
+	return h.pausingHelpers.Forward(ctx, address, f, idOf)
+}
+
+// TestHostThatIsCutOffKeepsWhatOtherHostsDecline guards against responses that a host ends, as it takes itself for cut off and its target is silent for
+// a moment, although each other host that is asked declines the request: hosts that stop do.
+func TestHostThatIsCutOffKeepsWhatOtherHostsDecline(t *testing.T) {
+	names := []string{"h1", "h2", "h3", "h4"}
+	runInBubble(t, "all", func(t *testing.T) {
+		s := &pausingSender{at: inMidStream, first: 1200 * time.Millisecond}
+		g := testGateway(s)
+		g.opts.Reach, g.opts.Helpers, g.opts.Self = lostLater{at: time.Now().Add(300 * time.Millisecond)}, decliningHelpers{pausingHelpers{s, names}, "none"}, "h0"
+		onlyTargets(g, "e1")
+		if w := post(g, "/stream/x", "m"); w.Body.String() != wholeStream() {
+			t.Errorf("body %q, sent to %v", w.Body.String(), s.sent)
+		}
+	})
+	runInBubble(t, "all but the last", func(t *testing.T) {
+		s := &pausingSender{at: inMidStream, first: forever}
+		g := testGateway(s)
+		g.opts.Reach, g.opts.Helpers, g.opts.Self = lostLater{at: time.Now().Add(300 * time.Millisecond)}, decliningHelpers{pausingHelpers{s, names}, "h4"}, "h0"
+		onlyTargets(g, "e1")
+		began := time.Now()
+		if w := post(g, "/stream/x", "m"); w.Body.String() != wholeStream() || time.Since(began) > 2*time.Second {
+			t.Errorf("body %q after %v, sent to %v", w.Body.String(), time.Since(began), s.sent)
+		}
+	})
+}
+
+// TestSilentHelperKeepsARequestThatOtherHostsDecline covers the same for a request that was passed on to a host that is silent.
+func TestSilentHelperKeepsARequestThatOtherHostsDecline(t *testing.T) {
+	for name, c := range silenceCases {
+		runInBubble(t, name, func(t *testing.T) {
+			s := &pausingSender{at: c.at, first: longPause + silenceMin}
+			g := testGateway(s)
+			g.opts.Reach, g.opts.Helpers, g.opts.Self = lostWay{}, decliningHelpers{pausingHelpers{s, []string{"h1", "h2", "h3"}}, "h1"}, "h0"
+			if w := post(g, c.path, c.model); w.Body.String() != wholeStream() {
+				t.Errorf("status %d, body %q, sent to %v", w.Code, w.Body.String(), s.sent)
+			}
+		})
+	}
+}
