A target that declines a request from a silent one is tried once more, not for ever

Each try uses the retry budget of the service, also when the request is rejected. With silent targets and others that reject, one request could use six retries in the time that it has. Found in reading; the tests of silent targets pass as before.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -49,7 +49,7 @@
 	g        *Gateway
 	ctx      context.Context          // of the request
 	failed   map[string]bool          // targets that are not tried again
-	declined map[string]time.Duration // those that have declined the request, and until when they are not tried again
+	declined map[string]time.Duration // those that have declined the request once, and until when they are not tried again
 }
 
 // searchTarget returns a search for another target than the silent one. avoid are the targets that have failed before; ctx is the request's.
@@ -78,7 +78,7 @@
 	case trialGoesOn:
 		return p
 	case trialDeclined:
-		s.declined[choice.Target.ID] = s.g.opts.Now() + declinedTime
+		s.recordDeclined(choice.Target.ID)
 	case trialBroke:
 		x.sends++
 		s.failed[choice.Target.ID] = true
@@ -87,6 +87,14 @@
 	return nil
 }
 
+// recordDeclined records that a target has declined the request. It is tried once more, as each try uses the retry budget.
+func (s *targetSearch) recordDeclined(id string) {
+	if _, again := s.declined[id]; again {
+		s.failed[id] = true
+	}
+	s.declined[id] = s.g.opts.Now() + declinedTime
+}
+
 // sendAside takes what a request needs at a target and sends it there.
 func (s *targetSearch) sendAside(search context.Context, x *exchange, p *place) trial {
 	if !s.g.mayGoOn(x, p) {
@@ -107,14 +115,13 @@
 // choose is awaitTarget without the targets that are not tried now.
 func (s *targetSearch) choose(search context.Context, x *exchange) (coordinator.Choice, bool) {
 	avoid, now := maps.Clone(s.failed), s.g.opts.Now()
+	waiting := false
 	for id, until := range s.declined {
-		if now >= until {
-			delete(s.declined, id)
-			continue
+		if now < until && !avoid[id] {
+			avoid[id], waiting = true, true
 		}
-		avoid[id] = true
 	}
-	if len(s.declined) > 0 { // wait no longer than until they are tried again
+	if waiting { // no longer than until they are tried again
 		var cancel context.CancelFunc
 		search, cancel = context.WithTimeout(search, declinedTime)
 		defer cancel()
