Name the second send of a silent target's request a hedge; a spent budget is no rejection

hedge is the usual term for a second send while the first is outstanding; place, trial and sendAside were words of our own. Two slips found in the same reading: a retry budget that was spent for a moment counted as a rejection by the target, so that after two of them it was not tried again; and a hedge whose silent target went on in the last moment did not count as an attempt. A timer that fires a moment before the silence is too long is set again, instead of being lost.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,7 +52,7 @@
 	helpersTried      map[string]bool // hosts through which the request was tried
 	viaHelper         bool            // it is to be sent through another host now
 	waitsDirectly     bool            // it was decided that this host sends the request itself
-	place             *place          // where it goes on; nil: not known
+	hedge             *hedge          // a second send of it, which goes on; nil: none
 	silent            time.Duration   // for which targets were silent and then went on, beyond what is usual
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/hedge.go
@@ -11,33 +11,33 @@
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
-// place is where a request goes on that is at a silent target or host. It has been sent there.
-type place struct {
+// hedge is a second send of a request, begun while the target or the host that has it is silent.
+type hedge struct {
 	choice  coordinator.Choice // the target; not set if helper is
 	helper  *fleet.Host        // the host that passes it on; nil: none does
-	sending *sending           // nil: it was not sent after all
+	sending *sending           // nil: it was not sent
 	endSlot func()             // ends the use of a slot at the target; nil: none is used
 	memory  memoryUse          // at the target
 	charge  *RetryCharge       // of the retry budget; nil: it is spent
 	log     logrus.Fields      // for the request's log line
 }
 
-// release gives up a place. p may be nil.
-func (g *Gateway) release(x *exchange, p *place) {
-	if p == nil {
+// release ends a hedge and gives up what it holds. h may be nil.
+func (g *Gateway) release(x *exchange, h *hedge) {
+	if h == nil {
 		return
 	}
-	if p.sending != nil {
-		p.sending.abandon()
+	if h.sending != nil {
+		h.sending.abandon()
 	}
-	if p.endSlot != nil {
-		p.endSlot()
+	if h.endSlot != nil {
+		h.endSlot()
 	}
-	if p.memory.seq != 0 {
-		g.opts.View.ReleaseMemory(p.memory.seq, p.sending != nil)
+	if h.memory.seq != 0 {
+		g.opts.View.ReleaseMemory(h.memory.seq, h.sending != nil)
 	}
-	if p.charge != nil {
-		g.opts.Budget.Refund(x.service, *p.charge)
+	if h.charge != nil {
+		g.opts.Budget.Refund(x.service, *h.charge)
 	}
 }
 
@@ -53,10 +53,10 @@
 }
 
 // searchTarget returns a search for another target than the silent one. avoid are the targets that have failed before; ctx is the request's.
-func (g *Gateway) searchTarget(ctx context.Context, avoid map[string]bool, silent string) placeSearch {
+func (g *Gateway) searchTarget(ctx context.Context, avoid map[string]bool, silent string) hedgeSearch {
 	failed := maps.Clone(avoid) // now, as avoid may change while a search ends
 	failed[silent] = true
-	return placeSearch{peer: silent, begin: func() func(context.Context, *exchange) *place {
+	return hedgeSearch{peer: silent, begin: func() func(context.Context, *exchange) *hedge {
 		g.opts.View.RecordOutcome(silent, false)
 		s := targetSearch{g: g, ctx: ctx, failed: maps.Clone(failed), declined: map[string]time.Duration{}}
 		return s.find
@@ -64,7 +64,7 @@
 }
 
 // find waits for a target and sends the request there while the silent one still has it. A host that is cut off has another host send it.
-func (s *targetSearch) find(search context.Context, x *exchange) *place {
+func (s *targetSearch) find(search context.Context, x *exchange) *hedge {
 	choice, ok := s.choose(search, x)
 	if !ok && x.viaHelper {
 		return s.g.findHelper(s.ctx, search, x)
@@ -72,18 +72,18 @@
 	if !ok {
 		return nil
 	}
-	p := &place{choice: choice, memory: x.memory, log: x.log}
+	h := &hedge{choice: choice, memory: x.memory, log: x.log}
 	x.memory = memoryUse{}
-	switch s.sendAside(search, x, p) {
-	case trialGoesOn:
-		return p
-	case trialDeclined:
+	switch s.sendHedge(search, x, h) {
+	case hedgeTaken:
+		return h
+	case hedgeDeclined:
 		s.recordDeclined(choice.Target.ID)
-	case trialBroke:
+	case hedgeBroken:
 		x.sends++
 		s.failed[choice.Target.ID] = true
 	}
-	s.g.release(x, p)
+	s.g.release(x, h)
 	return nil
 }
 
@@ -95,20 +95,20 @@
 	s.declined[id] = s.g.opts.Now() + declinedTime
 }
 
-// sendAside takes what a request needs at a target and sends it there.
-func (s *targetSearch) sendAside(search context.Context, x *exchange, p *place) trial {
-	if !s.g.mayGoOn(x, p) {
-		return trialDeclined
+// sendHedge takes what a request needs at a target and sends it there.
+func (s *targetSearch) sendHedge(search context.Context, x *exchange, h *hedge) hedgeResult {
+	if !s.g.mayHedge(x, h) {
+		return hedgeNotSent
 	}
-	x.memory = p.memory
-	p.endSlot, _ = s.g.beginSend(x, p.choice)
-	p.memory, x.memory = x.memory, memoryUse{}
-	if p.endSlot == nil {
-		return trialDeclined
+	x.memory = h.memory
+	h.endSlot, _ = s.g.beginSend(x, h.choice)
+	h.memory, x.memory = x.memory, memoryUse{}
+	if h.endSlot == nil {
+		return hedgeNotSent
 	}
-	p.sending = s.g.newSending(s.ctx, x, p.choice)
-	outcome := s.g.tryAside(search, p.sending, func() trial { return s.g.checkTrial(x, p.choice, p.sending) })
-	p.spendCharge()
+	h.sending = s.g.newSending(s.ctx, x, h.choice)
+	outcome := s.g.awaitHedge(search, h.sending, func() hedgeResult { return s.g.checkHedge(x, h.choice, h.sending) })
+	h.spendCharge()
 	return outcome
 }
 
@@ -129,88 +129,87 @@
 	return s.g.awaitTarget(search, x, avoid)
 }
 
-// mayGoOn charges the retry budget for a place, and reports whether the request may be sent once more.
-func (g *Gateway) mayGoOn(x *exchange, p *place) bool {
+// mayHedge charges the retry budget for a hedge, and reports whether the request may be sent once more.
+func (g *Gateway) mayHedge(x *exchange, h *hedge) bool {
 	if g.hasBlockedPart(x) || g.mayNotSend(x) != "" {
 		return false
 	}
 	charge, ok := g.chargeRetry(x)
 	if ok {
-		p.charge = &charge
+		h.charge = &charge
 	}
 	return ok
 }
 
 // spendCharge makes the charge for a send final, unless it reached nothing.
-func (p *place) spendCharge() {
-	if !p.sending.unreachable() {
-		p.charge = nil
+func (h *hedge) spendCharge() {
+	if !h.sending.unreachable() {
+		h.charge = nil
 	}
 }
 
 // findHelper sends a request through a further host while a silent target or host still has it. ctx is the request's.
-func (g *Gateway) findHelper(ctx, search context.Context, x *exchange) *place {
+func (g *Gateway) findHelper(ctx, search context.Context, x *exchange) *hedge {
 	helper, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
 	if !ok {
 		return nil
 	}
-	p := &place{helper: &helper, log: x.log}
-	if !g.mayGoOn(x, p) {
+	h := &hedge{helper: &helper, log: x.log}
+	if !g.mayHedge(x, h) {
 		return nil
 	}
 	x.tryHelper(helper.Name)
-	p.sending = g.newRelaySending(ctx, x, helper)
-	outcome := g.tryAside(search, p.sending, func() trial { return g.checkRelayTrial(x, helper, p.sending) })
-	p.spendCharge()
-	if outcome == trialGoesOn {
-		return p
+	h.sending = g.newRelaySending(ctx, x, helper)
+	outcome := g.awaitHedge(search, h.sending, func() hedgeResult { return g.checkRelayHedge(x, helper, h.sending) })
+	h.spendCharge()
+	if outcome == hedgeTaken {
+		return h
 	}
-	if outcome == trialBroke {
+	if outcome == hedgeBroken {
 		x.sends++
 	}
-	g.release(x, p)
+	g.release(x, h)
 	return nil
 }
 
 // searchHelper returns a search for a further host than the silent one that a request was passed on to. ctx is the request's.
-func (g *Gateway) searchHelper(ctx context.Context, silent string) placeSearch {
-	find := func(search context.Context, x *exchange) *place { return g.findHelper(ctx, search, x) }
-	return placeSearch{peer: silent, begin: func() func(context.Context, *exchange) *place { return find }}
+func (g *Gateway) searchHelper(ctx context.Context, silent string) hedgeSearch {
+	find := func(search context.Context, x *exchange) *hedge { return g.findHelper(ctx, search, x) }
+	return hedgeSearch{peer: silent, begin: func() func(context.Context, *exchange) *hedge { return find }}
 }
 
-// nextHelper returns the host through which a request is sent next: the place that was found for it, if there is one.
+// nextHelper returns the host through which a request is sent next: that of its hedge, if there is one.
 func (g *Gateway) nextHelper(x *exchange) (fleet.Host, bool) {
-	if p := x.place; p != nil && p.helper != nil {
-		return *p.helper, true
+	if h := x.hedge; h != nil && h.helper != nil {
+		return *h.helper, true
 	}
 	return g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
 }
 
-// nextTarget returns the target to which a request is sent next: the place that was found for it, if there is one.
+// nextTarget returns the target to which a request is sent next: that of its hedge, if there is one.
 func (g *Gateway) nextTarget(ctx context.Context, x *exchange, avoid map[string]bool) (coordinator.Choice, bool) {
-	p := x.place
-	if p == nil {
+	h := x.hedge
+	if h == nil {
 		return g.awaitTarget(ctx, x, avoid)
 	}
-	maps.Copy(x.log, p.log)
-	x.memory, p.memory = p.memory, memoryUse{}
-	x.viaHelper = p.helper != nil
-	return p.choice, !x.viaHelper
+	maps.Copy(x.log, h.log)
+	x.memory, h.memory = h.memory, memoryUse{}
+	x.viaHelper = h.helper != nil
+	return h.choice, !x.viaHelper
 }
 
-// takeSending returns the request that was sent to its place while another peer was silent, and what ends the use of its slot there; nil: there is
-// none.
+// takeSending returns the send of the request's hedge, which goes on, and what ends the use of its slot; nil: there is none.
 func (x *exchange) takeSending() (s *sending, endSlot func()) {
-	p := x.place
-	if p == nil || p.sending == nil {
+	h := x.hedge
+	if h == nil || h.sending == nil {
 		return nil, nil
 	}
-	x.place = nil
-	return p.sending, p.endSlot
+	x.hedge = nil
+	return h.sending, h.endSlot
 }
 
-// releasePlace gives up the place that was found for a request, if it was not used.
-func (g *Gateway) releasePlace(x *exchange) {
-	g.release(x, x.place)
-	x.place = nil
+// releaseHedge ends the hedge of a request, if it was not taken.
+func (g *Gateway) releaseHedge(x *exchange) {
+	g.release(x, x.hedge)
+	x.hedge = nil
 }
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -141,9 +141,9 @@
 // sendThrough sends a request through one host and relays its response.
 func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) (outcome result) {
 	s, _ := x.takeSending()
-	begun := s != nil // while another peer had the request
+	begun := s != nil // a hedge
 	if !begun {
-		g.releasePlace(x)
+		g.releaseHedge(x)
 		s = g.newRelaySending(ctx, x, helper)
 	}
 	defer s.cancel(nil)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -49,7 +49,7 @@
 	if x.relayedBy == "" {
 		defer context.AfterFunc(g.ending, func() { cancel(&StopOverError{}) })()
 	}
-	defer func() { g.releasePlace(x) }()
+	defer func() { g.releaseHedge(x) }()
 	x.events.lastID = x.call.LastEventID
 	if !g.outlastsStop(x) && g.goesThroughHelper(x) && g.passOn(ctx, x) {
 		return
@@ -139,10 +139,10 @@
 	if x.tries == 0 && x.sends == 0 {
 		return RetryCharge{}, true
 	}
-	if p := x.place; p != nil { // charged when it was found
+	if h := x.hedge; h != nil { // charged when it was found
 		var charge RetryCharge
-		if p.charge != nil {
-			charge, p.charge = *p.charge, nil
+		if h.charge != nil {
+			charge, h.charge = *h.charge, nil
 		}
 		return charge, true
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,7 +35,7 @@
 // try sends a request to one target and relays its response. avoid are the targets that have failed before.
 func (g *Gateway) try(ctx context.Context, x *exchange, c coordinator.Choice, avoid map[string]bool) (outcome result) {
 	s, end := x.takeSending()
-	begun := s != nil // at the place that was found while another target had the request
+	begun := s != nil // a hedge
 	if !begun {
 		if end, outcome = g.beginSend(x, c); end == nil {
 			x.tries--
@@ -82,22 +82,22 @@
 	return g.relay(x, c, resp, silence, s.at)
 }
 
-// endWatch ends the watch of a send and keeps the place that was found, if the request needs another one.
+// endWatch ends the watch of a send and keeps the hedge, if the request needs it.
 func (g *Gateway) endWatch(x *exchange, w *silenceWatch, outcome result) {
-	p, silent := w.end()
+	h, silent := w.end()
 	x.sends += w.takeSends()
 	x.silent += silent
 	if x.silent > 0 {
 		x.log["silent_ms"] = x.silent.Milliseconds()
 	}
-	if p == nil {
+	if h == nil {
 		return
 	}
 	if outcome != notRun && outcome != mayHaveRun {
-		g.release(x, p)
+		g.release(x, h)
 		return
 	}
-	x.place, x.log["moved"] = p, true
+	x.hedge, x.log["moved"] = h, true
 }
 
 // isOwnSuccess reports whether a response, if it says that the request succeeded, comes from a target that ran this request.
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -73,69 +73,70 @@
 	}
 }
 
-// trial is what is known of a request that was sent to another place while the first one is silent.
-type trial int
+// hedgeResult is what is known of a hedge after hedgeWait.
+type hedgeResult int
 
 const (
-	trialGoesOn   trial = iota // there is a response, or the request has not been declined for a moment
-	trialDeclined              // it does not run there
-	trialBroke                 // it may run there, and there will be no response
+	hedgeTaken    hedgeResult = iota // there is a response, or the request has not been declined
+	hedgeNotSent                     // it needs something that is not to be had just now
+	hedgeDeclined                    // it does not run there
+	hedgeBroken                      // it may run there, and there will be no response
 )
 
-// trialTime is how long the silent target keeps a request that another one has been sent. A rejection comes sooner. It must be much shorter
+// hedgeWait is how long the silent target keeps a request that another one has been sent. A rejection comes sooner. It must be much shorter
 // than the 0.4 s for which two targets may work on a stream.
-const trialTime = 150 * time.Millisecond
+const hedgeWait = 150 * time.Millisecond
 
-// tryAside sends a request while a silent peer still has it, and waits until the other one has had the time to decline it, or search ends. check
+// awaitHedge sends a request while a silent peer still has it, and waits until the other one has had the time to decline it, or search ends. check
 // says what the head of a response or the error means.
-func (g *Gateway) tryAside(search context.Context, s *sending, check func() trial) trial {
+func (g *Gateway) awaitHedge(search context.Context, s *sending, check func() hedgeResult) hedgeResult {
 	go s.forward(g.responseID)
-	timer := time.NewTimer(trialTime)
+	timer := time.NewTimer(hedgeWait)
 	defer timer.Stop()
-	outcome := trialGoesOn
+	outcome := hedgeTaken
 	select {
 	case <-s.done:
 		outcome = check()
 	case <-timer.C:
 	case <-search.Done():
 	}
-	if outcome == trialGoesOn && search.Err() != nil {
-		return trialBroke // the silent peer goes on
+	if outcome == hedgeTaken && search.Err() != nil {
+		return hedgeBroken // the silent peer goes on
 	}
 	return outcome
 }
 
-// checkTrial says what the head of a target's response or the error means, and records it.
-func (g *Gateway) checkTrial(x *exchange, c coordinator.Choice, s *sending) trial {
+// checkHedge says what the head of a target's response or the error means, and records it.
+func (g *Gateway) checkHedge(x *exchange, c coordinator.Choice, s *sending) hedgeResult {
 	if s.err != nil {
 		x.sentAt = s.at
-		return trialOf(g.sendFailed(x, c, s.err))
+		return hedgeResultOf(g.sendFailed(x, c, s.err))
 	}
 	response := g.opts.Codec.ReadResponse(s.resp.Status, s.resp.Header)
 	if !response.NotRun {
-		return trialGoesOn
+		return hedgeTaken
 	}
 	g.recordNotices(x, c, s.resp.Status, response.Notices)
 	g.recordRejection(x, c, s.resp.Status)
-	return trialDeclined
+	return hedgeDeclined
 }
 
-// checkRelayTrial is checkTrial for another host.
-func (g *Gateway) checkRelayTrial(x *exchange, helper fleet.Host, s *sending) trial {
+// checkRelayHedge is checkHedge for another host.
+func (g *Gateway) checkRelayHedge(x *exchange, helper fleet.Host, s *sending) hedgeResult {
 	switch {
 	case s.err != nil:
-		return trialOf(g.relayFailed(x, helper, s.err))
+		return hedgeResultOf(g.relayFailed(x, helper, s.err))
 	case s.resp.Header.Get(headerDeclined) != "", promisesNotRun[s.resp.Status]:
-		return trialDeclined
+		return hedgeDeclined
 	}
-	return trialGoesOn
+	return hedgeTaken
 }
 
-func trialOf(failure result) trial {
+func hedgeResultOf(failure result) hedgeResult {
 	if failure == mayHaveRun {
-		return trialBroke
+		return hedgeBroken
 	}
-	return trialDeclined
+	return hedgeDeclined
 }
 
 // isUnreachable reports whether nothing of a request reached its target.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -19,7 +19,7 @@
 	g      *Gateway
 	ctx    context.Context         // of the request
 	cancel context.CancelCauseFunc // of the send
-	search placeSearch
+	search hedgeSearch
 
 	sends atomic.Int32 // beside the one that is watched, after which a target may have run the request
 
@@ -32,23 +32,23 @@
 	paused    bool
 	ended     bool
 	endSearch context.CancelFunc // of the search in progress; nil: none
-	place     *place             // that was found; the send is cancelled
+	hedge     *hedge             // that goes on; the send is cancelled
 	silent    time.Duration      // total time of the silences that were too long and have ended
 }
 
-// placeSearch looks for another place for a request.
-type placeSearch struct {
+// hedgeSearch looks for another place for a request, and sends it there.
+type hedgeSearch struct {
 	peer string // target or host that has the request
 	// begin is called when the peer is silent for too long. find then looks for a place once; nil: there is none. It may wait, until ctx ends. The
 	// exchange is its own.
-	begin func() (find func(ctx context.Context, x *exchange) *place)
+	begin func() (find func(ctx context.Context, x *exchange) *hedge)
 }
 
 // searchInterval is the time between two looks for a place.
 const searchInterval = 100 * time.Millisecond
 
 // watchSilence watches a send that begins now.
-func (g *Gateway) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, allowed time.Duration, search placeSearch) *silenceWatch {
+func (g *Gateway) watchSilence(ctx context.Context, cancel context.CancelCauseFunc, x *exchange, allowed time.Duration, search hedgeSearch) *silenceWatch {
 	w := &silenceWatch{g: g, ctx: ctx, cancel: cancel, search: search}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -57,7 +57,7 @@
 	return w
 }
 
-// expire looks for another place, and ends the send once there is one.
+// expire looks for another place, and ends the send once a hedge has been taken there.
 func (w *silenceWatch) expire() {
 	ctx, x := w.beginSearch()
 	if x == nil {
@@ -66,10 +66,10 @@
 	find := w.search.begin()
 	for ctx.Err() == nil && x.sends < x.route.Attempts {
 		sends := x.sends
-		p := find(ctx, x)
+		h := find(ctx, x)
 		w.sends.Add(int32(x.sends - sends))
-		if p != nil {
-			w.move(ctx, p)
+		if h != nil {
+			w.move(ctx, h)
 			return
 		}
 		ctxsleep.Sleep(ctx, searchInterval)
@@ -81,7 +81,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.g.opts.Now()
-	if w.ended || w.paused || w.endSearch != nil || w.place != nil || now < w.due {
+	if w.ended || w.paused || w.endSearch != nil || w.hedge != nil {
+		return nil, nil
+	}
+	if now < w.due { // restarted just now
+		w.timer.Reset(w.due - now)
 		return nil, nil
 	}
 	var ctx context.Context
@@ -94,15 +98,16 @@
 	return ctx, &x
 }
 
-// move ends the send, unless the peer has sent something meanwhile.
-func (w *silenceWatch) move(ctx context.Context, p *place) {
+// move ends the send in favour of a hedge, unless the peer has sent something meanwhile.
+func (w *silenceWatch) move(ctx context.Context, h *hedge) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if ctx.Err() != nil {
-		w.g.release(&w.x, p)
+		w.sends.Add(1) // the hedge
+		w.g.release(&w.x, h)
 		return
 	}
-	w.place = p
+	w.hedge = h
 	w.cancel(&SilentTargetError{Silence: w.g.opts.Now() - w.since, CutOff: w.cutOff})
 }
 
@@ -113,7 +118,7 @@
 	defer w.mu.Unlock()
 	w.timer.Stop()
 	w.paused = true
-	if w.place != nil {
+	if w.hedge != nil {
 		return &SilentTargetError{Silence: w.g.opts.Now() - w.since, CutOff: w.cutOff}
 	}
 	w.stopSearch("resumed")
@@ -127,7 +132,7 @@
 	}
 	w.endSearch()
 	w.endSearch = nil
-	if w.place != nil {
+	if w.hedge != nil {
 		result = "moved"
 	} else {
 		w.silent += w.g.opts.Now() - w.since
@@ -165,12 +170,12 @@
 // takeSends returns how many further targets may have run the request since the last call.
 func (w *silenceWatch) takeSends() int { return int(w.sends.Swap(0)) }
 
-// end ends the watch. It returns the place that was found, and for how long the peer was silent beyond what is usual.
-func (w *silenceWatch) end() (p *place, silent time.Duration) {
+// end ends the watch. It returns the hedge that goes on, and for how long the peer was silent beyond what is usual.
+func (w *silenceWatch) end() (h *hedge, silent time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
 	w.stopSearch("ended")
-	return w.place, w.silent
+	return w.hedge, w.silent
 }
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -340,7 +340,7 @@
 func TestSilentTargetThatGoesOnKeepsItsRequest(t *testing.T) {
 	for name, c := range silenceCases {
 		runInBubble(t, name, func(t *testing.T) {
-			s := &pausingSender{at: c.at, first: silenceMin + trialTime/2}
+			s := &pausingSender{at: c.at, first: silenceMin + hedgeWait/2}
 			s.pauses = map[string]time.Duration{}
 			w := post(testGateway(s), c.path, c.model)
 			if w.Body.String() != wholeStream() {
