Hedges count as attempts before they are sent

Hedges are now counted under the watch's lock before they are sent, and none is sent once the search is over.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -48,6 +48,7 @@
 type targetSearch struct {
 	g        *Gateway
 	ctx      context.Context          // of the request
+	count    func(n int) bool         // see hedgeSearch
 	failed   map[string]bool          // targets that are not tried again
 	declined map[string]time.Duration // those that have declined the request once, and until when they are not tried again
 }
@@ -56,9 +57,9 @@
 func (g *Gateway) searchTarget(ctx context.Context, avoid map[string]bool, silent string) hedgeSearch {
 	failed := maps.Clone(avoid) // now, as avoid may change while a search ends
 	failed[silent] = true
-	return hedgeSearch{peer: silent, begin: func() func(context.Context, *exchange) *hedge {
+	return hedgeSearch{peer: silent, begin: func(count func(int) bool) func(context.Context, *exchange) *hedge {
 		g.opts.View.RecordOutcome(silent, false)
-		s := targetSearch{g: g, ctx: ctx, failed: maps.Clone(failed), declined: map[string]time.Duration{}}
+		s := targetSearch{g: g, ctx: ctx, count: count, failed: maps.Clone(failed), declined: map[string]time.Duration{}}
 		return s.find
 	}}
 }
@@ -67,7 +68,7 @@
 func (s *targetSearch) find(search context.Context, x *exchange) *hedge {
 	choice, ok := s.choose(search, x)
 	if !ok && x.viaHelper {
-		return s.g.findHelper(s.ctx, search, x)
+		return s.g.findHelper(s.ctx, search, x, s.count)
 	}
 	if !ok {
 		return nil
@@ -103,13 +104,11 @@
 	x.memory = h.memory
 	h.endSlot, _ = s.g.beginSend(x, h.choice)
 	h.memory, x.memory = x.memory, memoryUse{}
-	if h.endSlot == nil {
+	if h.endSlot == nil || !s.count(1) {
 		return hedgeNotSent
 	}
 	h.sending = s.g.newSending(s.ctx, x, h.choice)
-	outcome := s.g.awaitHedge(search, h.sending, func() hedgeResult { return s.g.checkHedge(x, h.choice, h.sending) })
-	h.spendCharge()
-	return outcome
+	return s.g.awaitHedge(search, h, s.count, func() hedgeResult { return s.g.checkHedge(x, h.choice, h.sending) })
 }
 
 // choose is awaitTarget without the targets that are not tried now.
@@ -141,27 +140,20 @@
 	return ok
 }
 
-// spendCharge makes the charge for a send final, unless it reached nothing.
-func (h *hedge) spendCharge() {
-	if !h.sending.unreachable() {
-		h.charge = nil
-	}
-}
-
 // findHelper sends a request through a further host while a silent target or host still has it. ctx is the request's.
-func (g *Gateway) findHelper(ctx, search context.Context, x *exchange) *hedge {
+func (g *Gateway) findHelper(ctx, search context.Context, x *exchange, count func(n int) bool) *hedge {
 	helper, ok := g.opts.Helpers.Choose(x.helpersTried, x.homes.Regions)
 	if !ok {
 		return nil
 	}
 	h := &hedge{helper: &helper, log: x.log}
-	if !g.mayHedge(x, h) {
+	if !g.mayHedge(x, h) || !count(1) {
+		g.release(x, h)
 		return nil
 	}
 	x.tryHelper(helper.Name)
 	h.sending = g.newRelaySending(ctx, x, helper)
-	outcome := g.awaitHedge(search, h.sending, func() hedgeResult { return g.checkRelayHedge(x, helper, h.sending) })
-	h.spendCharge()
+	outcome := g.awaitHedge(search, h, count, func() hedgeResult { return g.checkRelayHedge(x, helper, h.sending) })
 	if outcome == hedgeTaken {
 		return h
 	}
@@ -174,8 +166,9 @@
 
 // searchHelper returns a search for a further host than the silent one that a request was passed on to. ctx is the request's.
 func (g *Gateway) searchHelper(ctx context.Context, silent string) hedgeSearch {
-	find := func(search context.Context, x *exchange) *hedge { return g.findHelper(ctx, search, x) }
-	return hedgeSearch{peer: silent, begin: func() func(context.Context, *exchange) *hedge { return find }}
+	return hedgeSearch{peer: silent, begin: func(count func(int) bool) func(context.Context, *exchange) *hedge {
+		return func(search context.Context, x *exchange) *hedge { return g.findHelper(ctx, search, x, count) }
+	}}
 }
 
 // nextHelper returns the host through which a request is sent next: that of its hedge, if there is one.
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -274,7 +274,7 @@
 				return callerLeft
 			}
 			if progress {
-				x.sends += silence.takeSends()
+				x.sends += silence.takeHedges()
 				silence.restart(x, g.relaySilence(x))
 			}
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -146,7 +146,7 @@
 				return callerLeft
 			}
 			if progress {
-				x.sends += silence.takeSends()
+				x.sends += silence.takeHedges()
 				silence.restart(x, g.silenceTimeout(x, c.Target.ID))
 			}
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -85,7 +85,7 @@
 // endWatch ends the watch of a send and keeps the hedge, if the request needs it.
 func (g *Gateway) endWatch(x *exchange, w *silenceWatch, outcome result) {
 	h, silent := w.end()
-	x.sends += w.takeSends()
+	x.sends += w.takeHedges()
 	x.silent += silent
 	if x.silent > 0 {
 		x.log["silent_ms"] = x.silent.Milliseconds()
--- a/internal/gateway/sending.go
+++ b/internal/gateway/sending.go
@@ -87,19 +87,25 @@
 // than the 0.4 s for which two targets may work on a stream.
 const hedgeWait = 150 * time.Millisecond
 
-// awaitHedge sends a request while a silent peer still has it, and waits until the other one has had the time to decline it, or search ends. check
-// says what the head of a response or the error means.
-func (g *Gateway) awaitHedge(search context.Context, s *sending, check func() hedgeResult) hedgeResult {
-	go s.forward(g.responseID)
+// awaitHedge sends a hedge and waits until the other peer has had the time to decline it, or search ends. check says what the head of a response
+// or the error means.
+func (g *Gateway) awaitHedge(search context.Context, h *hedge, count func(n int) bool, check func() hedgeResult) hedgeResult {
+	go h.sending.forward(g.responseID)
 	timer := time.NewTimer(hedgeWait)
 	defer timer.Stop()
 	outcome := hedgeTaken
 	select {
-	case <-s.done:
+	case <-h.sending.done:
 		outcome = check()
 	case <-timer.C:
 	case <-search.Done():
 	}
+	if !h.sending.unreachable() {
+		h.charge = nil // it is spent
+	}
+	if outcome == hedgeDeclined {
+		count(-1)
+	}
 	if outcome == hedgeTaken && search.Err() != nil {
 		return hedgeBroken // the silent peer goes on
 	}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,8 +20,6 @@
 	cancel context.CancelCauseFunc // of the send
 	search hedgeSearch
 
-	sends atomic.Int32 // beside the one that is watched, after which a target may have run the request
-
 	mu        sync.Mutex
 	timer     *time.Timer
 	x         exchange      // a copy, since a search goes on beside the send
@@ -33,6 +30,7 @@
 	ended     bool
 	endSearch context.CancelFunc // of the search in progress; nil: none
 	hedge     *hedge             // that goes on; the send is cancelled
+	hedges    int                // that may have run and do not go on, or have begun just now
 	silent    time.Duration      // total time of the silences that were too long and have ended
 }
 
@@ -40,8 +38,8 @@
 type hedgeSearch struct {
 	peer string // target or host that has the request
 	// begin is called when the peer is silent for too long. find then looks for a place once; nil: there is none. It may wait, until ctx ends. The
-	// exchange is its own.
-	begin func() (find func(ctx context.Context, x *exchange) *hedge)
+	// exchange is its own. count is called with 1 before a hedge is sent, which it may forbid, and with -1 if it was declined.
+	begin func(count func(n int) bool) (find func(ctx context.Context, x *exchange) *hedge)
 }
 
 // searchInterval is the time between two looks for a place.
@@ -63,12 +61,9 @@
 	if x == nil {
 		return
 	}
-	find := w.search.begin()
+	find := w.search.begin(func(n int) bool { return w.countHedge(ctx, n) })
 	for ctx.Err() == nil && x.sends < x.route.Attempts {
-		sends := x.sends
-		h := find(ctx, x)
-		w.sends.Add(int32(x.sends - sends))
-		if h != nil {
+		if h := find(ctx, x); h != nil {
 			w.move(ctx, h)
 			return
 		}
@@ -94,7 +89,7 @@
 	w.g.opts.Log.WithFields(fields).Warn("no data for a while; looking for another place for the request")
 	x := w.x
 	x.log, x.memory, x.helpersTried = logrus.Fields{}, memoryUse{}, maps.Clone(x.helpersTried)
-	x.sends++ // the peer may run it
+	x.sends += 1 + w.hedges // the peer may run it
 	return ctx, &x
 }
 
@@ -103,11 +98,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if ctx.Err() != nil {
-		w.sends.Add(1) // the hedge
 		w.g.release(&w.x, h)
 		return
 	}
 	w.hedge = h
+	w.hedges-- // it is counted as the next send
 	w.cancel(&SilentTargetError{Silence: w.g.opts.Now() - w.since, CutOff: w.cutOff})
 }
 
@@ -167,8 +162,25 @@
 	}
 }
 
-// takeSends returns how many further targets may have run the request since the last call.
-func (w *silenceWatch) takeSends() int { return int(w.sends.Swap(0)) }
+// countHedge counts a hedge that is about to be sent (1), or has been declined (-1). It returns false if the search is over, so that none may be sent.
+func (w *silenceWatch) countHedge(search context.Context, n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n > 0 && search.Err() != nil {
+		return false
+	}
+	w.hedges += n
+	return true
+}
+
+// takeHedges returns how many hedges may have run since the last call. It is negative if some that were counted then have been declined.
+func (w *silenceWatch) takeHedges() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.hedges
+	w.hedges = 0
+	return n
+}
 
 // end ends the watch. It returns the hedge that goes on, and for how long the peer was silent beyond what is usual.
 func (w *silenceWatch) end() (h *hedge, silent time.Duration) {
