A request that is out of time is no silence of its target

The watch of a request that can't go on elsewhere ends with the deadline. It was taken for a silence: a target_silent line, a count in silences, and a failure of the target, which the deadline's error recorded once more. Nothing is searched or recorded at the deadline now.

TestRequestOutOfTimeIsNoSilence failed before.

--- a/internal/gateway/sendend_test.go
+++ b/internal/gateway/sendend_test.go
@@ -42,3 +42,19 @@
 		})
 	}
 }
+
+// TestRequestOutOfTimeIsNoSilence guards against a target that is blamed twice, and logged as silent, since a request that can't go on elsewhere has
+// reached its deadline.
+func TestRequestOutOfTimeIsNoSilence(t *testing.T) {
+	for _, path := range []string{"/pay/x", "/once/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			g := testGateway(&pausingSender{at: beforeHead, first: forever})
+			log, hook := logtest.NewNullLogger()
+			g.opts.Log = log
+			post(g, path, map[bool]string{true: "m"}[path == "/once/x"])
+			if got := loggedErrors(hook, "target_silent"); len(got) != 0 {
+				t.Errorf("%s: target_silent %q", path, got)
+			}
+		})
+	}
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -76,7 +76,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.g.opts.Now()
-	if w.ended || w.paused || w.endSearch != nil || w.hedge != nil {
+	if w.ended || w.paused || w.endSearch != nil || w.hedge != nil || now >= w.x.deadline {
 		return nil, nil
 	}
 	if now < w.due { // restarted just now
