--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,7 +53,7 @@
 	viaHelper         bool            // it is to be sent through another host now
 	waitsDirectly     bool            // it was decided that this host sends the request itself
 	hedge             *hedge          // a second send of it, which goes on; nil: none
-	silent            time.Duration   // for which targets were silent and then went on, beyond what is usual
+	silent            time.Duration   // of silences of targets that were too long and did not end in a hedge
 }
 
 // fingerprint returns a hash that is equal for all attempts of the same request.
