--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,13 +25,14 @@
 
 func (testCodec) ReadCall(r *http.Request) (fleet.Call, error) {
 	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
+	tokensIn, _ := strconv.Atoi(r.Header.Get("Tokens-In")) // 0 without the header
 	tokensOut, err := strconv.Atoi(r.Header.Get("Tokens-Out"))
 	return fleet.Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Key: r.Header.Get("Key"), Deadline: 10 * time.Second,
-		TokensOut: tokensOut, HasTokens: err == nil, LastEventID: r.Header.Get("From"), Resumes: r.Header.Get("Resumes"), SharedParts: strings.Fields(r.Header.Get("Parts"))}, nil
+		TokensIn: tokensIn, TokensOut: tokensOut, HasTokens: err == nil, LastEventID: r.Header.Get("From"), Resumes: r.Header.Get("Resumes"), SharedParts: strings.Fields(r.Header.Get("Parts"))}, nil
 }
 
 func (testCodec) AttemptHeader(a fleet.Attempt) http.Header {
-	return http.Header{"From": {a.LastEventID}, "Team": {a.Team}, "Parts": {a.Header.Get("Parts")}, "Tokens-Out": {a.Header.Get("Tokens-Out")}}
+	return http.Header{"From": {a.LastEventID}, "Team": {a.Team}, "Parts": {a.Header.Get("Parts")}, "Tokens-In": {a.Header.Get("Tokens-In")}, "Tokens-Out": {a.Header.Get("Tokens-Out")}}
 }
 
 func (testCodec) ReadResponse(status int, h http.Header) fleet.Response {
--- /dev/null
+++ b/internal/gateway/streamsizes_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/target"
+)
+
+// sizedRun is a stream whose run time follows from its size.
+type sizedRun struct {
+	route  string
+	prompt int // tokens
+	most   int // output tokens at most
+	events int // that the stream has
+}
+
+// sizedEngine takes its time for each token of a prompt and for each event of a stream.
+type sizedEngine struct {
+	perToken time.Duration // of the prompt
+	gap      time.Duration // between events of five tokens
+	events   sync.Map      // number of events by request ID
+	sent     int
+}
+
+// Forward implements Sender.
+func (e *sizedEngine) Forward(_ context.Context, _ string, f target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	e.sent++
+	prompt, err := strconv.Atoi(f.Header.Get("Tokens-In"))
+	if err != nil {
+		return nil, err
+	}
+	events, _ := e.events.Load(f.ID)
+	time.Sleep(time.Duration(prompt) * e.perToken)
+	return &target.ForwardResponse{Status: 200, Header: http.Header{"Id": {f.ID}, "Stamp": {"s"}}, Length: -1, Body: io.NopCloser(&pacedEvents{gap: e.gap, left: events.(int)})}, nil
+}
+
+// pacedEvents is the body of a stream whose first event is there at once.
+type pacedEvents struct {
+	gap  time.Duration
+	sent int
+	left int
+}
+
+func (p *pacedEvents) Read(b []byte) (int, error) {
+	if p.left == 0 {
+		return 0, io.EOF
+	}
+	if p.sent > 0 {
+		time.Sleep(p.gap)
+	}
+	p.sent, p.left = p.sent+1, p.left-1
+	return copy(b, fmt.Sprintf("id: %d\ndata: a\n\n", p.sent)), nil
+}
+
+// sizedGateway is a gateway whose callers wait for eleven seconds.
+type sizedGateway struct {
+	*Gateway
+	engine *sizedEngine
+	ids    int
+	end    time.Time     // of the stop
+	late   time.Duration // by which a stream has outlasted it
+}
+
+func newSizedGateway() *sizedGateway {
+	e := &sizedEngine{perToken: 30 * time.Microsecond, gap: 30 * time.Millisecond}
+	g := testGateway(e)
+	config := *g.opts.View.Config()
+	config.Routes = append([]fleet.Route(nil), config.Routes...)
+	for i := range config.Routes {
+		config.Routes[i].Timeout, config.Routes[i].Objective = 11*time.Second, 2*time.Second
+	}
+	config.Index()
+	g.opts.View.SetConfig(&config)
+	return &sizedGateway{Gateway: g, engine: e}
+}
+
+func (g *sizedGateway) run(r sizedRun) (status int) {
+	g.ids++
+	id := fmt.Sprint("r", g.ids)
+	g.engine.events.Store(id, r.events)
+	req := newPost(r.route, "m", id)
+	req.Header.Set("Tokens-In", strconv.Itoa(r.prompt))
+	req.Header.Set("Tokens-Out", strconv.Itoa(r.most))
+	w := serve(g.Gateway, req)
+	if strings.Count(w.Body.String(), "data:") > 0 && !g.end.IsZero() {
+		g.late = max(g.late, time.Since(g.end))
+	}
+	return w.Code
+}
+
+func (g *sizedGateway) repeat(n int, r sizedRun) {
+	for range n {
+		g.run(r)
+	}
+}
+
+func (g *sizedGateway) stopIn(d time.Duration) {
+	g.end = time.Now().Add(d)
+	stopIn(g.Gateway, d)
+}
+
+// expect checks the status of a request during the stop, and that none that was sent outlasts the stop.
+func (g *sizedGateway) expect(t *testing.T, what string, r sizedRun, status int) {
+	t.Helper()
+	if got := g.run(r); got != status {
+		t.Errorf("%s: status %d, want %d", what, got, status)
+	}
+	if g.late > 0 {
+		t.Errorf("%s: a stream ends %v after the stop", what, g.late)
+	}
+}
+
+// TestLongPromptIsNotTakenForAShortOne guards against a stopping host that has only seen short prompts and accepts a stream whose long one
+// outlasts the stop. Short prompts are served on.
+func TestLongPromptIsNotTakenForAShortOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSizedGateway()
+		g.repeat(2*minRunTimeSamples, sizedRun{"/once/x", 600, 100, 8})
+		g.stopIn(4 * time.Second)
+		g.expect(t, "a short prompt", sizedRun{"/once/x", 600, 100, 20}, http.StatusOK)
+		g.expect(t, "a long prompt", sizedRun{"/once/x", 120_000, 100, 20}, http.StatusServiceUnavailable)
+	})
+}
+
+// TestStreamsThatEndEarlyDoNotShortenOthers guards against a stopping host that takes the run times of streams that ended early for those of
+// their maximum, and accepts one that uses all of it. Streams with a small maximum are served on.
+func TestStreamsThatEndEarlyDoNotShortenOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSizedGateway()
+		g.repeat(2*minRunTimeSamples, sizedRun{"/once/x", 600, 275, 8})
+		g.stopIn(3 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		g.expect(t, "a stream that may use its whole maximum", sizedRun{"/once/x", 600, 275, 55}, http.StatusServiceUnavailable)
+		g.expect(t, "a small maximum", sizedRun{"/once/x", 600, 25, 5}, http.StatusOK)
+	})
+}
+
+// TestLongPromptsDoNotLengthenShortOnes guards against a stopping host that refuses short streams since it has seen long prompts on their
+// route. The long ones are refused.
+func TestLongPromptsDoNotLengthenShortOnes(t *testing.T) {
+	for _, seenShort := range []bool{true, false} {
+		t.Run(fmt.Sprint("short ones seen ", seenShort), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newSizedGateway()
+				g.repeat(2*minRunTimeSamples, sizedRun{"/once/x", 70_000, 100, 20})
+				if seenShort {
+					g.repeat(2, sizedRun{"/once/x", 600, 100, 20})
+				}
+				g.stopIn(4 * time.Second)
+				g.expect(t, "a short prompt", sizedRun{"/once/x", 600, 100, 8}, http.StatusOK)
+				g.expect(t, "a long prompt", sizedRun{"/once/x", 70_000, 100, 20}, http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
+
+// TestWhatIsDueBeforeTheStopIsServed is the control: a request whose own time is over before the host stops is served, however large.
+func TestWhatIsDueBeforeTheStopIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSizedGateway()
+		g.repeat(2*minRunTimeSamples, sizedRun{"/once/x", 600, 275, 8})
+		g.stopIn(10100 * time.Millisecond)
+		g.expect(t, "the largest stream", sizedRun{"/once/x", 100_000, 275, 55}, http.StatusOK)
+	})
+}
