A stopping host expects a stream to take the time of its prompt and of its events

Cause: one recent time, scaled by the maximum of output tokens, stood for a bound. The same factor had short streams refused after long prompts on their route.

Change: the longest time until the first event by size of the prompt, beyond the sizes that were seen by the square of their ratio; the slowest pace of events for as many as the maximum allows; no less than the choice of a target expects for the prompt. Requests whose own time ends before the stop are accepted as before.

--- a/internal/coordinator/longprompts.go
+++ b/internal/coordinator/longprompts.go
@@ -101,6 +101,13 @@
 	return prefill
 }
 
+// PrefillTime returns how long an engine of a service is expected to take for a prompt of which it has kept nothing.
+func (f *FleetView) PrefillTime(service string, p Prompt) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.long.speeds.Prefill("", service, p.Tokens)
+}
+
 // addPrompt adds to a choice what its prompt means for the engine. The caller must hold f.mu.
 func (f *FleetView) addPrompt(c *Choice, plan promptPlan, p Prompt) {
 	if plan.place != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -141,6 +141,9 @@
 				g.opts.View.RecordPrefill(c.Target, x.memory.prefill, g.opts.Now()-sent)
 				sent = 0
 			}
+			if progress {
+				g.runTimes.progress(x, g.opts.Now())
+			}
 			g.recordOrigin(x, c)
 			if !g.writeEvents(x, flusher, events, resp) {
 				return callerLeft
--- /dev/null
+++ b/internal/gateway/runestimates.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"time"
+
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// expected returns how long a request may take at a target. prefill is how long its prompt is expected to take there.
+func (t *runTimes) expected(x *exchange, now, prefill time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.known(now)
+	own, ok := known[runTimeKeyOf(x)]
+	switch {
+	case x.route.Kind != fleet.Streaming, x.call.Model == "":
+		expected := own.perUnit * runUnits(x)
+		sizeUnknown := x.route.Kind == fleet.Streaming && !x.call.HasTokens // a short one before tells nothing
+		if sizeUnknown || own.samples < minRunTimeSamples {
+			expected = max(expected, unknownTime(x))
+		}
+		return withMargin(expected)
+	case !x.call.HasTokens: // the size is not known
+		return withMargin(max(own.perUnit, unknownStream))
+	}
+	if run, complete := t.runOf(x, own, prefill); ok && complete {
+		if own.samples < minRunTimeSamples {
+			run = scaled(run, fewSamplesFactor)
+		}
+		return withMargin(run)
+	}
+	if slowest, models := slowestOf(known, x.route.Name); models >= minKnownModels {
+		if run, complete := t.runOf(x, slowest, prefill); complete {
+			return withMargin(scaled(run, fewSamplesFactor))
+		}
+	}
+	return t.longestInTime(x, now, prefill)
+}
+
+// runOf returns how long a stream may take at a target, by what was seen of its route and model; complete is false if a part of it was not
+// seen. The caller must hold t.mu.
+func (t *runTimes) runOf(x *exchange, seen runTime, prefill time.Duration) (run time.Duration, complete bool) {
+	if !isSized(x) {
+		return seen.perUnit * runUnits(x), true
+	}
+	first, firstSeen := seen.prompts.longest(x.call.TokensIn)
+	each, paceSeen := seen.pace.slowest()
+	first, rest := max(first, prefill), scaled(each, t.events(x.service, runUnits(x)))
+	x.log["expected_first_ms"], x.log["expected_events_ms"] = first.Milliseconds(), rest.Milliseconds()
+	return first + rest, firstSeen && paceSeen
+}
+
+// unknownTime returns the run time of a request without a model if little is known of its route.
+func unknownTime(x *exchange) time.Duration {
+	switch {
+	case x.route.Kind != fleet.Streaming:
+		return unknownRunTime
+	case x.call.HasTokens:
+		return unknownToken * runUnits(x)
+	}
+	return unknownStream
+}
+
+// slowestOf returns the longest times of the models of a route, and the number of models.
+func slowestOf(known map[runTimeKey]runTime, route string) (slowest runTime, models int) {
+	for key, r := range known {
+		if key.route == route {
+			slowest, models = slowest.join(r), models+1
+		}
+	}
+	return slowest, models
+}
+
+// longestInTime returns the longest time in which a generation by a model of unknown pace may end and still be in time: each
+// event may take the route's gap objective. The caller must hold t.mu.
+func (t *runTimes) longestInTime(x *exchange, now, prefill time.Duration) time.Duration {
+	left := max(0, x.deadline-now)
+	if x.route.GapObjective <= 0 {
+		return left
+	}
+	rest := scaled(x.route.GapObjective, t.events(x.service, runUnits(x)))
+	return min(left, withMargin(max(x.route.Objective, prefill)+rest))
+}
+
+// longest returns the longest time of all routes with recent requests.
+func (t *runTimes) longest(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var most time.Duration
+	for _, r := range t.known(now) {
+		most = max(most, r.total)
+	}
+	return withMargin(most)
+}
+
+// withMargin adds to a run time what a request may take longer.
+func withMargin(d time.Duration) time.Duration {
+	return scaled(d, runTimeFactor) + runTimeMargin
+}
--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -30,14 +30,14 @@
 	fewSamplesFactor = 1.5  // the times of equal generations differ by half
 )
 
-// runTimes knows how long requests take at targets. The time of a generation is proportional to its number of output
-// tokens, and to the pace of its model: both differ by a factor of ten within a route.
+// runTimes knows how long requests take at targets, by route and model. A stream that states its size takes the time of its prompt until the
+// first event, and then that of its events. The time of others is taken to be proportional to the output tokens that they state, if they do.
 type runTimes struct {
 	mu          sync.Mutex
 	windowStart time.Duration
 	current     map[runTimeKey]runTime
 	previous    map[runTimeKey]runTime
-	running     map[*exchange]startedRun
+	running     map[*exchange]*startedRun
 	// unitsPerEvent is the smallest number of units in an event of a stream since the start, by service.
 	unitsPerEvent map[string]float64
 }
@@ -48,18 +48,25 @@
 type runTime struct {
 	total   time.Duration
 	perUnit time.Duration // by runUnits
+	prompts promptTimes   // of streams that state their size
+	pace    eventPace     // of the same
 	samples int
 }
 
 func (t runTime) join(o runTime) runTime {
-	return runTime{max(t.total, o.total), max(t.perUnit, o.perUnit), t.samples + o.samples}
+	return runTime{max(t.total, o.total), max(t.perUnit, o.perUnit), t.prompts.join(o.prompts), t.pace.join(o.pace), t.samples + o.samples}
 }
 
 // startedRun is a request at a target.
 type startedRun struct {
-	key   runTimeKey
-	at    time.Duration
-	units time.Duration
+	key          runTimeKey
+	at           time.Duration
+	units        time.Duration
+	sized        bool
+	prompt       int           // tokens that the target has to prefill at least
+	firstAt      time.Duration // when its first event came; 0: none has come
+	eventsBefore int           // of the stream, from other targets
+	events       int
 }
 
 func runTimeKeyOf(x *exchange) runTimeKey { return runTimeKey{x.route.Name, x.call.Model} }
@@ -72,14 +79,41 @@
 	return 1
 }
 
+// isSized reports whether a request is a stream that states the tokens of its prompt and its longest response.
+func isSized(x *exchange) bool {
+	return x.route.Kind == fleet.Streaming && x.call.Model != "" && x.call.HasTokens && x.call.TokensIn > 0
+}
+
 // begin records that a request is sent to a target at now.
 func (t *runTimes) begin(x *exchange, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.running == nil {
-		t.running = map[*exchange]startedRun{}
+		t.running = map[*exchange]*startedRun{}
+	}
+	t.running[x] = &startedRun{key: runTimeKeyOf(x), at: now, units: runUnits(x), sized: isSized(x), prompt: leastPrefill(x), eventsBefore: x.events.count}
+}
+
+// leastPrefill returns the number of tokens of a prompt that a target has to prefill at least: it may have kept the shared parts.
+func leastPrefill(x *exchange) int {
+	if x.memory.prefill > 0 {
+		return x.memory.prefill
+	}
+	return max(1, x.call.TokensIn-x.call.SharedTokens)
+}
+
+// progress records that events of a stream have come from its target.
+func (t *runTimes) progress(x *exchange, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := t.running[x]
+	if run == nil {
+		return
+	}
+	run.events = x.events.count - run.eventsBefore
+	if run.firstAt == 0 {
+		run.firstAt, run.prompt = now, leastPrefill(x) // by now it is known which target has it
 	}
-	t.running[x] = startedRun{runTimeKeyOf(x), now, runUnits(x)}
 }
 
 // end records that a request is no longer at a target, and its time if it was served. The time for which the target was silent beyond
@@ -96,11 +130,27 @@
 	if t.current == nil {
 		t.current = map[runTimeKey]runTime{}
 	}
-	took := now - run.at - silent
-	t.current[run.key] = t.current[run.key].join(runTime{took, took / run.units, 1})
+	seen := run.seen(now, silent)
+	seen.samples = 1
+	t.current[run.key] = t.current[run.key].join(seen)
 	t.countEvents(x, run.units)
 }
 
+// seen returns what a run of which the target was silent for a time shows until now.
+func (r *startedRun) seen(now, silent time.Duration) runTime {
+	took := now - r.at - silent
+	out := runTime{total: took, perUnit: took / r.units}
+	switch {
+	case !r.sized:
+	case r.firstAt == 0:
+		out.prompts.add(r.prompt, took)
+	default:
+		out.prompts.add(r.prompt, r.firstAt-r.at)
+		out.pace.add(r.events, max(0, now-r.firstAt-silent))
+	}
+	return out
+}
+
 // countEvents updates unitsPerEvent after a whole stream. The caller must hold t.mu.
 func (t *runTimes) countEvents(x *exchange, units time.Duration) {
 	if x.events.count == 0 || !x.call.HasTokens || x.call.LastEventID != "" {
@@ -137,84 +187,8 @@
 	}
 	for _, run := range t.running {
 		if r, ok := out[run.key]; ok { // alone it would make an unknown model look quick
-			took := now - run.at
-			out[run.key] = r.join(runTime{total: took, perUnit: took / run.units})
+			out[run.key] = r.join(run.seen(now, 0))
 		}
 	}
 	return out
 }
-
-// expected returns how long a request may take at a target, at most until its deadline.
-func (t *runTimes) expected(x *exchange, now time.Duration) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.known(now)
-	own, ok := known[runTimeKeyOf(x)]
-	switch {
-	case x.route.Kind != fleet.Streaming, x.call.Model == "":
-		expected := own.perUnit * runUnits(x)
-		sizeUnknown := x.route.Kind == fleet.Streaming && !x.call.HasTokens // a short one before tells nothing
-		if sizeUnknown || own.samples < minRunTimeSamples {
-			expected = max(expected, unknownTime(x))
-		}
-		return withMargin(expected)
-	case !x.call.HasTokens: // the size is not known
-		return withMargin(max(own.perUnit, unknownStream))
-	case ok && own.samples >= minRunTimeSamples:
-		return withMargin(own.perUnit * runUnits(x))
-	case ok:
-		return withMargin(time.Duration(fewSamplesFactor * float64(own.perUnit*runUnits(x))))
-	}
-	if slowest, models := slowestOf(known, x.route.Name); models >= minKnownModels {
-		return withMargin(time.Duration(fewSamplesFactor * float64(slowest*runUnits(x))))
-	}
-	return t.longestInTime(x, now)
-}
-
-// unknownTime returns the run time of a request without a model if little is known of its route.
-func unknownTime(x *exchange) time.Duration {
-	switch {
-	case x.route.Kind != fleet.Streaming:
-		return unknownRunTime
-	case x.call.HasTokens:
-		return unknownToken * runUnits(x)
-	}
-	return unknownStream
-}
-
-// slowestOf returns the slowest pace of the models of a route, and their number.
-func slowestOf(known map[runTimeKey]runTime, route string) (perUnit time.Duration, models int) {
-	for key, r := range known {
-		if key.route == route {
-			perUnit, models = max(perUnit, r.perUnit), models+1
-		}
-	}
-	return perUnit, models
-}
-
-// longestInTime returns the longest time in which a generation by a model of unknown pace may end and still be in time: each
-// event may take the route's gap objective. The caller must hold t.mu.
-func (t *runTimes) longestInTime(x *exchange, now time.Duration) time.Duration {
-	left := max(0, x.deadline-now)
-	if x.route.GapObjective <= 0 {
-		return left
-	}
-	events := float64(runUnits(x)) / max(1, t.unitsPerEvent[x.service])
-	return min(left, withMargin(x.route.Objective+time.Duration(events*float64(x.route.GapObjective))))
-}
-
-// longest returns the longest time of all routes with recent requests.
-func (t *runTimes) longest(now time.Duration) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var most time.Duration
-	for _, r := range t.known(now) {
-		most = max(most, r.total)
-	}
-	return withMargin(most)
-}
-
-// withMargin adds to a run time what a request may take longer.
-func withMargin(d time.Duration) time.Duration {
-	return time.Duration(runTimeFactor*float64(d)) + runTimeMargin
-}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	now := g.opts.Now()
-	expected := g.runTimes.expected(x, now) + stop.silence
+	expected := g.expectedRun(x, now) + stop.silence
 	x.log["expected_ms"] = expected.Milliseconds()
 	return now+min(expected, x.deadline-now) > stop.end
 }
@@ -66,5 +66,14 @@
 	if stop == nil || x.deadline <= stop.end {
 		return until
 	}
-	return min(until, stop.end-stop.silence-g.runTimes.expected(x, g.opts.Now()))
+	return min(until, stop.end-stop.silence-g.expectedRun(x, g.opts.Now()))
+}
+
+// expectedRun returns how long a request may take at a target.
+func (g *Gateway) expectedRun(x *exchange, now time.Duration) time.Duration {
+	var prefill time.Duration
+	if isSized(x) {
+		prefill = g.opts.View.PrefillTime(x.service, promptOf(x))
+	}
+	return g.runTimes.expected(x, now, prefill)
 }
--- a/internal/gateway/streamsizes_test.go
+++ b/internal/gateway/streamsizes_test.go
@@ -29,12 +29,10 @@
 	perToken time.Duration // of the prompt
 	gap      time.Duration // between events of five tokens
 	events   sync.Map      // number of events by request ID
-	sent     int
 }
 
 // Forward implements Sender.
 func (e *sizedEngine) Forward(_ context.Context, _ string, f target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
-	e.sent++
 	prompt, err := strconv.Atoi(f.Header.Get("Tokens-In"))
 	if err != nil {
 		return nil, err
