A stopping host ends early only if it has to refuse most requests

Cause: the same point estimate as for accepting requests, of the longest request of all routes, whoever still comes.

TestHostThatServesMostStays has both sides.

--- a/internal/gateway/runestimates.go
+++ b/internal/gateway/runestimates.go
@@ -82,17 +82,6 @@
 	return min(left, withMargin(max(x.route.Objective, prefill)+rest))
 }
 
-// longest returns the longest time of all routes with recent requests.
-func (t *runTimes) longest(now time.Duration) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var most time.Duration
-	for _, r := range t.known(now) {
-		most = max(most, r.total)
-	}
-	return withMargin(most)
-}
-
 // withMargin adds to a run time what a request may take longer.
 func withMargin(d time.Duration) time.Duration {
 	return scaled(d, runTimeFactor) + runTimeMargin
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 	end        time.Duration        // on the clock of Options.Now; no request may run after it
 	silence    time.Duration        // left for the silence of a target
 	retryAfter func() time.Duration // Retry-After of requests that are refused because of the stop
+	arrivals   arrivals
 }
 
 // Time that is left for the silence of a target.
@@ -33,19 +35,24 @@
 // have them run elsewhere once the connection ends. It must be called after Close.
 func (g *Gateway) EndRequests() { g.end() }
 
-// LongestRunTime returns how long a request of any route may take at a target, judged by
-// recent requests and those in progress. It must be called after Stop.
-func (g *Gateway) LongestRunTime() time.Duration {
-	return g.runTimes.longest(g.opts.Now()) + g.stop.Load().silence
-}
+// RefusesMost reports whether most requests that came lately were refused because of the planned stop. It must be called after Stop.
+func (g *Gateway) RefusesMost() bool { return g.stop.Load().arrivals.mostRefused() }
 
 const reasonStopping = "host is stopping"
 
 // refuseForStop refuses a request because of the planned stop. It returns false.
 func (g *Gateway) refuseForStop(x *exchange) bool {
+	g.stop.Load().arrivals.add(true)
 	return g.refuse(x, http.StatusServiceUnavailable, reasonStopping, g.stop.Load().retryAfter())
 }
 
+// countForStop counts a request that is sent during a planned stop.
+func (g *Gateway) countForStop(x *exchange) {
+	if stop := g.stop.Load(); stop != nil && x.tries == 0 {
+		stop.arrivals.add(false)
+	}
+}
+
 // outlastsStop reports whether a request that is sent now may still run when the host
 // stops.
 func (g *Gateway) outlastsStop(x *exchange) bool {
@@ -77,3 +84,32 @@
 	}
 	return g.runTimes.expected(x, now, prefill)
 }
+
+// arrivals tells which of the latest requests were refused because of the planned stop. It is safe for concurrent use.
+type arrivals struct {
+	mu      sync.Mutex
+	refused [countedArrivals]bool
+	next    int
+}
+
+// countedArrivals is the number of requests by which a host judges whether its callers are better served by its next process.
+const countedArrivals = 8
+
+func (a *arrivals) add(refused bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused[a.next] = refused
+	a.next = (a.next + 1) % countedArrivals
+}
+
+func (a *arrivals) mostRefused() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, refused := range a.refused {
+		if refused {
+			n++
+		}
+	}
+	return n > countedArrivals/2
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -343,3 +343,21 @@
 		running.Wait()
 	})
 }
+
+// TestHostThatServesMostStays guards against a stopping host that ends early, since it has seen long requests, while it still serves those that
+// come. One that has to refuse most of them may end.
+func TestHostThatServesMostStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSizedGateway()
+		g.repeat(2*minRunTimeSamples, sizedRun{"/once/x", 70_000, 100, 20})
+		g.stopIn(6 * time.Second)
+		g.repeat(countedArrivals, sizedRun{"/once/x", 600, 100, 8})
+		if g.RefusesMost() {
+			t.Error("the host refuses most requests, although it served all of them")
+		}
+		g.repeat(countedArrivals, sizedRun{"/once/x", 70_000, 275, 55})
+		if !g.RefusesMost() {
+			t.Error("the host refused all of the latest requests and does not say so")
+		}
+	})
+}
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -50,9 +50,8 @@
 // busy reports whether requests are in progress or slow callers have not read their responses yet.
 func (h *Host) busy() bool { return h.gateway.Running() > 0 || h.callers.Used() > 0 }
 
-// serveUntilStop returns when callers have moved to other hosts, or when the host accepts
-// no more long requests and none is in progress: callers are then served sooner by other
-// hosts and by the next process on this machine.
+// serveUntilStop returns when callers have moved to other hosts, or when most of those that still come have to be
+// refused and no request is in progress: callers are then served sooner by other hosts and by the next process on this machine.
 func (h *Host) serveUntilStop(ctx context.Context, start, end time.Time) {
 	lastRunning := time.Now()
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -64,7 +63,7 @@
 		if time.Since(start) > minServeTime && time.Since(lastRunning) > idleBeforeStop {
 			return
 		}
-		if time.Since(start) > directoryTTL && time.Until(end) < h.gateway.LongestRunTime() {
+		if time.Since(start) > directoryTTL && h.gateway.RefusesMost() {
 			return
 		}
 	}
