A stopping host sends a request that a target may have run again for as long as it runs

A stream that had begun was cut off at once when its target broke off late in a stop and the next one still had to load the model: the wait for a target ended when the whole size of the stream would outlast the stop, although part of it had come, and giving up loses it for certain.

TestBegunStreamGoesOnLateInAStop failed before (1 stream cut off). Control in it: a new stream of the same size is refused.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -67,11 +67,15 @@
 }
 
 // lastSendBeforeStop returns the latest time at which a request may be sent so that it ends
-// before the host stops. It returns until if that is earlier.
+// before the host stops. It returns until if that is earlier. A request that a target may have run is sent again as long as the host runs: it
+// has been accepted, and can only gain by that.
 func (g *Gateway) lastSendBeforeStop(x *exchange, until time.Duration) time.Duration {
 	stop := g.stop.Load()
-	if stop == nil || x.deadline <= stop.end {
+	switch {
+	case stop == nil || x.deadline <= stop.end:
 		return until
+	case x.sends > 0:
+		return min(until, stop.end)
 	}
 	return min(until, stop.end-stop.silence-g.expectedRun(x, g.opts.Now()))
 }
--- a/internal/gateway/streamsizes_test.go
+++ b/internal/gateway/streamsizes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -67,6 +69,7 @@
 	ids    int
 	end    time.Time     // of the stop
 	late   time.Duration // by which a stream has outlasted it
+	cutOff int           // streams
 }
 
 func newSizedGateway() *sizedGateway {
@@ -90,6 +93,9 @@
 	req.Header.Set("Tokens-In", strconv.Itoa(r.prompt))
 	req.Header.Set("Tokens-Out", strconv.Itoa(r.most))
 	w := serve(g.Gateway, req)
+	if w.Header().Get("Aborted") != "" {
+		g.cutOff++
+	}
 	if strings.Count(w.Body.String(), "data:") > 0 && !g.end.IsZero() {
 		g.late = max(g.late, time.Since(g.end))
 	}
@@ -113,8 +119,8 @@
 	if got := g.run(r); got != status {
 		t.Errorf("%s: status %d, want %d", what, got, status)
 	}
-	if g.late > 0 {
-		t.Errorf("%s: a stream ends %v after the stop", what, g.late)
+	if g.late > 0 || g.cutOff > 0 {
+		t.Errorf("%s: a stream ends %v after the stop, %d were cut off", what, g.late, g.cutOff)
 	}
 }
 
@@ -171,3 +177,43 @@
 		g.expect(t, "the largest stream", sizedRun{"/once/x", 100_000, 275, 55}, http.StatusOK)
 	})
 }
+
+// breakingEngine breaks the first stream off with its first event, which takes a second. The other one loads the model meanwhile and 0.2 s longer.
+type breakingEngine struct {
+	*sizedEngine
+	view   *coordinator.FleetView
+	broken bool
+}
+
+// Forward implements Sender.
+func (e *breakingEngine) Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	if e.broken {
+		return e.sizedEngine.Forward(ctx, address, f, idOf)
+	}
+	e.broken = true
+	time.Sleep(time.Second)
+	all := e.view.Targets()
+	loading := maps.Clone(all.ByID)
+	for id, engine := range loading {
+		if id != address {
+			engine.Models, engine.OnDisk = nil, []string{"m"}
+			loading[id] = engine
+		}
+	}
+	e.view.SetTargets(fleet.NewTargets(loading))
+	time.AfterFunc(200*time.Millisecond, func() { e.view.SetTargets(all) })
+	return breakAfter("id: 1\ndata: a\n\n")(f)
+}
+
+// TestBegunStreamGoesOnLateInAStop guards against a stopping host that cuts a stream off whose target has broken off, since its whole size would
+// outlast the stop, although it may end in time at another target.
+func TestBegunStreamGoesOnLateInAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSizedGateway()
+		g.repeat(2*minRunTimeSamples, sizedRun{"/stream/x", 600, 275, 8})
+		g.opts.Sender = &breakingEngine{sizedEngine: g.engine, view: g.opts.View}
+		g.stopIn(4500 * time.Millisecond)
+		g.expect(t, "a stream that goes on", sizedRun{"/stream/x", 600, 275, 8}, http.StatusOK)
+		g.expect(t, "a new stream", sizedRun{"/stream/x", 600, 275, 8}, http.StatusServiceUnavailable)
+	})
+}
