Estimates of run times look up one route and model

A stream whose pace is not known takes no less until its first event than what was seen of its prompt.

--- a/internal/gateway/runestimates.go
+++ b/internal/gateway/runestimates.go
@@ -10,8 +10,8 @@
 func (t *runTimes) expected(x *exchange, now, prefill time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.known(now)
-	own, ok := known[runTimeKeyOf(x)]
+	t.rotate(now)
+	own, ok := t.of(runTimeKeyOf(x), now)
 	switch {
 	case x.route.Kind != fleet.Streaming, x.call.Model == "":
 		expected := own.perUnit * runUnits(x)
@@ -29,12 +29,13 @@
 		}
 		return withMargin(run)
 	}
-	if slowest, models := slowestOf(known, x.route.Name); models >= minKnownModels {
+	if slowest, models := t.slowestOf(x.route.Name, now); models >= minKnownModels {
 		if run, complete := t.runOf(x, slowest, prefill); complete {
 			return withMargin(scaled(run, fewSamplesFactor))
 		}
 	}
-	return t.longestInTime(x, now, prefill)
+	first, _ := own.prompts.longest(x.call.TokensIn) // 0 if none was seen
+	return t.longestInTime(x, now, max(first, prefill))
 }
 
 // runOf returns how long a stream may take at a target, by what was seen of its route and model; complete is false if a part of it was not
@@ -61,25 +62,15 @@
 	return unknownStream
 }
 
-// slowestOf returns the longest times of the models of a route, and the number of models.
-func slowestOf(known map[runTimeKey]runTime, route string) (slowest runTime, models int) {
-	for key, r := range known {
-		if key.route == route {
-			slowest, models = slowest.join(r), models+1
-		}
-	}
-	return slowest, models
-}
-
 // longestInTime returns the longest time in which a generation by a model of unknown pace may end and still be in time: each
-// event may take the route's gap objective. The caller must hold t.mu.
-func (t *runTimes) longestInTime(x *exchange, now, prefill time.Duration) time.Duration {
+// event may take the route's gap objective. first is how long the first event is known to take at least. The caller must hold t.mu.
+func (t *runTimes) longestInTime(x *exchange, now, first time.Duration) time.Duration {
 	left := max(0, x.deadline-now)
 	if x.route.GapObjective <= 0 {
 		return left
 	}
 	rest := scaled(x.route.GapObjective, t.events(x.service, runUnits(x)))
-	return min(left, withMargin(max(x.route.Objective, prefill)+rest))
+	return min(left, withMargin(max(x.route.Objective, first)+rest))
 }
 
 // withMargin adds to a run time what a request may take longer.
--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -175,20 +175,35 @@
 	}
 }
 
-// known returns what is known of each route and model. Requests in progress take at least as long as they have. The
-// caller must hold t.mu.
-func (t *runTimes) known(now time.Duration) map[runTimeKey]runTime {
-	t.rotate(now)
-	out := make(map[runTimeKey]runTime, len(t.current)+len(t.previous))
+// of returns what is known of a route and model. Requests in progress take at least as long as they have. The caller must hold t.mu.
+func (t *runTimes) of(key runTimeKey, now time.Duration) (known runTime, ok bool) {
 	for _, window := range []map[runTimeKey]runTime{t.current, t.previous} {
-		for key, r := range window {
-			out[key] = out[key].join(r)
+		if seen, in := window[key]; in {
+			known, ok = known.join(seen), true
 		}
 	}
+	if !ok { // requests in progress alone would make an unknown model look quick
+		return known, false
+	}
 	for _, run := range t.running {
-		if r, ok := out[run.key]; ok { // alone it would make an unknown model look quick
-			out[run.key] = r.join(run.seen(now, 0))
+		if run.key == key {
+			known = known.join(run.seen(now, 0))
 		}
 	}
-	return out
+	return known, true
+}
+
+// slowestOf returns the longest times of the models of a route, and the number of models. The caller must hold t.mu.
+func (t *runTimes) slowestOf(route string, now time.Duration) (slowest runTime, models int) {
+	counted := map[string]bool{}
+	for _, window := range []map[runTimeKey]runTime{t.current, t.previous} {
+		for key := range window {
+			if key.route == route && !counted[key.model] {
+				counted[key.model] = true
+				known, _ := t.of(key, now)
+				slowest = slowest.join(known)
+			}
+		}
+	}
+	return slowest, len(counted)
 }
