Estimates of run times: what runs, short streams and tiny maxima

- A running stream with few events counted for nothing once five longer ones had ended: with 0.6 s and more between events, streams were accepted that end 7.4 to 18.8 s after the stop.
So did short streams that had ended.
Streams count as if they had eight gaps now.
- A long prompt that had been sent 20 ms ago was taken for one that takes 20 ms.
What runs only raises times now.
- Two events that came together, or a silence before the first event, gave a pace of zero.
- A stream with a maximum of one token made every event hold one for the life of the process.
- Sizes up to the codec's limit overflowed for streams without a prompt size and looked short.
- A host left while it served most requests, or stayed although it refused all (the latest eight, of any age).
It now takes those of the last second; they are counted when they end.
- Requests whose own time is over before the stop need no estimate.

Each has a test that failed before: TestSlowPaceIsSeenWhileAStreamRuns (0.6, 1.2, 4.5 s), TestShortStreamsShowThePace, TestTwoEventsAtOnceAreNoPace, TestRunningPromptTellsNothingOfLargerOnes, TestTinyMaximumDoesNotMakeEventsSmall, TestHostThatServesMostStays, TestAbsurdSizesAreRefused (prompt of 0). Planting no prefill time or no factor for few samples fails TestPrefillTimeIsALeastEstimate and TestFewStreamsVouchForLess. The race in the tests' own request numbers is gone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,7 @@
 		g.refuseForStop(x)
 	} else if g.admit(x) {
 		g.run(x)
+		g.countForStop(x)
 	}
 	g.recordRequest(x)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -97,7 +97,6 @@
 			g.giveUp(x)
 			return
 		}
-		g.countForStop(x)
 		before := x.tries
 		x.tries++
 		outcome := g.tryTimed(ctx, x, choice, avoid)
--- a/internal/gateway/runestimates.go
+++ b/internal/gateway/runestimates.go
@@ -14,7 +14,7 @@
 	own, ok := t.of(runTimeKeyOf(x), now)
 	switch {
 	case x.route.Kind != fleet.Streaming, x.call.Model == "":
-		expected := own.perUnit * runUnits(x)
+		expected := scaled(own.perUnit, float64(runUnits(x)))
 		sizeUnknown := x.route.Kind == fleet.Streaming && !x.call.HasTokens // a short one before tells nothing
 		if sizeUnknown || own.samples < minRunTimeSamples {
 			expected = max(expected, unknownTime(x))
@@ -42,7 +42,7 @@
 // seen. The caller must hold t.mu.
 func (t *runTimes) runOf(x *exchange, seen runTime, prefill time.Duration) (run time.Duration, complete bool) {
 	if !isSized(x) {
-		return seen.perUnit * runUnits(x), true
+		return scaled(seen.perUnit, float64(runUnits(x))), true
 	}
 	first, firstSeen := seen.prompts.longest(x.call.TokensIn)
 	each, paceSeen := seen.pace.slowest()
@@ -57,7 +57,7 @@
 	case x.route.Kind != fleet.Streaming:
 		return unknownRunTime
 	case x.call.HasTokens:
-		return unknownToken * runUnits(x)
+		return scaled(unknownToken, float64(runUnits(x)))
 	}
 	return unknownStream
 }
--- a/internal/gateway/runsizes.go
+++ b/internal/gateway/runsizes.go
@@ -17,7 +17,7 @@
 // promptTime is the longest time of a class.
 type promptTime struct {
 	longest time.Duration
-	tokens  int // of the largest prompt; 0: none was seen
+	tokens  int // of the largest prompt whose first event came; 0: none did
 }
 
 func promptClass(tokens int) int {
@@ -25,11 +25,18 @@
 	return min(class, promptClasses-1)
 }
 
+// add records a prompt whose first event came after a time.
 func (p *promptTimes) add(tokens int, took time.Duration) {
 	c := &p[promptClass(tokens)]
 	c.longest, c.tokens = max(c.longest, took), max(c.tokens, tokens)
 }
 
+// raise records a prompt whose first event has not come after a time. It tells nothing of larger ones.
+func (p *promptTimes) raise(tokens int, took time.Duration) {
+	c := &p[promptClass(tokens)]
+	c.longest = max(c.longest, took)
+}
+
 func (p promptTimes) join(o promptTimes) promptTimes {
 	for i := range p {
 		p[i].longest, p[i].tokens = max(p[i].longest, o[i].longest), max(p[i].tokens, o[i].tokens)
@@ -42,8 +49,9 @@
 func (p *promptTimes) longest(tokens int) (t time.Duration, ok bool) {
 	var nearest promptTime
 	for _, c := range p[:promptClass(tokens)+1] {
+		t = max(t, c.longest)
 		if c.tokens > 0 {
-			nearest, t = c, max(t, c.longest)
+			nearest = c
 		}
 	}
 	if nearest.tokens > 0 {
@@ -51,7 +59,7 @@
 	}
 	for _, c := range p {
 		if c.tokens > 0 { // the smallest prompts that were seen are larger
-			return min(c.longest, max(unknownRunTime, scaled(c.longest, float64(tokens)/float64(c.tokens)))), true
+			return max(t, min(c.longest, max(unknownRunTime, scaled(c.longest, float64(tokens)/float64(c.tokens))))), true
 		}
 	}
 	return 0, false
@@ -71,42 +79,42 @@
 
 // Numbers of an eventPace.
 const (
-	// steadyEvents is the number of events from which on a single pause says little of the pace of a stream.
-	steadyEvents = 9
-	// minSteadyStreams is the number of such streams from which on shorter ones don't count.
+	// steadyGaps is the number of times between events from which on a single pause says little of the pace of a stream.
+	steadyGaps = 8
+	// minSteadyStreams is the number of such streams from which on a pause in a shorter one counts as if it were as long.
 	minSteadyStreams = 5
 )
 
 // eventPace is the slowest recent mean time from event to event of streams.
 type eventPace struct {
-	steady  time.Duration // of streams with steadyEvents or more
-	any     time.Duration // of all
-	streams int           // with steadyEvents or more
-	seen    bool          // at least one time between two events
+	steady  time.Duration // streams with fewer gaps count as if they had steadyGaps
+	any     time.Duration
+	streams int // with steadyGaps or more
+	gaps    int // of all
 }
 
-// add records a stream that had a number of events in a time from the first event on.
-func (p *eventPace) add(events int, took time.Duration) {
-	if events < 2 {
+// add records a stream with a number of gaps between events, in a time.
+func (p *eventPace) add(gaps int, took time.Duration) {
+	if gaps < 1 {
 		return
 	}
-	each := took / time.Duration(events-1)
-	p.any, p.seen = max(p.any, each), true
-	if events >= steadyEvents {
-		p.steady, p.streams = max(p.steady, each), p.streams+1
+	p.any, p.steady = max(p.any, took/time.Duration(gaps)), max(p.steady, took/time.Duration(max(gaps, steadyGaps)))
+	p.gaps += gaps
+	if gaps >= steadyGaps {
+		p.streams++
 	}
 }
 
 func (p eventPace) join(o eventPace) eventPace {
-	return eventPace{max(p.steady, o.steady), max(p.any, o.any), p.streams + o.streams, p.seen || o.seen}
+	return eventPace{max(p.steady, o.steady), max(p.any, o.any), p.streams + o.streams, p.gaps + o.gaps}
 }
 
-// slowest returns the slowest pace that a further stream is expected to have; ok is false if none was seen.
+// slowest returns the slowest pace that a further stream is expected to have; ok is false if too little was seen.
 func (p eventPace) slowest() (each time.Duration, ok bool) {
 	if p.streams >= minSteadyStreams {
 		return p.steady, true
 	}
-	return p.any, p.seen
+	return p.any, p.gaps >= steadyGaps // fewer may have come at once
 }
 
 // maxUnitsPerEvent is the number of output tokens in an event of the streams with the smallest events that are known. Streams that end before their
--- a/internal/gateway/runtimes.go
+++ b/internal/gateway/runtimes.go
@@ -136,24 +136,44 @@
 	t.countEvents(x, run.units)
 }
 
-// seen returns what a run of which the target was silent for a time shows until now.
+// seen returns what a run shows that has ended after a silence of its target.
 func (r *startedRun) seen(now, silent time.Duration) runTime {
 	took := now - r.at - silent
 	out := runTime{total: took, perUnit: took / r.units}
+	if !r.sized {
+		return out
+	}
+	if r.firstAt == 0 {
+		out.prompts.add(r.prompt, now-r.at)
+		return out
+	}
+	first := r.firstAt - r.at
+	out.prompts.add(r.prompt, first)
+	if first >= silenceMin { // it may have been before the first event
+		silent = max(0, silent-first)
+	}
+	out.pace.add(r.events-1, max(0, now-r.firstAt-silent))
+	return out
+}
+
+// soFar returns what a run that goes on shows until now.
+func (r *startedRun) soFar(now time.Duration) runTime {
+	took := now - r.at
+	out := runTime{total: took, perUnit: took / r.units}
 	switch {
 	case !r.sized:
 	case r.firstAt == 0:
-		out.prompts.add(r.prompt, took)
+		out.prompts.raise(r.prompt, took)
 	default:
-		out.prompts.add(r.prompt, r.firstAt-r.at)
-		out.pace.add(r.events, max(0, now-r.firstAt-silent))
+		out.prompts.raise(r.prompt, r.firstAt-r.at)
+		out.pace.add(r.events, now-r.firstAt) // the next event has not come yet
 	}
 	return out
 }
 
-// countEvents updates unitsPerEvent after a whole stream. The caller must hold t.mu.
+// countEvents updates unitsPerEvent after a whole stream. Small maxima tell little, as the last event may be small. The caller must hold t.mu.
 func (t *runTimes) countEvents(x *exchange, units time.Duration) {
-	if x.events.count == 0 || !x.call.HasTokens || x.call.LastEventID != "" {
+	if x.events.count == 0 || units < steadyGaps*maxUnitsPerEvent || !x.call.HasTokens || x.call.LastEventID != "" {
 		return
 	}
 	if t.unitsPerEvent == nil {
@@ -187,7 +207,7 @@
 	}
 	for _, run := range t.running {
 		if run.key == key {
-			known = known.join(run.seen(now, 0))
+			known = known.join(run.soFar(now))
 		}
 	}
 	return known, true
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -35,21 +35,22 @@
 // have them run elsewhere once the connection ends. It must be called after Close.
 func (g *Gateway) EndRequests() { g.end() }
 
-// RefusesMost reports whether most requests that came lately were refused because of the planned stop. It must be called after Stop.
-func (g *Gateway) RefusesMost() bool { return g.stop.Load().arrivals.mostRefused() }
+// RefusesMost reports whether at least half of the requests of the last second were refused because of the planned stop. It must be called
+// after Stop.
+func (g *Gateway) RefusesMost() bool { return g.stop.Load().arrivals.mostRefused(g.opts.Now()) }
 
 const reasonStopping = "host is stopping"
 
 // refuseForStop refuses a request because of the planned stop. It returns false.
 func (g *Gateway) refuseForStop(x *exchange) bool {
-	g.stop.Load().arrivals.add(true)
+	g.stop.Load().arrivals.add(g.opts.Now(), true)
 	return g.refuse(x, http.StatusServiceUnavailable, reasonStopping, g.stop.Load().retryAfter())
 }
 
-// countForStop counts a request that is sent during a planned stop.
+// countForStop counts a request that has ended during a planned stop and was not refused.
 func (g *Gateway) countForStop(x *exchange) {
-	if stop := g.stop.Load(); stop != nil && x.tries == 0 {
-		stop.arrivals.add(false)
+	if stop := g.stop.Load(); stop != nil && !x.refused {
+		stop.arrivals.add(g.opts.Now(), false)
 	}
 }
 
@@ -57,13 +58,13 @@
 // stops.
 func (g *Gateway) outlastsStop(x *exchange) bool {
 	stop := g.stop.Load()
-	if stop == nil {
+	if stop == nil || x.deadline <= stop.end {
 		return false
 	}
 	now := g.opts.Now()
 	expected := g.expectedRun(x, now) + stop.silence
 	x.log["expected_ms"] = expected.Milliseconds()
-	return now+min(expected, x.deadline-now) > stop.end
+	return now+expected > stop.end
 }
 
 // lastSendBeforeStop returns the latest time at which a request may be sent so that it ends
@@ -91,29 +92,41 @@
 
 // arrivals tells which of the latest requests were refused because of the planned stop. It is safe for concurrent use.
 type arrivals struct {
-	mu      sync.Mutex
-	refused [countedArrivals]bool
-	next    int
+	mu     sync.Mutex
+	latest [countedArrivals]arrival
+	next   int
 }
 
-// countedArrivals is the number of requests by which a host judges whether its callers are better served by its next process.
-const countedArrivals = 8
+type arrival struct {
+	at      time.Duration // 0: none
+	refused bool
+}
+
+// Arrivals by which a host judges whether its callers are better served by its next process.
+const (
+	countedArrivals = 64
+	arrivalWindow   = time.Second
+)
 
-func (a *arrivals) add(refused bool) {
+func (a *arrivals) add(now time.Duration, refused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.refused[a.next] = refused
+	a.latest[a.next] = arrival{now, refused}
 	a.next = (a.next + 1) % countedArrivals
 }
 
-func (a *arrivals) mostRefused() bool {
+func (a *arrivals) mostRefused(now time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := 0
-	for _, refused := range a.refused {
-		if refused {
-			n++
+	refused, others := 0, 0
+	for _, x := range a.latest {
+		switch {
+		case x.at == 0 || now-x.at > arrivalWindow:
+		case x.refused:
+			refused++
+		default:
+			others++
 		}
 	}
-	return n > countedArrivals/2
+	return refused > 0 && refused >= others
 }
--- a/internal/gateway/streamsizes_test.go
+++ b/internal/gateway/streamsizes_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,7 +67,7 @@
 type sizedGateway struct {
 	*Gateway
 	engine *sizedEngine
-	ids    int
+	ids    atomic.Int64
 	end    time.Time     // of the stop
 	late   time.Duration // by which a stream has outlasted it
 	cutOff int           // streams
@@ -86,8 +87,7 @@
 }
 
 func (g *sizedGateway) run(r sizedRun) (status int) {
-	g.ids++
-	id := fmt.Sprint("r", g.ids)
+	id := fmt.Sprint("r", g.ids.Add(1))
 	g.engine.events.Store(id, r.events)
 	req := newPost(r.route, "m", id)
 	req.Header.Set("Tokens-In", strconv.Itoa(r.prompt))
