Log the requests that are in progress at the end of a stop

Cause: a request's only sure line is written when its handler ends, and nothing waits for that: a handler that hangs, or ends after the process, leaves none; nor does one that ends with a panic, which net/http contains.

Change: the gateway keeps a small record of each request from the time its head was read until its line is written. A handler that panics leaves a line too. CutOff counts the begun responses that were cut off.

Ruled out: a line from the handler alone (a hanging one writes none); the exchange itself as the record (its handler changes it without a lock).

That panics happen is not shown.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,6 +38,7 @@
 	headWritten       bool          // the response head was sent to the caller
 	refused           bool
 	status            int
+	progress          *progress // shown beside the handler
 	events            eventBuffer
 	version           *string // only version at which the stream may go on; nil: any, as it has not begun
 	noRetryBudget     bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	opts      Options
 	startedAt time.Duration
 	running   atomic.Int64
+	requests  requestsInProgress
+	cutOff    atomic.Int64                // begun responses that were cut off after EndRequests
 	stop      atomic.Pointer[plannedStop] // nil before Stop
 	closed    atomic.Bool
 	runTimes  runTimes
@@ -119,6 +121,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{w: w, r: r, arrived: g.opts.Now(), relayedBy: relayedBy, log: logrus.Fields{}}
+	x.progress = g.requests.begin(x.arrived, relayedBy)
+	defer g.endProgress(x)
 	if g.closed.Load() {
 		g.refuseForStop(x)
 	} else if g.admit(x) {
@@ -153,6 +157,7 @@
 	}
 	x.logSlowCaller()
 	g.opts.Log.WithFields(x.log).Info("request ended")
+	g.requests.end(x.progress)
 	class := strconv.Itoa(x.status/100) + "xx"
 	scope := g.opts.Metrics.Tagged(map[string]string{"class": class})
 	scope.Counter("requests").Inc(1)
@@ -166,6 +171,7 @@
 func (g *Gateway) admit(x *exchange) bool {
 	var err error
 	x.call, err = g.opts.Codec.ReadCall(x.r)
+	x.showProgress()
 	if err != nil {
 		return g.refuse(x, http.StatusBadRequest, err.Error(), 0)
 	}
@@ -179,6 +185,7 @@
 		return g.refuse(x, http.StatusNotFound, "no route", 0)
 	}
 	x.service = pickService(x.route, x.call.ID)
+	x.showProgress()
 	x.deadline = deadlineOf(x)
 	x.beginResponse(g.opts.Now())
 	if x.config.HasTeams() && !x.route.Public {
@@ -345,6 +352,9 @@
 func (g *Gateway) fail(x *exchange, status int) {
 	if x.headWritten {
 		x.status = status
+		if g.ending.Err() != nil {
+			g.cutOff.Add(1)
+		}
 		g.recordRequest(x)
 		panic(http.ErrAbortHandler) // a partial response must not look complete
 	}
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -140,6 +140,7 @@
 
 // sendThrough sends a request through one host and relays its response.
 func (g *Gateway) sendThrough(ctx context.Context, x *exchange, helper fleet.Host) (outcome result) {
+	x.showProgress()
 	s, _ := x.takeSending()
 	begun := s != nil // a hedge
 	if !begun {
@@ -242,6 +243,7 @@
 func (g *Gateway) passLarge(x *exchange, resp *target.ForwardResponse) result {
 	g.copyHeader(x, resp)
 	x.headWritten, x.status = true, resp.Status
+	x.showProgress()
 	x.w.WriteHeader(resp.Status)
 	if _, err := io.Copy(x.w, resp.Body); err != nil {
 		x.sends++
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -82,6 +82,7 @@
 	}
 	g.copyHeader(x, resp)
 	x.headWritten, x.status = true, resp.Status
+	x.showProgress()
 	x.w.WriteHeader(resp.Status)
 	n, err := io.Copy(x.w, resp.Body)
 	if err != nil {
@@ -212,6 +213,7 @@
 		g.copyHeader(x, resp)
 		x.w.Header().Del("Content-Length")
 		x.guardUndelimited()
+		x.showProgress() // the write may wait for the caller
 		x.w.WriteHeader(resp.Status)
 	}
 	if len(events) > 0 {
@@ -222,6 +224,7 @@
 			x.lastEventAt = g.opts.Now()
 		}
 	}
+	x.showProgress()
 	return flusher.Flush() == nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -99,6 +99,7 @@
 		}
 		before := x.tries
 		x.tries++
+		x.showProgress()
 		outcome := g.tryTimed(ctx, x, choice, avoid)
 		if x.tries == before { // it reached no target
 			g.opts.Budget.Refund(x.service, charge)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -31,7 +31,10 @@
 // EndRequests ends the requests that are still in progress at the end of a planned stop. Those without a response get one,
 // which promises that they have not run only if that is so. Requests that other hosts have passed on are left: these hosts may
 // have them run elsewhere once the connection ends. It must be called after Close.
-func (g *Gateway) EndRequests() { g.end() }
+func (g *Gateway) EndRequests() {
+	g.logUnfinished(reasonStopOver) // now, as nothing waits for a handler that hangs
+	g.end()
+}
 
 // LongestRunTime returns how long a request of any route may take at a target, judged by
 // recent requests and those in progress. It must be called after Stop.
