Wait for handlers at the end of a process, and log those that go on

What callers saw: connections that a stopping host closed with no line in its log.

Cause: Run ended when its tasks had, whatever the handlers did; closeServers waits for at most 150 ms. Not even a line about the request was written if the body of a request had not come whole (its read is not ended by EndRequests, and callerconn spares the connection once, so the server's Close does not end it either), or if another host had passed it on, as EndRequests leaves those.

Change: after the servers and the buffers of callers are closed, the host waits for up to 100 ms until the handlers have ended, and then logs the requests that have not. That leaves half of stopMargin before the platform kills the process. host_stopped comes after that, with cut_off and unfinished. If a task fails and there is no planned stop, the same lines are written.

Ruled out: waiting for longer, as the platform kills the process 0.5 s after the end of the stop.

--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -298,11 +298,11 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
+			h.finish(servers)
 		case <-h.stop:
-			h.drain(ctx)
+			summary := h.drain(ctx)
+			h.logStopped(summary, h.finish(servers))
 		}
-		closeServers(servers, h.callers)
-		h.callers.Close()
 		cancel()
 		return nil
 	})
--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -19,6 +19,7 @@
 	stopCheckPeriod = 20 * time.Millisecond   // a fraction of the run time of a short request
 	leaveTimeout    = 700 * time.Millisecond
 	shutdownTimeout = 150 * time.Millisecond // for responses on their way; callers count longer as lost
+	handlerTimeout  = 100 * time.Millisecond // then, for handlers to end; half of stopMargin remains
 )
 
 // maxHandoverShare limits handoverTime to this share of the grace period.
@@ -26,7 +27,7 @@
 
 // drain serves the requests that still arrive, as long as they end in time, and returns
 // when no request is in progress or the grace period is nearly over.
-func (h *Host) drain(ctx context.Context) {
+func (h *Host) drain(ctx context.Context) stopSummary {
 	start := time.Now()
 	end := start.Add(h.settings.Bounds.Grace - stopMargin)
 	close(h.stopping)
@@ -42,9 +43,35 @@
 	for h.busy() && time.Now().Before(end) && ctx.Err() == nil {
 		ctxsleep.Sleep(ctx, stopCheckPeriod)
 	}
-	running := h.gateway.Running()
+	summary := stopSummary{start: start, running: h.gateway.Running(), unread: h.callers.Used()}
 	h.gateway.EndRequests()
-	h.log.WithFields(logrus.Fields{"event": "host_stopped", "running": running, "unread_bytes": h.callers.Used(), "took_ms": time.Since(start).Milliseconds()}).Info("host stopped")
+	return summary
+}
+
+// stopSummary is the state at the end of a planned stop.
+type stopSummary struct {
+	start   time.Time
+	running int64 // requests in progress
+	unread  int64 // bytes that callers have not read
+}
+
+// finish closes the servers and waits, for a short time, for handlers that are still running, so that their responses and log lines
+// are written. It logs the requests whose handlers go on, as the process may end now.
+func (h *Host) finish(servers []server) (unfinished int) {
+	closeServers(servers, h.callers)
+	h.callers.Close()
+	for end := time.Now().Add(handlerTimeout); h.gateway.Running() > 0 && time.Now().Before(end); {
+		time.Sleep(busyCheckPeriod)
+	}
+	return h.gateway.LogUnfinished()
+}
+
+// logStopped logs the end of a planned stop.
+func (h *Host) logStopped(s stopSummary, unfinished int) {
+	h.log.WithFields(logrus.Fields{
+		"event": "host_stopped", "running": s.running, "cut_off": h.gateway.CutOff(), "unfinished": unfinished, "unread_bytes": s.unread,
+		"took_ms": time.Since(s.start).Milliseconds(),
+	}).Info("host stopped")
 }
 
 // busy reports whether requests are in progress or slow callers have not read their responses yet.
