Name the requests that a closed gateway refuses

Cause: a closed gateway refuses a request before it reads the call from the head, and the line gets the id from the call.

Change: the call is read for the line.

TestRefusalOfAClosedGatewayIsNamed on: 'after the end: line map[]'; now it passes. Its control, a refusal before the end, was named before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,7 @@
 	x.progress = g.requests.begin(x.arrived, relayedBy)
 	defer g.endProgress(x)
 	if g.closed.Load() {
+		x.call, _ = g.opts.Codec.ReadCall(r) // for the log line; whether it is valid makes no difference
 		g.refuseForStop(x)
 	} else if g.admit(x) {
 		g.run(x)
--- a/internal/gateway/inprogress_test.go
+++ b/internal/gateway/inprogress_test.go
@@ -138,3 +138,22 @@
 		t.Errorf("line %v, %d requests in progress", f, g.LogUnfinished())
 	}
 }
+
+// TestRefusalOfAClosedGatewayIsNamed guards against requests that a stopping host refuses at its end with a line that has no id. The control
+// is refused before the end.
+func TestRefusalOfAClosedGatewayIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := testGateway(&scriptedSender{})
+		hook := logOf(g)
+		stopIn(g, 10*time.Millisecond)
+		postWithID(g, "/once/x", "m", "before")
+		g.Close()
+		postWithID(g, "/once/x", "m", "after")
+		got := lines(hook, "request")
+		for _, id := range []string{"before", "after"} {
+			if f := got[id]; f["status"] != http.StatusServiceUnavailable || f["reason"] != reasonStopping {
+				t.Errorf("%s the end: line %v", id, f)
+			}
+		}
+	})
+}
