Log requests of other hosts that this one declines

Cause: a stopping or cut off host declines what another host passes on to it, and writes no line, so that a request that was read here is named only there.

Change: a line relay_declined with the id and the name of that host.

Measured: TestDeclinedRequestLeavesALine on: 'in the stop: line map[]'; now it passes. Its control, passed on before the stop, was named before. The request has not run here; the other host goes on with it, so no response is lost this way.

--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -63,14 +63,21 @@
 		from := r.Header.Get(headerRelayedBy)
 		r.Header.Del(headerRelayedBy)
 		if _, cutOff := g.opts.Reach.CutOff(); cutOff || g.stop.Load() != nil || from == "" {
-			w.Header().Set(headerDeclined, "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			g.decline(w, r, from)
 			return
 		}
 		g.serve(w, r, from)
 	})
 }
 
+// decline has another host look for another place for a request that it passed on.
+func (g *Gateway) decline(w http.ResponseWriter, r *http.Request, from string) {
+	call, _ := g.opts.Codec.ReadCall(r) // for the log line; whether it is valid makes no difference
+	g.opts.Log.WithFields(logrus.Fields{"event": "relay_declined", "id": call.ID, "relayed_by": from}).Info("this host stops or reaches no targets")
+	w.Header().Set(headerDeclined, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // goesThroughHelper reports whether a request should be sent through another host now.
 func (g *Gateway) goesThroughHelper(x *exchange) bool {
 	if x.relayedBy != "" || x.sends > 0 && !x.route.Retryable() {
--- a/internal/gateway/inprogress_test.go
+++ b/internal/gateway/inprogress_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -157,3 +158,26 @@
 		}
 	})
 }
+
+// TestDeclinedRequestLeavesALine guards against a request that another host passed on, and that this one declines in its stop, without a line
+// here. The control is passed on before.
+func TestDeclinedRequestLeavesALine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "ok")}})
+		hook := logOf(g)
+		passOn := func(id string) {
+			r := newPost("/pay/x", "", id)
+			r.Header.Set(headerRelayedBy, "other")
+			g.RelayHandler().ServeHTTP(httptest.NewRecorder(), r)
+		}
+		passOn("before")
+		stopIn(g, time.Second)
+		passOn("after")
+		if f := lines(hook, "request")["before"]; f["status"] != http.StatusOK || f["relayed_by"] != "other" {
+			t.Errorf("before the stop: line %v", f)
+		}
+		if f := lines(hook, "relay_declined")["after"]; f["relayed_by"] != "other" {
+			t.Errorf("in the stop: line %v", f)
+		}
+	})
+}
