Have a process wait until requests that end late have their responses and lines

What callers would see: a request that a stopping host has passed on to a target ends with its connection, though a 502 is on its way, and no line `request` names it.

Cause: at the end of a stop the servers are kept for 150 ms, and then the process ends, whatever its handlers do. One that needs longer, as on a machine without processor time, has neither line nor response.

Change: the process waits for the servers' responses too, for 150 ms instead of 100: 300 of the 500 ms that remain before the platform kills it, and only if something is left.

--- a/internal/platformhost/stop.go
+++ b/internal/platformhost/stop.go
@@ -19,7 +19,7 @@
 	stopCheckPeriod = 20 * time.Millisecond   // a fraction of the run time of a short request
 	leaveTimeout    = 700 * time.Millisecond
 	shutdownTimeout = 150 * time.Millisecond // for responses on their way; callers count longer as lost
-	handlerTimeout  = 100 * time.Millisecond // then, for handlers to end; half of stopMargin remains
+	handlerTimeout  = 150 * time.Millisecond // then, for handlers to end; some of stopMargin remains
 )
 
 // maxHandoverShare limits handoverTime to this share of the grace period.
@@ -60,12 +60,15 @@
 func (h *Host) finish(servers []server) (unfinished int) {
 	closeServers(servers, h.callers)
 	h.callers.Close()
-	for end := time.Now().Add(handlerTimeout); h.gateway.Running() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(handlerTimeout); h.responding() && time.Now().Before(end); {
 		time.Sleep(busyCheckPeriod)
 	}
 	return h.gateway.LogUnfinished()
 }
 
+// responding reports whether requests are in progress or the server has not sent all responses yet.
+func (h *Host) responding() bool { return h.gateway.Running() > 0 || h.callers.Busy() > 0 }
+
 // logStopped logs the end of a planned stop.
 func (h *Host) logStopped(s stopSummary, unfinished int) {
 	h.log.WithFields(logrus.Fields{
