Streams: line breaks without end count towards the limit of an event

Cause: the limit of 1 MiB was checked on the incomplete event without its leading line breaks. A stream of single CRs (or LF CR CR) ends no event and is nothing but such line breaks, so its length counted as 0: one response could take all memory until the deadline of its request. TestEndlessResponses sends letters, which are counted.

Change: all bytes that are kept count. Blank lines after complete events are still passed on (TestBlankLineAfterLastEventIsRelayed).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,12 +37,12 @@
 }
 
 // readFrom reads on in a stream and returns the events that are complete by now. It fails with *OversizedResponseError, or
-// as the read did; events may be returned beside an error.
+// as the read did; events may be returned beside an error. Line breaks that end no event are kept too, so they count.
 func (b *eventBuffer) readFrom(body io.Reader, buf []byte) (events []byte, err error) {
 	n, err := body.Read(buf)
 	b.add(buf[:n])
 	events = b.takeComplete()
-	if err == nil && b.partialBytes() > maxEventBytes {
+	if err == nil && len(b.buf) > maxEventBytes {
 		err = &OversizedResponseError{Part: "event", Limit: maxEventBytes}
 	}
 	return events, err
