--- a/internal/gateway/endlessevents_test.go
+++ b/internal/gateway/endlessevents_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
+	"time"
 )
 
 // repeating is a body that repeats a text without end.
@@ -38,3 +40,30 @@
 		}
 	}
 }
+
+// timeOfParts returns how long it takes to add a text n times in small parts, for several fresh buffers. It is the least of five runs.
+func timeOfParts(n, buffers int) time.Duration {
+	part := []byte(strings.Repeat("x", 512))
+	least := time.Hour
+	for range 5 {
+		began := time.Now()
+		for range buffers {
+			var b eventBuffer
+			for range n {
+				b.add(part)
+				b.takeComplete()
+			}
+		}
+		least = min(least, time.Since(began))
+	}
+	return least
+}
+
+// TestTimeOfLongEventIsProportional guards against each part of a long event having the whole searched again: targets that send without
+// end would take a host's processors.
+func TestTimeOfLongEventIsProportional(t *testing.T) {
+	short, long := timeOfParts(64, 8), timeOfParts(512, 1)
+	if long > 3*short {
+		t.Errorf("one event of 256 KB takes %v, eight of 32 KB take %v", long, short)
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,7 +8,8 @@
 // eventBuffer splits a stream of server-sent events into complete events and
 // records the id of the last one taken.
 type eventBuffer struct {
-	buf []byte
+	buf      []byte
+	searched int // bytes at the beginning of buf in which no event ends
 	position
 }
 
@@ -23,12 +24,16 @@
 
 // takeComplete removes and returns all complete events.
 func (b *eventBuffer) takeComplete() []byte {
-	end := lastEventEnd(b.buf)
+	from := max(0, b.searched-(maxEventEnd-1)) // an event may end across the border
+	end := lastEventEnd(b.buf[from:])
 	if end == 0 {
+		b.searched = len(b.buf)
 		return nil
 	}
+	end += from
 	events := b.buf[:end:end]
 	b.buf = append([]byte(nil), b.buf[end:]...)
+	b.searched = len(b.buf)
 	if id, n := eventIDs(events); n > 0 {
 		b.lastID = id
 		b.count += n
@@ -56,7 +61,10 @@
 func (b *eventBuffer) partialBytes() int { return len(bytes.TrimLeft(b.buf, "\r\n")) }
 
 // reset discards an incomplete event.
-func (b *eventBuffer) reset() { b.buf = nil }
+func (b *eventBuffer) reset() { b.buf, b.searched = nil, 0 }
+
+// maxEventEnd is the length of the longest mark of an event's end.
+const maxEventEnd = 4
 
 // lastEventEnd returns the position after the last blank line.
 func lastEventEnd(p []byte) int {
--- a/internal/gateway/events_fuzz_test.go
+++ b/internal/gateway/events_fuzz_test.go
@@ -21,6 +21,9 @@
 				if len(events) > 0 && lastEventEnd(events) != len(events) {
 					t.Fatalf("%q does not end with an event", events)
 				}
+				if end := lastEventEnd(b.remainder()); end != 0 {
+					t.Fatalf("%q is held back although it ends an event", b.remainder()[:end])
+				}
 				_ = hasField(events)
 				out = append(out, events...)
 				if err != nil {
