Responses: bound what a host holds of all of them together

Cause: each response has a limit of its own (4 MiB plain, 1 MiB an event), the sum has none. 160 requests, two seconds of the load in the report, at a target whose responses send 900 KB each and do not end fill a host of 144 MB.

TestManyEndlessResponsesAtOnce before the change: plain: 180 MB are held, want 36 at most streams: 148 MB are held, want 36 at most plain, passed on: 180 MB are held, want 36 at most streams, passed on: 148 MB are held, want 36 at most Change: internal/heldbytes counts the bytes of all responses, also those that other hosts pass on. Its bound is an eighth of the host's memory. When it is met, the largest response of the target that holds most is given up; small and complete ones never are, and a plain one with a declared length that has no room is passed on as it comes. A body grows by doubling, so that its buffers can be counted before they are made. New: log event message_given_up, metrics held_bytes and messages_given_up. Result: 18 MB in all four cases, and the control beside them (2 KB, 300 KB in chunks, 3 MB with a length, a stream of 200 KB) is served whole.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/heldbytes"
 	"buckthornseam.dev/seam/internal/invariant"
 	"buckthornseam.dev/seam/internal/target"
 )
@@ -62,6 +63,8 @@
 	Reach   Reach
 	Helpers Helpers
 	Self    string // name of this host
+	// Held bounds what is held of all responses together; nil: that of the smallest host does.
+	Held *heldbytes.Pool
 	// ConfigConfirmed returns the latest time, on the clock Now, at which the
 	// configuration was known to be current.
 	ConfigConfirmed func() (time.Duration, bool)
@@ -88,6 +91,9 @@
 	if opts.Reach == nil || opts.Helpers == nil {
 		opts.Reach = alwaysReached{}
 	}
+	if opts.Held == nil {
+		opts.Held = heldbytes.NewPool(heldbytes.Bound(0), opts.Log, opts.Metrics)
+	}
 	ending, end := context.WithCancel(context.Background())
 	return &Gateway{opts: opts, startedAt: opts.Now(), ending: ending, end: end}
 }
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -218,13 +218,15 @@
 
 // passWhole passes on a response once it has come whole.
 func (g *Gateway) passWhole(x *exchange, helper fleet.Host, resp *target.ForwardResponse, silence *silenceWatch) result {
-	if resp.Length > maxBufferedBytes {
+	if !g.buffers(resp) {
 		if err := silence.pause(); err != nil {
 			return g.relayFailed(x, helper, err)
 		}
 		return g.passLarge(x, resp)
 	}
-	body, err := readBuffered(resp.Body)
+	held := g.holdResponse(x, helper.Name, silence)
+	defer held.End()
+	body, err := readBuffered(resp.Body, held)
 	if err != nil {
 		return g.relayFailed(x, helper, err)
 	}
@@ -256,11 +258,14 @@
 func (g *Gateway) passStream(x *exchange, helper fleet.Host, resp *target.ForwardResponse, silence *silenceWatch) result {
 	flusher := http.NewResponseController(x.w)
 	x.events.reset()
+	held := g.holdResponse(x, helper.Name, silence)
+	defer dropEvents(x, held)
 	buf := make([]byte, copyBufferBytes)
 	began := false
 	for {
 		before := x.events.position
 		events, err := x.events.readFrom(resp.Body, buf)
+		err = holdEvents(x, held, events, err)
 		if len(events) > 0 {
 			began = true
 			progress := hasField(events)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,10 +25,12 @@
 	if x.route.Kind == fleet.Streaming && resp.Status == http.StatusOK {
 		return g.relayStream(x, c, resp, silence, sent)
 	}
-	if resp.Length > maxBufferedBytes {
+	if !g.buffers(resp) {
 		return g.relayLarge(x, c, resp, silence)
 	}
-	body, err := readBuffered(resp.Body)
+	held := g.holdResponse(x, c.Target.ID, silence)
+	defer held.End()
+	body, err := readBuffered(resp.Body, held)
 	if err != nil {
 		g.logBrokenResponse(x, c, err, len(body))
 		return g.sendFailed(x, c, err)
@@ -66,14 +68,6 @@
 	return fmt.Sprintf("%s of the response has more than %d bytes", e.Part, e.Limit)
 }
 
-func readBuffered(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = &OversizedResponseError{Part: "body", Limit: maxBufferedBytes}
-	}
-	return body, err
-}
-
 // relayLarge sends a plain response to the caller as it arrives. If it breaks, the connection is aborted, and
 // the request is not sent again.
 func (g *Gateway) relayLarge(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch) result {
@@ -124,10 +118,13 @@
 func (g *Gateway) relayStream(x *exchange, c coordinator.Choice, resp *target.ForwardResponse, silence *silenceWatch, sent time.Duration) result {
 	flusher := http.NewResponseController(x.w)
 	x.events.reset()
+	held := g.holdResponse(x, c.Target.ID, silence)
+	defer dropEvents(x, held)
 	buf := make([]byte, copyBufferBytes)
 	for {
 		before := x.events.position
 		events, err := x.events.readFrom(resp.Body, buf)
+		err = holdEvents(x, held, events, err)
 		if len(events) > 0 {
 			progress := hasField(events)
 			if progress {
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -22,6 +22,7 @@
 	"buckthornseam.dev/seam/internal/coordinator"
 	"buckthornseam.dev/seam/internal/fleet"
 	"buckthornseam.dev/seam/internal/gateway"
+	"buckthornseam.dev/seam/internal/heldbytes"
 	"buckthornseam.dev/seam/internal/observe"
 	"buckthornseam.dev/seam/internal/peer"
 	"buckthornseam.dev/seam/internal/platform"
@@ -196,6 +197,7 @@
 		Budget:      h.retries,
 		Origins:     h.origins,
 		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot, RequestMemory: h.client.RequestMemory,
+		Held:            heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), h.log, h.metrics.Scope),
 		ConfigConfirmed: h.configConfirmed,
 		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
