Targets: limit the lines of a response's head

Cause: a head may have 64 KB, but the map of its fields takes some hundred bytes for each of them besides. Heads of short fields, complete with a body that stalls or not complete, hold 15 times their bytes: 150 of them fill a host of 144 MB, and the bound of all responses does not see them.

TestHeadsOfManyFieldsAreCut before the change, 100 heads of 60 KB: complete: 1147 KB are held for each head, want 192 at most incomplete: 962 KB after an interim response: 962 KB Change: a connection that has a single request counts the lines of the head, and of interim responses before it. The lines of the body are not counted (TestUsualHeadsArrive: 400 fields, four interim responses, 2,000 lines of body).

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -60,9 +60,19 @@
 	return &countedConn{Conn: conn}, nil
 }
 
+// dialOnce is dialCounted for a connection that has a single request. The lines of the response's head are limited.
+func (dial DialFunc) dialOnce(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, head: &headLines{}}, nil
+}
+
 // countedConn counts the bytes written to the kernel.
 type countedConn struct {
 	net.Conn
+	head    *headLines // nil: without a limit
 	mu      sync.Mutex // held during a write
 	closed  bool
 	bytes   atomic.Int64
@@ -70,6 +80,17 @@
 	uses    uint64     // number of requests sent on the connection
 }
 
+// Read implements net.Conn. It fails with *LongHeadError.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.head != nil {
+		if long := c.head.check(p[:n]); long != nil {
+			return 0, long
+		}
+	}
+	return n, err
+}
+
 // Write implements net.Conn. The count is increased before the write and corrected
 // after it, so that it is never less than the bytes that may have been sent.
 func (c *countedConn) Write(p []byte) (int, error) {
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -62,8 +62,12 @@
 }
 
 func newTransport(dial DialFunc, fresh bool) *http.Transport {
+	dialContext := dial.dialCounted
+	if fresh {
+		dialContext = dial.dialOnce
+	}
 	return &http.Transport{
-		DialContext:            dial.dialCounted,
+		DialContext:            dialContext,
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
