--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -61,6 +61,9 @@
 	return &Client{pooled: newTransport(dial, false), fresh: newTransport(dial, true), forwarding: newTransport(dial.withTimeout(forwardDialTimeout), true)}
 }
 
+// NewCallTransport returns a transport that opens a connection for each call and limits the heads of responses.
+func NewCallTransport() *http.Transport { return newTransport(DialContext, true) }
+
 func newTransport(dial DialFunc, fresh bool) *http.Transport {
 	dialContext := dial.dialCounted
 	if fresh {
