Engines whose responses are no answers get few streams

Cause: a failed outcome only makes an engine less likely to be chosen among those with a free slot. An engine that sends garbage fails each stream within milliseconds, so it always has free slots, and while the sound engines have none it gets all that come.

--- a/internal/coordinator/choice.go
+++ b/internal/coordinator/choice.go
@@ -151,7 +151,7 @@
 	needsAdapter := false
 	if req.Model != "" {
 		// If no target has the model and a free slot, the request waits, which tells the coordinator that another copy is needed.
-		if unreachable || f.freeSlots(t, req.Late) <= 0 || !f.holds(t, req.Model) {
+		if unreachable || f.leftOut(t.ID) || f.freeSlots(t, req.Late) <= 0 || !f.holds(t, req.Model) {
 			return candidate{}, false
 		}
 		needsAdapter = req.Adapter != "" && !slices.Contains(f.view(t).Models[req.Model].Adapters, req.Adapter)
--- a/internal/coordinator/health.go
+++ b/internal/coordinator/health.go
@@ -8,6 +8,7 @@
 	firstEvent       time.Duration // moving average of the time until the first event
 	at               time.Duration // time of the last outcome
 	unreachableUntil time.Duration // a connection attempt failed; engines are not chosen until then
+	noAnswers        noAnswers
 }
 
 // Weights of outcomes.
@@ -53,6 +54,8 @@
 		value := 0.0
 		if !ok {
 			value = 1
+		} else {
+			h.noAnswers.inARow = 0
 		}
 		h.failures += (value - h.failures) * outcomeWeight
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -227,9 +227,7 @@
 		return callerLeft
 	}
 	g.logBrokenResponse(x, c, err, 0)
-	if !isSilence(err) { // counted when the silence became too long
-		g.opts.View.RecordOutcome(c.Target.ID, false)
-	}
+	g.recordFailure(c, err)
 	x.log["reason"] = "stream broke off"
 	g.reportEngineFailure(x, c, err)
 	return mayHaveRun
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -191,9 +191,7 @@
 	if x.r.Context().Err() != nil {
 		return callerLeft
 	}
-	if !isSilence(err) { // counted when the silence became too long
-		g.opts.View.RecordOutcome(c.Target.ID, false)
-	}
+	g.recordFailure(c, err)
 	x.log["reason"] = err.Error()
 	if isUnreachable(err) {
 		g.opts.View.RecordUnreachable(c.Target.ID)
--- a/internal/target/body.go
+++ b/internal/target/body.go
@@ -44,7 +44,7 @@
 		b.stop()
 		return n, io.EOF
 	}
-	return n, &UnknownOutcomeError{Address: b.e.address, Cause: b.e.cause(b.ctx, err)}
+	return n, &UnknownOutcomeError{Address: b.e.address, Cause: asMalformed(b.ctx, b.e.cause(b.ctx, err))}
 }
 
 // Close ends the exchange. If the body was not read to its end, the connection is
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -224,11 +224,12 @@
 // first, so that nothing can be sent after the request was reported as unsent.
 func (e *exchange) classifyFailure(ctx context.Context, err error) error {
 	cause := e.cause(ctx, err)
+	malformed := asMalformed(ctx, cause)
 	e.cancel(nil)
 	if e.conn == nil || e.conn.abort() == e.writtenBefore {
 		return &UnreachableError{Address: e.address, Cause: cause}
 	}
-	return &UnknownOutcomeError{Address: e.address, Cause: cause}
+	return &UnknownOutcomeError{Address: e.address, Cause: malformed}
 }
 
 // cause returns the idle timeout that ended the exchange, if there was one. Otherwise
