Control calls: limit the body of a response

Cause: reports, cache events and refusals of orders are decoded from the body without a limit, for up to three seconds. An engine that sends one JSON value without end takes as much memory as it can send in that time.

--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +20,9 @@
 // controlTimeout limits one request to an engine's control API.
 const controlTimeout = 3 * time.Second
 
+// maxControlBytes limits the body of a response to a request to the control API. It is that of a plain response of a service.
+const maxControlBytes = 4 << 20
+
 // Problem is the JSON document with which an engine refuses an order.
 type Problem struct {
 	Code     string `json:"code"`
@@ -46,8 +51,8 @@
 		return nil
 	}
 	var p Problem
-	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
-		return &UnknownOutcomeError{Address: address, Cause: err}
+	if err := decodeControl(address, resp.Body, &p); err != nil {
+		return err
 	}
 	if p.Code == CodeFenced {
 		return &FencedError{Address: address, Fence: o.Fence, Max: p.MaxFence}
@@ -80,7 +85,26 @@
 	if resp.Status != http.StatusOK {
 		return &RejectedError{Address: address, Code: strconv.Itoa(resp.Status), Reason: path}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	return decodeControl(address, resp.Body, into)
+}
+
+// OversizedControlError reports a response to a request to the control API that may have no end.
+type OversizedControlError struct {
+	Limit int64 // in bytes
+}
+
+func (e *OversizedControlError) Error() string {
+	return fmt.Sprintf("response of the control API has more than %d bytes", e.Limit)
+}
+
+// decodeControl decodes the JSON value at the beginning of a body. It fails with *UnknownOutcomeError.
+func decodeControl(address string, body io.Reader, into any) error {
+	limited := &io.LimitedReader{R: body, N: maxControlBytes}
+	err := json.NewDecoder(limited).Decode(into)
+	if err != nil && limited.N <= 0 {
+		err = &OversizedControlError{Limit: maxControlBytes}
+	}
+	if err != nil {
 		return &UnknownOutcomeError{Address: address, Cause: err}
 	}
 	return nil
