Watches of the object API: limit the bytes of one event

Cause: the events of a watch are decoded from its body without a limit, and its time limit is one for silence only. One event without end takes memory until the process ends. Only the product's own interface has these watches.

--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -79,7 +79,8 @@
 		w.cancel()
 	})
 	defer timer.Stop()
-	dec := json.NewDecoder(body)
+	events := newEventReader(body)
+	dec := json.NewDecoder(events)
 	for {
 		var wire WireEvent
 		if err := dec.Decode(&wire); err != nil {
@@ -89,6 +90,7 @@
 			w.fail(err)
 			return
 		}
+		events.next()
 		timer.Reset(idleTimeout)
 		select {
 		case w.events <- Event{Type: wire.Type, Object: wire.Object.Object(kind)}:
