Peers: a message takes memory as its bytes come

Cause: the buffer of a message was made as its length was read, 4 MiB for whoever connects, before any proof of who that is. 40 connections that announce a message and send nothing hold 160 MB.

TestAnnouncedBytesTakeNoMemory before the change: 160 MB are held, want 8 at most TestEndlessAnswerOfAPeerIsCut held before and after: text, lengths and large messages without end, from whatever has the address of a host, end the call and its connection below 32 MB. Change: 64 KB before the first byte; more as it comes. Result: below 8 MB. internal/peer passes.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -38,9 +39,13 @@
 	if length > MaxMessageBytes {
 		return &MessageTooLargeError{Bytes: length}
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(stream, body); err != nil {
+	var body bytes.Buffer
+	body.Grow(int(min(length, readAheadBytes)) + bytes.MinRead)
+	if _, err := io.CopyN(&body, stream, int64(length)); err != nil {
 		return err
 	}
-	return json.Unmarshal(body, v)
+	return json.Unmarshal(body.Bytes(), v)
 }
+
+// readAheadBytes is the memory for a message of which nothing has come yet. Usual ones have less; a larger one takes memory as it comes.
+const readAheadBytes = 64 << 10
