Requests: bound what a host holds of all bodies together

Cause: the body of each request is read whole, up to max_body_bytes (4 MiB on one of the sites), and held until the request ends; their sum has no bound.

The largest body of the caller's address that holds most is given up with 503 and Retry-After; the request has not run. The metrics and the log line message_given_up have the field kind, and the line names the sender instead of the target. A message that comes whole at the moment when it is given up is served, and its connection is left alone.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"buckthornseam.dev/coord/homes"
 	"buckthornseam.dev/seam/internal/callerconn"
 	"buckthornseam.dev/seam/internal/fleet"
+	"buckthornseam.dev/seam/internal/heldbytes"
 )
 
 // exchange is one request in progress.
@@ -22,6 +23,7 @@
 	service           string
 	homes             homes.Binding // regions to which the request is bound
 	body              []byte
+	heldBody          *heldbytes.Message // counts body; nil: there is none
 	r                 *http.Request
 	w                 http.ResponseWriter
 	conn              *callerconn.Conn // of the caller; nil in some tests
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,8 +63,9 @@
 	Reach   Reach
 	Helpers Helpers
 	Self    string // name of this host
-	// Held bounds what is held of all responses together; nil: that of the smallest host does.
-	Held *heldbytes.Pool
+	// Held bounds what is held of all responses together, and HeldBodies that of all bodies of requests; nil: those of the
+	// smallest host do.
+	Held, HeldBodies *heldbytes.Pool
 	// ConfigConfirmed returns the latest time, on the clock Now, at which the
 	// configuration was known to be current.
 	ConfigConfirmed func() (time.Duration, bool)
@@ -92,7 +93,10 @@
 		opts.Reach = alwaysReached{}
 	}
 	if opts.Held == nil {
-		opts.Held = heldbytes.NewPool(heldbytes.Bound(0), opts.Log, opts.Metrics)
+		opts.Held = heldbytes.NewPool(heldbytes.Bound(0), "responses", opts.Log, opts.Metrics)
+	}
+	if opts.HeldBodies == nil {
+		opts.HeldBodies = heldbytes.NewPool(heldbytes.Bound(0), "bodies", opts.Log, opts.Metrics)
 	}
 	ending, end := context.WithCancel(context.Background())
 	return &Gateway{opts: opts, startedAt: opts.Now(), ending: ending, end: end}
@@ -125,6 +129,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{w: w, r: r, arrived: g.opts.Now(), relayedBy: relayedBy, log: logrus.Fields{}}
+	defer func() { x.heldBody.End() }() // also if the response is aborted
 	if g.closed.Load() {
 		g.refuseForStop(x)
 	} else if g.admit(x) {
@@ -270,7 +275,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := g.readUntilDeadline(x, http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := g.readUntilDeadline(x, http.MaxBytesReader(x.w, x.r.Body, limit), limit)
 	if err == nil {
 		x.body = body
 		return true
@@ -280,6 +285,10 @@
 		return g.refuse(x, http.StatusRequestEntityTooLarge, "body is too large", 0)
 	}
 	x.w.Header().Set("Connection", "close")
+	var bound *heldbytes.BoundError
+	if errors.As(err, &bound) {
+		return g.refuse(x, http.StatusServiceUnavailable, bound.Error(), shortRetryAfter)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return g.refuse(x, http.StatusRequestTimeout, "body did not come by the deadline", 0)
 	}
--- a/internal/gateway/heldbytes.go
+++ b/internal/gateway/heldbytes.go
@@ -2,6 +2,9 @@
 
 import (
 	"io"
+	"net"
+	"net/http"
+	"time"
 
 	"buckthornseam.dev/seam/internal/heldbytes"
 	"buckthornseam.dev/seam/internal/target"
@@ -24,7 +27,16 @@
 // readBuffered reads a body of at most maxBufferedBytes. It fails with *OversizedResponseError, with *heldbytes.BoundError, or as
 // the read did.
 func readBuffered(r io.Reader, held *heldbytes.Message) ([]byte, error) {
-	body := make([]byte, 0, firstReadBytes)
+	body, err := readHeld(r, held, maxBufferedBytes)
+	if err == nil && len(body) > maxBufferedBytes {
+		err = &OversizedResponseError{Part: "body", Limit: maxBufferedBytes}
+	}
+	return body, err
+}
+
+// readHeld reads until the end, or one byte more than most. It fails with *heldbytes.BoundError, or as the read did.
+func readHeld(r io.Reader, held *heldbytes.Message, most int) ([]byte, error) {
+	body := make([]byte, 0, min(firstReadBytes, most+1))
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -34,10 +46,10 @@
 			return body, nil
 		case err != nil:
 			return body, boundOr(held, err)
-		case len(body) > maxBufferedBytes:
-			return body, &OversizedResponseError{Part: "body", Limit: maxBufferedBytes}
+		case len(body) > most:
+			return body, nil
 		case len(body) == cap(body):
-			size := min(2*cap(body), maxBufferedBytes+1)
+			size := min(2*cap(body), most+1)
 			if err := held.Hold(size); err != nil {
 				return body, err
 			}
@@ -46,7 +58,18 @@
 	}
 }
 
-// boundOr returns why a response was given up, or else err, with which its read has failed.
+// holdBody counts what is held of the body of a request until the request ends.
+func (g *Gateway) holdBody(x *exchange, conn *http.ResponseController) {
+	caller, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	if err != nil {
+		caller = x.r.RemoteAddr
+	}
+	x.heldBody = g.opts.HeldBodies.Begin(x.call.ID, caller, func(error) {
+		_ = conn.SetReadDeadline(time.Now()) // otherwise the body is given up with its next bytes
+	})
+}
+
+// boundOr returns why a message was given up, or else err, with which its read has failed.
 func boundOr(held *heldbytes.Message, err error) error {
 	if bound := held.Err(); bound != nil {
 		return bound
--- a/internal/gateway/slowcaller.go
+++ b/internal/gateway/slowcaller.go
@@ -14,14 +14,22 @@
 	x.conn.BeginRequest(x.call.ID, time.Now().Add(x.deadline-now))
 }
 
-// readUntilDeadline reads the body of a request. It fails with os.ErrDeadlineExceeded at the deadline of the request.
-func (g *Gateway) readUntilDeadline(x *exchange, body io.Reader) ([]byte, error) {
+// readUntilDeadline reads the body of a request, of at most limit bytes. It fails with os.ErrDeadlineExceeded at the deadline of the
+// request, and with *heldbytes.BoundError.
+func (g *Gateway) readUntilDeadline(x *exchange, body io.Reader, limit int64) ([]byte, error) {
 	if x.r.ContentLength == 0 {
 		return nil, nil
 	}
 	conn := http.NewResponseController(x.w)
 	_ = conn.SetReadDeadline(time.Now().Add(x.deadline - g.opts.Now())) // not supported in some tests
-	data, err := io.ReadAll(body)
+	g.holdBody(x, conn)
+	if x.r.ContentLength > 0 {
+		limit = min(limit, x.r.ContentLength)
+	}
+	data, err := readHeld(body, x.heldBody, int(limit))
+	if err != nil {
+		err = boundOr(x.heldBody, err)
+	}
 	if err == nil {
 		_ = conn.SetReadDeadline(time.Time{}) // as above
 	}
--- a/internal/heldbytes/heldbytes.go
+++ b/internal/heldbytes/heldbytes.go
@@ -56,9 +56,9 @@
 	senders  map[string]int64  // bytes by sender
 }
 
-// NewPool returns a pool of bound bytes.
-func NewPool(bound int64, log logrus.FieldLogger, scope tally.Scope) *Pool {
-	return &Pool{bound: bound, log: log, scope: scope, messages: map[*Message]bool{}, senders: map[string]int64{}}
+// NewPool returns a pool of bound bytes. kind names its messages in logs and metrics.
+func NewPool(bound int64, kind string, log logrus.FieldLogger, scope tally.Scope) *Pool {
+	return &Pool{bound: bound, log: log.WithField("kind", kind), scope: scope.Tagged(map[string]string{"kind": kind}), messages: map[*Message]bool{}, senders: map[string]int64{}}
 }
 
 // Message is a message that is being received. Its methods, other than those that Pool calls, are for one goroutine.
@@ -73,7 +73,8 @@
 	err      *BoundError // it was given up
 }
 
-// Begin returns a message of a sender that holds nothing yet. cancel ends its receipt if it is given up.
+// Begin returns a message of a sender that holds nothing yet. cancel ends its receipt if it is given up; it is not called after
+// Complete, and must not call the pool.
 func (p *Pool) Begin(id, sender string, cancel context.CancelCauseFunc) *Message {
 	return &Message{pool: p, id: id, sender: sender, cancel: cancel}
 }
@@ -124,8 +125,11 @@
 	m.complete = true
 }
 
-// End records that nothing of the message is held any more.
+// End records that nothing of the message is held any more. It accepts nil.
 func (m *Message) End() {
+	if m == nil {
+		return
+	}
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
 	if m.err == nil {
@@ -192,7 +196,11 @@
 func (p *Pool) report(given []*Message) {
 	for _, m := range given {
 		p.scope.Counter("messages_given_up").Inc(1)
-		p.log.WithFields(logrus.Fields{"event": "message_given_up", "id": m.id, "target": m.sender, "bytes": m.err.Bytes, "bound": p.bound}).Warn("bytes that come without end")
-		m.cancel(m.err)
+		p.log.WithFields(logrus.Fields{"event": "message_given_up", "id": m.id, "sender": m.sender, "bytes": m.err.Bytes, "bound": p.bound}).Warn("the messages in receipt take too much memory")
+		p.mu.Lock()
+		if !m.complete { // by now
+			m.cancel(m.err)
+		}
+		p.mu.Unlock()
 	}
 }
--- a/internal/heldbytes/heldbytes_test.go
+++ b/internal/heldbytes/heldbytes_test.go
@@ -22,7 +22,7 @@
 func newTestPool() (*Pool, map[string]error) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return NewPool(testBound, log, tally.NoopScope), map[string]error{}
+	return NewPool(testBound, "test", log, tally.NoopScope), map[string]error{}
 }
 
 // TestSenderThatHoldsMostYields guards against a sound message, also the largest of all, being given up for a sender that has many.
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -197,7 +197,8 @@
 		Budget:      h.retries,
 		Origins:     h.origins,
 		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot, RequestMemory: h.client.RequestMemory,
-		Held:            heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), h.log, h.metrics.Scope),
+		Held:            heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), "responses", h.log, h.metrics.Scope),
+		HeldBodies:      heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), "bodies", h.log, h.metrics.Scope),
 		ConfigConfirmed: h.configConfirmed,
 		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
