Soak: engines and the grace period can be set before hosts start; streams of any kind

newSoak prepares a run and start begins it, so that a scene sets its engines before they serve. streamsDuring takes what it sends, stopInTurn which hosts stop and how close, and the grace period of the settings belongs to the run. A route for short streams is new in the configuration; no existing scene uses it.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -48,6 +48,7 @@
 const configTemplate = `{"version":%[1]d,"routes":[
  {"name":"probe","host":"h.example","path_prefix":"/version-%[1]d/","type":"idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":2,"public":true},
  {"name":"draft","host":"h.example","path_prefix":"/draft/","type":"streaming","timeout_ms":5000,"goal_ms":400,"service":"llm","attempts":2,"resumable":true,"gap_goal_ms":400},
+ {"name":"short","host":"h.example","path_prefix":"/short/","type":"streaming","timeout_ms":5000,"goal_ms":400,"service":"llm","attempts":2,"resumable":true,"gap_goal_ms":400},
  {"name":"pay","host":"h.example","path_prefix":"/pay/","type":"non_idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":1},
  {"name":"read","host":"h.example","path_prefix":"/read/","type":"idempotent","timeout_ms":3000,"goal_ms":300,"service":"app","attempts":2}],
  "services":[{"name":"llm",%[6]s"engine":{"slots":16,"weights_mb":150,"adapter_slots":2,"models":[%[2]s]}},{"name":"app"}],
@@ -115,6 +116,7 @@
 type fleet struct {
 	t             *testing.T
 	binary        string
+	grace         time.Duration // grace_s of the settings
 	store         *standin.Store
 	storeProxies  []*proxy // by host
 	engines       []*standin.Engine
@@ -124,8 +126,8 @@
 	hosts         []*process
 }
 
-func startFleet(t *testing.T, binary string, hosts int, c *checker) *fleet {
-	f := &fleet{t: t, binary: binary, store: standin.NewStore()}
+func startFleet(t *testing.T, binary string, hosts int, grace time.Duration, c *checker) *fleet {
+	f := &fleet{t: t, binary: binary, grace: grace, store: standin.NewStore()}
 	storeAddr := serve(t, f.store)
 	for i := range 3 {
 		e := &standin.Engine{ID: fmt.Sprintf("i-%d", i), Models: models[2*i : 2*i+2], MaxModels: 2, EventDelay: 15 * time.Millisecond, LongDelay: longEventDelay, LoadTime: 100 * time.Millisecond, OnArrival: c.recordArrival, OnRun: c.recordRun, OnOrder: c.recordOrder}
@@ -226,7 +228,7 @@
 [bounds]
 contact_ms=3000
 drain_ms=2000
-grace_s=6
+grace_s=%v
 config_apply_ms=2000
 revoke_ms=5000
 lease_ms=3000
@@ -242,7 +244,7 @@
 quota_slack=%d
 [platform]
 address=%q
-`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, evacuateBound.Milliseconds(), coldOverage, coldSlack, retryRatio, retryWindow.Seconds(), extraRetries, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
+`, p.name, ip, p.frontAddr, p.readyAddr, p.directoryAddr, f.grace.Seconds(), evacuateBound.Milliseconds(), coldOverage, coldSlack, retryRatio, retryWindow.Seconds(), extraRetries, quotaWindow.Seconds(), quotaOverage, quotaSlack, f.storeProxies[i].address)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/soak/silentengine_test.go
+++ b/soak/silentengine_test.go
@@ -32,23 +32,30 @@
 // silentModel is loaded at the first engine only.
 const silentModel = "m0"
 
-// sendStream sends a request for silentModel to one host and reads its response.
-func (s *soak) sendStream(host, id string) outcome {
-	o := outcome{attemptID: id, path: "/draft/x", host: host, sentAt: time.Now()}
-	conn, err := net.DialTimeout("tcp", host, 300*time.Millisecond)
+// sendSilent sends a stream for silentModel to one of the hosts, in turn.
+func (s *soak) sendSilent(i int) func() outcome {
+	id := fmt.Sprintf("q%d", i)
+	o := outcome{attemptID: id, path: "/draft/x", host: s.hosts[i%len(s.hosts)].frontAddr}
+	return func() outcome { return o.sendStream("Buckthornseam-Model: "+silentModel, id) }
+}
+
+// sendStream sends the request of an outcome and reads its response.
+func (o outcome) sendStream(headers, body string) outcome {
+	o.sentAt = time.Now()
+	conn, err := net.DialTimeout("tcp", o.host, 300*time.Millisecond)
 	if err != nil {
 		o.failure, o.endedAt = err.Error(), time.Now()
 		return o
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(o.sentAt.Add(2 * streamTimeout))
-	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nBuckthornseam-Attempt-Id: %s\r\nAuthorization: Bearer k1\r\nBuckthornseam-Deadline-Ms: %d\r\nBuckthornseam-Model: %s\r\nContent-Length: %d\r\n\r\n%s",
-		o.path, id, streamTimeout.Milliseconds(), silentModel, len(id), id)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nBuckthornseam-Attempt-Id: %s\r\nAuthorization: Bearer k1\r\nBuckthornseam-Deadline-Ms: %d\r\n%s\r\nContent-Length: %d\r\n\r\n%s",
+		o.path, o.attemptID, streamTimeout.Milliseconds(), headers, len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err == nil {
-		var body []byte
-		body, err = io.ReadAll(resp.Body)
-		o.status, o.body, o.complete = resp.StatusCode, string(body), err == nil
+		var response []byte
+		response, err = io.ReadAll(resp.Body)
+		o.status, o.body, o.complete = resp.StatusCode, string(response), err == nil
 	}
 	if err != nil {
 		o.failure = err.Error()
@@ -58,14 +65,14 @@
 	return o
 }
 
-// streamsDuring sends streams to all hosts in turn while f runs, and returns how they ended.
-func (s *soak) streamsDuring(f func()) []outcome {
+// streamsDuring sends streams at an interval while f runs, and returns how they ended. next prepares each one.
+func streamsDuring(interval time.Duration, next func(i int) (send func() outcome), f func()) []outcome {
 	var running sync.WaitGroup
 	var mu sync.Mutex
 	var outcomes []outcome
 	done := make(chan struct{})
 	go func() { f(); close(done) }()
-	ticker := time.NewTicker(streamInterval)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		select {
@@ -74,9 +81,9 @@
 			return outcomes
 		case <-ticker.C:
 		}
-		host := s.hosts[i%len(s.hosts)].frontAddr
+		send := next(i)
 		running.Go(func() {
-			o := s.sendStream(host, fmt.Sprintf("q%d", i))
+			o := send()
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes = append(outcomes, o)
@@ -84,18 +91,20 @@
 	}
 }
 
-// stopAllInTurn stops each host once, shortly after the other, and starts it again when it has ended. It returns when each got SIGTERM.
-func (s *soak) stopAllInTurn() map[string]time.Time {
+// stopInTurn stops hosts, one shortly after the other, and starts each again when it has ended. It returns when each got SIGTERM.
+func (s *soak) stopInTurn(hosts []*process, maxGap time.Duration) map[string]time.Time {
 	stopped := map[string]time.Time{}
 	var running sync.WaitGroup
-	for _, p := range s.hosts {
+	for _, p := range hosts {
 		stopped[p.frontAddr] = time.Now()
+		s.checker.recordHostFault(p.frontAddr)
 		p.signal(syscall.SIGTERM)
 		running.Go(func() {
 			_ = p.cmd.Wait() // any exit status is accepted
+			s.checker.recordHostFault(p.frontAddr)
 			p.start(s.t, s.binary)
 		})
-		time.Sleep(time.Duration(s.random.Int64N(int64(maxSeriesGap))))
+		time.Sleep(time.Duration(s.random.Int64N(int64(maxGap))))
 	}
 	running.Wait()
 	return stopped
@@ -165,9 +174,9 @@
 	stop := make(chan struct{})
 	go s.repeatSilence(0, silence, stop)
 	var stopped map[string]time.Time
-	outcomes := s.streamsDuring(func() {
+	outcomes := streamsDuring(streamInterval, s.sendSilent, func() {
 		time.Sleep(silencePeriod)
-		stopped = s.stopAllInTurn()
+		stopped = s.stopInTurn(s.hosts, maxSeriesGap)
 		time.Sleep(silencePeriod)
 		close(stop)
 	})
@@ -180,7 +189,7 @@
 	s := startSoak(t, buildDaemon(t), 1)
 	s.engines[0].EventDelay = slowEventDelay
 	var lostAt time.Time
-	outcomes := s.streamsDuring(func() {
+	outcomes := streamsDuring(streamInterval, s.sendSilent, func() {
 		time.Sleep(2 * time.Second)
 		s.targetProxies[0].setMode(modeStallResponses)
 		lostAt = time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,16 +79,27 @@
 
 // startSoak starts the hosts and waits until they are ready.
 func startSoak(t *testing.T, binary string, seed uint64) *soak {
+	s := newSoak(t, binary, seed, *hostCount, graceTime)
+	s.start()
+	return s
+}
+
+// newSoak prepares a run. Its engines may be changed until start.
+func newSoak(t *testing.T, binary string, seed uint64, hosts int, grace time.Duration) *soak {
 	checker := newChecker()
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 1)), checker: checker, configVersion: 1, configKeys: `"k2"`}
-	s.fleet = startFleet(t, binary, *hostCount, checker)
+	s.fleet = startFleet(t, binary, hosts, grace, checker)
+	return s
+}
+
+// start starts the hosts and waits until they are ready.
+func (s *soak) start() {
 	s.startHosts()
-	t.Cleanup(s.keepLogs)
+	s.t.Cleanup(s.keepLogs)
 	if !waitFor(recoverBound, s.allReady) {
-		t.Fatal("hosts did not become ready")
+		s.t.Fatal("hosts did not become ready")
 	}
 	time.Sleep(warmUp)
-	return s
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
--- a/soak/stopseries_test.go
+++ b/soak/stopseries_test.go
@@ -19,7 +19,7 @@
 
 // Times of the stops in series.
 const (
-	graceTime      = 6 * time.Second         // grace_s of the settings
+	graceTime      = 6 * time.Second         // grace_s of the settings by default
 	addressTime    = 6 * time.Second         // for which callers keep the address of a host
 	stickyCallers  = 6                       // at each host that stops
 	maxSeriesGap   = 2500 * time.Millisecond // between two stops
