--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -25,6 +25,7 @@
 	failure   string // why there is no response
 	phase     phase
 	host      string // address of the host that the request was sent to
+	size      streamSize
 	sentAt    time.Time
 	endedAt   time.Time // when the response head came or the connection ended
 }
