Report lines that the log has dropped at its end too

Cause: the number of dropped lines is written before the next line. A line is dropped only while 4,096 others wait, so one nearly always follows; but a Write that found the queue full may count its line after the last one has been written.

Change: the end of the sink writes the number too.

Measured: TestDroppedLinesAreReportedAtTheEnd sets the count by hand, as the order of events is not to be had at will. On '3 lines dropped: log ""'; now it passes. The control, a log that dropped none, says nothing on both.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -11,7 +11,7 @@
 const queueLines = 4096
 
 // Sink is an io.Writer that expects one complete line per write. It drops and
-// counts lines while its queue is full, and writes the count before the next line.
+// counts lines while its queue is full, and writes the count before the next line, or at its end.
 type Sink struct {
 	queue   chan []byte
 	dropped atomic.Int64
@@ -53,14 +53,19 @@
 			for len(s.queue) > 0 {
 				s.writeLine(out, <-s.queue)
 			}
+			s.writeDropped(out)
 			return
 		}
 	}
 }
 
 func (s *Sink) writeLine(out io.Writer, line []byte) {
+	s.writeDropped(out)
+	_, _ = out.Write(line) // there is no place to report a failing log
+}
+
+func (s *Sink) writeDropped(out io.Writer) {
 	if n := s.dropped.Swap(0); n > 0 {
 		fmt.Fprintf(out, "{\"event\":\"log_dropped\",\"level\":\"warning\",\"lines\":%d}\n", n)
 	}
-	_, _ = out.Write(line) // there is no place to report a failing log
 }
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -39,3 +39,16 @@
 		t.Errorf("%d lines written, want as many as the queue holds or one more", n)
 	}
 }
+
+// TestDroppedLinesAreReportedAtTheEnd guards against a log that lacks lines and does not say so, as none follows the last one that was dropped.
+func TestDroppedLinesAreReportedAtTheEnd(t *testing.T) {
+	for _, dropped := range []int64{0, 3} {
+		var buf bytes.Buffer
+		s := New(&buf)
+		s.dropped.Add(dropped) // by a Write that found the queue full just before the other lines were written
+		s.Close()
+		if got := strings.Contains(buf.String(), `"lines":3`); got != (dropped > 0) {
+			t.Errorf("%d lines dropped: log %q", dropped, buf.String())
+		}
+	}
+}
