A long prompt is no silence of its target

A stream with a prompt of 40,000 tokens got 502 late in a stop: its target had sent nothing for 1.8 s, as it was reading the prompt, the stream was sent to a second target, which read it anew, and the stop was over before.

Cause: the time of silence was the same for any prompt; the same class as the estimate for stops. Change: until the first event of a send, the time that the target is expected to need for the prompt comes on top. TestLongPromptIsNoSilence fails without it (two sends). Control: the tests of hedges, whose prompts are short, pass.

--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -155,7 +155,7 @@
 		s = g.newRelaySending(ctx, x, helper)
 	}
 	defer s.cancel(nil)
-	silence := g.watchSilence(ctx, s.cancel, x, g.relaySilence(x), g.searchHelper(ctx, helper.Name))
+	silence := g.watchSilence(ctx, s.cancel, x, g.relaySilence(x, g.prefillTime(x)), g.searchHelper(ctx, helper.Name))
 	defer func() { g.endWatch(x, silence, outcome) }() // also if the response is aborted
 	if !begun {
 		s.forward(g.responseID)
@@ -199,16 +199,16 @@
 const relaySilenceMargin = 500 * time.Millisecond
 
 // relaySilence returns how long another host may take for the next event of a stream, or for any other complete response, before a
-// further host is looked for. That host looks for another target first.
-func (g *Gateway) relaySilence(x *exchange) time.Duration {
+// further host is looked for. That host looks for another target first. prefill is as for silenceTimeout.
+func (g *Gateway) relaySilence(x *exchange, prefill time.Duration) time.Duration {
 	left := x.deadline - g.opts.Now()
 	switch {
 	case !x.route.Retryable() || x.sends+1 >= x.route.Attempts:
 		return left
 	case x.headWritten:
-		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective)+relaySilenceMargin)
+		return min(left, prefill+max(silenceMin, silenceGaps*x.route.GapObjective)+relaySilenceMargin)
 	}
-	return min(left, max(silenceMin, silenceObjectives*x.route.Objective)+relaySilenceMargin)
+	return min(left, prefill+max(silenceMin, silenceObjectives*x.route.Objective)+relaySilenceMargin)
 }
 
 // relayFailed classifies a send to another host without a complete response.
@@ -289,7 +289,7 @@
 			}
 			if progress {
 				x.sends += silence.takeHedges()
-				silence.restart(x, g.relaySilence(x))
+				silence.restart(x, g.relaySilence(x, 0))
 			}
 		}
 		if err == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -148,7 +148,7 @@
 			}
 			if progress {
 				x.sends += silence.takeHedges()
-				silence.restart(x, g.silenceTimeout(x, c.Target.ID))
+				silence.restart(x, g.silenceTimeout(x, c.Target.ID, 0))
 			}
 		}
 		if err == nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -46,7 +46,7 @@
 	defer end()
 	defer s.cancel(nil)
 	x.sentAt = s.at
-	silence := g.watchSilence(ctx, s.cancel, x, g.silenceTimeout(x, c.Target.ID), g.searchTarget(ctx, avoid, c.Target.ID))
+	silence := g.watchSilence(ctx, s.cancel, x, g.silenceTimeout(x, c.Target.ID, g.prefillTime(x)), g.searchTarget(ctx, avoid, c.Target.ID))
 	defer func() { g.endWatch(x, silence, outcome) }() // also if the response is aborted
 	defer g.opts.Reach.OnCutOff(g.shortenSilence(x, silence))()
 
@@ -169,8 +169,8 @@
 
 // silenceTimeout returns how long a target may take for the next event of a stream
 // or for any other complete response before another place is looked for. A request that can't
-// be sent again waits until its deadline.
-func (g *Gateway) silenceTimeout(x *exchange, id string) time.Duration {
+// be sent again waits until its deadline. prefill is the time that the target is expected to need for the prompt before.
+func (g *Gateway) silenceTimeout(x *exchange, id string, prefill time.Duration) time.Duration {
 	left := x.deadline - g.opts.Now()
 	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts {
 		return left
@@ -179,9 +179,9 @@
 		return min(left, silenceCutOff)
 	}
 	if x.headWritten {
-		return min(left, max(silenceMin, silenceGaps*x.route.GapObjective))
+		return min(left, prefill+max(silenceMin, silenceGaps*x.route.GapObjective))
 	}
-	return min(left, max(silenceMin, silenceObjectives*x.route.Objective, silenceRecentLatencies*g.opts.View.FirstEventTime(id)))
+	return min(left, prefill+max(silenceMin, silenceObjectives*x.route.Objective, silenceRecentLatencies*g.opts.View.FirstEventTime(id)))
 }
 
 // sendFailed classifies a send without a complete response.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -86,11 +86,15 @@
 
 // expectedRun returns how long a request may take at a target.
 func (g *Gateway) expectedRun(x *exchange, now time.Duration) time.Duration {
-	var prefill time.Duration
-	if isSized(x) {
-		prefill = g.opts.View.PrefillTime(x.service, promptOf(x))
+	return g.runTimes.expected(x, now, g.prefillTime(x))
+}
+
+// prefillTime returns how long a target is expected to take for the prompt of a request; 0 if its size is not stated.
+func (g *Gateway) prefillTime(x *exchange) time.Duration {
+	if !isSized(x) {
+		return 0
 	}
-	return g.runTimes.expected(x, now, prefill)
+	return g.opts.View.PrefillTime(x.service, promptOf(x))
 }
 
 // arrivals tells which of the latest requests were refused because of the planned stop. It is safe for concurrent use.
--- a/internal/gateway/streamsizes_test.go
+++ b/internal/gateway/streamsizes_test.go
@@ -32,10 +32,12 @@
 	perToken time.Duration // of the prompt
 	gap      time.Duration // between events of five tokens
 	events   sync.Map      // number of events by request ID
+	sent     atomic.Int64
 }
 
 // Forward implements Sender.
 func (e *sizedEngine) Forward(_ context.Context, _ string, f target.ForwardRequest, _ target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	e.sent.Add(1)
 	prompt, err := strconv.Atoi(f.Header.Get("Tokens-In"))
 	if err != nil {
 		return nil, err
@@ -73,13 +75,16 @@
 	cutOff int           // streams
 }
 
-func newSizedGateway() *sizedGateway {
+// newSizedGateway returns a gateway whose routes have an objective of two seconds.
+func newSizedGateway() *sizedGateway { return sizedGatewayWith(2 * time.Second) }
+
+func sizedGatewayWith(objective time.Duration) *sizedGateway {
 	e := &sizedEngine{perToken: 30 * time.Microsecond, gap: 30 * time.Millisecond}
 	g := testGateway(e)
 	config := *g.opts.View.Config()
 	config.Routes = append([]fleet.Route(nil), config.Routes...)
 	for i := range config.Routes {
-		config.Routes[i].Timeout, config.Routes[i].Objective = 11*time.Second, 2*time.Second
+		config.Routes[i].Timeout, config.Routes[i].Objective = 11*time.Second, objective
 	}
 	config.Index()
 	g.opts.View.SetConfig(&config)
@@ -217,3 +222,14 @@
 		g.expect(t, "a new stream", sizedRun{"/stream/x", 600, 275, 8}, http.StatusServiceUnavailable)
 	})
 }
+
+// TestLongPromptIsNoSilence guards against a stream that is sent to a second target as its own one is still reading its long prompt.
+func TestLongPromptIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := sizedGatewayWith(400 * time.Millisecond)
+		g.engine.perToken = 50 * time.Microsecond
+		if code := g.run(sizedRun{"/stream/x", 45_000, 100, 8}); code != http.StatusOK || g.engine.sent.Load() != 1 {
+			t.Errorf("status %d after %d sends, want 200 after one", code, g.engine.sent.Load())
+		}
+	})
+}
