A stopping host does not give a silent target up for a hedge that would outlast the stop

A hedge is now begun only if the request is expected to end there before the stop; the silent target keeps the request otherwise.

TestLateHedgeDoesNotEndAResponse fails without it; control in it: earlier in the stop the stream moves.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -62,7 +62,7 @@
 		return
 	}
 	find := w.search.begin(func(n int) bool { return w.countHedge(ctx, n) })
-	for ctx.Err() == nil && x.sends < x.route.Attempts {
+	for ctx.Err() == nil && x.sends < x.route.Attempts && !w.g.hedgeOutlastsStop(x) {
 		if h := find(ctx, x); h != nil {
 			w.move(ctx, h)
 			return
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -84,6 +84,16 @@
 	return min(until, stop.end-stop.silence-g.expectedRun(x, g.opts.Now()))
 }
 
+// hedgeOutlastsStop reports whether a hedge that is sent now may still run when the host stops. The silent target may respond before that.
+func (g *Gateway) hedgeOutlastsStop(x *exchange) bool {
+	stop := g.stop.Load()
+	if stop == nil || x.deadline <= stop.end {
+		return false
+	}
+	now := g.opts.Now()
+	return now+g.expectedRun(x, now) > stop.end
+}
+
 // expectedRun returns how long a request may take at a target.
 func (g *Gateway) expectedRun(x *exchange, now time.Duration) time.Duration {
 	return g.runTimes.expected(x, now, g.prefillTime(x))
--- a/internal/gateway/streamsizes_test.go
+++ b/internal/gateway/streamsizes_test.go
@@ -233,3 +233,44 @@
 		}
 	})
 }
+
+// silentOnceEngine is silent for two seconds before its first response.
+type silentOnceEngine struct {
+	*sizedEngine
+	first time.Duration // of the other responses, before their first event
+}
+
+// Forward implements Sender.
+func (e *silentOnceEngine) Forward(ctx context.Context, address string, f target.ForwardRequest, idOf target.ResponseIDFunc) (*target.ForwardResponse, error) {
+	wait := e.first
+	if e.sent.Load() == 0 {
+		wait = 2400 * time.Millisecond
+	}
+	e.sent.Add(1)
+	select {
+	case <-ctx.Done():
+		return nil, &target.UnknownOutcomeError{Cause: context.Cause(ctx)}
+	case <-time.After(wait):
+	}
+	return e.sizedEngine.Forward(ctx, address, f, idOf)
+}
+
+// TestLateHedgeDoesNotEndAResponse guards against a stopping host that gives a silent target up for another one, at which the stream outlasts
+// the stop. Earlier in the stop the stream moves.
+func TestLateHedgeDoesNotEndAResponse(t *testing.T) {
+	for serveFor, moves := range map[time.Duration]bool{4500 * time.Millisecond: false, 9 * time.Second: true} {
+		t.Run(serveFor.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := sizedGatewayWith(400 * time.Millisecond)
+				g.repeat(2*minRunTimeSamples, sizedRun{"/stream/x", 600, 275, 8})
+				g.engine.sent.Store(0)
+				g.opts.Sender = &silentOnceEngine{sizedEngine: g.engine}
+				g.stopIn(serveFor)
+				g.expect(t, "a stream whose target is silent", sizedRun{"/stream/x", 600, 275, 30}, http.StatusOK)
+				if moved := g.engine.sent.Load() > 2; moved != moves {
+					t.Errorf("moved: %v, want %v", moved, moves)
+				}
+			})
+		})
+	}
+}
