Kept connections: bytes after a response are not the next one

Cause: net/http closes a kept connection on which bytes come while no request is pending. A request that takes the connection at that moment gets the bytes as its response, and Send accepted a response that names no request. Only the product's own interface keeps connections to targets.

Failures need no ID. Requests to the control API have connections of their own, as its responses have no IDs.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -76,8 +76,9 @@
 	mu      sync.Mutex // held during a write
 	closed  bool
 	bytes   atomic.Int64
-	probeMu sync.Mutex // guards uses
-	uses    uint64     // number of requests sent on the connection
+	echoes  atomic.Bool // the last response named its request
+	probeMu sync.Mutex  // guards uses
+	uses    uint64      // number of requests sent on the connection
 }
 
 // Read implements net.Conn. It fails with *LongHeadError.
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	header := map[string]string{"Content-Type": "application/json"}
-	resp, err := c.Send(ctx, address, Request{ID: o.Decision, Method: http.MethodPost, Path: PathOrders, Header: header, Body: body})
+	resp, err := c.Send(ctx, address, Request{ID: o.Decision, Method: http.MethodPost, Path: PathOrders, Header: header, Body: body, control: true})
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 func (c *Client) get(ctx context.Context, address, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	resp, err := c.Send(ctx, address, Request{ID: path, Method: http.MethodGet, Path: path})
+	resp, err := c.Send(ctx, address, Request{ID: path, Method: http.MethodGet, Path: path, control: true})
 	if err != nil {
 		return err
 	}
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -48,6 +48,7 @@
 // It uses no proxy, follows no redirects, stores no cookies and never retries.
 type Client struct {
 	pooled     *http.Transport // reuses connections
+	control    *http.Transport // like pooled, for the control API, whose responses name no request
 	fresh      *http.Transport // one connection for each request
 	forwarding *http.Transport // like fresh, but with the shorter dial timeout of Forward
 }
@@ -58,7 +59,7 @@
 // NewClientWithDialer returns a client that connects with dial. These connections must
 // detect lost network paths themselves, as those of NewClient do.
 func NewClientWithDialer(dial DialFunc) *Client {
-	return &Client{pooled: newTransport(dial, false), fresh: newTransport(dial, true), forwarding: newTransport(dial.withTimeout(forwardDialTimeout), true)}
+	return &Client{pooled: newTransport(dial, false), control: newTransport(dial, false), fresh: newTransport(dial, true), forwarding: newTransport(dial.withTimeout(forwardDialTimeout), true)}
 }
 
 // NewCallTransport returns a transport that opens a connection for each call and limits the heads of responses.
@@ -83,6 +84,7 @@
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
+	c.control.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
 	c.forwarding.CloseIdleConnections()
 }
@@ -108,8 +110,11 @@
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
 	transport := c.pooled
-	if r.Fresh {
+	switch {
+	case r.Fresh:
 		transport = c.fresh
+	case r.control:
+		transport = c.control
 	}
 	if r.HeaderTimeout > 0 {
 		timer := time.AfterFunc(r.HeaderTimeout, func() { e.cancel(&IdleTimeoutError{After: r.HeaderTimeout}) })
@@ -248,12 +253,16 @@
 
 // checkResponse checks the request ID of a response and wraps its body.
 func (e *exchange) checkResponse(ctx context.Context, resp *http.Response) (*Response, error) {
-	if got := resp.Header.Get(HeaderRequestID); got != "" && got != e.id {
+	// Bytes that come after a response may look like one, and be read as that to the next request. Failures need no ID, as a target may
+	// name its requests only once it runs them.
+	got, success := resp.Header.Get(HeaderRequestID), resp.StatusCode/100 == 2
+	if got != e.id && (got != "" || success && e.conn.echoes.Load()) {
 		// Later responses on this connection may be mismatched as well.
 		e.conn.abort()
 		e.cancel(nil)
 		return nil, &UnknownOutcomeError{Address: e.address, Cause: &MismatchedResponseError{Want: e.id, Got: got}}
 	}
+	e.conn.echoes.Store(got != "")
 	body := newBody(ctx, e, resp)
 	return &Response{Status: resp.StatusCode, Header: flatten(resp.Header), Body: body}, nil
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -110,7 +110,8 @@
 	// Fresh requests a new connection. A pooled one may have been closed or
 	// lost unnoticed, which makes the outcome unknown, so non-repeatable
 	// calls and retries use a new one.
-	Fresh bool
+	Fresh   bool
+	control bool // a request to the control API
 	// IdleTimeout is the longest time without data from the target after the
 	// response headers, and HeaderTimeout the longest wait for the headers; 0
 	// means no limit. When one of them expires, the connection counts as lost.
