Requests: limit the lines of a head

Cause: as for responses, a head of 64 KB with short fields takes about 1 MB while its request is in progress.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -14,7 +14,8 @@
 // Listener checks the framing of the requests on its connections.
 type Listener struct {
 	net.Listener
-	// MaxHeaderBytes limits the header of a request, including the request line.
+	// MaxHeaderBytes limits the header of a request, including the request line. A header with more than one line for each 100 of
+	// them is refused too.
 	MaxHeaderBytes int
 }
 
@@ -132,6 +133,9 @@
 
 var headerEnd = []byte("\r\n\r\n")
 
+// bytesPerField is the memory that a field takes besides its own bytes. That of all fields has the limit of the header's bytes too.
+const bytesPerField = 100
+
 func (c *conn) checkHeader() bool {
 	end := bytes.Index(c.unchecked, headerEnd)
 	if end < 0 {
@@ -142,7 +146,7 @@
 		return false
 	}
 	length, chunked, ok := bodyFraming(c.unchecked[:end])
-	if !ok {
+	if !ok || bytes.Count(c.unchecked[:end], headerEnd[:2]) > c.maxHeaderBytes/bytesPerField {
 		return c.reject()
 	}
 	c.checked = append(c.checked, c.unchecked[:end+len(headerEnd)]...)
