Requests: the largest limit of bodies does not break off requests

TestLargestBodyLimitIsNoFailure before the change: panic: runtime error: makeslice: cap out of range Change: the limit is cut to what can be added to.

--- a/internal/gateway/manybodies_test.go
+++ b/internal/gateway/manybodies_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -53,6 +54,19 @@
 	return w.ResponseRecorder
 }
 
+// TestLargestBodyLimitIsNoFailure guards against a configured limit near the largest number breaking off all requests with a body.
+func TestLargestBodyLimitIsNoFailure(t *testing.T) {
+	g := garbageGateway(garbageSender{}, false)
+	config := *g.opts.View.Config()
+	config.Limits.BodyBytes = math.MaxInt64
+	g.opts.View.SetConfig(&config)
+	r := newPost("/good/small", "", "a")
+	r.ContentLength = -1
+	if w := serve(g, r); w.Code != http.StatusOK {
+		t.Errorf("status %d, want 200", w.Code)
+	}
+}
+
 // TestManyBodiesAtOnce guards against bodies of requests that each stay below their limit, and together take the memory of a host of
 // 144 MB; and against other callers being refused meanwhile, or sound responses being given up.
 func TestManyBodiesAtOnce(t *testing.T) {
--- a/internal/gateway/slowcaller.go
+++ b/internal/gateway/slowcaller.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -26,7 +27,7 @@
 	if x.r.ContentLength > 0 {
 		limit = min(limit, x.r.ContentLength)
 	}
-	data, err := readHeld(body, x.heldBody, int(limit))
+	data, err := readHeld(body, x.heldBody, int(min(limit, math.MaxInt-1)))
 	if err != nil {
 		err = boundOr(x.heldBody, err)
 	}
