At the beginning of a stop, streams are expected to use what recent ones did

Bounds refuse more callers than the estimates before, also right after the SIGTERM, when nearly no stream lasts to the end of the stop. A refused caller may meet a second host that stops, and callers repeat once.

Change: in the first 3 s, as long as 4 s remain, streams of models that were seen are expected to use no more of their maximum than recent ones; the prompt counts as before.

TestBeginningOfAStopServesWhatUsuallyEnds fails without it (503, 2.5 s after the SIGTERM) and has the refusal a second later.

--- a/internal/gateway/runestimates.go
+++ b/internal/gateway/runestimates.go
@@ -6,8 +6,9 @@
 	"buckthornseam.dev/seam/internal/fleet"
 )
 
-// expected returns how long a request may take at a target. prefill is how long its prompt is expected to take there.
-func (t *runTimes) expected(x *exchange, now, prefill time.Duration) time.Duration {
+// expected returns how long a request may take at a target. prefill is how long its prompt is expected to take there. If usual is set, streams are
+// expected to use no more of their maximum than recent ones of their model.
+func (t *runTimes) expected(x *exchange, now, prefill time.Duration, usual bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
@@ -23,14 +24,14 @@
 	case !x.call.HasTokens: // the size is not known
 		return withMargin(max(own.perUnit, unknownStream))
 	}
-	if run, complete := t.runOf(x, own, prefill); ok && complete {
+	if run, complete := t.runOf(x, own, prefill, usual); ok && complete {
 		if own.samples < minRunTimeSamples {
 			run = scaled(run, fewSamplesFactor)
 		}
 		return withMargin(run)
 	}
 	if slowest, models := t.slowestOf(x.route.Name, now); models >= minKnownModels {
-		if run, complete := t.runOf(x, slowest, prefill); complete {
+		if run, complete := t.runOf(x, slowest, prefill, false); complete {
 			return withMargin(scaled(run, fewSamplesFactor))
 		}
 	}
@@ -40,13 +41,16 @@
 
 // runOf returns how long a stream may take at a target, by what was seen of its route and model; complete is false if a part of it was not
 // seen. The caller must hold t.mu.
-func (t *runTimes) runOf(x *exchange, seen runTime, prefill time.Duration) (run time.Duration, complete bool) {
+func (t *runTimes) runOf(x *exchange, seen runTime, prefill time.Duration, usual bool) (run time.Duration, complete bool) {
 	if !isSized(x) {
 		return scaled(seen.perUnit, float64(runUnits(x))), true
 	}
 	first, firstSeen := seen.prompts.longest(x.call.TokensIn)
 	each, paceSeen := seen.pace.slowest()
 	first, rest := max(first, prefill), scaled(each, t.events(x.service, runUnits(x)))
+	if usual && paceSeen {
+		rest = min(rest, max(0, scaled(seen.perUnit, float64(runUnits(x)))-first))
+	}
 	x.log["expected_first_ms"], x.log["expected_events_ms"] = first.Milliseconds(), rest.Milliseconds()
 	return first + rest, firstSeen && paceSeen
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -8,7 +8,7 @@
 
 // plannedStop is the planned stop of a host.
 type plannedStop struct {
-	end        time.Duration        // on the clock of Options.Now; no request may run after it
+	begin, end time.Duration        // on the clock of Options.Now; no request may run after end
 	silence    time.Duration        // left for the silence of a target
 	retryAfter func() time.Duration // Retry-After of requests that are refused because of the stop
 	arrivals   arrivals
@@ -20,10 +20,23 @@
 	silenceShare = 4                       // part of the time for which the host still serves, so that it serves in a short grace period too
 )
 
+// Times of the beginning of a stop, in which callers still have this host's address and the next host that they try may be stopping too. Streams of models
+// that are known are accepted by what is usual: nearly none takes longer.
+const (
+	stopBeginTime = 3 * time.Second
+	stopBeginLeft = 4 * time.Second // must remain
+)
+
+// begins reports whether the stop has only begun.
+func (s *plannedStop) begins(now time.Duration) bool {
+	return now <= s.begin+stopBeginTime && s.end-now >= stopBeginLeft
+}
+
 // Stop starts a planned stop: responses ask callers to close their connections, and
 // requests that would not end within serveFor are refused with the given Retry-After.
 func (g *Gateway) Stop(serveFor time.Duration, retryAfter func() time.Duration) {
-	g.stop.Store(&plannedStop{end: g.opts.Now() + serveFor, silence: min(maxSilence, serveFor/silenceShare), retryAfter: retryAfter})
+	now := g.opts.Now()
+	g.stop.Store(&plannedStop{begin: now, end: now + serveFor, silence: min(maxSilence, serveFor/silenceShare), retryAfter: retryAfter})
 }
 
 // Close makes the gateway refuse all further requests. Those in progress go on. It must be
@@ -94,9 +107,9 @@
 	return now+g.expectedRun(x, now) > stop.end
 }
 
-// expectedRun returns how long a request may take at a target.
+// expectedRun returns how long a request may take at a target. It must be called after Stop.
 func (g *Gateway) expectedRun(x *exchange, now time.Duration) time.Duration {
-	return g.runTimes.expected(x, now, g.prefillTime(x))
+	return g.runTimes.expected(x, now, g.prefillTime(x), g.stop.Load().begins(now))
 }
 
 // prefillTime returns how long a target is expected to take for the prompt of a request; 0 if its size is not stated.
--- a/internal/gateway/stopserving_test.go
+++ b/internal/gateway/stopserving_test.go
@@ -65,3 +65,17 @@
 		}
 	})
 }
+
+// TestBeginningOfAStopServesWhatUsuallyEnds is a control: right after the SIGTERM, a host does not refuse a stream that nearly always ends long before
+// the stop. Later it relies on the bound only.
+func TestBeginningOfAStopServesWhatUsuallyEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSizedGateway()
+		g.run(sizedRun{"/once/x", 600, 275, 20})
+		g.stopIn(7500 * time.Millisecond)
+		time.Sleep(2500 * time.Millisecond)
+		g.expect(t, "2.5 s after the SIGTERM", sizedRun{"/once/x", 600, 275, 8}, http.StatusOK)
+		time.Sleep(time.Second)
+		g.expect(t, "3.7 s after it", sizedRun{"/once/x", 600, 275, 8}, http.StatusServiceUnavailable)
+	})
+}
