--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,6 +19,7 @@
 	"forgotten":  forgotten,
 	"longprompt": longPrompt,
 	"innocent":   innocent,
+	"withdrawn":  withdrawn,
 	"restart":    restart,
 }
 
@@ -314,7 +315,7 @@
 	return verdict{reached > 3, fmt.Sprintf("BUDGET: %d documents before the last; %d engines crashed; later than contact_ms (3 s) after the fifth crash, requests with the part reached engines %d times (3 are allowed); of %d sound requests %d were served", documents, len(w.crashed), reached, sound, served)}
 }
 
-// innocent: eleven prompts are asked again and again, each by four consumers about once a second. From 10 s on, prompts with one further
+// innocent: eight prompts are asked again and again, each by eight consumers about once a second. From 10 s on, prompts with one further
 // part come twice a second. With trouble, that part crashes each engine that begins to write an answer on it.
 func innocent(w *world, trouble bool) verdict {
 	const bad = "bad0bad0"
@@ -341,9 +342,9 @@
 		w.send(w.hosts[rand.IntN(len(w.hosts))], request{method: "POST", path: "/lohu930/x", tag: tag, key: key, deadline: 5 * time.Second, header: map[string]string{
 			"Buckthornseam-Model": "daka51", "Buckthornseam-Token-Count": "646,70", "Buckthornseam-Prompt-Prefix": strings.Join(parts, ",")}})
 	}
-	prompts := envInt("PROMPTS", 11)
+	prompts := envInt("PROMPTS", 8)
 	for i := range prompts {
-		for range 48 / prompts {
+		for range 64 / prompts {
 			n++
 			go func() {
 				repeat(end, time.Second, func() {
@@ -410,3 +411,75 @@
 	share := func(n, of int) float64 { return float64(n) / float64(of) }
 	return verdict{share(begunAfter, after) < share(begunBefore, before)/2, fmt.Sprintf("LOST: before the part came, %d of %d sound requests began; from 2 x contact_ms after the fifth crash on, %d of %d (less than half as often is not allowed); by status %v", begunBefore, before, begunAfter, after, reasons)}
 }
+
+// withdrawnKey is a second key of the tenant.
+const withdrawnKey = "n2ctnfzs989anu6wsjnb"
+
+// withdrawn: consumers use a key that the operator has withdrawn. With trouble, the store is restored 6 s later, from a copy that was made
+// just before that, and the operator writes the configuration again after 3 s. In between, one process is killed and starts again.
+func withdrawn(w *world, trouble bool) verdict {
+	var servers []*engine
+	for i := range 3 {
+		servers = append(servers, &engine{w: w, name: fmt.Sprint("app", i), service: "app", zone: zones[i], ip: w.prefix + fmt.Sprint(100+i), slots: 24, restartS: 2, work: crashing(false)})
+	}
+	first, second := config(), config()
+	first["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{key, withdrawnKey}
+	second["version"] = 9
+	w.deploy(first, servers...)
+	end := time.Now().Add(20 * time.Second)
+	done := make(chan bool, 100)
+	n := 0
+	for i := range 30 {
+		n++
+		go func() {
+			q := request{method: "POST", path: "/cuti104/lo20/", tag: "withdrawn", key: withdrawnKey, deadline: 3 * time.Second}
+			if i%3 == 0 {
+				q.tag, q.key = "held", key
+			}
+			repeat(end, ms(60), func() { w.send(w.hosts[rand.IntN(len(w.hosts))], q) })
+			done <- true
+		}()
+	}
+	time.Sleep(2 * time.Second)
+	c := w.store.copy()
+	w.store.put("config", "main", second)
+	acknowledged := time.Now()
+	w.logf("version 9 of the configuration is acknowledged; it holds the withdrawn key no more")
+	time.Sleep(6 * time.Second)
+	if trouble {
+		w.store.restore(c)
+		restored := time.Now()
+		w.logf("the store is back from a copy")
+		time.Sleep(500 * time.Millisecond)
+		h := w.hosts[0]
+		h.cmd.Process.Kill()
+		<-h.done
+		w.logf("machine %s: its process is killed", h.name)
+		time.Sleep(500 * time.Millisecond)
+		w.startHost(h)
+		time.Sleep(time.Until(restored.Add(3 * time.Second)))
+		w.store.put("config", "main", second)
+		w.logf("the operator has written version 9 again")
+	}
+	for range n {
+		<-done
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sent := map[string]time.Time{}
+	for _, a := range w.answers {
+		sent[a.Attempt] = a.Sent
+	}
+	ran, served := 0, 0
+	for _, a := range w.arrivals {
+		if a.Tag == "withdrawn" && a.Ran && sent[a.Attempt].After(acknowledged.Add(5*time.Second)) {
+			ran++
+		}
+	}
+	for _, a := range w.answers {
+		if a.Tag == "held" && a.Status == 200 {
+			served++
+		}
+	}
+	return verdict{ran > 0, fmt.Sprintf("CONFIG: %d requests with the withdrawn key, sent later than revoke_ms (5 s) after the acknowledgement, ran (none may); %d with the other key were served", ran, served)}
+}
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -31,6 +33,7 @@
 type store struct {
 	mu      sync.Mutex
 	rev     uint64
+	era     int // rises by one each time the store is restored from a copy
 	objects map[string]map[string]*object
 	events  []event
 	changed chan struct{}
@@ -38,7 +41,7 @@
 }
 
 func newStore() *store {
-	return &store{rev: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
+	return &store{rev: 100, era: 1, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
 }
 
 func (s *store) listen(ip string) {
@@ -106,7 +109,10 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind, name := parts[0], ""
 	if len(parts) > 1 {
@@ -114,7 +120,7 @@
 	}
 	q := r.URL.Query()
 	if r.Method == http.MethodGet && name == "" && q.Has("watch") {
-		s.watch(w, r, kind)
+		s.watch(w, r, kind, era)
 		return
 	}
 	s.mu.Lock()
@@ -189,7 +195,7 @@
 	}
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, era int) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
@@ -197,6 +203,15 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if s.era != era { // a watch that is waiting is cut off
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after > s.rev {
+			s.mu.Unlock()
+			reply(w, 410, map[string]any{})
+			return
+		}
 		events := []any{}
 		for _, e := range s.events {
 			if e.kind == kind && e.rev > after {
@@ -219,3 +234,31 @@
 		}
 	}
 }
+
+// copyOf is what a copy of the store holds.
+type copyOf struct {
+	rev     uint64
+	objects map[string]map[string]*object
+	events  []event
+}
+
+// copy returns a copy of the store. Objects are replaced, never changed.
+func (s *store) copy() copyOf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := copyOf{rev: s.rev, objects: map[string]map[string]*object{}, events: slices.Clone(s.events)}
+	for kind, byName := range s.objects {
+		c.objects[kind] = maps.Clone(byName)
+	}
+	return c
+}
+
+// restore begins a new era from a copy.
+func (s *store) restore(c copyOf) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.objects, s.events = c.rev, c.objects, c.events
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
