Log by which configuration a host admits requests, and who has told it of the newest

Change: line config_confirmed, once in each era of the store, with the host that told last, the version that it told and how long ago. What identifies configurations moves into a file of its own.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -168,7 +168,9 @@
 	c.slots.Set(host, r.SlotsHeld) // a slot granted while the report was on its way counts again from the next one on
 	c.reportMemory(host, r)
 	if r.Config != nil {
-		c.fleetView.RecordConfig(*r.Config)
+		if host != c.self {
+			c.fleetView.RecordConfig(host, *r.Config)
+		}
 		h.knownConfig = *r.Config
 	}
 	if host != c.self {
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -19,6 +19,7 @@
 	mu            sync.Mutex
 	config        *fleet.Config
 	newestConfig  ConfigVersion
+	configWord    ConfigWord
 	listed        *fleet.Targets // as registered
 	targets       *fleet.Targets // as registered, but those that leave are marked as draining
 	leaving       leavingTargets
@@ -105,45 +106,6 @@
 	f.notify()
 }
 
-// ConfigVersion identifies a configuration that was in force at some host.
-type ConfigVersion struct {
-	Number   int64  `json:"n"` // as the operator counts
-	Revision uint64 `json:"r"` // platform.Version of the object
-}
-
-func configVersionOf(c *fleet.Config) ConfigVersion { return ConfigVersion{c.Version, c.Revision} }
-
-// RecordConfig records a configuration that is in force at another host.
-func (f *FleetView) RecordConfig(v ConfigVersion) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recordConfig(v)
-}
-
-// recordConfig must be called with f.mu held.
-func (f *FleetView) recordConfig(v ConfigVersion) {
-	n := f.newestConfig
-	if v.Number > n.Number || v.Number == n.Number && v.Revision > n.Revision {
-		f.newestConfig = v
-	}
-}
-
-// NewestConfig returns the newest configuration that was in force at any host, as far as this one has heard.
-func (f *FleetView) NewestConfig() ConfigVersion {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.newestConfig
-}
-
-// ConfigWentBack reports whether the configuration of this host is older than one in force elsewhere although it was
-// stored later: it comes from the copy from which the store was restored, and the operator has not yet written
-// the newer one again.
-func (f *FleetView) ConfigWentBack() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.newestConfig.Number > f.config.Version && f.newestConfig.Revision < f.config.Revision
-}
-
 // Config returns the configuration in force.
 func (f *FleetView) Config() *fleet.Config {
 	f.mu.Lock()
--- a/internal/coordinator/storefreshness.go
+++ b/internal/coordinator/storefreshness.go
@@ -33,8 +33,12 @@
 func (c *Client) applyStoreAge(age StoreAge, began time.Duration) {
 	c.opts.Eras.Learn(age.Era)
 	c.opts.FleetView.SetUnusable(age.Unusable)
-	if age.NewestConfig != nil {
-		c.opts.FleetView.RecordConfig(*age.NewestConfig)
+	if from := c.Coordinator(); from != c.opts.Self.Name {
+		newest := c.opts.FleetView.NewestConfig() // both hosts know the same one if the reply names none
+		if age.NewestConfig != nil {
+			newest = *age.NewestConfig
+		}
+		c.opts.FleetView.RecordConfig(from, newest)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -107,6 +107,7 @@
 	homesLog    homesLog
 	// targetsSameAt is when the list of targets was last known to be the coordinator's, in nanoseconds.
 	targetsSameAt atomic.Int64
+	confirmedEra  atomic.Uint32 // era of the last config_confirmed line
 	hostsListed   sync.Once
 	knowsHosts    chan struct{} // closed with the first list of hosts
 	listedAt      time.Duration // when this host's entry was last seen, or written first; only join uses it
