A host that was not in touch until a restore of the store asks others for the newest configuration

Cause: a restored store confirmed a configuration unless a newer one had been heard of, and a host that starts has heard nothing: silence counted as agreement. The same in a host that was cut off and comes back in a new era. Ruled out: a longer wait at the start, which costs rolling restarts and is too short for the next delay. Change: ConfigInquiry, on the rule of the new core coord/inquiry. Informed is who was in touch until the restore; all others ask eight listed hosts at a time, go by the store once an informed one has told, all or most have answered, or nobody could be reached for the contact time, and prolong nothing until then.

--- a/internal/coordinator/configversion.go
+++ b/internal/coordinator/configversion.go
@@ -59,3 +59,10 @@
 	defer f.mu.Unlock()
 	return f.newestConfig.Number > f.config.Version && f.newestConfig.Revision < f.config.Revision
 }
+
+// wake wakes what waits for a change of the view.
+func (f *FleetView) wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify()
+}
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -153,6 +153,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hosts, f.cold.hostsListed = hosts, true
+	f.notify()
 }
 
 // Hosts returns the known hosts by name.
--- a/internal/platformhost/configconfirmed.go
+++ b/internal/platformhost/configconfirmed.go
@@ -18,17 +18,27 @@
 	return h.view.Config().Revision, configAt, targetsAt
 }
 
-// configConfirmed returns the latest time at which the configuration was known
-// to be current, either from this host's own mirror or from the coordinator's
-// confirmation of the same one. It returns false if this host has none, or only one that
-// a restored store went back to.
+// configConfirmed returns the latest time at which the configuration was known to be current. It returns false if this host has
+// none, or only one that a restored store went back to, or that may be one: the restored store confirms nothing until this host
+// knows which configuration was in force before.
 func (h *Host) configConfirmed() (time.Duration, bool) {
-	at, ok := h.config.Confirmed()
+	at, ok := h.copyConfirmed()
 	if !ok || h.view.ConfigWentBack() {
 		return 0, false
 	}
+	heldAt, settled := h.inquiry.Settled()
+	if !settled {
+		return min(at, heldAt), heldAt > 0
+	}
 	h.logConfirmation()
-	return max(at, confirmedBy(h.client.StoreFreshness(), h.view.Config())), true
+	return at, true
+}
+
+// copyConfirmed returns the latest time at which this host's copy of the configuration was known to be that of the store, either
+// from its own mirror or from the coordinator's confirmation of the same one.
+func (h *Host) copyConfirmed() (time.Duration, bool) {
+	at, ok := h.config.Confirmed()
+	return max(at, confirmedBy(h.client.StoreFreshness(), h.view.Config())), ok
 }
 
 // logConfirmation logs the first confirmation in each era of the store: by which configuration this host admits requests from
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -91,6 +91,7 @@
 	coordinator *coordinator.Coordinator
 	parts       *coordinator.PartFailures
 	client      *coordinator.Client
+	inquiry     *coordinator.ConfigInquiry
 	origins     *streamorigin.Registry
 	reach       *targetreach.Monitor
 	peerClient  *peer.Client
@@ -185,6 +186,11 @@
 	h.owner.Register(h.peerServer)
 	h.coordinator.Register(h.peerServer)
 	h.client.Register(h.peerServer)
+	h.inquiry = coordinator.NewConfigInquiry(coordinator.ConfigInquiryOptions{
+		FleetView: h.view, Self: h.self.Name, Calls: h.peerClient, Eras: &h.eras, Confirmed: h.copyConfirmed, Wait: h.settings.Bounds.Contact,
+		Now: bootclock.Now, Log: h.log, Metrics: h.metrics.Scope,
+	})
+	h.inquiry.Register(h.peerServer)
 	h.origins = streamorigin.New(streamorigin.Options{
 		Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: h.targetsCurrentAt, Calls: h.peerClient,
 		Store: h.store, StoreInterval: h.originsStoreInterval, Now: bootclock.Now, Log: h.log,
@@ -329,6 +335,7 @@
 		func() error { return h.coordinator.Run(ctx) },
 		func() error { return h.client.Run(ctx) },
 		func() error { return h.client.RunProbes(ctx) },
+		func() error { return h.inquiry.Run(ctx) },
 		func() error { return h.reach.Run(ctx) },
 		func() error { return h.yieldEngines(ctx) },
 		func() error { return h.newPartStore().Run(ctx) },
