--- a/coord/crashcause/block.go
+++ b/coord/crashcause/block.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -62,7 +63,7 @@
 	}
 	t.version++
 	b.version = t.version
-	t.blocks[part] = b
+	t.blocks[strings.Clone(part)] = b
 	t.changes = append(t.changes, Change{Part: part, Blocked: true, Targets: len(t.failures[part])})
 	return true
 }
--- a/coord/crashcause/crashcause_test.go
+++ b/coord/crashcause/crashcause_test.go
@@ -21,8 +21,8 @@
 func (s *script) fail(requests ...[]string) {
 	s.now += 100 * time.Millisecond
 	s.targets++
-	for _, parts := range requests {
-		s.t.RecordFailure(s.now, parts, fmt.Sprint("target", s.targets), s.now-50*time.Millisecond)
+	for i, parts := range requests {
+		s.t.RecordFailure(s.now, fmt.Sprint(s.targets, "/", i), parts, fmt.Sprint("target", s.targets), s.now-50*time.Millisecond)
 	}
 }
 
@@ -89,7 +89,7 @@
 func TestFailuresAtOnceAreOne(t *testing.T) {
 	s := newScript()
 	for i := range 9 {
-		s.t.RecordFailure(s.now+time.Duration(i)*time.Millisecond, []string{"part"}, fmt.Sprint(i), s.now-time.Second)
+		s.t.RecordFailure(s.now+time.Duration(i)*time.Millisecond, fmt.Sprint(i), []string{"part"}, fmt.Sprint(i), s.now-time.Second)
 	}
 	s.evaluate()
 	s.expect(t, "part", false)
@@ -100,7 +100,7 @@
 	s := newScript()
 	s.complete(20, "head")
 	for i := range 6 {
-		s.t.RecordFailure(s.now+time.Duration(30*i)*time.Millisecond, []string{"head", "bad"}, fmt.Sprint(i), s.now-time.Second)
+		s.t.RecordFailure(s.now+time.Duration(30*i)*time.Millisecond, fmt.Sprint(i), []string{"head", "bad"}, fmt.Sprint(i), s.now-time.Second)
 	}
 	s.evaluate()
 	s.expect(t, "bad", true)
@@ -130,6 +130,28 @@
 	s.expect(t, "part", false)
 }
 
+// TestTargetThatWentOnIsKnownBeforeItsFailure guards against taking a lost connection for a crash because the news of it come after
+// those of a request that the target completed since. What is kept for that is bounded.
+func TestTargetThatWentOnIsKnownBeforeItsFailure(t *testing.T) {
+	s := newScript()
+	for i := range 4 {
+		target := fmt.Sprint("busy", i)
+		broke := s.now
+		for range 1000 {
+			s.now += time.Millisecond
+			for range 3 {
+				s.t.RecordCompletion(s.now, []string{"other"}, target, s.now-time.Millisecond/2)
+			}
+		}
+		s.t.MergeReport(s.now, "host", &Evidence{Failures: []FailureRecord{{Part: "part", Target: target, SentMS: 1500, BrokeMS: ageMS(s.now, broke)}}})
+		if n := len(s.t.alive[target].times); n > int(sendsKept/sendsSpacing)+1 {
+			t.Errorf("%d times are kept of a target", n)
+		}
+	}
+	s.evaluate()
+	s.expect(t, "part", false)
+}
+
 // TestCrashedTargetsExplainOtherFailures guards against blocking the parts of requests that ran beside the crashing ones.
 func TestCrashedTargetsExplainOtherFailures(t *testing.T) {
 	s := newScript()
@@ -219,7 +241,7 @@
 	}
 	for i := range 3 {
 		now += 400 * time.Millisecond
-		trackers[i].RecordFailure(now, []string{"head", "bad"}, fmt.Sprint("target", i), now-100*time.Millisecond)
+		trackers[i].RecordFailure(now, fmt.Sprint(i), []string{"head", "bad"}, fmt.Sprint("target", i), now-100*time.Millisecond)
 		for range 5 {
 			trackers[(i+1)%hosts].RecordCompletion(now, []string{"head"}, "sound", now-100*time.Millisecond)
 		}
@@ -255,7 +277,7 @@
 	if e := tracker.Changes(start, &cursor, ToCoordinator); e != nil {
 		t.Fatalf("got %+v before any failure", e)
 	}
-	tracker.RecordFailure(start, []string{"part"}, "target", start-time.Second)
+	tracker.RecordFailure(start, "request", []string{"part"}, "target", start-time.Second)
 	if e := tracker.Changes(start, &cursor, ToCoordinator); e == nil || len(e.Failures) != 1 {
 		t.Errorf("got %+v, want one failure", e)
 	}
@@ -268,7 +290,7 @@
 		s.complete(1, fmt.Sprint("c", i))
 		s.fail([]string{fmt.Sprint("f", i)})
 	}
-	if len(s.t.own) > maxParts || s.t.count > maxFailures || len(s.t.byTarget) > maxFailures {
-		t.Errorf("%d completions, %d failures of %d targets", len(s.t.own), s.t.count, len(s.t.byTarget))
+	if len(s.t.own) > maxParts || s.t.count > maxFailures || len(s.t.targets) > maxFailures {
+		t.Errorf("%d completions, %d failures of %d targets", len(s.t.own), s.t.count, len(s.t.targets))
 	}
 }
--- a/coord/crashcause/doc.go
+++ b/coord/crashcause/doc.go
@@ -9,10 +9,12 @@
 //     the failure before, each to another target, and no request with the part was completed since.
 //     Targets that fail at the same moment, for whatever reason, count once.
 //   - The failures outnumber the recent completions of the part.
-//   - No other part explains the same failures better.
+//   - No other part explains the same failures better, and chance does not: the failures belong to several requests, and, among
+//     many parts, to most of the targets that ended meanwhile.
 //   - The targets did end: none completed a request that was sent shortly after its failure.
 //
-// The failures at a target that a blocked part has crashed count against no other part.
+// The failures at a target that a blocked part has crashed count against no other part, and those at a target for whose parts there
+// was no room against none: the cause may be among what is missing.
 //
 // A block ends as soon as a request with the part completes. Since none is sent any more, single
 // requests are admitted to find out, at growing intervals.
--- a/coord/crashcause/evaluate.go
+++ b/coord/crashcause/evaluate.go
@@ -36,7 +36,7 @@
 // candidate is a part with failures that nothing known so far explains.
 type candidate struct {
 	part     string
-	position int
+	position int32
 	failures map[string]*failure // by target
 	weight   float64             // of its completions
 }
@@ -47,9 +47,10 @@
 	t.expire(now)
 	for now >= t.completeFrom {
 		all := t.candidates(now)
+		chance := t.chanceOf(all)
 		var guilty []candidate
 		for _, c := range all {
-			if isCause(c, all) {
+			if isCause(c, all) && !chance.suffices(c, all) {
 				guilty = append(guilty, c)
 			}
 		}
@@ -74,27 +75,35 @@
 
 // candidates returns the parts whose failures outnumber their recent completions.
 func (t *Tracker) candidates(now time.Duration) []candidate {
-	explained := map[string]bool{}
+	unusable := map[string]bool{} // targets whose failures are explained, or not known completely
 	for part := range t.blocks {
-		for target := range t.failures[part] {
-			explained[target] = true
+		for _, f := range t.failures[part] {
+			unusable[f.target] = true
+		}
+	}
+	for target, at := range t.targets {
+		if at.incomplete != 0 {
+			unusable[target] = true
 		}
 	}
 	var out []candidate
-	for part, byTarget := range t.failures {
-		if t.blocks[part] != nil || len(byTarget) < minSequence {
+	for part := range t.repeated {
+		if t.blocks[part] != nil || len(t.failures[part]) < minSequence {
 			continue
 		}
 		done := t.all(now, part)
 		c := candidate{part: part, failures: map[string]*failure{}, weight: done.weight}
-		for target, f := range byTarget {
-			if !f.refuted && !explained[target] && f.broke > done.last {
-				c.failures[target] = f
+		for _, f := range t.failures[part] {
+			if !f.refuted && !unusable[f.target] && f.broke > done.last {
+				c.failures[f.target] = f
 				c.position = max(c.position, f.position)
 			}
 		}
 		c.failures = settled(now, c.failures)
-		if len(c.failures) >= minSequence && float64(len(c.failures)) > c.weight {
+		if len(c.failures) < minSequence || float64(len(c.failures)) <= c.weight {
+			continue
+		}
+		if requests(c.failures) > 1 { // of a single request, nothing tells which part it is
 			out = append(out, c)
 		}
 	}
@@ -122,13 +131,42 @@
 	return last - first
 }
 
-// explains reports whether a candidate explains the failures of another one better: it was part of all
-// requests concerned and of more, or it is as much a part of them and more specific. The parts before a
-// cause fail whenever it does, while few requests have those after it.
+// Differences between two parts that are no chance.
+const (
+	clearlyMore = 2 // failures
+	clearlyLess = 1 // weight of completions
+)
+
+// explains reports whether a candidate explains the failures of another one better: it was part of all requests concerned, and
+//
+//   - it was completed clearly less. A part that stands before another one in all prompts is completed at least as often, so that its
+//     place says nothing here;
+//   - or it was part of more, and does not stand before the other one, unless it is part of clearly more. The parts before a cause fail
+//     whenever it does;
+//   - or it is as much a part of them and more specific: few requests have the parts behind a cause.
 func explains(a, b candidate) bool {
-	if a.part == b.part || a.position < b.position || a.position == b.position && len(a.failures) <= len(b.failures) {
+	more := len(a.failures) - len(b.failures)
+	if a.part == b.part || more < 0 {
 		return false
 	}
+	better := false
+	switch {
+	case a.weight+clearlyLess <= b.weight:
+		better = true
+	case b.weight+clearlyLess <= a.weight:
+		better = more > 0 && a.position >= b.position
+	case a.position < b.position:
+		better = more >= clearlyMore && a.weight <= b.weight
+	case a.position == b.position:
+		better = more > 0
+	default:
+		better = true
+	}
+	return better && covers(a, b)
+}
+
+// covers reports whether a candidate failed at all targets at which another one did.
+func covers(a, b candidate) bool {
 	for target := range b.failures {
 		if a.failures[target] == nil {
 			return false
--- a/coord/crashcause/evidence.go
+++ b/coord/crashcause/evidence.go
@@ -11,21 +11,27 @@
 	Failures    []FailureRecord    `json:"f,omitempty"`
 	Completions []CompletionRecord `json:"c,omitempty"`
 	Blocks      []BlockRecord      `json:"b,omitempty"`
-	More        bool               `json:"m,omitempty"` // further failures follow
+	// Incomplete names targets that broke off requests with more parts than the sender keeps.
+	Incomplete []string `json:"u,omitempty"`
+	More       bool     `json:"m,omitempty"` // further records follow
 }
 
 // maxFailureRecords limits the failures in one message. When the coordinating host changes, all hosts exchange all they know with the
 // new one, which must be able to reply in time.
 const maxFailureRecords = 512
 
+// maxCompletionRecords limits the completions in one message. Those of the parts that have failed most come first.
+const maxCompletionRecords = 512
+
 // FailureRecord tells that a target broke off requests with a part.
 type FailureRecord struct {
 	Part     string `json:"p"`
 	Target   string `json:"t"`
 	SentMS   int64  `json:"s"`
 	BrokeMS  int64  `json:"b"`
-	Position int    `json:"i,omitempty"`
+	Position int32  `json:"i,omitempty"`
 	Refuted  bool   `json:"r,omitempty"`
+	Request  uint32 `json:"q,omitempty"` // which request it was; 0: several, or not known
 }
 
 // CompletionRecord is the weight of the completions of a part.
@@ -61,14 +67,15 @@
 }
 
 // Changes returns the evidence that a receiver has not been sent, or nil if there is none. A receiver with an
-// unused cursor is sent all, the newest first, if need be in several messages.
+// unused cursor is sent all, the newest first, if need be in several messages. The coordinating host gets all failures, the others
+// only those of parts that failed at several targets: a part that failed once can neither be blocked nor explain anything.
 func (t *Tracker) Changes(now time.Duration, cursor *Cursor, to Direction) *Evidence {
 	var e Evidence
 	if cursor.version < t.version || cursor.backlog > 0 {
 		t.addNewRecords(now, &e, cursor, to)
 	}
-	e.Completions = t.newCompletions(now, cursor, to)
-	if len(e.Failures)+len(e.Completions)+len(e.Blocks) == 0 {
+	t.newCompletions(now, &e, cursor, to)
+	if len(e.Failures)+len(e.Completions)+len(e.Blocks)+len(e.Incomplete) == 0 {
 		return nil
 	}
 	return &e
@@ -85,17 +92,35 @@
 			e.Blocks = append(e.Blocks, BlockRecord{part, ageMS(now, b.since), ageMS(now, b.last), b.failedProbes})
 		}
 	}
+	for target, at := range t.targets {
+		if at.incomplete > cursor.version {
+			e.Incomplete = append(e.Incomplete, target)
+		}
+	}
 	var recent, backlog []versioned
-	for part, byTarget := range t.failures {
-		for target, f := range byTarget {
+	add := func(part string) {
+		for _, f := range t.failures[part] {
+			version := f.version
+			if to == ToHost {
+				version = max(version, f.repeatedSince)
+			}
 			switch {
-			case first || f.version <= cursor.backlog:
-				backlog = append(backlog, f.record(now, part, target))
-			case !omit(f.fromCoordinator, f.version):
-				recent = append(recent, f.record(now, part, target))
+			case first || version <= cursor.backlog:
+				backlog = append(backlog, f.record(now, part, version))
+			case !omit(f.fromCoordinator, version):
+				recent = append(recent, f.record(now, part, version))
 			}
 		}
 	}
+	if to == ToHost {
+		for part := range t.repeated {
+			add(part)
+		}
+	} else {
+		for part := range t.failures {
+			add(part)
+		}
+	}
 	cursor.version = t.version
 	if n := maxFailureRecords; len(recent) > n {
 		slices.SortFunc(recent, versioned.compare)
@@ -118,32 +143,56 @@
 	FailureRecord
 }
 
-func (f *failure) record(now time.Duration, part, target string) versioned {
-	return versioned{f.version, FailureRecord{part, target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted}}
+func (f *failure) record(now time.Duration, part string, version uint64) versioned {
+	return versioned{version, FailureRecord{part, f.target, ageMS(now, f.sent), ageMS(now, f.broke), f.position, f.refuted, f.request}}
 }
 
 func (r versioned) compare(other versioned) int { return cmp.Compare(r.version, other.version) }
 
-// newCompletions returns the completions of suspect parts that a receiver has not been sent.
-func (t *Tracker) newCompletions(now time.Duration, cursor *Cursor, to Direction) []CompletionRecord {
+// newCompletions returns the completions of suspect parts that a receiver has not been sent. Those of a part that has not failed
+// since the last ones are renewed less often.
+func (t *Tracker) newCompletions(now time.Duration, e *Evidence, cursor *Cursor, to Direction) {
 	if now < cursor.completionsAt+resendInterval && cursor.completionsAt > 0 {
-		return nil
+		return
 	}
 	cursor.completionsAt = now
 	sent := cursor.completions
 	cursor.completions = map[string]time.Duration{}
-	var out []CompletionRecord
+	var due []string
 	for _, part := range t.suspects() {
+		last := t.lastCompletion(part)
+		cursor.completions[part] = sent[part]
+		if last > sent[part] && (last >= sent[part]+renewInterval || t.lastFailure(part) > sent[part]) {
+			due = append(due, part)
+		}
+	}
+	if len(due) > maxCompletionRecords {
+		slices.SortFunc(due, func(a, b string) int { return cmp.Compare(len(t.failures[b]), len(t.failures[a])) })
+		e.More = e.More || len(t.failures[due[maxCompletionRecords]]) >= minSequence
+		due = due[:maxCompletionRecords]
+	}
+	for _, part := range due {
 		c := t.ownAndReported(now, part)
 		if to == ToHost {
 			c = t.all(now, part)
 		}
 		if c.last > sent[part] {
-			out = append(out, CompletionRecord{part, c.weight, ageMS(now, c.last)})
+			e.Completions = append(e.Completions, CompletionRecord{part, c.weight, ageMS(now, c.last)})
 		}
 		cursor.completions[part] = c.last
 	}
-	return out
+}
+
+// lastFailure returns when a target last failed under a part; 0: none is known.
+func (t *Tracker) lastFailure(part string) time.Duration {
+	last := time.Duration(0)
+	if b := t.blocks[part]; b != nil {
+		last = b.last
+	}
+	for _, f := range t.failures[part] {
+		last = max(last, f.broke)
+	}
+	return last
 }
 
 func ageMS(now, at time.Duration) int64 { return (now - at).Milliseconds() }
@@ -165,7 +214,12 @@
 	}
 	at := func(age int64) time.Duration { return now - time.Duration(age)*time.Millisecond }
 	for _, r := range e.Failures {
-		t.addFailure(now, r.Part, r.Target, failure{sent: at(r.SentMS), broke: at(r.BrokeMS), position: r.Position, refuted: r.Refuted, fromCoordinator: fromCoordinator})
+		t.addFailure(now, r.Part, failure{
+			target: r.Target, request: r.Request, sent: at(r.SentMS), broke: at(r.BrokeMS), position: r.Position, refuted: r.Refuted, fromCoordinator: fromCoordinator,
+		})
+	}
+	for _, target := range e.Incomplete {
+		t.markIncomplete(t.failuresAt(target, now))
 	}
 	for _, r := range e.Completions {
 		c := completions{weight: r.Weight, at: now, last: at(r.LastMS)}
--- a/coord/crashcause/messages_test.go
+++ b/coord/crashcause/messages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -28,18 +29,21 @@
 			return e.More
 		}
 		exchange()
-		sender.RecordFailure(now, []string{"late"}, "late target", now-time.Millisecond)
+		sender.RecordFailure(now, "late", []string{"late"}, "late target", now-time.Millisecond)
+		if to == ToHost {
+			sender.RecordFailure(now, "later", []string{"late"}, "another target", now-time.Millisecond) // a single one is of no use to hosts
+		}
 		more := exchange()
-		if receiver.failures["late"] == nil {
+		if len(receiver.failures["late"]) != len(sender.failures["late"]) {
 			t.Error("a failure waits for all earlier ones")
 		}
-		for n := 0; more && n < 2*maxFailures/maxFailureRecords; n++ {
+		for n := 0; more && n < 2*fullOfSuspects/maxFailureRecords; n++ {
 			more = exchange()
 		}
-		for part, byTarget := range sender.failures {
-			for target := range byTarget {
-				if receiver.failures[part][target] == nil {
-					t.Fatalf("the receiver does not know the failure of %s under %s", target, part)
+		for part, failures := range sender.failures {
+			for _, f := range failures {
+				if receiver.failureAt(part, f.target) == nil {
+					t.Fatalf("the receiver does not know the failure of %s under %s", f.target, part)
 				}
 			}
 		}
@@ -49,6 +53,29 @@
 	}
 }
 
+// TestPartsThatFailASecondTimeAreToldInFull guards against hosts that never hear of the first failures of parts, which they were not sent
+// while the part had failed once only.
+func TestPartsThatFailASecondTimeAreToldInFull(t *testing.T) {
+	sender, receiver, now, cursor := New(), New(), start, Cursor{}
+	var parts []string
+	for i := range 3 * maxFailureRecords / 2 {
+		parts = append(parts, fmt.Sprint("part", i))
+	}
+	for i := range 2 {
+		now += time.Second
+		sender.RecordFailure(now, fmt.Sprint(i), parts, fmt.Sprint("target", i), now-time.Millisecond)
+		for e := (&Evidence{More: true}); e != nil && e.More; now += resendInterval {
+			e = sender.Changes(now, &cursor, ToHost)
+			receiver.MergeUpdate(now, e)
+		}
+		for _, part := range parts {
+			if n := len(receiver.failures[part]); n != 2*i {
+				t.Fatalf("the receiver knows %d failures of %s after %d", n, part, i+1)
+			}
+		}
+	}
+}
+
 // TestNothingIsBlockedOnPartOfTheEvidence guards against blocking a sound part, since the failures of the part that explains its
 // own have not come yet.
 func TestNothingIsBlockedOnPartOfTheEvidence(t *testing.T) {
--- a/internal/coordinator/partfailures.go
+++ b/internal/coordinator/partfailures.go
@@ -39,14 +39,15 @@
 // targetOfRun returns the ID of the target in a result of runOf.
 func targetOfRun(run string) string { return run[:max(0, strings.LastIndexByte(run, '@'))] }
 
-// RecordFailure records that a target broke off a request whose prompt has the given parts.
-func (p *PartFailures) RecordFailure(parts []string, t fleet.Target, sent time.Duration) {
+// RecordFailure records that a target broke off a request whose prompt has the given parts. The name of the request is the same for
+// all tries of it.
+func (p *PartFailures) RecordFailure(request string, parts []string, t fleet.Target, sent time.Duration) {
 	if len(parts) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.RecordFailure(p.now(), parts, runOf(t), sent)
+	p.tracker.RecordFailure(p.now(), request, parts, runOf(t), sent)
 }
 
 // RecordCompletion records that a target completed a request whose prompt has the given parts.
--- a/internal/coordinator/partstore_test.go
+++ b/internal/coordinator/partstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,7 @@
 		parts, stop := start()
 		for i := range 3 {
 			time.Sleep(time.Second)
-			parts.RecordFailure([]string{"bad"}, fleet.Target{ID: "e", StartedMS: int64(i)}, now()-100*time.Millisecond)
+			parts.RecordFailure(strconv.Itoa(i), []string{"bad"}, fleet.Target{ID: "e", StartedMS: int64(i)}, now()-100*time.Millisecond)
 		}
 		time.Sleep(2 * time.Second)
 		parts.evaluate()
--- a/internal/gateway/crashingparts_test.go
+++ b/internal/gateway/crashingparts_test.go
@@ -119,7 +119,7 @@
 		}
 		g := testGateway(s)
 		for i := range 2 {
-			g.opts.Parts.RecordFailure([]string{"part", "sound"}, fleet.Target{ID: fmt.Sprint("lost", i)}, g.opts.Now())
+			g.opts.Parts.RecordFailure(fmt.Sprint(i), []string{"part", "sound"}, fleet.Target{ID: fmt.Sprint("lost", i)}, g.opts.Now())
 		}
 		g.opts.Parts.RecordCompletion([]string{"sound"}, fleet.Target{ID: "e1"}, g.opts.Now())
 		for parts, waits := range map[string]bool{"sound": false, "part": true} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,7 @@
 		x.log["resumes"], x.log["resumes_after"] = x.call.Resumes, x.call.LastEventID
 	}
 	if len(x.call.SharedParts) > 0 {
-		x.log["prompt_parts"] = strings.Join(x.call.SharedParts, ",")
+		x.log["prompt_parts"] = partsForLog(x.call.SharedParts)
 	}
 	g.logEvacuations(x)
 	if x.route != nil {
--- a/internal/gateway/promptparts.go
+++ b/internal/gateway/promptparts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"buckthornseam.dev/seam/internal/fleet"
@@ -10,7 +12,7 @@
 
 // PartFailures finds out which parts of prompts crash targets. coordinator.PartFailures implements it.
 type PartFailures interface {
-	RecordFailure(parts []string, t fleet.Target, sent time.Duration)
+	RecordFailure(request string, parts []string, t fleet.Target, sent time.Duration)
 	RecordCompletion(parts []string, t fleet.Target, sent time.Duration)
 	// Check returns a part that crashes targets, or an empty string. With probe set, it admits a request
 	// with such a part once in a while.
@@ -67,3 +69,14 @@
 	g.waitForChange(ctx, nil, min(until, g.opts.Now()+recheckInterval))
 	return true
 }
+
+// maxPartsLogged is the number of parts at each end of a prompt that a log line names.
+const maxPartsLogged = 8
+
+// partsForLog returns the parts of a prompt for a log line; of a long one, those at its ends and the number between them.
+func partsForLog(parts []string) string {
+	if n := len(parts) - 2*maxPartsLogged; n > 0 {
+		return strings.Join(parts[:maxPartsLogged], ",") + ",(" + strconv.Itoa(n) + " more)," + strings.Join(parts[len(parts)-maxPartsLogged:], ",")
+	}
+	return strings.Join(parts, ",")
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -261,14 +260,15 @@
 
 // engineFailure returns a function that records the failure of a target under a request.
 func (g *Gateway) engineFailure(x *exchange, c coordinator.Choice) (record func()) {
+	fingerprint := x.fingerprint()
 	fields := logrus.Fields{
 		"event": "engine_failure", "id": x.call.ID, "target": c.Target.ID, "sent_ms": (g.opts.Now() - x.sentAt).Milliseconds(),
-		"fingerprint": x.fingerprint(), "known_failures": g.opts.EngineFailures(x.fingerprint()), "prompt_parts": strings.Join(x.call.SharedParts, ","),
+		"fingerprint": fingerprint, "known_failures": g.opts.EngineFailures(fingerprint), "prompt_parts": partsForLog(x.call.SharedParts),
 	}
-	parts, sentAt, failure := x.call.SharedParts, x.sentAt, coordinator.EngineFailureID(x.fingerprint(), x.call.ID)
+	parts, sentAt, failure := x.call.SharedParts, x.sentAt, coordinator.EngineFailureID(fingerprint, x.call.ID)
 	return func() {
 		g.opts.Log.WithFields(fields).Warn("target broke off under the request")
-		g.opts.Parts.RecordFailure(parts, c.Target, sentAt)
+		g.opts.Parts.RecordFailure(fingerprint, parts, c.Target, sentAt)
 		g.opts.ReportEngineFailure(failure)
 	}
 }
