Crashing parts: a test plays messages of builds before

Cause: the records of failures have got fields that builds before neither send nor read; a test has to play both. Change: TestMessagesOfBuildsBefore merges evidence as a build before writes it, and reads what this one writes with that build's fields.

--- a/coord/crashcause/messages_test.go
+++ b/coord/crashcause/messages_test.go
@@ -106,3 +106,42 @@
 		t.Error("want bad blocked, and nothing else, once all is known")
 	}
 }
+
+// TestMessagesOfBuildsBefore plays an upgrade: what a build before sends names no request and no incomplete target, and what this one
+// sends has the fields that it reads.
+func TestMessagesOfBuildsBefore(t *testing.T) {
+	receiver, now := New(), start
+	for i := range 3 {
+		now += time.Second
+		var e Evidence
+		text := fmt.Sprintf(`{"f":[{"p":"head","t":"target%d","s":100,"b":50},{"p":"bad","t":"target%d","s":100,"b":50,"i":1}],"c":[{"p":"head","w":9,"l":0}]}`, i, i)
+		if err := json.Unmarshal([]byte(text), &e); err != nil {
+			t.Fatal(err)
+		}
+		receiver.MergeReport(now, "host", &e)
+	}
+	now += 2 * settleTime
+	receiver.Evaluate(now)
+	if receiver.Check(now, []string{"bad"}, never) == "" || receiver.Check(now, []string{"head"}, never) != "" {
+		t.Error("want bad blocked, and nothing else")
+	}
+	data, err := json.Marshal(receiver.Changes(now, &Cursor{}, ToHost))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before struct {
+		Failures []struct {
+			Part     string `json:"p"`
+			Target   string `json:"t"`
+			Position int    `json:"i"`
+			SentMS   int64  `json:"s"`
+			BrokeMS  int64  `json:"b"`
+		} `json:"f"`
+		Blocks []struct {
+			Part string `json:"p"`
+		} `json:"b"`
+	}
+	if err := json.Unmarshal(data, &before); err != nil || len(before.Failures) != 6 || len(before.Blocks) != 1 || before.Blocks[0].Part != "bad" {
+		t.Errorf("a build before reads %+v, %v", before, err)
+	}
+}
