A response without a length that breaks off during the upload is not taken for a whole one

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer; for streams, plain and idempotent requests, directly and passed on by another host.

Cause: the kernel reports a reset to a socket's user once. If a write is in progress, the write gets it, and the read returns the same end of file as at a clean end, which net/http takes for the end of the body. A target that ended its side first (a process that crashes with nothing unread) looks the same in any case: the reset follows only when the next bytes of the request reach it.

Change: internal/stricthttp, a transport for all who read responses. Where only the end of the connection ends a body, an end of file counts once the request was written whole without an error and the kernel says that the peer has acknowledged all of it and has not reset the connection. Targets, hosts that pass requests on, hedges, calls to engines, the store, the object API, the callers' client, seamctl and the demo use it.

Why it works: the exchange as a whole knows what the reader alone can't. The failed write is recorded before the reader is told of the end; what lies in the buffers of this host's kernel is not taken for sent. A target that ends its side and reads on is waited for, until the end of the exchange. Ruled out: the report of net/http that the request was written alone (a whole answer may be read before the goroutine that has written the request goes on, and a part of the request may be in the kernel); the state of the connection alone (a crash ends a connection cleanly first); to refuse each end before the upload's (a target that reads on would lose its answer).

--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -19,6 +19,7 @@
 	"buckthornseam.dev/seam/internal/config"
 	"buckthornseam.dev/seam/internal/platform"
 	"buckthornseam.dev/seam/internal/quarantine"
+	"buckthornseam.dev/seam/internal/stricthttp"
 )
 
 // callTimeout bounds a single call.
@@ -33,7 +34,7 @@
 
 // New returns a client for the admin interface at an IP:port.
 func New(address, token string) *Client {
-	return &Client{base: "http://" + address + "/admin/v1", token: token, http: &http.Client{Timeout: callTimeout}}
+	return &Client{base: "http://" + address + "/admin/v1", token: token, http: &http.Client{Transport: stricthttp.NewDefaultTransport(), Timeout: callTimeout}}
 }
 
 // ProblemError reports an error response of the host.
--- a/internal/callerclient/callerclient.go
+++ b/internal/callerclient/callerclient.go
@@ -19,6 +19,7 @@
 
 	"buckthornseam.dev/seam/internal/entry"
 	"buckthornseam.dev/seam/internal/retry"
+	"buckthornseam.dev/seam/internal/stricthttp"
 )
 
 // Mode selects how a client uses the addresses it received.
@@ -105,11 +106,11 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{
+	transport := stricthttp.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
-	}
+	})
 	return &Client{
 		opts:   opts,
 		http:   &http.Client{Transport: transport},
--- a/internal/callerclient/paths.go
+++ b/internal/callerclient/paths.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornseam.dev/seam/internal/entry"
+	"buckthornseam.dev/seam/internal/stricthttp"
 )
 
 // sendChecked sends a request. If no response headers arrive within checkAfter, it checks
@@ -48,7 +49,7 @@
 func (c *Client) check(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	fresh := &http.Client{Transport: stricthttp.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	_, err := queryHosts(ctx, fresh, address, c.opts.Zone)
 	return err == nil
 }
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -13,6 +13,7 @@
 	"buckthornseam.dev/seam/internal/refusal"
 	"buckthornseam.dev/seam/internal/serve"
 	"buckthornseam.dev/seam/internal/standin/service"
+	"buckthornseam.dev/seam/internal/stricthttp"
 )
 
 // Outcome is the expected and the actual result of one step.
@@ -49,6 +50,9 @@
 	}
 }
 
+// client sends the requests of the demo.
+var client = &http.Client{Transport: stricthttp.NewDefaultTransport()}
+
 // response is an HTTP response with its complete body.
 type response struct {
 	status int
@@ -68,7 +72,7 @@
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return response{}, err
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,8 @@
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
+
+	"buckthornseam.dev/seam/internal/stricthttp"
 )
 
 // Timeouts of the client.
@@ -54,11 +56,11 @@
 // NewClient returns a client of the API at the URL base, for example
 // "http://127.0.0.1:8001".
 func NewClient(base string, options ...Option) *Client {
-	transport := &http.Transport{
+	transport := stricthttp.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
-	}
+	})
 	c := &Client{
 		base:             base + BasePath,
 		http:             &http.Client{Transport: transport},
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -81,6 +81,9 @@
 	uses    uint64      // number of requests sent on the connection
 }
 
+// NetConn returns the connection that is used.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. It fails with *LongHeadError.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -45,7 +45,8 @@
 )
 
 // ForwardResponse is a response whose body is still to be read. With FramingClose, a body
-// is complete if the connection is closed cleanly.
+// is complete if the connection is closed cleanly, and after the target had the whole request.
+// Otherwise reading it fails with *UnknownOutcomeError, which wraps *stricthttp.EarlyEndError or the connection's error.
 type ForwardResponse struct {
 	Status  int
 	Header  http.Header
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"buckthornseam.dev/seam/internal/invariant"
+	"buckthornseam.dev/seam/internal/stricthttp"
 )
 
 // HeaderRequestID is the header with the ID of an attempt. Targets echo it.
@@ -47,10 +48,10 @@
 // Client sends requests to targets over HTTP. It implements Sender and Controller.
 // It uses no proxy, follows no redirects, stores no cookies and never retries.
 type Client struct {
-	pooled     *http.Transport // reuses connections
-	control    *http.Transport // like pooled, for the control API, whose responses name no request
-	fresh      *http.Transport // one connection for each request
-	forwarding *http.Transport // like fresh, but with the shorter dial timeout of Forward
+	pooled     *stricthttp.Transport // reuses connections
+	control    *stricthttp.Transport // like pooled, for the control API, whose responses name no request
+	fresh      *stricthttp.Transport // one connection for each request
+	forwarding *stricthttp.Transport // like fresh, but with the shorter dial timeout of Forward
 }
 
 // NewClient returns a client that connects over TCP.
@@ -63,14 +64,14 @@
 }
 
 // NewCallTransport returns a transport that opens a connection for each call and limits the heads of responses.
-func NewCallTransport() *http.Transport { return newTransport(DialContext, true) }
+func NewCallTransport() *stricthttp.Transport { return newTransport(DialContext, true) }
 
-func newTransport(dial DialFunc, fresh bool) *http.Transport {
+func newTransport(dial DialFunc, fresh bool) *stricthttp.Transport {
 	dialContext := dial.dialCounted
 	if fresh {
 		dialContext = dial.dialOnce
 	}
-	return &http.Transport{
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext:            dialContext,
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
@@ -78,7 +79,7 @@
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		ReadBufferSize:         responseBufferBytes,
-	}
+	})
 }
 
 // Close closes idle connections.
@@ -210,7 +211,7 @@
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*countedConn); ok {
+	if conn, ok := stricthttp.Find[*countedConn](info.Conn); ok {
 		e.conn = conn
 		e.writtenBefore = conn.written()
 		e.use = conn.enableProbes()
