A response whose status is none is a malformed response

What callers saw: an engine in trouble sent a response with status 000. On each kind of route the caller's connection was closed without an answer (passed on by another host: 502), an idempotent request was not sent elsewhere, and no line named the reason. 101, which no request asks for, reached callers as an answer of this system, as did 600 and 999. With Buckthornseam-Not-Executed in such a head a request that must run once at most was sent again, and its Server-Limit, Server-Leaving and the like were believed. seamctl and the object API's client took 000 for success, the callers' client returned it; the store's client said that a write with such a response had no effect.

Cause: net/http takes any three characters that make a number of 0 or more for a status ("000", "-00", "+20"); nothing here judged it. http.ResponseWriter panics below 100, which is what ended the caller's connection.

Change: the transport of internal/stricthttp fails a final response whose status is not from 200 to 599 (RFC 9110, 15), before any of its headers is read: an unknown outcome, malformed like bytes that are no response. So it is booked, logged and repeated as those are: 502, or the other target for an idempotent request.

Why it works: all readers use that transport, so none can judge a head that it has failed; the interim responses below 200 never leave net/http. Ruled out: a check in the gateway (control calls, the store and clients read responses too), to pass on 600 to 999 as they come (RFC 9110: an invalid status is to be taken for a failure of the server).

Controls: 200 without a reason or with odd bytes in it, 299, 418, 499 and 599 stay served. Already handled: empty, 0200 and 1000.

--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -41,13 +41,18 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// RoundTrip implements http.RoundTripper. It fails like http.Transport.
+// RoundTrip implements http.RoundTripper. It fails like http.Transport, and with *InvalidStatusError. Of a response that it fails, no
+// header may be read.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var x exchange
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close() // closes the connection
+		return nil, err
+	}
 	if c := x.conn.Load(); c != nil && endsWithConnection(resp) {
 		c.guarded.Store(true)
 	}
