A response with a blank in the name of a header is a malformed response

What callers saw: an engine in trouble sent a response in whose head the name of a field held a blank ("X Y: a", "Content-Length : 3"). The caller got it as an answer. With "Transfer-Encoding : chunked" it got the marks of the chunks as the body, with "Content-Length : 5" what came after the body too. If the head claimed Buckthornseam-Not-Executed as well, a request that must run once at most was sent again, and the notices in it were believed. Reports, orders, the store, the object API's client, seamctl and the callers' client took such responses too.

Cause: net/http refuses names with control bytes, but keeps names with blanks as they are, for the sake of old servers. Such a name is none that it knows, so a length or an encoding named so frames nothing and the response ends with its connection.

Ruled out: to drop such lines or the blank (RFC 9112, 5.1, lets a proxy remove it; but what was read of the body has been framed without the field by then).

Controls: all characters of a token, empty and repeated fields, folded lines, tabs and bytes above 7f in values stay served. Already handled, with tests: control bytes in names and in values, empty names, brackets and bytes above 7f in names. Trailers: the body is whole with the last chunk, and no trailer is passed on; one with a blank changes nothing, one that net/http can't read ends the response as before.

--- a/internal/adminclient/invalidhead_test.go
+++ b/internal/adminclient/invalidhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"buckthornseam.dev/seam/internal/standin/rawserver"
@@ -18,9 +19,9 @@
 	return err
 }
 
-// TestInvalidStatuses guards against an operator being told that a change was made if the status of its response is none.
-func TestInvalidStatuses(t *testing.T) {
-	for _, head := range rawserver.InvalidStatuses {
+// TestInvalidHeads guards against an operator being told that a change was made if the head of its response is none.
+func TestInvalidHeads(t *testing.T) {
+	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields) {
 		var failed *CallError
 		if err := releaseWithHead(t, head); !errors.As(err, &failed) {
 			t.Errorf("%q: error %v, want that there is no valid response", head, err)
--- a/internal/callerclient/invalidhead_test.go
+++ b/internal/callerclient/invalidhead_test.go
@@ -1,6 +1,7 @@
 package callerclient
 
 import (
+	"slices"
 	"testing"
 
 	"buckthornseam.dev/seam/internal/standin/rawserver"
@@ -17,9 +18,9 @@
 	return err
 }
 
-// TestInvalidStatuses guards against a program getting a response whose status is none.
-func TestInvalidStatuses(t *testing.T) {
-	for _, head := range rawserver.InvalidStatuses {
+// TestInvalidHeads guards against a program getting a response whose head is none.
+func TestInvalidHeads(t *testing.T) {
+	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields) {
 		if err := callWithHead(t, head); err == nil {
 			t.Errorf("%q: got a response", head)
 		}
--- a/internal/platform/invalidhead_test.go
+++ b/internal/platform/invalidhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"buckthornseam.dev/seam/internal/platform"
@@ -19,9 +20,9 @@
 	return err
 }
 
-// TestInvalidStatuses guards against a write counting as done if the status of its response is none.
-func TestInvalidStatuses(t *testing.T) {
-	for _, head := range rawserver.InvalidStatuses {
+// TestInvalidHeads guards against a write counting as done if the head of its response is none.
+func TestInvalidHeads(t *testing.T) {
+	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields) {
 		var unknown *platform.UnknownOutcomeError
 		if err := removeWithHead(t, head); !errors.As(err, &unknown) {
 			t.Errorf("%q: error %v, want an unknown outcome", head, err)
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -41,8 +41,7 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// RoundTrip implements http.RoundTripper. It fails like http.Transport, and with *InvalidStatusError. Of a response that it fails, no
-// header may be read.
+// RoundTrip implements http.RoundTripper. It fails like http.Transport, and with *InvalidStatusError and *InvalidFieldError.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var x exchange
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
--- a/internal/target/invalidhead_test.go
+++ b/internal/target/invalidhead_test.go
@@ -49,6 +49,12 @@
 // TestInvalidStatuses guards against a response reaching callers, or an order counting as accepted, if its status is none.
 func TestInvalidStatuses(t *testing.T) {
 	checkHeads(t, rawserver.InvalidStatuses, false)
-	checkHeads(t, rawserver.OddHeads, true)
 	checkHeads(t, []string{"299 Odd", "404 No", "418 Teapot", "599 Odd"}, true)
 }
+
+// TestInvalidFields guards against a response reaching callers, or an order counting as accepted, if its head has a field whose name or
+// value is none: what is known of its framing may be wrong.
+func TestInvalidFields(t *testing.T) { checkHeads(t, rawserver.InvalidFields, false) }
+
+// TestOddHeads guards against odd but valid responses being taken for malformed.
+func TestOddHeads(t *testing.T) { checkHeads(t, rawserver.OddHeads, true) }
