Chunks in a response that is older than HTTP/1.1 are not passed on as its body

What callers would see: a response of HTTP/1.0 with "Transfer-Encoding: chunked" reached them with the marks of the chunks as the body, or cut off by a length beside it.

Cause: as with a blank in the name, a field that frames the body frames nothing: net/http drops a transfer encoding from a response that is older than HTTP/1.1. RFC 9112, 6.1: the framing is to be treated as faulty.

Change: the transport of internal/stricthttp keeps the head of a response that does not begin with HTTP/1.1, as received, until it is judged, and fails it if it has that header.

Why it works: the judgement needs what the library drops, so it is taken from the bytes before they reach the library. Left as it is: a final response of HTTP/1.0 after an interim one of HTTP/1.1, for which nothing is kept.

Controls: chunks of HTTP/1.1, whole responses of HTTP/1.0 with a length, without one, and with that header's name in the body or in another's name.

--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -59,6 +59,9 @@
 // Read implements net.Conn. Instead of io.EOF it fails with *EarlyEndError if the response in progress can't be told from a part of one.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if r := c.request.Load(); r != nil {
+		r.head.add(p[:n])
+	}
 	if err == io.EOF && c.guarded.Load() {
 		err = c.checkEnd()
 	}
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -26,6 +26,15 @@
 	return fmt.Sprintf("response has a header with the invalid name %.40q", e.Name)
 }
 
+// EncodedOldVersionError reports a response that has a transfer encoding although its version has none, so that its end is not known.
+type EncodedOldVersionError struct {
+	Proto string
+}
+
+func (e *EncodedOldVersionError) Error() string {
+	return fmt.Sprintf("response has a transfer encoding, which %s does not have", e.Proto)
+}
+
 // The statuses of a final response, by RFC 9110, 15. net/http takes any three digits.
 const (
 	minStatus = 200
--- a/internal/stricthttp/request.go
+++ b/internal/stricthttp/request.go
@@ -2,8 +2,9 @@
 
 import "sync"
 
-// requestState tells whether a request was written.
+// requestState tells whether a request was written, and keeps what is needed of the head of its response.
 type requestState struct {
+	head  oldHead
 	ended chan struct{} // closed once it was written, or can't be
 
 	mu     sync.Mutex
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -41,14 +41,19 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// RoundTrip implements http.RoundTripper. It fails like http.Transport, and with *InvalidStatusError and *InvalidFieldError.
+// RoundTrip implements http.RoundTripper. It fails like http.Transport, and with *InvalidStatusError, *InvalidFieldError and
+// *EncodedOldVersionError.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var x exchange
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	err = checkHead(resp)
+	if r := x.request.Load(); r != nil && r.head.takeEncoded() && err == nil {
+		err = &EncodedOldVersionError{Proto: resp.Proto}
+	}
+	if err != nil {
 		_ = resp.Body.Close() // closes the connection
 		return nil, err
 	}
--- a/internal/target/invalidhead_test.go
+++ b/internal/target/invalidhead_test.go
@@ -56,5 +56,27 @@
 // value is none: what is known of its framing may be wrong.
 func TestInvalidFields(t *testing.T) { checkHeads(t, rawserver.InvalidFields, false) }
 
+// TestChunksOfAnOlderVersion guards against callers getting the marks of chunks as a body: before HTTP/1.1 there are none, so net/http does
+// not read them as such.
+func TestChunksOfAnOlderVersion(t *testing.T) {
+	const chunks = "\r\n5\r\nwhole\r\n0\r\n\r\n"
+	for response, want := range map[string]string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                      "",
+		"HTTP/1.0 200 OK\r\nX: a\r\ntransfer-encoding:chunked\r\n" + chunks:               "",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n" + chunks: "",
+		"HTTP/0.9 200 OK\nTransfer-Encoding: chunked\n" + chunks:                          "",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks:                      "whole",
+		"HTTP/1.0 200 OK\r\nX-Transfer-Encoding: a\r\n\r\nwhole":                          "whole",
+		"HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: chunked\r\n":                           "Transfer-Encoding: chunked\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole":                               "whole",
+	} {
+		s := rawserver.Start(t, rawserver.Response{Text: response})
+		body, err := forwarded(t, s, 0)
+		if body != want || (err == nil) != (want != "") || s.Requests() != 1 {
+			t.Errorf("%q: body %q, error %v, want %q", response, body, err, want)
+		}
+	}
+}
+
 // TestOddHeads guards against odd but valid responses being taken for malformed.
 func TestOddHeads(t *testing.T) { checkHeads(t, rawserver.OddHeads, true) }
