--- a/internal/stricthttp/oldhead.go
+++ b/internal/stricthttp/oldhead.go
@@ -26,10 +26,14 @@
 	if h.ended {
 		return
 	}
-	h.text = append(h.text, p...)
-	if bytes.HasPrefix(h.text, []byte(currentVersion)) || len(h.text) > maxOldHeadBytes {
+	if len(h.text) > 0 { // the version may have come in parts
+		p = append(h.text, p...)
+	}
+	if bytes.HasPrefix(p, []byte(currentVersion)) || len(p) > maxOldHeadBytes {
 		h.text, h.ended = nil, true
+		return
 	}
+	h.text = bytes.Clone(p)
 }
 
 // takeEncoded reports whether the head has a transfer encoding. Nothing is kept any more.
