Tests: whole early responses are read before the reset on a busy machine too

Cause: read over: the controls with an early whole response reset the connection 50 ms after it, within which a busy machine may not have read it; net/http gives up a response whose request fails to be written before that. Change: a pause of a second before the reset in the controls. The plays that have to break keep theirs.

--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -37,6 +37,12 @@
 	_ = c.SetLinger(0)
 }
 
+// ResetLater resets the connection once the response has been read, also on a busy machine.
+func ResetLater(c *net.TCPConn, in io.Reader) {
+	time.Sleep(time.Second)
+	Reset(c, in)
+}
+
 // EndThenReset ends the server's side, as the kernel does for a process that crashes and has nothing unread, and resets the connection.
 func EndThenReset(c *net.TCPConn, in io.Reader) {
 	_ = c.CloseWrite()
