--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -7,7 +7,7 @@
 	"os"
 )
 
-var cases = map[string]func(trouble bool) bool{"bodies": caseBodies, "revoke": caseRevoke}
+var cases = map[string]func(trouble bool) bool{"bodies": caseBodies, "revoke": caseRevoke, "inplace": caseInPlace}
 
 // main plays a case: NAME RECORD. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 func main() {
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -34,14 +34,17 @@
 }
 
 type event struct {
+	at       time.Time
 	kind     string
 	revision uint64
 	Object   *object `json:"object"`
 	Removed  bool    `json:"removed"`
 }
 
-// Store is a sound store: it answers at once, and loses nothing.
+// Store is a sound store: it answers at once, and loses nothing. Calls with serializable are answered with data that is as old as
+// StaleBy says.
 type Store struct {
+	StaleBy  time.Duration
 	mu       sync.Mutex
 	revision uint64
 	objects  map[string]map[string]*object
@@ -103,7 +106,7 @@
 	s.revision++
 	gone := *old
 	gone.Metadata.Revision = s.revision
-	s.record(event{kind, s.revision, &gone, true})
+	s.record(event{time.Now(), kind, s.revision, &gone, true})
 }
 
 func (s *Store) put(kind, name string, spec json.RawMessage) *object {
@@ -120,7 +123,7 @@
 		s.objects[kind] = map[string]*object{}
 	}
 	s.objects[kind][name] = o
-	s.record(event{kind, s.revision, o, false})
+	s.record(event{time.Now(), kind, s.revision, o, false})
 	return o
 }
 
@@ -145,7 +148,11 @@
 	case http.MethodGet:
 		switch {
 		case name == "":
-			s.list(w, kind, q.Get("after"))
+			objects, revision := s.objects[kind], s.revision
+			if q.Has("serializable") {
+				objects, revision = s.before(kind)
+			}
+			list(w, objects, revision, q.Get("after"))
 		case old == nil:
 			w.WriteHeader(http.StatusNotFound)
 		default:
@@ -182,9 +189,28 @@
 	}
 }
 
-func (s *Store) list(w http.ResponseWriter, kind, after string) {
-	names := make([]string, 0, len(s.objects[kind]))
-	for name := range s.objects[kind] {
+// before returns the objects of a kind and the revision as they were StaleBy ago.
+func (s *Store) before(kind string) (map[string]*object, uint64) {
+	objects, revision := map[string]*object{}, uint64(100)
+	for _, e := range s.history {
+		if time.Since(e.at) < s.StaleBy {
+			break
+		}
+		revision = e.revision
+		switch {
+		case e.kind != kind:
+		case e.Removed:
+			delete(objects, e.Object.Metadata.Name)
+		default:
+			objects[e.Object.Metadata.Name] = e.Object
+		}
+	}
+	return objects, revision
+}
+
+func list(w http.ResponseWriter, objects map[string]*object, revision uint64, after string) {
+	names := make([]string, 0, len(objects))
+	for name := range objects {
 		if name > after {
 			names = append(names, name)
 		}
@@ -196,9 +222,9 @@
 	}
 	items := []*object{}
 	for _, name := range names {
-		items = append(items, s.objects[kind][name])
+		items = append(items, objects[name])
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "more_pages": more, "store_revision": s.revision})
+	reply(w, http.StatusOK, map[string]any{"items": items, "more_pages": more, "store_revision": revision})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, busy *atomic.Bool) {
@@ -210,13 +236,15 @@
 	defer check.Stop()
 	for ended := false; ; {
 		s.mu.Lock()
-		events := []event{}
+		events, changed, revision := []event{}, s.changed, s.revision
+		if r.URL.Query().Has("serializable") {
+			_, revision = s.before(kind)
+		}
 		for _, e := range s.history {
-			if e.kind == kind && e.revision > after {
+			if e.revision <= revision && e.kind == kind && e.revision > after {
 				events = append(events, e)
 			}
 		}
-		changed, revision := s.changed, s.revision
 		s.mu.Unlock()
 		if len(events) > 0 || ended {
 			reply(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
