--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -65,14 +65,6 @@
 	network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)) // loopback addresses of this run
 )
 
-// freePort returns a port that is free on an address.
-func freePort(ip string) int {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	must(err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 // newHost prepares a machine with the settings of a small deployment: those of the qasr-throughput site.
 func newHost(n int, zone, store string, bootstrap bool) *Host {
 	h := &Host{Name: fmt.Sprintf("frontend-%s-%d", zone, n), IP: fmt.Sprintf("%s.%d", network, 10+n)}
--- a/review/standins-3/inplace.go
+++ b/review/standins-3/inplace.go
@@ -157,7 +157,8 @@
 	streamBudget = 5 * time.Second
 	// patience is the gap after which consumers abandon a stream: two seconds, four times the objective (400 ms) or eight times the
 	// longest pause (400 ms), whichever is longest.
-	patience = 3200 * time.Millisecond
+	patience        = 3200 * time.Millisecond
+	consumerRetries = 1
 )
 
 func (e *modelEngine) run(w http.ResponseWriter, r *http.Request) {
@@ -285,7 +286,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), streamBudget)
 				defer cancel()
 				one := &stream{}
-				for one.tries < 5 && ctx.Err() == nil {
+				for one.tries < 1+consumerRetries && ctx.Err() == nil {
 					whole, wait := one.read(ctx, hosts[rand.IntN(len(hosts))].Front)
 					if whole {
 						break
