Log by which configuration a request was admitted, and how old its confirmation was

Cause: the line of a request says neither which configuration admitted it nor how old the confirmation was that it relied on.

Change: the line has `config` (version) and `config_age_ms`. Beside `config_taken` they tell which version admitted a request, before or after the newer one was in force, and by how recent a confirmation.

Tests of internal/gateway pass.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -18,6 +18,7 @@
 type exchange struct {
 	call              fleet.Call
 	config            *fleet.Config
+	configAge         time.Duration // of its last confirmation, when it was taken for the request
 	route             *fleet.Route
 	team              *fleet.Team // nil on a public route
 	service           string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,6 +159,9 @@
 		x.log["prompt_parts"] = partsForLog(x.call.SharedParts)
 	}
 	g.logEvacuations(x)
+	if x.config != nil {
+		x.log["config"], x.log["config_age_ms"] = x.config.Version, x.configAge.Milliseconds()
+	}
 	if x.route != nil {
 		x.log["route"], x.log["service"], x.log["model"] = x.route.Name, x.service, x.call.ModelKey()
 		if x.team != nil {
@@ -231,6 +234,7 @@
 		changed := g.opts.View.Changed()
 		x.config = g.opts.View.Config()
 		confirmed, ok = g.opts.ConfigConfirmed()
+		x.configAge = g.opts.Now() - confirmed
 		if ok = ok && x.config.Version > 0; ok || !g.starting() || x.r.Context().Err() != nil {
 			return confirmed, ok
 		}
