A configuration and the time it is good for are published in order and read as one value

Cause: a mirror published that its copy was current and only then called OnChange. Until the configuration was decoded and in force, which takes milliseconds, the host had the one before and a confirmation of the next one. What had queued up in its sockets met just that moment. The readers took configuration and confirmation one after the other, so that no order in the mirror would have been safe for all of them: admission took the configuration first, the check before a send the confirmation.

That the readers took two values is by itself no broken rule at admission, as the check before a send reads both again.

Change: a mirror calls OnConfirm once OnChange has returned for what the copy held; nobody can ask it in between any more. The view keeps the time beside the configuration, the list of targets and the evacuated zones, and DatedConfig and DatedTargets read both under one lock. The gateway, readiness, and what a coordinator reports of its copies use that one value.

--- a/internal/coordinator/configinquiry_test.go
+++ b/internal/coordinator/configinquiry_test.go
@@ -152,10 +152,12 @@
 // admits returns the version by which a host admits requests as the store confirms it; 0: it doesn't.
 func (f *configFleet) admits(name string) int64 {
 	h := f.hosts[name]
-	if _, settled := h.inquiry.Settled(); !settled || h.view.ConfigWentBack() {
+	_, settled := h.inquiry.Settled()
+	config, wentBack := h.view.DatedConfig(StoreFreshness{})
+	if !settled || wentBack {
 		return 0
 	}
-	return h.view.Config().Version
+	return config.Copy.Version
 }
 
 // never fails if a host admits requests by a version within a time.
--- a/internal/coordinator/configversion.go
+++ b/internal/coordinator/configversion.go
@@ -51,15 +51,6 @@
 	return f.newestConfig
 }
 
-// ConfigWentBack reports whether the configuration of this host is older than one in force elsewhere although it was
-// stored later: it comes from the copy from which the store was restored, and the operator has not yet written
-// the newer one again.
-func (f *FleetView) ConfigWentBack() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.newestConfig.Number > f.config.Version && f.newestConfig.Revision < f.config.Revision
-}
-
 // wake wakes what waits for a change of the view.
 func (f *FleetView) wake() {
 	f.mu.Lock()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -14,8 +14,8 @@
 func testCoordinator() (*Coordinator, *time.Duration) {
 	now := time.Hour
 	clock := func() time.Duration { return now }
-	confirmed := func() (uint64, time.Duration, time.Duration) { return 1, now, now }
 	view := NewFleetView("z", clock)
+	confirmed := copiesOf(view, clock)
 	return NewCoordinator("c", view, nil, NewPartFailures("c", view.Hosts, clock, quietLog()), confirmed, false, clock, quietLog()), &now
 }
 
--- a/internal/coordinator/fake_test.go
+++ b/internal/coordinator/fake_test.go
@@ -301,3 +301,10 @@
 	r.asked = nil
 	return out
 }
+
+// copiesOf returns the copies of a host that are always current.
+func copiesOf(view *FleetView, now func() time.Duration) FreshnessFunc {
+	return func() (fleet.Dated[*fleet.Config], fleet.Dated[*fleet.Targets]) {
+		return fleet.Dated[*fleet.Config]{Copy: view.Config(), CurrentAt: now()}, fleet.Dated[*fleet.Targets]{Copy: view.Targets(), CurrentAt: now()}
+	}
+}
--- a/internal/coordinator/fleetview.go
+++ b/internal/coordinator/fleetview.go
@@ -18,9 +18,11 @@
 
 	mu            sync.Mutex
 	config        *fleet.Config
+	configAt      time.Duration // when it was last known to be the newest; 0: never
 	newestConfig  ConfigVersion
 	configWord    ConfigWord
 	listed        *fleet.Targets // as registered
+	targetsAt     time.Duration  // when that list was last known to be the newest; 0: never
 	targets       *fleet.Targets // as registered, but those that leave are marked as draining
 	leaving       leavingTargets
 	brittle       brittleness
--- a/internal/coordinator/lockorder_test.go
+++ b/internal/coordinator/lockorder_test.go
@@ -23,7 +23,10 @@
 // how recent the configuration is, with its own lock held, while the Client asks the coordinator for its closed ledger.
 func TestReportDoesNotHoldClientWhileCoordinatorIsBusy(t *testing.T) {
 	c := testClient("a", fleet.Host{Name: "a", CreateRevision: 8}, fleet.Host{Name: "b", CreateRevision: 7})
-	freshness := func() (uint64, time.Duration, time.Duration) { return 1, c.StoreFreshness().ConfigAt, 0 }
+	freshness := func() (fleet.Dated[*fleet.Config], fleet.Dated[*fleet.Targets]) {
+		config, _ := c.opts.FleetView.DatedConfig(c.StoreFreshness())
+		return config, c.opts.FleetView.DatedTargets(c.StoreFreshness())
+	}
 	c.opts.Calls = failingCaller{}
 	c.opts.Coordinator = NewCoordinator("a", c.opts.FleetView, c.opts.Calls, c.opts.Parts, freshness, false, c.opts.Now, quietLog())
 	c.opts.Owner = &Owner{lease: NewLease(LeaseOptions{Holder: "a", Eras: &platform.Eras{}, Now: c.opts.Now, Log: quietLog()})}
--- a/internal/coordinator/memory_bench_test.go
+++ b/internal/coordinator/memory_bench_test.go
@@ -20,7 +20,7 @@
 			clock := func() time.Duration { return now }
 			view := NewFleetView("z0", clock)
 			c := NewCoordinator("h0", view, peertest.New(1).Add(peer.Member{ID: peer.ID{Name: "h0", Incarnation: "1"}}), NewPartFailures("h0", view.Hosts, clock, quietLog()),
-				func() (uint64, time.Duration, time.Duration) { return 1, now, now }, false, clock, quietLog())
+				copiesOf(view, clock), false, clock, quietLog())
 			known, targets := map[string]fleet.Host{}, map[string]fleet.Target{}
 			for i := range hosts {
 				name := fmt.Sprint("h", i)
--- a/internal/coordinator/memory_test.go
+++ b/internal/coordinator/memory_test.go
@@ -81,7 +81,7 @@
 			}
 		}
 		parts := NewPartFailures(name, view.Hosts, m.now, quietLog())
-		coord := NewCoordinator(name, view, net, parts, func() (uint64, time.Duration, time.Duration) { return 1, m.now(), m.now() }, false, m.now, quietLog())
+		coord := NewCoordinator(name, view, net, parts, copiesOf(view, m.now), false, m.now, quietLog())
 		owner := NewOwner(name, name, NewLease(LeaseOptions{Holder: name, Eras: &platform.Eras{}, Now: m.now, Log: quietLog()}), view, nil, fleet.Bounds{}, m.now, quietLog())
 		client := NewClient(ClientOptions{Self: self, FleetView: view, Owner: owner, Coordinator: coord, Calls: net, Parts: parts, LocalUse: func() map[string]float64 { return nil },
 			SetRemoteUse: func(uint64, map[string]float64, map[string]float64) {}, Now: m.now, Log: quietLog()})
--- a/internal/coordinator/storefreshness.go
+++ b/internal/coordinator/storefreshness.go
@@ -1,10 +1,13 @@
 package coordinator
 
-import "time"
+import (
+	"time"
 
-// FreshnessFunc returns the revision of a host's copy of the configuration, when that was
-// last known to be in force, and when its list of targets was last known to be complete.
-type FreshnessFunc func() (config uint64, configAt, targetsAt time.Duration)
+	"buckthornseam.dev/seam/internal/fleet"
+)
+
+// FreshnessFunc returns a host's copies of the configuration and of the list of targets.
+type FreshnessFunc func() (fleet.Dated[*fleet.Config], fleet.Dated[*fleet.Targets])
 
 // StoreFreshness tells how recent the coordinator's copies of the store are, by this
 // host's clock.
@@ -20,6 +23,62 @@
 	Targets   uint64        // fleet.Targets.Digest of that list
 }
 
+// ConfirmedAt returns when coordinators last reported a configuration as in force; 0: never.
+// While a host takes a newer one, the one it has was in force until a moment ago.
+func (f StoreFreshness) ConfirmedAt(c *fleet.Config) time.Duration {
+	switch {
+	case f.IsOf(c):
+		return f.ConfigAt
+	case c.Revision == f.Earlier:
+		return f.EarlierAt
+	}
+	return 0
+}
+
+// IsOf reports whether a configuration is the one that the coordinator has. After a restore of the store, the same
+// one may have been written again.
+func (f StoreFreshness) IsOf(c *fleet.Config) bool {
+	return c.Revision == f.Config || c.Digest == f.Digest && c.Digest != 0
+}
+
+// ConfirmConfig records that the store held no newer configuration at a time than the one that is in force now.
+func (f *FleetView) ConfirmConfig(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configAt = max(f.configAt, at)
+}
+
+// ConfirmTargets records that the store held no newer list of targets at a time than the one that is known now.
+func (f *FleetView) ConfirmTargets(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targetsAt = max(f.targetsAt, at)
+}
+
+// DatedConfig returns the configuration in force. If the coordinators' report is about the same one, it counts too.
+//
+// wentBack reports whether that configuration is older than one in force elsewhere although it was stored later: it comes
+// from the copy from which the store was restored, and the operator has not yet written the newer one again.
+func (f *FleetView) DatedConfig(reported StoreFreshness) (c fleet.Dated[*fleet.Config], wentBack bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.config.Revision > 0 {
+		f.configAt = max(f.configAt, reported.ConfirmedAt(f.config)) // also a statement about any newer configuration
+	}
+	wentBack = f.newestConfig.Number > f.config.Version && f.newestConfig.Revision < f.config.Revision
+	return fleet.Dated[*fleet.Config]{Copy: f.config, CurrentAt: f.configAt}, wentBack
+}
+
+// DatedTargets returns the registered targets, as Targets does. If the coordinators' report is about the same list, it counts too.
+func (f *FleetView) DatedTargets(reported StoreFreshness) fleet.Dated[*fleet.Targets] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reported.Targets == f.listed.Digest {
+		f.targetsAt = max(f.targetsAt, reported.TargetsAt)
+	}
+	return fleet.Dated[*fleet.Targets]{Copy: f.targets, CurrentAt: f.targetsAt}
+}
+
 // StoreFreshness returns what coordinators reported so far. It stays valid when another
 // host becomes the coordinator.
 func (c *Client) StoreFreshness() StoreFreshness {
--- a/internal/coordinator/targetlimits.go
+++ b/internal/coordinator/targetlimits.go
@@ -253,9 +253,9 @@
 	if p.sharedAt > 0 && now-p.sharedAt < shareTTL {
 		return
 	}
-	_, configAt, _ := c.freshness()
+	config, _ := c.freshness()
 	before := p.share
-	p.share, p.settling = p.members.Share(now, now-configAt)
+	p.share, p.settling = p.members.Share(now, now-config.CurrentAt)
 	p.sharedAt = now
 	if p.share < before {
 		p.issuer.Shrink(now, p.share/before)
--- a/internal/coordinator/updates.go
+++ b/internal/coordinator/updates.go
@@ -36,13 +36,17 @@
 }
 
 func (c *Coordinator) storeAge() *StoreAge {
-	config, configAt, targetsAt := c.freshness()
+	config, targets := c.freshness()
 	now := c.now()
-	age := &StoreAge{Config: config, Era: c.eras.Current(), Digest: c.fleetView.Config().Digest, Targets: c.fleetView.Targets().Digest, ConfigAgeMS: (now - configAt).Milliseconds() + 1, TargetAgeMS: (now - targetsAt).Milliseconds() + 1}
+	age := &StoreAge{
+		Config: config.Copy.Revision, Digest: config.Copy.Digest, ConfigAgeMS: (now - config.CurrentAt).Milliseconds() + 1,
+		Targets: targets.Copy.Digest, TargetAgeMS: (now - targets.CurrentAt).Milliseconds() + 1,
+		Era: c.eras.Current(), // read last: the copies may be of this era or an earlier one
+	}
 	for id := range c.removedTargets {
 		age.Unusable = append(age.Unusable, id)
 	}
-	for id, t := range c.fleetView.Targets().ByID {
+	for id, t := range targets.Copy.ByID {
 		if t.Draining {
 			age.Unusable = append(age.Unusable, id)
 		}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -144,11 +144,12 @@
 	sender := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "id: 1\ndata: a\n\n")}}
 	g := testGateway(sender)
 	asked := 0
-	g.opts.ConfigConfirmed = func() (time.Duration, bool) {
-		if asked++; asked == 1 { // when the request comes
-			return g.opts.Now(), true
+	g.opts.CurrentConfig = func() (fleet.Dated[*fleet.Config], bool) {
+		current := fleet.Dated[*fleet.Config]{Copy: g.opts.View.Config(), CurrentAt: g.opts.Now()}
+		if asked++; asked > 1 { // after the request has come
+			current.CurrentAt -= g.opts.Bounds.Revoke
 		}
-		return g.opts.Now() - g.opts.Bounds.Revoke, true
+		return current, true
 	}
 	began := g.opts.Now()
 	w := post(g, "/stream/x", "m")
--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -234,8 +234,10 @@
 			h.client.ReportEngineFailure(id)
 		},
 		Reach: h.reach, Helpers: &HelperHosts{Self: self, View: h.view, Client: h.client, Sender: relaySender{f}}, Self: self.Name,
-		ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
-		Now:             now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
+		CurrentConfig: func() (fleet.Dated[*fleet.Config], bool) {
+			return fleet.Dated[*fleet.Config]{Copy: h.view.Config(), CurrentAt: now()}, true
+		},
+		Now: now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,13 +66,13 @@
 	// Held bounds what is held of all responses together, and HeldBodies that of all bodies of requests; nil: those of the
 	// smallest host do.
 	Held, HeldBodies *heldbytes.Pool
-	// ConfigConfirmed returns the latest time, on the clock Now, at which the
-	// configuration was known to be current.
-	ConfigConfirmed func() (time.Duration, bool)
-	Now             func() time.Duration // also advances while the machine is suspended
-	Bounds          fleet.Bounds
-	Log             logrus.FieldLogger
-	Metrics         tally.Scope
+	// CurrentConfig returns the configuration in force, dated by the clock Now. It returns false if requests may not be
+	// admitted by it, whatever its age.
+	CurrentConfig func() (fleet.Dated[*fleet.Config], bool)
+	Now           func() time.Duration // also advances while the machine is suspended
+	Bounds        fleet.Bounds
+	Log           logrus.FieldLogger
+	Metrics       tally.Scope
 }
 
 // Gateway is the HTTP handler for callers' requests.
@@ -191,7 +191,7 @@
 	if err != nil {
 		return g.refuse(x, http.StatusBadRequest, err.Error(), 0)
 	}
-	confirmed, ok := g.awaitConfig(x)
+	current, ok := g.awaitConfig(x)
 	if !ok {
 		return g.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", shortRetryAfter)
 	}
@@ -205,7 +205,7 @@
 	x.deadline = deadlineOf(x)
 	x.beginResponse(g.opts.Now())
 	if x.config.HasTeams() && !x.route.Public {
-		if !g.configFresh(confirmed) {
+		if !g.configFresh(current) {
 			return g.refuse(x, http.StatusServiceUnavailable, "the configuration was not confirmed lately", shortRetryAfter)
 		}
 		if x.team, ok = x.config.TeamOfKey(x.call.Key); !ok {
@@ -227,26 +227,24 @@
 // starting reports whether the host started less than startupWait ago.
 func (g *Gateway) starting() bool { return g.opts.Now() < g.startedAt+startupWait }
 
-// awaitConfig sets the configuration of a request, and returns when it was last
-// confirmed. It waits for a configuration only if the host has just started.
-func (g *Gateway) awaitConfig(x *exchange) (confirmed time.Duration, ok bool) {
+// awaitConfig sets the configuration of a request, and returns it with the time of its
+// last confirmation. It waits for a configuration only if the host has just started.
+func (g *Gateway) awaitConfig(x *exchange) (current fleet.Dated[*fleet.Config], ok bool) {
 	for {
 		changed := g.opts.View.Changed()
-		x.config = g.opts.View.Config()
-		confirmed, ok = g.opts.ConfigConfirmed()
-		x.configAge = g.opts.Now() - confirmed
+		current, ok = g.opts.CurrentConfig()
+		x.config, x.configAge = current.Copy, g.opts.Now()-current.CurrentAt
 		if ok = ok && x.config.Version > 0; ok || !g.starting() || x.r.Context().Err() != nil {
-			return confirmed, ok
+			return current, ok
 		}
 		x.log["awaited_config"] = true
 		g.waitForChange(x.r.Context(), changed, g.startedAt+startupWait)
 	}
 }
 
-// configFresh reports whether a configuration last confirmed at that time may
-// still be used.
-func (g *Gateway) configFresh(confirmed time.Duration) bool {
-	return g.opts.Now()-confirmed < time.Duration(configMaxAgeShare*float64(g.opts.Bounds.Revoke))
+// configFresh reports whether keys may still be checked against a configuration.
+func (g *Gateway) configFresh(c fleet.Dated[*fleet.Config]) bool {
+	return g.opts.Now()-c.CurrentAt < time.Duration(configMaxAgeShare*float64(g.opts.Bounds.Revoke))
 }
 
 // pickService chooses a destination of a route by weight. The choice depends on
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -142,7 +142,9 @@
 	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: view.Targets, TargetsCurrentAt: now, Now: now, Log: log})
 	return New(Options{
 		Codec: testCodec{}, View: view, Sender: sender, Origins: origins, Quotas: NewQuotas(bounds, hosts, now, half), Budget: NewRetryBudget(bounds, hosts, now),
-		ReportEngineFailure: func(string) {}, EngineFailures: func(string) int { return 0 }, Parts: coordinator.NewPartFailures("h", view.Hosts, now, log), ConfigConfirmed: func() (time.Duration, bool) { return now(), true },
+		ReportEngineFailure: func(string) {}, EngineFailures: func(string) int { return 0 }, Parts: coordinator.NewPartFailures("h", view.Hosts, now, log), CurrentConfig: func() (fleet.Dated[*fleet.Config], bool) {
+			return fleet.Dated[*fleet.Config]{Copy: view.Config(), CurrentAt: now()}, true
+		},
 		Now: now, Bounds: bounds, Log: log, Metrics: tally.NoopScope,
 	})
 }
@@ -294,7 +296,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := testGateway(&scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "data: ok\n\n")}})
 			start := time.Now()
-			g.opts.ConfigConfirmed = func() (time.Duration, bool) { return g.opts.Now(), time.Since(start) >= tc.known }
+			g.opts.CurrentConfig = func() (fleet.Dated[*fleet.Config], bool) {
+				return fleet.Dated[*fleet.Config]{Copy: g.opts.View.Config(), CurrentAt: g.opts.Now()}, time.Since(start) >= tc.known
+			}
 			time.AfterFunc(tc.known, func() { g.opts.View.SetConfig(g.opts.View.Config()) })
 			time.Sleep(tc.sentAfter)
 			w := post(g, "/once/x", "m")
--- a/internal/gateway/quotafaults_test.go
+++ b/internal/gateway/quotafaults_test.go
@@ -91,7 +91,9 @@
 	view.SetHosts(maps.Clone(f.known))
 	h := &reportingHost{view: view, net: f.network.Add(peer.Member{ID: peer.ID{Name: name, Incarnation: self.Incarnation}}), startedAt: f.now()}
 	owner := coordinator.NewOwner(name, name, coordinator.NewLease(coordinator.LeaseOptions{Holder: name, Store: nil, Eras: &platform.Eras{}, Now: f.now, Log: log}), view, nil, testBounds(), f.now, log)
-	freshness := func() (uint64, time.Duration, time.Duration) { return 1, f.now(), f.now() }
+	freshness := func() (fleet.Dated[*fleet.Config], fleet.Dated[*fleet.Targets]) {
+		return fleet.Dated[*fleet.Config]{Copy: view.Config(), CurrentAt: f.now()}, fleet.Dated[*fleet.Targets]{Copy: view.Targets(), CurrentAt: f.now()}
+	}
 	h.parts = coordinator.NewPartFailures(name, view.Hosts, f.now, log)
 	coord := coordinator.NewCoordinator(name, view, h.net, h.parts, freshness, false, f.now, log)
 	var client *coordinator.Client
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -164,10 +164,11 @@
 	if x.team == nil {
 		return ""
 	}
-	if confirmed, _ := g.opts.ConfigConfirmed(); !g.configFresh(confirmed) {
+	current, _ := g.opts.CurrentConfig()
+	if !g.configFresh(current) {
 		return "the configuration was not confirmed lately"
 	}
-	if t, ok := g.opts.View.Config().TeamOfKey(x.call.Key); !ok || t.Name != x.team.Name {
+	if t, ok := current.Copy.TeamOfKey(x.call.Key); !ok || t.Name != x.team.Name {
 		return "key was withdrawn"
 	}
 	return ""
--- a/internal/platformhost/evacuations.go
+++ b/internal/platformhost/evacuations.go
@@ -40,9 +40,6 @@
 }
 
 func (h *Host) evacuationPolicy() storecache.PollPolicy {
-	if at, ok := h.evacuations.Confirmed(); ok {
-		h.view.ConfirmEvacuations(at)
-	}
 	_, confirmedAt, _ := h.view.Evacuations()
 	now, state := bootclock.Now(), h.coordinatorState()
 	if together, _ := h.client.CountedTogether(); state == coordinatorSelf && together <= 1 {
@@ -71,7 +68,7 @@
 	})
 	h.evacuations = storecache.New(storecache.Options{
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: h.adapter.EvacuationKind, Policy: h.bounded(h.evacuationPolicy),
-		Now: bootclock.Now, Log: h.log, OnChange: h.evacuationsChanged,
+		Now: bootclock.Now, Log: h.log, OnChange: h.evacuationsChanged, OnConfirm: h.view.ConfirmEvacuations,
 	})
 }
 
--- a/internal/platformhost/evacuations_test.go
+++ b/internal/platformhost/evacuations_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,16 +57,18 @@
 				start := time.Now()
 				now := func() time.Duration { return time.Since(start) + time.Hour }
 				for range hosts {
-					var m *storecache.Mirror
+					var confirmedAt atomic.Int64
 					policy := func() storecache.PollPolicy {
-						at, _ := m.Confirmed()
-						s := copyState{coordinator: coordinatorReplied, uptime: time.Since(start), confirmedAgo: now() - at}
+						s := copyState{coordinator: coordinatorReplied, uptime: time.Since(start), confirmedAgo: now() - time.Duration(confirmedAt.Load())}
 						if !isolated {
 							s.confirmedAgo = reportIntervalOfModel
 						}
 						return evacuationPolicyOf(s, evacuation.PollAge(0, evacuation.FirstPollers))
 					}
-					m = storecache.New(storecache.Options{Source: store, Policy: policy, Now: now, Log: log, OnChange: func(map[string]platform.Object) {}})
+					m := storecache.New(storecache.Options{
+						Source: store, Policy: policy, Now: now, Log: log, OnChange: func(map[string]platform.Object) {},
+						OnConfirm: func(at time.Duration) { confirmedAt.Store(int64(at)) },
+					})
 					wait.Go(func() { _ = m.Run(ctx) })
 				}
 				time.Sleep(15 * time.Second)
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -82,38 +82,36 @@
 	log      logrus.FieldLogger
 	metrics  *observe.Metrics
 
-	self        fleet.Host
-	view        *coordinator.FleetView
-	store       Store
-	eras        platform.Eras // of the store
-	lease       *coordinator.Lease
-	owner       *coordinator.Owner
-	coordinator *coordinator.Coordinator
-	parts       *coordinator.PartFailures
-	client      *coordinator.Client
-	inquiry     *coordinator.ConfigInquiry
-	origins     *streamorigin.Registry
-	reach       *targetreach.Monitor
-	peerClient  *peer.Client
-	peerServer  *peer.Server
-	gateway     *gateway.Gateway
-	retries     *gateway.RetryBudget
-	callers     *callerconn.Pool // buffers of slow callers
-	directory   *gateway.Directory
-	outage      storecache.Outage // of the store, as seen by this host
-	config      *storecache.Mirror
-	targets     *storecache.Mirror
-	evacuations *storecache.Mirror // nil: the platform has no such kind
-	startedAt   time.Duration
-	homesLog    homesLog
-	// targetsSameAt is when the list of targets was last known to be the coordinator's, in nanoseconds.
-	targetsSameAt atomic.Int64
-	confirmedEra  atomic.Uint32 // era of the last config_confirmed line
-	hostsListed   sync.Once
-	knowsHosts    chan struct{} // closed with the first list of hosts
-	listedAt      time.Duration // when this host's entry was last seen, or written first; only join uses it
-	stop          chan struct{}
-	stopping      chan struct{} // closed when the planned stop starts
+	self         fleet.Host
+	view         *coordinator.FleetView
+	store        Store
+	eras         platform.Eras // of the store
+	lease        *coordinator.Lease
+	owner        *coordinator.Owner
+	coordinator  *coordinator.Coordinator
+	parts        *coordinator.PartFailures
+	client       *coordinator.Client
+	inquiry      *coordinator.ConfigInquiry
+	origins      *streamorigin.Registry
+	reach        *targetreach.Monitor
+	peerClient   *peer.Client
+	peerServer   *peer.Server
+	gateway      *gateway.Gateway
+	retries      *gateway.RetryBudget
+	callers      *callerconn.Pool // buffers of slow callers
+	directory    *gateway.Directory
+	outage       storecache.Outage // of the store, as seen by this host
+	config       *storecache.Mirror
+	targets      *storecache.Mirror
+	evacuations  *storecache.Mirror // nil: the platform has no such kind
+	startedAt    time.Duration
+	homesLog     homesLog
+	confirmedEra atomic.Uint32 // era of the last config_confirmed line
+	hostsListed  sync.Once
+	knowsHosts   chan struct{} // closed with the first list of hosts
+	listedAt     time.Duration // when this host's entry was last seen, or written first; only join uses it
+	stop         chan struct{}
+	stopping     chan struct{} // closed when the planned stop starts
 }
 
 // New returns a host that does not run yet.
@@ -141,11 +139,11 @@
 	h.initGateway()
 	h.config = storecache.New(storecache.Options{
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.ConfigKind, Policy: h.bounded(h.configPolicy),
-		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged,
+		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged, OnConfirm: h.view.ConfirmConfig,
 	})
 	h.targets = storecache.New(storecache.Options{
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.TargetKind, Policy: h.bounded(h.targetPolicy),
-		StaleStart: true, KeepMissing: targetKeepMissing, WithholdRemoved: targetWithhold, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged,
+		StaleStart: true, KeepMissing: targetKeepMissing, WithholdRemoved: targetWithhold, Now: bootclock.Now, Log: h.log, OnChange: h.targetsChanged, OnConfirm: h.view.ConfirmTargets,
 	})
 	h.initEvacuations()
 	return h
@@ -161,7 +159,7 @@
 	})
 	h.owner = coordinator.NewOwner(h.self.Name, holder, h.lease, h.view, h.adapter.NewEngines(h.view.RecordNotices), h.settings.Bounds, bootclock.Now, h.log)
 	h.parts = coordinator.NewPartFailures(h.self.Name, h.view.Hosts, bootclock.Now, h.log)
-	h.coordinator = coordinator.NewCoordinator(h.self.Name, h.view, h.peerClient, h.parts, h.confirmations, h.settings.FirstBoot, bootclock.Now, h.log)
+	h.coordinator = coordinator.NewCoordinator(h.self.Name, h.view, h.peerClient, h.parts, h.copies, h.settings.FirstBoot, bootclock.Now, h.log)
 }
 
 func (h *Host) initGateway() {
@@ -192,7 +190,7 @@
 	})
 	h.inquiry.Register(h.peerServer)
 	h.origins = streamorigin.New(streamorigin.Options{
-		Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: h.targetsCurrentAt, Calls: h.peerClient,
+		Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: func() time.Duration { return h.currentTargets().CurrentAt }, Calls: h.peerClient,
 		Store: h.store, StoreInterval: h.originsStoreInterval, Now: bootclock.Now, Log: h.log,
 	})
 	h.origins.Register(h.peerServer)
@@ -204,10 +202,10 @@
 		Budget:      h.retries,
 		Origins:     h.origins,
 		LoadAdapter: h.loadAdapter, ReportEngineFailure: h.client.ReportEngineFailure, EngineFailures: h.client.EngineFailures, Parts: h.parts, RequestPermit: h.client.RequestPermit, RequestSlot: h.client.RequestSlot, RequestMemory: h.client.RequestMemory,
-		Held:            heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), "responses", h.log, h.metrics.Scope),
-		HeldBodies:      heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), "bodies", h.log, h.metrics.Scope),
-		ConfigConfirmed: h.configConfirmed,
-		Now:             bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
+		Held:          heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), "responses", h.log, h.metrics.Scope),
+		HeldBodies:    heldbytes.NewPool(heldbytes.Bound(h.settings.MemoryMB), "bodies", h.log, h.metrics.Scope),
+		CurrentConfig: h.currentConfig,
+		Now:           bootclock.Now, Bounds: h.settings.Bounds, Log: h.log, Metrics: h.metrics.Scope,
 	})
 }
 
--- a/internal/platformhost/policy.go
+++ b/internal/platformhost/policy.go
@@ -108,7 +108,7 @@
 // configuration.
 func (h *Host) configPolicy() storecache.PollPolicy {
 	freshness, config := h.client.StoreFreshness(), h.view.Config()
-	same := isConfigOf(freshness, config)
+	same := freshness.IsOf(config)
 	return configPolicyOf(copyState{
 		coordinator: h.coordinatorState(), uptime: bootclock.Now() - h.startedAt, confirmedAgo: bootclock.Now() - freshness.ConfigAt,
 		same: same, behind: !same && freshness.Config > config.Revision, newerFor: bootclock.Now() - freshness.ConfigSince,
@@ -140,20 +140,10 @@
 	freshness, now := h.client.StoreFreshness(), bootclock.Now()
 	return targetPolicyOf(copyState{
 		coordinator: h.coordinatorState(), uptime: now - h.startedAt, confirmedAgo: now - freshness.TargetsAt, same: freshness.Targets == h.view.Targets().Digest,
-		currentAgo: now - h.targetsCurrentAt(),
+		currentAgo: now - h.currentTargets().CurrentAt,
 	})
 }
 
-// targetsCurrentAt returns when this host's list of targets was last known to be current: it was read from the store then, or was
-// the coordinator's.
-func (h *Host) targetsCurrentAt() time.Duration {
-	if f := h.client.StoreFreshness(); f.Targets == h.view.Targets().Digest {
-		h.targetsSameAt.Store(int64(f.TargetsAt))
-	}
-	read, _ := h.targets.Confirmed()
-	return max(read, time.Duration(h.targetsSameAt.Load()))
-}
-
 func targetPolicyOf(s copyState) storecache.PollPolicy {
 	switch {
 	case s.starting():
--- a/internal/platformhost/policy_test.go
+++ b/internal/platformhost/policy_test.go
@@ -115,7 +115,7 @@
 func TestEarlierConfigurationStaysConfirmed(t *testing.T) {
 	f := coordinator.StoreFreshness{Config: 8, ConfigAt: 20 * time.Second, Earlier: 7, EarlierAt: 19 * time.Second}
 	for revision, want := range map[uint64]time.Duration{8: 20 * time.Second, 7: 19 * time.Second, 6: 0} {
-		if got := confirmedBy(f, &fleet.Config{Revision: revision}); got != want {
+		if got := f.ConfirmedAt(&fleet.Config{Revision: revision}); got != want {
 			t.Errorf("revision %d confirmed at %v, want %v", revision, got, want)
 		}
 	}
--- a/internal/platformhost/servers.go
+++ b/internal/platformhost/servers.go
@@ -158,8 +158,8 @@
 		return false
 	default:
 	}
-	confirmed, ok := h.configConfirmed()
-	return ok && h.view.Config().Version > 0 && len(h.view.Targets().ByID) > 0 && bootclock.Now()-confirmed < h.settings.Bounds.Revoke
+	config, ok := h.currentConfig()
+	return ok && len(h.view.Targets().ByID) > 0 && bootclock.Now()-config.CurrentAt < h.settings.Bounds.Revoke
 }
 
 // directoryTTL is the TTL of directory responses. Some callers keep a response
--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -60,6 +60,10 @@
 	Now             func() time.Duration // also advances while the machine is suspended
 	Log             logrus.FieldLogger
 	OnChange        func(map[string]platform.Object) // called with all objects; the map must not be modified
+	// OnConfirm is called with the latest time at which the copy was known to be complete, once OnChange has returned for
+	// what the copy held then. Whoever keeps what OnChange has made of the objects can keep the time beside it, as a
+	// statement about that or anything newer. nil: nobody asks.
+	OnConfirm func(at time.Duration)
 }
 
 // Mirror is a copy of the objects of one kind. Run keeps it up to date.
@@ -71,7 +75,7 @@
 	missing   map[string]time.Duration // until when objects missing in the store are kept
 	version   platform.Version
 	listed    bool
-	confirmed time.Duration // the copy was complete at this time
+	confirmed time.Duration // the copy was complete at this time, and OnChange has returned for it
 	down      bool
 	outageEnd time.Duration // end of the last store outage, or of the last restore
 	era       platform.Era  // of the last list
@@ -90,17 +94,33 @@
 	if opts.Eras == nil {
 		opts.Eras = &platform.Eras{}
 	}
+	if opts.OnConfirm == nil {
+		opts.OnConfirm = func(time.Duration) {}
+	}
 	return &Mirror{opts: opts, objects: map[string]platform.Object{}, missing: map[string]time.Duration{}, removals: newRemovals()}
 }
 
-// Confirmed returns the latest time at which the copy was known to be complete,
-// and whether there is one.
-func (m *Mirror) Confirmed() (time.Duration, bool) {
+// lastConfirmed returns the latest time that OnConfirm was called with (0: it was not), and whether objects were listed.
+func (m *Mirror) lastConfirmed() (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.confirmed, m.listed
 }
 
+// publish hands on the objects if they have changed, and after them the time at which the copy was complete; 0: it is not known.
+func (m *Mirror) publish(objects map[string]platform.Object, changed bool, confirmed time.Duration) {
+	if changed {
+		m.opts.OnChange(objects)
+	}
+	m.mu.Lock()
+	newer := confirmed > m.confirmed
+	m.confirmed = max(m.confirmed, confirmed)
+	m.mu.Unlock()
+	if newer {
+		m.opts.OnConfirm(confirmed)
+	}
+}
+
 // Version returns the version of the store that the copy was last brought up to; 0: the history after the copy is gone.
 func (m *Mirror) Version() platform.Version {
 	m.mu.Lock()
@@ -263,7 +283,7 @@
 	if m.isDown() || afterProbe {
 		policy.MaxWait = min(policy.MaxWait, probeWait) // a store that is silent again is noticed sooner
 	}
-	if at, _ := m.Confirmed(); at == 0 && !policy.AllowStale {
+	if at, _ := m.lastConfirmed(); at == 0 && !policy.AllowStale {
 		policy.MaxWait = min(policy.MaxWait, probeWait) // after a first list that may be out of date
 	}
 	if m.awaitsTime() {
@@ -319,10 +339,10 @@
 			m.removals.removed(name, now)
 		}
 	}
-	m.objects, m.version, m.listed, m.confirmed = found, list.Version, true, max(m.confirmed, start)
+	m.objects, m.version, m.listed = found, list.Version, true
 	snapshot := maps.Clone(m.objects)
 	m.mu.Unlock()
-	m.opts.OnChange(snapshot)
+	m.publish(snapshot, true, start)
 }
 
 // keepMissing reports whether an object that is missing in the store is kept for
@@ -377,9 +397,7 @@
 			m.removals.removed(name, m.opts.Now())
 		}
 	}
-	m.objects, m.version, m.confirmed = next, max(version, m.version), max(confirmed, m.confirmed)
+	m.objects, m.version = next, max(version, m.version)
 	m.mu.Unlock()
-	if changed {
-		m.opts.OnChange(next)
-	}
+	m.publish(next, changed, confirmed)
 }
--- a/internal/storecache/mirror_test.go
+++ b/internal/storecache/mirror_test.go
@@ -162,7 +162,7 @@
 		mu.Unlock()
 		tightened := m.opts.Now()
 		time.Sleep(400 * time.Millisecond)
-		if at, ok := m.Confirmed(); !ok || at < tightened {
+		if at, ok := m.lastConfirmed(); !ok || at < tightened {
 			t.Errorf("last confirmed %v before the policy was tightened", tightened-at)
 		}
 	})
@@ -255,7 +255,7 @@
 			}
 		})
 		time.Sleep(5 * time.Second)
-		if at, listed := m.Confirmed(); count() != 2 || !listed || at != 0 {
+		if at, listed := m.lastConfirmed(); count() != 2 || !listed || at != 0 {
 			t.Errorf("%d objects, listed %v, confirmed at %v, want 2, true and never", count(), listed, at)
 		}
 	})
@@ -269,7 +269,7 @@
 			o.Policy = func() PollPolicy { return PollPolicy{MaxWait: 10 * time.Second, AllowStale: true} }
 		})
 		time.Sleep(100 * time.Millisecond)
-		if at, _ := m.Confirmed(); at == 0 {
+		if at, _ := m.lastConfirmed(); at == 0 {
 			t.Error("the copy is not confirmed by its first list")
 		}
 	})
@@ -280,7 +280,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m, _ := start(t, newSource(), func(o *Options) { o.StaleStart = true })
 		time.Sleep(100 * time.Millisecond)
-		if at, _ := m.Confirmed(); at == 0 {
+		if at, _ := m.lastConfirmed(); at == 0 {
 			t.Error("the copy is not confirmed 100 ms after a first list that may be out of date")
 		}
 	})
@@ -379,3 +379,38 @@
 		})
 	})
 }
+
+// TestChangeIsConfirmedOnceItWasHandedOn guards against a host that takes what it made of the objects before a change for current
+// by the confirmation that came with the change, and runs requests with a withdrawn key.
+func TestChangeIsConfirmedOnceItWasHandedOn(t *testing.T) {
+	for name, change := range map[string]func(*fakeSource){
+		"event": func(*fakeSource) {},
+		"list":  func(f *fakeSource) { f.expired = true },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			source := newSource()
+			began, release := make(chan struct{}, 10), make(chan struct{}, 10)
+			var confirmed atomic.Int64
+			m, _ := start(t, source, func(o *Options) {
+				o.OnChange = func(map[string]platform.Object) { began <- struct{}{}; <-release }
+				o.OnConfirm = func(at time.Duration) { confirmed.Store(int64(at)) }
+			})
+			<-began
+			release <- struct{}{}
+			time.Sleep(3*time.Second + time.Millisecond) // between two looks of the source at its objects
+			changedAt := m.opts.Now()
+			source.put("c")
+			source.set(change)
+			<-began
+			time.Sleep(time.Second)
+			if at := time.Duration(confirmed.Load()); at > changedAt {
+				t.Errorf("%s: confirmed as of %v after the change, which has not been handed on", name, at-changedAt)
+			}
+			release <- struct{}{}
+			time.Sleep(time.Second)
+			if at := time.Duration(confirmed.Load()); at <= changedAt {
+				t.Errorf("%s: not confirmed a second after the change was handed on", name)
+			}
+		})
+	}
+}
--- a/internal/storecache/outage_test.go
+++ b/internal/storecache/outage_test.go
@@ -25,7 +25,7 @@
 		policy.set(PollPolicy{MaxWait: 700 * time.Millisecond})
 		regained := m.opts.Now()
 		time.Sleep(2 * time.Second)
-		if at, _ := m.Confirmed(); at < regained {
+		if at, _ := m.lastConfirmed(); at < regained {
 			t.Error("the copy is not confirmed 2 s after the policy was tightened and the store came back")
 		}
 	})
@@ -53,7 +53,7 @@
 			source.put("c")
 			before := m.opts.Now()
 			time.Sleep(maxRetryDelay + 100*time.Millisecond)
-			if at, ok := m.Confirmed(); !ok || at < before || count() != 3 {
+			if at, ok := m.lastConfirmed(); !ok || at < before || count() != 3 {
 				t.Errorf("listed %v: %d objects, confirmed %v, after the outage; want 3, confirmed since its end", listed, count(), ok && at >= before)
 			}
 		})
@@ -110,7 +110,7 @@
 			regained := all[0].opts.Now()
 			time.Sleep(1300 * time.Millisecond)
 			for _, m := range all {
-				if at, _ := m.Confirmed(); at < regained {
+				if at, _ := m.lastConfirmed(); at < regained {
 					t.Errorf("%d mirrors: one is not confirmed 1.3 s after the outage", mirrors)
 				}
 			}
@@ -140,7 +140,7 @@
 				t.Errorf("the change was sent %d times, want once", f.sent)
 			}
 		})
-		if at, _ := m.Confirmed(); at < regained || count() != 3 {
+		if at, _ := m.lastConfirmed(); at < regained || count() != 3 {
 			t.Errorf("%d objects, confirmed since the outage %v, want 3 and true", count(), at >= regained)
 		}
 	})
--- a/internal/storecache/restore_test.go
+++ b/internal/storecache/restore_test.go
@@ -139,7 +139,7 @@
 	eras := &platform.Eras{}
 	var m *Mirror
 	m = New(Options{Eras: eras, Now: func() time.Duration { return time.Hour }, OnChange: func(map[string]platform.Object) {}, Policy: func() PollPolicy {
-		_, _ = m.Confirmed()
+		_, _ = m.lastConfirmed()
 		return PollPolicy{MinInterval: time.Hour}
 	}})
 	m.applyList(platform.List{Version: 1<<40 + 1}, 1)
