A resumed stream's version is looked up in the list of targets that is known to be current

What callers may see: a stream goes on at a target of another software version (ORDER), at a host that goes on after a freeze or a cut while other hosts can't be asked.

Cause: Lookup took the versions from the list of targets before it asked other hosts, and the time at which the list was last known to be current after that. An earlier list with one version was then taken for a current one.

Evidence: TestListThatChangesDuringALookupIsNotTakenForTheEarlierOne failed before: "version v1, want it unknown".

Change: the registry gets the list with its time as one value, and looks at it once the others have replied or failed. The control TestCurrentListServesWithoutReplies passes before and after: a list that is current again during the lookup counts.

Measured: tests of streamorigin pass, also with the race detector; no further call is made.

--- a/internal/gateway/enginefleet_test.go
+++ b/internal/gateway/enginefleet_test.go
@@ -222,7 +222,9 @@
 		Now: now, Log: log, OnChange: h.view.RequestReport,
 	})
 	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
-	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: h.view.Targets, TargetsCurrentAt: now, Now: now, Log: log})
+	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: func() fleet.Dated[*fleet.Targets] {
+		return fleet.Dated[*fleet.Targets]{Copy: h.view.Targets(), CurrentAt: now()}
+	}, Now: now, Log: log})
 	h.gateway = New(Options{
 		Codec: testCodec{}, View: h.view, Sender: hostSender{f, h}, Origins: origins, Quotas: h.quotas,
 		Budget:         NewRetryBudget(bounds, func() HostCount { return HostCount{All: len(f.known)} }, now),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -139,7 +139,9 @@
 	log.SetOutput(io.Discard)
 	bounds := fleet.Bounds{Revoke: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second, QuotaSlack: 1000}
 	hosts := together(1)
-	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: view.Targets, TargetsCurrentAt: now, Now: now, Log: log})
+	origins := streamorigin.New(streamorigin.Options{Self: "h", Hosts: func() []string { return []string{"h"} }, Targets: func() fleet.Dated[*fleet.Targets] {
+		return fleet.Dated[*fleet.Targets]{Copy: view.Targets(), CurrentAt: now()}
+	}, Now: now, Log: log})
 	return New(Options{
 		Codec: testCodec{}, View: view, Sender: sender, Origins: origins, Quotas: NewQuotas(bounds, hosts, now, half), Budget: NewRetryBudget(bounds, hosts, now),
 		ReportEngineFailure: func(string) {}, EngineFailures: func(string) int { return 0 }, Parts: coordinator.NewPartFailures("h", view.Hosts, now, log), CurrentConfig: func() (fleet.Dated[*fleet.Config], bool) {
--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -190,7 +190,7 @@
 	})
 	h.inquiry.Register(h.peerServer)
 	h.origins = streamorigin.New(streamorigin.Options{
-		Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.view.Targets, TargetsCurrentAt: func() time.Duration { return h.currentTargets().CurrentAt }, Calls: h.peerClient,
+		Self: h.self.Name, Hosts: h.stayingHosts, Targets: h.currentTargets, Calls: h.peerClient,
 		Store: h.store, StoreInterval: h.originsStoreInterval, Now: bootclock.Now, Log: h.log,
 	})
 	h.origins.Register(h.peerServer)
--- a/internal/streamorigin/fuzz_test.go
+++ b/internal/streamorigin/fuzz_test.go
@@ -26,7 +26,7 @@
 	log.SetOutput(io.Discard)
 	began := time.Now()
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := New(Options{Self: "a", Hosts: func() []string { return []string{"a"} }, Targets: func() *fleet.Targets { return fleet.NewTargets(nil) },
+		r := New(Options{Self: "a", Hosts: func() []string { return []string{"a"} }, Targets: func() fleet.Dated[*fleet.Targets] { return fleet.Dated[*fleet.Targets]{Copy: fleet.NewTargets(nil)} },
 			Now: func() time.Duration { return time.Since(began) }, Log: log})
 		registered := handlers{}
 		r.Register(registered)
--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -94,12 +94,12 @@
 // of the host that began the stream.
 func (r *Registry) Lookup(ctx context.Context, service, attempt string) (string, error) {
 	req := lookupRequest{Key: keyOf(attempt), Service: service}
-	local := r.localLookup(req)
-	if local.Known {
+	if local, _ := r.localLookup(req); local.Known {
 		return local.Version, nil
 	}
-	versions, watched := local.Versions, local.Watched
 	replies, complete := r.ask(ctx, req)
+	local, currentAt := r.localLookup(req) // not the one before: the list of targets may have changed
+	versions, watched := local.Versions, local.Watched
 	for _, reply := range replies {
 		if reply.Known {
 			r.store([]record{{Key: req.Key, Service: service, Version: reply.Version}})
@@ -107,7 +107,7 @@
 		}
 		versions, watched = append(versions, reply.Versions...), watched || reply.Watched
 	}
-	current := complete || r.opts.Now()-r.opts.TargetsCurrentAt() < maxTargetsAge
+	current := complete || r.opts.Now()-currentAt < maxTargetsAge
 	if version, ok := singleVersion(versions); ok && watched && current {
 		return version, nil
 	}
@@ -127,7 +127,7 @@
 	if err != nil {
 		r.opts.Log.WithField("event", "stream_origins_not_read").Warn(err.Error())
 	}
-	local := r.localLookup(req)
+	local, _ := r.localLookup(req)
 	if local.Known {
 		return local.Version, nil
 	}
@@ -152,16 +152,17 @@
 	return versions[0], true
 }
 
-func (r *Registry) localLookup(req lookupRequest) lookupReply {
+// localLookup returns what this host knows of a stream, and when its list of targets was last known to be the newest.
+func (r *Registry) localLookup(req lookupRequest) (reply lookupReply, currentAt time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observe()
+	currentAt = r.observe()
 	now := r.opts.Now()
 	rec, ok := r.records.get(req.Key, now)
 	return lookupReply{
 		Known: ok && rec.Service == req.Service, Version: rec.Version,
 		Versions: r.history.of(req.Service, now), Watched: now-r.startedAt >= retention,
-	}
+	}, currentAt
 }
 
 // ask asks the hosts that may have a stream's record. It returns when one of them knows it, when all have
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -30,12 +30,10 @@
 // Options configure a Registry.
 type Options struct {
 	Self    string
-	Hosts   func() []string // names of the hosts, including this one; empty: not known yet
-	Targets func() *fleet.Targets
-	// TargetsCurrentAt returns when Targets was last known to be current, by the clock Now.
-	TargetsCurrentAt func() time.Duration
-	Calls            peer.Caller
-	Store            Store // nil: nothing is stored
+	Hosts   func() []string                    // names of the hosts, including this one; empty: not known yet
+	Targets func() fleet.Dated[*fleet.Targets] // by the clock Now
+	Calls   peer.Caller
+	Store   Store // nil: nothing is stored
 	// StoreInterval returns the shortest time between two writes of this host, so that all hosts together stay within a
 	// share of what the store allows.
 	StoreInterval func() time.Duration
@@ -83,7 +81,8 @@
 		if err := json.Unmarshal(params, &req); err != nil {
 			return nil, err
 		}
-		return r.localLookup(req), nil
+		reply, _ := r.localLookup(req)
+		return reply, nil
 	})
 }
 
@@ -162,8 +161,13 @@
 	delete(r.open, keyOf(attempt))
 }
 
-// observe updates the version history. The caller must hold r.mu.
-func (r *Registry) observe() { r.history.observe(r.opts.Targets(), r.opts.Now()) }
+// observe updates the version history, and returns when the list of targets that it has seen was last known to be the newest. The
+// caller must hold r.mu.
+func (r *Registry) observe() (currentAt time.Duration) {
+	targets := r.opts.Targets()
+	r.history.observe(targets.Copy, r.opts.Now())
+	return targets.CurrentAt
+}
 
 // severalVersions reports whether a service had several versions lately. The caller must hold r.mu.
 func (r *Registry) severalVersions(service string) bool {
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -31,7 +31,7 @@
 	*Registry
 	net        *peertest.Host
 	targets    atomic.Pointer[fleet.Targets]
-	targetsAge time.Duration // since they were last known to be current
+	targetsAge atomic.Int64 // nanoseconds since they were last known to be current
 	kill       context.CancelFunc
 }
 
@@ -59,8 +59,10 @@
 	h.targets.Store(targetsOf(versions...))
 	now := func() time.Duration { return time.Since(started) + time.Hour }
 	h.Registry = New(Options{
-		Self: names[i], Hosts: func() []string { return names }, Targets: h.targets.Load,
-		TargetsCurrentAt: func() time.Duration { return now() - h.targetsAge }, Calls: h.net, Store: f.store, StoreInterval: func() time.Duration { return testStoreInterval }, Now: now, Log: log,
+		Self: names[i], Hosts: func() []string { return names },
+		Targets: func() fleet.Dated[*fleet.Targets] {
+			return fleet.Dated[*fleet.Targets]{Copy: h.targets.Load(), CurrentAt: now() - time.Duration(h.targetsAge.Load())}
+		}, Calls: h.net, Store: f.store, StoreInterval: func() time.Duration { return testStoreInterval }, Now: now, Log: log,
 	})
 	h.Register(h.net)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -223,7 +225,7 @@
 	run(t, func(t *testing.T) {
 		f := newFleet(t, 4, "v1")
 		time.Sleep(retention + time.Second)
-		f.hosts[0].targetsAge = maxTargetsAge
+		f.hosts[0].targetsAge.Store(int64(maxTargetsAge))
 		if got := f.lookup(0, "lost"); got != "v1" {
 			t.Errorf("old list, all hosts reply: version %s, want v1", got)
 		}
@@ -234,6 +236,40 @@
 	})
 }
 
+// TestListThatChangesDuringALookupIsNotTakenForTheEarlierOne guards against a stream that goes on at another version: a host that
+// goes on after a freeze has asked the others with its earlier list, and hears meanwhile that its list is current.
+func TestListThatChangesDuringALookupIsNotTakenForTheEarlierOne(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 4, "v1")
+		time.Sleep(retention + time.Second)
+		h := f.hosts[0]
+		h.targetsAge.Store(int64(maxTargetsAge))
+		f.network.SetFaults(peertest.Faults{LoseReply: 1})
+		time.AfterFunc(lookupTimeout/2, func() {
+			h.targets.Store(targetsOf("v1", "v2"))
+			h.targetsAge.Store(0)
+		})
+		if got := f.lookup(0, "lost"); got != "unknown" {
+			t.Errorf("a second version was listed during the lookup: version %s, want it unknown", got)
+		}
+	})
+}
+
+// TestCurrentListServesWithoutReplies is the control: what the host knows of its list during the lookup counts.
+func TestCurrentListServesWithoutReplies(t *testing.T) {
+	run(t, func(t *testing.T) {
+		f := newFleet(t, 4, "v1")
+		time.Sleep(retention + time.Second)
+		h := f.hosts[0]
+		h.targetsAge.Store(int64(maxTargetsAge))
+		f.network.SetFaults(peertest.Faults{LoseReply: 1})
+		time.AfterFunc(lookupTimeout/2, func() { h.targetsAge.Store(0) })
+		if got := f.lookup(0, "lost"); got != "v1" {
+			t.Errorf("the only list there was is current again: version %s, want v1", got)
+		}
+	})
+}
+
 // TestLookupIsBounded checks that hosts that don't reply delay a lookup by lookupTimeout at most.
 func TestLookupIsBounded(t *testing.T) {
 	run(t, func(t *testing.T) {
