A poll confirms a copy as of what the store can have known, not as of when its response is read

What callers may see: a host takes a configuration for current that was replaced while the response with it waited, for example because the host was frozen; keys that were taken away meanwhile work for up to the wait of the poll longer.

Cause: a poll was counted as a confirmation as of when its response was read, up to its whole wait. With events the store responds as soon as there is one; a frozen host, or a slow way, has the response seconds later.

Change: a response with events proves the start of the call. One without events after the whole wait proves that wait, unless it is long. The poll after one with events does not wait, so that the copy is confirmed as recently as before.

--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -83,6 +83,7 @@
 
 	// Only Run uses the following fields.
 	reachable bool          // a store that was down was probed with success, and not called since
+	unproven  bool          // the last response had events: it proves less than one without
 	listedAt  time.Duration // end of the last list
 }
 
@@ -286,6 +287,9 @@
 	if at, _ := m.lastConfirmed(); at == 0 && !policy.AllowStale {
 		policy.MaxWait = min(policy.MaxWait, probeWait) // after a first list that may be out of date
 	}
+	if m.unproven {
+		policy.MaxWait = min(policy.MaxWait, probeWait)
+	}
 	if m.awaitsTime() {
 		policy.MaxWait = min(policy.MaxWait, m.opts.KeepMissing/4)
 	}
@@ -302,14 +306,26 @@
 	if err != nil {
 		return err
 	}
-	confirmed := start + min(m.opts.Now()-start, policy.MaxWait)
+	confirmed := provenAt(start, m.opts.Now(), policy.MaxWait, events)
 	if policy.AllowStale {
 		confirmed = 0
 	}
+	m.unproven = len(events) > 0 && !policy.AllowStale
 	m.applyEvents(events, version, confirmed)
 	return nil
 }
 
+// provenAt returns until when the response to a poll, read at now, shows that the copy was complete with its events. It may
+// have been under way for long, or have waited for a host that was frozen: the store saw the call after its start, and only
+// one without events at the end of the wait. If that was cut short without an error, and a host was frozen too, the result
+// is too late by the wait at most; longer waits than shortPollWait are therefore not counted.
+func provenAt(start, now, wait time.Duration, events []platform.Event) time.Duration {
+	if len(events) > 0 || wait > shortPollWait || now-start < wait {
+		return start
+	}
+	return start + wait
+}
+
 // awaitsTime reports whether objects are kept or withheld for a time.
 func (m *Mirror) awaitsTime() bool {
 	m.mu.Lock()
--- a/internal/storecache/mirror_test.go
+++ b/internal/storecache/mirror_test.go
@@ -23,8 +23,10 @@
 	fails   bool
 	expired bool
 	polls   int
-	strict  int // calls that don't allow stale data
-	sent    int // events sent
+	strict  int           // calls that don't allow stale data
+	sent    int           // events sent
+	late    time.Duration // from a response until it is read
+	cut     bool          // polls end at once, without an error
 }
 
 func (f *fakeSource) put(name string) {
@@ -88,8 +90,12 @@
 				found = append(found, e)
 			}
 		}
-		version, fails, expired := f.version, f.fails, f.expired
+		version, fails, expired, cut := f.version, f.fails, f.expired, f.cut
+		late := f.late
 		f.mu.Unlock()
+		if len(found) > 0 || cut {
+			time.Sleep(late)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return nil, 0, ctx.Err()
@@ -97,7 +103,7 @@
 			return nil, 0, &platform.UnavailableError{}
 		case expired:
 			return nil, 0, &platform.ExpiredError{}
-		case len(found) > 0 || !time.Now().Before(end):
+		case len(found) > 0 || cut || !time.Now().Before(end):
 			f.set(func(f *fakeSource) { f.sent += len(found) })
 			return found, version, nil
 		}
@@ -414,3 +420,68 @@
 		})
 	}
 }
+
+// TestLateResponseConfirmsWhatTheStoreKnew guards against a host that takes a configuration for current as of the time at which it
+// reads a response that has waited for it, for example since it was frozen: the store may have changed again before.
+func TestLateResponseConfirmsWhatTheStoreKnew(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait   time.Duration
+		change func(*fakeSource)
+	}{
+		"event, short wait": {700 * time.Millisecond, func(f *fakeSource) { f.put("c") }},
+		"event, long wait":  {10 * time.Second, func(f *fakeSource) { f.put("c") }},
+		"cut, long wait":    {10 * time.Second, func(f *fakeSource) { f.set(func(f *fakeSource) { f.cut = true }) }},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			source := newSource()
+			var next, tooLate atomic.Int64
+			var changed atomic.Bool // "d" has been handed on
+			m, _ := start(t, source, func(o *Options) {
+				o.Policy = func() PollPolicy { return PollPolicy{MaxWait: c.wait} }
+				o.OnChange = func(objects map[string]platform.Object) { _, ok := objects["d"]; changed.Store(ok) }
+				o.OnConfirm = func(at time.Duration) {
+					if !changed.Load() && next.Load() > 0 {
+						tooLate.Store(max(tooLate.Load(), int64(at)-next.Load()))
+					}
+				}
+			})
+			time.Sleep(71 * time.Millisecond) // within the first poll
+			source.set(func(f *fakeSource) { f.late = 8 * time.Second })
+			c.change(source)
+			time.Sleep(100 * time.Millisecond)
+			source.set(func(f *fakeSource) { f.late, f.cut = 0, false })
+			next.Store(int64(m.opts.Now()))
+			source.put("d") // not in the response that is under way
+			time.Sleep(20 * time.Second)
+			if late := time.Duration(tooLate.Load()); late > 0 {
+				t.Errorf("%s: confirmed as of %v after a change that the response does not have", name, late)
+			}
+			if !changed.Load() {
+				t.Errorf("%s: the change was not read", name)
+			}
+		})
+	}
+}
+
+// TestConfirmationsOfAQuietStoreStayRecent is the control: a host whose calls are answered in time confirms its copy as often as
+// its policy asks, and makes one call more for each change.
+func TestConfirmationsOfAQuietStoreStayRecent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newSource()
+		m, _ := start(t, source, func(*Options) {})
+		time.Sleep(100 * time.Millisecond)
+		const changes = 10
+		for i := range 60 * 100 {
+			if i%(6*100) == 333 {
+				source.put("c")
+			}
+			if at, _ := m.lastConfirmed(); m.opts.Now()-at > 750*time.Millisecond {
+				t.Fatalf("confirmed %v ago, want 0.7 s and the delays of the source at most", m.opts.Now()-at)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if polls := source.pollCount(); polls > 60*10/7+2*changes+1 {
+			t.Errorf("%d polls in a minute with %d changes", polls, changes)
+		}
+	})
+}
