A configuration that can't be decoded confirms none before it

What callers may see: a key that was taken away works for as long as the store holds a configuration that this build can't decode.

Cause: configChanged logs config_unreadable and keeps the configuration in force, and the mirror, whose copy is complete, went on confirming it. By PROTOCOL.md "the store accepts only valid configurations", and its response is the acknowledgement that all bounds are measured from; so one that the store holds counts, also where this build can't read it.

Change: the copy confirms the configuration in force only while that follows from what the store holds. Requests with keys are refused once the last confirmation is too old, as in an outage of the store; the routes stay.

--- a/internal/platformhost/platformhost.go
+++ b/internal/platformhost/platformhost.go
@@ -107,11 +107,13 @@
 	startedAt    time.Duration
 	homesLog     homesLog
 	confirmedEra atomic.Uint32 // era of the last config_confirmed line
-	hostsListed  sync.Once
-	knowsHosts   chan struct{} // closed with the first list of hosts
-	listedAt     time.Duration // when this host's entry was last seen, or written first; only join uses it
-	stop         chan struct{}
-	stopping     chan struct{} // closed when the planned stop starts
+	// configUnreadable is set while the stored configuration cannot be decoded. Only the mirror of the configuration uses it.
+	configUnreadable bool
+	hostsListed      sync.Once
+	knowsHosts       chan struct{} // closed with the first list of hosts
+	listedAt         time.Duration // when this host's entry was last seen, or written first; only join uses it
+	stop             chan struct{}
+	stopping         chan struct{} // closed when the planned stop starts
 }
 
 // New returns a host that does not run yet.
@@ -139,7 +141,7 @@
 	h.initGateway()
 	h.config = storecache.New(storecache.Options{
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.ConfigKind, Policy: h.bounded(h.configPolicy),
-		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged, OnConfirm: h.view.ConfirmConfig,
+		Now: bootclock.Now, Log: h.log, OnChange: h.configChanged, OnConfirm: h.confirmConfig,
 	})
 	h.targets = storecache.New(storecache.Options{
 		Source: h.store, Outage: &h.outage, Eras: &h.eras, Kind: adapter.TargetKind, Policy: h.bounded(h.targetPolicy),
--- a/internal/platformhost/state.go
+++ b/internal/platformhost/state.go
@@ -27,6 +27,7 @@
 		return
 	}
 	c, err := h.adapter.Codec.Config(obj)
+	h.configUnreadable = err != nil
 	if err != nil {
 		h.log.WithFields(logrus.Fields{"event": "config_unreadable", "revision": obj.Version}).Error(err.Error())
 		return
@@ -41,6 +42,14 @@
 	h.log.WithFields(logrus.Fields{"event": "config_taken", "version": c.Version, "revision": c.Revision, "before": old.Version, "routes": len(c.Routes)}).Info("configuration in force")
 }
 
+// confirmConfig records that the copy of the stored configuration was complete at a time. One that cannot be decoded was
+// acknowledged to the operator all the same, and may have taken keys away: the one before it is no longer confirmed.
+func (h *Host) confirmConfig(at time.Duration) {
+	if !h.configUnreadable {
+		h.view.ConfirmConfig(at)
+	}
+}
+
 // logEras logs each new era of the store until ctx ends.
 func (h *Host) logEras(ctx context.Context) error {
 	before := platform.Era(0)
