Own interface: a key is checked against the configuration that was confirmed

What callers may see: a withdrawn key is admitted at a host of the product's own interface that goes on after it was frozen or cut off, for the moment in which it takes the next configuration.

Evidence: TestChangeWhileAKeyIsChecked failed before, for Authenticate and StillValid: admitted in place of refused as stale.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -65,12 +65,11 @@
 // exchanges digests with peers and fetches the changes it lacks, so a change that one
 // host has seen reaches all.
 type Store struct {
-	opts        StoreOptions
-	startTime   time.Time
-	snapshot    atomic.Pointer[Snapshot]
-	acceptUntil atomic.Int64 // time since startTime until which requests may be accepted
-	topo        atomic.Pointer[topology]
-	stats       storeMetrics
+	opts      StoreOptions
+	startTime time.Time
+	current   atomic.Pointer[inForce]
+	topo      atomic.Pointer[topology]
+	stats     storeMetrics
 
 	mu              sync.Mutex // guards the fields of this group
 	objects         *vmap.Map[json.RawMessage]
@@ -90,6 +89,13 @@
 	collectSem chan struct{} // bounds concurrent collections of acknowledgements
 }
 
+// inForce is a configuration and the time since startTime until which requests may be
+// accepted with it.
+type inForce struct {
+	snapshot    *Snapshot
+	acceptUntil time.Duration
+}
+
 // NewStore returns a store with an empty configuration. It accepts no requests until it
 // has taken a full state from the object API or a peer.
 func NewStore(o StoreOptions) (*Store, error) {
@@ -113,8 +119,7 @@
 		collectSem: make(chan struct{}, maxConcurrentCollections),
 		stats:      newStoreMetrics(o.Metrics),
 	}
-	s.acceptUntil.Store(-1)
-	s.snapshot.Store(x.snapshot(0))
+	s.current.Store(&inForce{snapshot: x.snapshot(0), acceptUntil: -1})
 	s.refreshMembers()
 	o.Registrar.Handle(methodSync, s.handleSync)
 	o.Registrar.Handle(methodPage, s.handlePage)
@@ -125,7 +130,7 @@
 func hostSeed(name string) uint64 { return uint64(vmap.ContactID(name)) }
 
 // Snapshot implements Source.
-func (s *Store) Snapshot() *Snapshot { return s.snapshot.Load() }
+func (s *Store) Snapshot() *Snapshot { return s.current.Load().snapshot }
 
 // now returns the monotonic time since the store was created.
 func (s *Store) now() time.Duration { return time.Since(s.startTime) }
@@ -133,7 +138,17 @@
 // Accepting reports whether requests may be accepted with this configuration: within
 // StaleAfter, either the object API confirmed it, directly or through peers, or a quorum
 // of peers was in touch and none held a newer state.
-func (s *Store) Accepting() bool { return int64(s.now()) <= s.acceptUntil.Load() }
+func (s *Store) Accepting() bool {
+	_, accepting := s.InForce()
+	return accepting
+}
+
+// InForce returns the configuration, and what Accepting returns for it. A caller that asks for the
+// two one after the other may get an earlier configuration with the answer for the next one.
+func (s *Store) InForce() (snapshot *Snapshot, accepting bool) {
+	c := s.current.Load()
+	return c.snapshot, s.now() <= c.acceptUntil
+}
 
 // Run keeps the configuration up to date until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
@@ -181,7 +196,7 @@
 }
 
 func (s *Store) publishSnapshot(applied []vmap.Applied[json.RawMessage]) {
-	version := s.snapshot.Load().Version
+	version := s.Snapshot().Version
 	for _, a := range applied {
 		s.index.apply(a.Name, a.Old, a.Value)
 		s.trackWithdrawal(a)
@@ -189,7 +204,7 @@
 	}
 	s.stats.changes.Inc(int64(len(applied)))
 	s.stats.snapshots.Inc(1)
-	s.snapshot.Store(s.index.snapshot(version))
+	s.current.Store(&inForce{snapshot: s.index.snapshot(version), acceptUntil: s.current.Load().acceptUntil})
 }
 
 // updateAcceptUntil recomputes the time until which requests may be accepted. The caller
@@ -200,7 +215,9 @@
 		until = s.freshness.ValidUntil(s.now())
 	}
 	invariant.Check(until <= s.now()+StaleAfter, invariant.KeyWithdrawn, "keys would be accepted until %v, based on evidence dated in the future", until)
-	s.acceptUntil.Store(int64(until))
+	if c := s.current.Load(); c.acceptUntil != until {
+		s.current.Store(&inForce{snapshot: c.snapshot, acceptUntil: until})
+	}
 	s.stats.observe(s)
 }
 
--- a/internal/keyauth/keyauth.go
+++ b/internal/keyauth/keyauth.go
@@ -18,12 +18,11 @@
 // while this host cannot confirm which keys are in force.
 const staleRetryAfter = 2 * time.Second
 
-// Configuration is the configuration in force and whether this host may act on
-// it. *config.Store implements it.
+// Configuration is the configuration in force. *config.Store implements it.
 type Configuration interface {
-	config.Source
-	// Accepting reports whether the configuration was confirmed recently.
-	Accepting() bool
+	// InForce returns the configuration and whether it was confirmed recently, so
+	// that this host may act on it.
+	InForce() (*config.Snapshot, bool)
 }
 
 // Options configure an Authenticator.
@@ -71,11 +70,11 @@
 	}
 	var sum [config.KeyHashLen]byte
 	config.AppendKeyHash(sum[:0], presented)
-	snapshot := a.config.Snapshot()
-	key := snapshot.Keys[string(sum[:])]
-	if !a.config.Accepting() {
+	snapshot, accepting := a.config.InForce()
+	if !accepting {
 		return nil, a.refuseStale()
 	}
+	key := snapshot.Keys[string(sum[:])]
 	if key == nil || snapshot.Teams[key.Team] == nil {
 		a.stats.invalid.Inc(1)
 		return nil, refusal.New(http.StatusUnauthorized, refusal.CodeInvalidKey, "the key is not in force")
@@ -87,11 +86,11 @@
 
 // StillValid implements serve.Authenticator.
 func (a *Authenticator) StillValid(hash string) error {
-	key := a.config.Snapshot().Keys[hash]
-	if !a.config.Accepting() {
+	snapshot, accepting := a.config.InForce()
+	if !accepting {
 		return a.refuseStale()
 	}
-	if key == nil {
+	if snapshot.Keys[hash] == nil {
 		a.stats.withdrawn.Inc(1)
 		return refusal.New(http.StatusUnauthorized, refusal.CodeInvalidKey, "the key was withdrawn")
 	}
--- a/internal/keyauth/keyauth_test.go
+++ b/internal/keyauth/keyauth_test.go
@@ -16,8 +16,7 @@
 	accepting bool
 }
 
-func (f *fixedConfig) Snapshot() *config.Snapshot { return f.snapshot }
-func (f *fixedConfig) Accepting() bool            { return f.accepting }
+func (f *fixedConfig) InForce() (*config.Snapshot, bool) { return f.snapshot, f.accepting }
 
 // newSnapshot returns a configuration with the given numbers of adapters and of
 // teams, which have one key each.
@@ -113,3 +112,33 @@
 		}
 	}
 }
+
+// changingConfig is out of date. It gets the next configuration, without any key, right after a reader has taken the first.
+type changingConfig struct{ fixedConfig }
+
+func (c *changingConfig) InForce() (*config.Snapshot, bool) {
+	taken := c.fixedConfig
+	c.fixedConfig = fixedConfig{newSnapshot(0, 0), true}
+	return taken.InForce()
+}
+
+// TestChangeWhileAKeyIsChecked guards against a withdrawn key that is admitted by the configuration before a change and the
+// confirmation after it, at a host that goes on after a freeze.
+func TestChangeWhileAKeyIsChecked(t *testing.T) {
+	for name, check := range map[string]func(*Authenticator) error{
+		"Authenticate": func(a *Authenticator) error { _, err := a.Authenticate("key-of-team-1"); return err },
+		"StillValid":   func(a *Authenticator) error { return a.StillValid(config.HashKey("key-of-team-1")) },
+	} {
+		c := &changingConfig{fixedConfig{newSnapshot(3, 0), false}}
+		a, err := New(Options{Config: c, Metrics: tally.NoopScope})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := check(a); refusalCode(err) != refusal.CodeConfigurationStale {
+			t.Errorf("%s during the change: %v, want the configuration stale", name, err)
+		}
+		if err := check(a); refusalCode(err) != refusal.CodeInvalidKey {
+			t.Errorf("%s after the change: %v, want the key invalid", name, err)
+		}
+	}
+}
