Test: a host that is handed a request checks its key itself

The host that gets the request admits it by its own configuration and confirmation, so a withdrawn key is refused there and nothing is sent to a target.

--- a/internal/gateway/helper_test.go
+++ b/internal/gateway/helper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -136,3 +137,35 @@
 		}
 	}
 }
+
+// TestHostThatIsHandedARequestChecksItsKey covers requests that another host passes on as soon as it has admitted them: this host
+// goes by its own configuration, and refuses a key that was withdrawn or that it cannot check.
+func TestHostThatIsHandedARequestChecksItsKey(t *testing.T) {
+	for name, c := range map[string]struct {
+		teams  []fleet.Team
+		age    time.Duration
+		status int
+	}{
+		"in force":        {nil, 0, http.StatusOK},
+		"withdrawn":       {[]fleet.Team{{Name: "other", Keys: []string{"another"}}}, 0, http.StatusUnauthorized},
+		"cannot be known": {nil, 5 * time.Second, http.StatusServiceUnavailable},
+	} {
+		sender := &scriptedSender{responses: []func(target.ForwardRequest) (*target.ForwardResponse, error){respond(200, "data: ok\n\n")}}
+		g := testGateway(sender)
+		config := *g.opts.View.Config()
+		if c.teams != nil {
+			config.Teams = c.teams
+			config.Index()
+		}
+		g.opts.CurrentConfig = func() (fleet.Dated[*fleet.Config], bool) {
+			return fleet.Dated[*fleet.Config]{Copy: &config, CurrentAt: g.opts.Now() - c.age}, true
+		}
+		r := newPost("/once/x", "m", "a1")
+		r.Header.Set(headerRelayedBy, "h1")
+		w := httptest.NewRecorder()
+		g.RelayHandler().ServeHTTP(w, r)
+		if w.Code != c.status || (len(sender.sent) > 0) != (c.status == http.StatusOK) {
+			t.Errorf("%s: status %d after %d sends, want %d", name, w.Code, len(sender.sent), c.status)
+		}
+	}
+}
