Own interface: bookmarks that waited for a frozen host confirm nothing

What callers may see: on the product's own interface a host that goes on after a freeze takes the configuration for current by bookmarks that came during the freeze; a key that was withdrawn since works for up to StaleAfter longer if the connection was lost meanwhile, else until the events behind them are applied.

Cause: a bookmark counted as a confirmation as of when it was applied. configuration.md relies on late bookmarks of a stalled connection being dropped, but the timer that does so and the queued bookmarks are both ready when the process goes on, and one of them is chosen at random; those that are drained with an earlier event were not looked at at all.

Change: an event that comes later after the one before than a watch may be silent ends the watch, whatever the timer does; a fresh connection follows. A batch confirms as of when its first event was received.

Hosts on the users' platform do not use this code.

--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -19,7 +19,12 @@
 // newIdleStore returns a store that holds objects and does not run.
 func newIdleStore(t testing.TB, objects []vmap.Change[json.RawMessage]) *Store {
 	t.Helper()
-	host := peertest.New(1).Add(peer.Member{ID: peer.ID{Name: "host-0", Incarnation: "1"}, Zone: "zone-0"})
+	return newIdleStoreOf(t, peertest.New(1).Add(peer.Member{ID: peer.ID{Name: "host-0", Incarnation: "1"}, Zone: "zone-0"}), objects)
+}
+
+// newIdleStoreOf returns a store of a host in a network.
+func newIdleStoreOf(t testing.TB, host *peertest.Host, objects []vmap.Change[json.RawMessage]) *Store {
+	t.Helper()
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	s, err := NewStore(StoreOptions{Members: host, Caller: host, Registrar: host, Log: log, Metrics: tally.NoopScope})
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -173,7 +173,7 @@
 	bookmark := platform.Event{Type: platform.EventBookmark, Object: platform.Object{Version: 5}}
 	put := platform.Event{Type: platform.EventPut, Object: platform.Object{Name: "a", Version: 4, Data: data}}
 	var early *EarlyBookmarkError
-	if _, err := s.applyBatch([]platform.Event{bookmark, put}); !errors.As(err, &early) {
+	if _, err := s.applyBatch([]platform.Event{bookmark, put}, s.now()); !errors.As(err, &early) {
 		t.Fatalf("%T %v", err, err)
 	}
 	s.merge(func() []vmap.Applied[json.RawMessage] {
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -162,6 +162,7 @@
 	idleTimer := time.NewTimer(watchIdleTimeout)
 	defer idleTimer.Stop()
 	opened := s.now()
+	last := opened // when the last event was received
 	for {
 		select {
 		case <-ctx.Done():
@@ -172,7 +173,12 @@
 			if !open {
 				return watchError(w)
 			}
-			if err := s.apply(e, w); err != nil {
+			received := s.now()
+			if silence := received - last; silence > watchIdleTimeout {
+				return &SilentWatchError{Silence: silence} // this process was frozen: the events may have waited as long
+			}
+			last = received
+			if err := s.apply(e, w, received); err != nil {
 				return err
 			}
 			idleTimer.Reset(watchIdleTimeout)
@@ -201,8 +207,9 @@
 	return fmt.Sprintf("instance %s at version %d arrived after a bookmark of a later version", e.Name, e.Version)
 }
 
-// apply merges an event and those already queued behind it.
-func (s *Store) apply(first platform.Event, w platform.Watch) error {
+// apply merges an event and those already queued behind it. A bookmark among them confirms
+// the state as of received, when the first one was: applying them may take long.
+func (s *Store) apply(first platform.Event, w platform.Watch, received time.Duration) error {
 	batch := []platform.Event{first}
 	for len(batch) < maxEventBatch {
 		select {
@@ -217,16 +224,16 @@
 	}
 	var err error
 	s.merge(func() (applied []vmap.Applied[json.RawMessage]) {
-		applied, err = s.applyBatch(batch)
+		applied, err = s.applyBatch(batch, received)
 		return applied
 	})
 	return err
 }
 
-func (s *Store) applyBatch(batch []platform.Event) (applied []vmap.Applied[json.RawMessage], err error) {
+func (s *Store) applyBatch(batch []platform.Event, received time.Duration) (applied []vmap.Applied[json.RawMessage], err error) {
 	for _, e := range batch {
 		if e.Type == platform.EventBookmark {
-			s.applyBookmark(uint64(e.Object.Version))
+			s.applyBookmark(uint64(e.Object.Version), received)
 			continue
 		}
 		c := changeOf(e)
@@ -249,11 +256,11 @@
 
 // applyBookmark takes a bookmark as the API's confirmation of the state. If a peer has
 // shown a later version, this watch lags behind and the bookmark is ignored.
-func (s *Store) applyBookmark(version uint64) {
+func (s *Store) applyBookmark(version uint64, received time.Duration) {
 	if version < s.objects.Digest().Head {
 		s.stats.laggingBookmarks.Inc(1)
 		return
 	}
 	s.objects.Advance(version)
-	s.freshness.ConfirmSource(s.now())
+	s.freshness.ConfirmSource(received)
 }
