A poll without a wait follows only a response that came late

Cause: since each poll whose response has events is followed by one that does not wait, also where the response came at once and proves the present.

Change: only a response that took more than half of its wait is followed so.

TestLateResponseConfirmsWhatTheStoreKnew is unchanged.

--- a/internal/storecache/mirror.go
+++ b/internal/storecache/mirror.go
@@ -83,7 +83,7 @@
 
 	// Only Run uses the following fields.
 	reachable bool          // a store that was down was probed with success, and not called since
-	unproven  bool          // the last response had events: it proves less than one without
+	unproven  bool          // the last response came late in its wait and had events: it proves less than one without
 	listedAt  time.Duration // end of the last list
 }
 
@@ -306,15 +306,19 @@
 	if err != nil {
 		return err
 	}
-	confirmed := provenAt(start, m.opts.Now(), policy.MaxWait, events)
+	now := m.opts.Now()
+	confirmed := provenAt(start, now, policy.MaxWait, events)
 	if policy.AllowStale {
 		confirmed = 0
 	}
-	m.unproven = len(events) > 0 && !policy.AllowStale
+	m.unproven = len(events) > 0 && !policy.AllowStale && now-start > policy.MaxWait/lateShare
 	m.applyEvents(events, version, confirmed)
 	return nil
 }
 
+// lateShare is the share of its wait after which a response with events is followed by a poll that does not wait.
+const lateShare = 2
+
 // provenAt returns until when the response to a poll, read at now, shows that the copy was complete with its events. It may
 // have been under way for long, or have waited for a host that was frozen: the store saw the call after its start, and only
 // one without events at the end of the wait. If that was cut short without an error, and a host was frozen too, the result
